--- /dev/null
+++ b/Source/Core/Common/Common.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Hash.h"
+#include "Common/Ids.h"
+#include "Common/Invariant.h"
+#include "Common/Log.h"
+#include "Common/Mailbox.h"
+#include "Common/Metrics.h"
+#include "Common/NameTable.h"
+#include "Common/Outcome.h"
+#include "Common/SettingsFile.h"
+
+/// Public header of the common library: clocks, identifiers, outcomes, logs, metrics and settings
+/// files that every other library builds on.
--- /dev/null
+++ b/Source/Core/Common/Invariant.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string_view>
+
+namespace Common {
+
+/// Stops the process, with a log line, when \a holds is false. For promises that must never break:
+/// a process that would start a task twice does less harm dead than running.
+void invariant(bool holds, std::string_view promise, std::string_view detail = {});
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Common/Outcome.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <string>
+
+#include "Schema/Schema.h"
+
+namespace Common {
+
+/// Why something could not be done, as a value.
+struct Failure
+{
+    Schema::Reason reason = Schema::Reason::None;
+    std::string detail;
+};
+
+/// A value, or a Failure for the nearest handler to take.
+template <typename Value>
+using Outcome = boost::leaf::result<Value>;
+
+inline boost::leaf::error_id failure(Schema::Reason reason, std::string detail)
+{
+    return boost::leaf::new_error(Failure{reason, std::move(detail)});
+}
+
+/// Runs \a attempt, which returns an Outcome, and gives its Failure to \a recover.
+template <typename Attempt, typename Recover>
+auto handle(Attempt &&attempt, Recover &&recover)
+{
+    return boost::leaf::try_handle_all(
+            std::forward<Attempt>(attempt),
+            [&recover](const Failure &failed) { return recover(failed); },
+            [&recover] {
+                return recover(Failure{Schema::Reason::None, "unexplained error"});
+            });
+}
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Common/SettingsFile.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "Common/Outcome.h"
+#include "Schema/Schema.h"
+
+namespace Common {
+
+/// Reads a YAML settings file, fills in the schema's defaults and checks the whole against the
+/// definition \a definition of the settings schema. A failure names file, key, what was found and
+/// what is allowed. An empty \a path gives the defaults.
+Outcome<nlohmann::json> loadSettingsJson(const std::string &path, const std::string &definition);
+
+template <typename Settings>
+Outcome<Settings> loadSettings(const std::string &path, const std::string &definition)
+{
+    BOOST_LEAF_AUTO(json, loadSettingsJson(path, definition));
+    return json.template get<Settings>();
+}
+
+/// The settings in force as YAML, for --print-settings.
+std::string settingsYaml(const nlohmann::json &settings);
+
+/// Checks \a value against the definition \a definition of the message schema; the failure's detail
+/// names the member and the rule.
+Outcome<void> checkMessage(const nlohmann::json &value, const std::string &definition);
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Dispatch/Effects.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Schema/Schema.h"
+
+/// What decisions ask of the outside. Decision code does no input or output of its own: it returns
+/// these, and the daemon's control thread, or a test in virtual time, carries them out in order.
+namespace Dispatch {
+
+struct SendToGateway
+{
+    std::string instance;
+    Schema::Frame frame;
+};
+
+struct SendToAgent
+{
+    std::string instance;
+    Schema::Frame frame;
+};
+
+enum class LogStream { Control, Journal, Config };
+
+/// Appended in order, one batch for each stream in flight at a time. The result comes back with the
+/// same \a batch.
+struct AppendToLog
+{
+    LogStream stream = LogStream::Control;
+    std::uint64_t batch = 0;
+    std::vector<Schema::LogRecord> records;
+};
+
+/// Answer to a request that reached this gateway from a caller or, forwarded, from another gateway.
+struct AnswerRequest
+{
+    std::string requestId;
+    Schema::JobAnswer answer;
+};
+
+/// Adds one to a counter that is labelled with a reason.
+struct CountReason
+{
+    std::string counter;
+    Schema::Reason reason = Schema::Reason::None;
+};
+
+/// One log line.
+struct Note
+{
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using Effect =
+        std::variant<SendToGateway, SendToAgent, AppendToLog, AnswerRequest, CountReason, Note>;
+using Effects = std::vector<Effect>;
+
+/// Adds \a more at the end of \a effects.
+void append(Effects &effects, Effects more);
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Net/HttpClient.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Net {
+
+struct HttpCall
+{
+    std::string method = "GET";
+    std::string url;
+    std::string body;
+    std::int64_t connectTimeoutMs = 1000;
+    std::int64_t timeoutMs = 10000;
+};
+
+/// How far a call got. Only NotConnected proves that the server never saw the request.
+enum class HttpTransport { Answered, NotConnected, Lost, TimedOut };
+
+struct HttpResult
+{
+    HttpTransport transport = HttpTransport::NotConnected;
+    int status = 0;
+    std::string body;
+    std::string error;
+};
+
+using HttpDone = std::function<void(HttpResult)>;
+
+/// Makes calls on one thread of its own, keeping connections open between calls. A request that was
+/// written on a reused connection is never silently sent again on a fresh one: the server may have
+/// acted on it, so the call ends as Lost.
+class HttpClient
+{
+public:
+    /// \a maxConnections bounds connections to any one server; further calls wait.
+    explicit HttpClient(int maxConnections);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// \a done runs on the client's thread.
+    void send(HttpCall call, HttpDone done);
+    /// Waits for the answer.
+    HttpResult perform(HttpCall call);
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Net
--- /dev/null
+++ b/Source/Core/Net/Net.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "Net/Codec.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpServer.h"
+#include "Net/PeerHub.h"
+
+/// Public header of the net library: HTTP for the outside, framed WebSocket links between the
+/// system's own processes. Nothing here decides anything.
--- /dev/null
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -0,0 +1,1792 @@
+//  To parse this JSON data, first install
+//
+//      json.hpp  https://github.com/nlohmann/json
+//
+//  Then include this file, and then do
+//
+//     MessagesSet data = nlohmann::json::parse(jsonString);
+
+#pragma once
+
+#include <optional>
+#include <nlohmann/json.hpp>
+
+#include <unordered_map>
+
+#ifndef NLOHMANN_OPT_HELPER
+#define NLOHMANN_OPT_HELPER
+namespace nlohmann {
+    template <typename T>
+    struct adl_serializer<std::shared_ptr<T>> {
+        static void to_json(json & j, const std::shared_ptr<T> & opt) {
+            if (!opt) j = nullptr; else j = *opt;
+        }
+
+        static std::shared_ptr<T> from_json(const json & j) {
+            if (j.is_null()) return std::shared_ptr<T>(); else return std::make_shared<T>(j.get<T>());
+        }
+    };
+    template <typename T>
+    struct adl_serializer<std::optional<T>> {
+        static void to_json(json & j, const std::optional<T> & opt) {
+            if (!opt) j = nullptr; else j = *opt;
+        }
+
+        static std::optional<T> from_json(const json & j) {
+            if (j.is_null()) return std::optional<T>(); else return std::make_optional<T>(j.get<T>());
+        }
+    };
+}
+#endif
+
+namespace Schema {
+    using nlohmann::json;
+
+    #ifndef NLOHMANN_UNTYPED_Schema_HELPER
+    #define NLOHMANN_UNTYPED_Schema_HELPER
+    inline json get_untyped(const json & j, const char * property) {
+        if (j.find(property) != j.end()) {
+            return j.at(property).get<json>();
+        }
+        return json();
+    }
+
+    inline json get_untyped(const json & j, std::string property) {
+        return get_untyped(j, property.data());
+    }
+    #endif
+
+    #ifndef NLOHMANN_OPTIONAL_Schema_HELPER
+    #define NLOHMANN_OPTIONAL_Schema_HELPER
+    template <typename T>
+    inline std::shared_ptr<T> get_heap_optional(const json & j, const char * property) {
+        auto it = j.find(property);
+        if (it != j.end() && !it->is_null()) {
+            return j.at(property).get<std::shared_ptr<T>>();
+        }
+        return std::shared_ptr<T>();
+    }
+
+    template <typename T>
+    inline std::shared_ptr<T> get_heap_optional(const json & j, std::string property) {
+        return get_heap_optional<T>(j, property.data());
+    }
+    template <typename T>
+    inline std::optional<T> get_stack_optional(const json & j, const char * property) {
+        auto it = j.find(property);
+        if (it != j.end() && !it->is_null()) {
+            return j.at(property).get<std::optional<T>>();
+        }
+        return std::optional<T>();
+    }
+
+    template <typename T>
+    inline std::optional<T> get_stack_optional(const json & j, std::string property) {
+        return get_stack_optional<T>(j, property.data());
+    }
+    #endif
+
+    struct Drain {
+        std::string backend{};
+    };
+
+    struct KeyVersion {
+        std::string key{};
+        int64_t version{};
+    };
+
+    enum class PlacementPolicy : int { LeastLoaded, Random, TwoChoices, WeightedWindow };
+
+    enum class QueueingPolicy : int { Fair, Fifo };
+
+    struct Policy {
+        std::optional<int64_t> maxQueuedTasks{};
+        std::optional<int64_t> maxQueuedTasksPerCaller{};
+        std::optional<int64_t> neverRunnableGraceMs{};
+        std::optional<PlacementPolicy> placement{};
+        std::optional<QueueingPolicy> queueing{};
+    };
+
+    struct Resources {
+        int64_t accelerators{};
+        int64_t memoryMb{};
+        double processors{};
+    };
+
+    struct Service {
+        std::optional<int64_t> expectedRunMs{};
+        std::string name{};
+        std::optional<Resources> resources{};
+    };
+
+    struct Team {
+        std::string name{};
+        /**
+         * Most tasks of the team running at once in the region; 0 means no limit.
+         */
+        std::optional<int64_t> quota{};
+        std::optional<int64_t> weight{};
+    };
+
+    /**
+     * What operators set, as one document. version is the log offset after the last change in
+     * it.
+     */
+    struct Configuration {
+        std::vector<Drain> drains{};
+        std::vector<KeyVersion> keyVersions{};
+        Policy policy{};
+        std::vector<Service> services{};
+        std::vector<Team> teams{};
+        int64_t version{};
+    };
+
+    struct TaskRef {
+        int64_t index{};
+        std::string job{};
+    };
+
+    struct TaskRefs {
+        std::vector<TaskRef> tasks{};
+    };
+
+    /**
+     * What an agent announces of its backend server.
+     */
+    struct BackendServer {
+        int64_t connections{};
+        std::string failureDomain{};
+        std::string name{};
+        std::string rack{};
+        std::string region{};
+        Resources resources{};
+        /**
+         * Services it can run; empty means any.
+         */
+        std::vector<std::string> services{};
+        int64_t slots{};
+    };
+
+    /**
+     * First frame on a connection to a gateway and the heartbeat after it; backend is sent on
+     * the first and after a change.
+     */
+    struct AgentHello {
+        BackendServer backend{};
+        int64_t configVersion{};
+        bool draining{};
+        /**
+         * False while the backend server does not answer its agent.
+         */
+        bool healthy{};
+        std::string instance{};
+        int64_t running{};
+        int64_t sequence{};
+        int64_t tableVersion{};
+        /**
+         * Most tasks of the receiving gateway that the agent will hold at once.
+         */
+        int64_t window{};
+    };
+
+    struct ShardOwner {
+        /**
+         * Offset of the claim in the control stream times 65536, plus the number of direct
+         * handovers since.
+         */
+        int64_t epoch{};
+        /**
+         * Instance of the gateway; empty when nobody has claimed it.
+         */
+        std::string owner{};
+        int64_t shard{};
+    };
+
+    /**
+     * A new owner asks for all that an agent holds of some shards. The agent takes the epochs
+     * in first, so that its answer stays true.
+     */
+    struct AskTasks {
+        std::string requestId{};
+        std::vector<ShardOwner> shards{};
+    };
+
+    enum class ForwardKind : int { Cancel, Configure, Get, Query, Submit };
+
+    struct QueryRequest {
+        std::optional<bool> local{};
+        std::string text{};
+    };
+
+    struct SubmitTask {
+        std::string payload{};
+    };
+
+    /**
+     * Body of POST /v1/jobs. id and firstSubmittedMs are kept by the caller when it resubmits;
+     * both or neither are given.
+     */
+    struct SubmitJob {
+        std::string caller{};
+        std::optional<int64_t> deadlineMs{};
+        std::optional<int64_t> declaredRunMs{};
+        std::optional<int64_t> firstSubmittedMs{};
+        std::optional<std::string> id{};
+        std::optional<bool> idempotent{};
+        std::optional<Resources> resources{};
+        std::string service{};
+        std::vector<SubmitTask> tasks{};
+        std::string team{};
+    };
+
+    struct Forward {
+        std::optional<std::string> job{};
+        ForwardKind kind{};
+        std::optional<QueryRequest> query{};
+        std::string requestId{};
+        std::optional<SubmitJob> submit{};
+        std::optional<bool> wait{};
+    };
+
+    enum class JobOutcome : int { Completed, Failed, Pending, Refused, Unknown };
+
+    /**
+     * Why a job or task was refused, failed or retried. Each has its counter.
+     */
+    enum class Reason : int { AgentDraining, BackendRefused, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownService, UnknownTeam };
+
+    /**
+     * What a caller learns. results holds every task's result in task order when outcome is
+     * completed, and is absent otherwise. notRun is true only when no task of the job was
+     * started.
+     */
+    struct JobAnswer {
+        std::optional<std::string> detail{};
+        std::optional<int64_t> firstSubmittedMs{};
+        std::string id{};
+        bool notRun{};
+        JobOutcome outcome = JobOutcome::Unknown;
+        Reason reason = Reason::None;
+        std::optional<std::vector<std::string>> results{};
+        std::optional<int64_t> retryAfterMs{};
+        int64_t taskCount{};
+        int64_t tasksEnded{};
+        int64_t tasksStarted{};
+    };
+
+    struct QueryAnswer {
+        /**
+         * Where in the text the error is, from 1.
+         */
+        std::optional<int64_t> column{};
+        std::vector<std::string> columns{};
+        std::optional<std::string> error{};
+        bool ok{};
+        std::vector<std::vector<std::string>> rows{};
+        /**
+         * Gateways that did not answer in time.
+         */
+        std::vector<std::string> silent{};
+    };
+
+    struct ForwardAnswer {
+        std::optional<JobAnswer> answer{};
+        std::optional<bool> notOwner{};
+        std::optional<QueryAnswer> query{};
+        std::string requestId{};
+    };
+
+    /**
+     * A gateway on the roster.
+     */
+    struct Member {
+        std::string failureDomain{};
+        std::string host{};
+        int64_t httpPort{};
+        /**
+         * Unique for each start of a process: name plus a random suffix.
+         */
+        std::string instance{};
+        int64_t peerPort{};
+    };
+
+    struct OwnershipTable {
+        std::vector<Member> roster{};
+        std::vector<ShardOwner> shards{};
+        /**
+         * Offset after the last control record it reflects, times 65536, plus direct handovers seen
+         * since.
+         */
+        int64_t version{};
+    };
+
+    /**
+     * Answer to AgentHello. The agent counts its lease from the moment it sent the hello with
+     * this sequence.
+     */
+    struct GatewayPong {
+        std::optional<Configuration> configuration{};
+        int64_t configVersion{};
+        /**
+         * Tasks that wait at this gateway for a slot.
+         */
+        int64_t demand{};
+        std::string instance{};
+        int64_t sequence{};
+        std::optional<OwnershipTable> table{};
+        int64_t tableVersion{};
+    };
+
+    /**
+     * not_started is a promise: the task has not started here and, under the epoch asked with,
+     * never will.
+     */
+    enum class TaskPhase : int { Failed, NotStarted, Running, Succeeded, Unknown };
+
+    struct TaskSnapshot {
+        std::optional<std::string> agent{};
+        int64_t index{};
+        TaskPhase phase = TaskPhase::Unknown;
+        std::optional<Reason> reason{};
+        std::optional<std::string> result{};
+        bool sent{};
+    };
+
+    struct JobSnapshot {
+        JobAnswer answer{};
+        std::string digest{};
+        std::string id{};
+        std::optional<SubmitJob> submit{};
+        std::vector<TaskSnapshot> tasks{};
+    };
+
+    /**
+     * A leaving owner gives shards, with their jobs and the next epochs, to one successor. It
+     * has stopped starting tasks of them.
+     */
+    struct Handover {
+        std::string from{};
+        std::vector<JobSnapshot> jobs{};
+        std::string requestId{};
+        std::vector<ShardOwner> shards{};
+    };
+
+    struct HandoverAccepted {
+        std::string instance{};
+        std::string requestId{};
+    };
+
+    struct UnloggedNotice {
+        std::string instance{};
+        int64_t sinceMs{};
+    };
+
+    /**
+     * Heartbeat between gateways. acknowledgedVersion is the table version the sender passes to
+     * agents and will never go below.
+     */
+    struct PeerPing {
+        /**
+         * Unlogged declarations the sender knows of.
+         */
+        std::vector<UnloggedNotice> acknowledgedUnlogged{};
+        std::optional<Configuration> configuration{};
+        int64_t configVersion{};
+        std::string instance{};
+        bool reply{};
+        int64_t sequence{};
+        std::optional<OwnershipTable> table{};
+        int64_t tableVersion{};
+        /**
+         * 0, or the wall-clock time from which the sender may start tasks whose intent is not in
+         * the log.
+         */
+        int64_t unloggedSinceMs{};
+    };
+
+    struct StartTask {
+        int64_t epoch{};
+        int64_t index{};
+        std::string job{};
+        int64_t notAfterMs{};
+        std::string payload{};
+        Resources resources{};
+        std::string service{};
+        int64_t shard{};
+        /**
+         * True when the job's intent was not in the log at the time.
+         */
+        bool unlogged{};
+    };
+
+    struct StartTasks {
+        int64_t demand{};
+        std::vector<StartTask> tasks{};
+    };
+
+    struct TaskState {
+        int64_t index{};
+        std::string job{};
+        TaskPhase phase = TaskPhase::Unknown;
+        Reason reason = Reason::None;
+        std::optional<std::string> result{};
+        std::optional<double> runMs{};
+    };
+
+    /**
+     * From an agent to the owner of the tasks' shards. Repeated until acknowledged.
+     */
+    struct TaskStates {
+        /**
+         * Request id of the AskTasks this answers whole.
+         */
+        std::optional<std::string> answerTo{};
+        std::string instance{};
+        int64_t running{};
+        std::vector<TaskState> states{};
+        int64_t window{};
+    };
+
+    enum class FrameType : int { AcknowledgeTasks, AgentHello, AskTasks, CancelTasks, Forward, ForwardAnswer, GatewayPong, Handover, HandoverAccepted, PeerPing, StartTasks, TaskStates };
+
+    /**
+     * One CBOR message on a WebSocket between processes. Exactly the member named by type is
+     * present.
+     */
+    struct Frame {
+        std::optional<TaskRefs> acknowledgeTasks{};
+        std::optional<AgentHello> agentHello{};
+        std::optional<AskTasks> askTasks{};
+        std::optional<TaskRefs> cancelTasks{};
+        std::optional<Forward> forward{};
+        std::optional<ForwardAnswer> forwardAnswer{};
+        std::optional<GatewayPong> gatewayPong{};
+        std::optional<Handover> handover{};
+        std::optional<HandoverAccepted> handoverAccepted{};
+        std::optional<PeerPing> peerPing{};
+        std::optional<StartTasks> startTasks{};
+        std::optional<TaskStates> taskStates{};
+        FrameType type{};
+    };
+
+    enum class ConfigKind : int { Drain, Policy, Service, Team };
+
+    /**
+     * One key set or removed. Wins when no change to its key has a version above basedOn.
+     */
+    struct ConfigChange {
+        std::optional<Drain> drain{};
+        ConfigKind kind{};
+        std::string name{};
+        std::optional<Policy> policy{};
+        bool remove{};
+        std::optional<Service> service{};
+        std::optional<Team> team{};
+    };
+
+    /**
+     * An owner is about to start this job's tasks. digest is the hash of the submission.
+     */
+    struct Intent {
+        std::string digest{};
+        int64_t firstSubmittedMs{};
+        std::string job{};
+        int64_t tasks{};
+        std::string team{};
+    };
+
+    enum class RecordKind : int { Alive, Claim, Config, ConfigSnapshot, HandedOver, Intents, Join, Leave };
+
+    /**
+     * One record of a stream in the platform's log. Readers drop an id seen before: an append
+     * whose answer was lost is sent again under the same id.
+     */
+    struct LogRecord {
+        /**
+         * join, leave: table version it was decided on; config: configuration version.
+         */
+        std::optional<int64_t> basedOn{};
+        std::optional<ConfigChange> change{};
+        std::optional<Configuration> configuration{};
+        std::string id{};
+        std::string instance{};
+        std::optional<std::vector<Intent>> intents{};
+        RecordKind kind{};
+        std::optional<Member> member{};
+        /**
+         * claim: shards with the epochs they had when claimed; handed_over: with their new owner
+         * and epoch.
+         */
+        std::optional<std::vector<ShardOwner>> shards{};
+        int64_t wallMs{};
+    };
+
+    struct LogEntry {
+        int64_t offset{};
+        LogRecord record{};
+    };
+
+    /**
+     * Body of POST /run from an agent to its backend server. The backend server refuses with
+     * status 412 when its clock has passed notAfterMs: nothing was started.
+     */
+    struct RunTask {
+        int64_t index{};
+        std::string job{};
+        int64_t notAfterMs{};
+        std::string payload{};
+        std::string service{};
+    };
+
+    /**
+     * Every message that crosses a process boundary: the callers' HTTP bodies, the frames
+     * between gateways and agents, and the records in the platform's log. Times ending in Ms
+     * are milliseconds; wall-clock times count from the Unix epoch.
+     */
+    struct MessagesSet {
+        std::optional<Configuration> configuration{};
+        std::optional<Frame> frame{};
+        std::optional<JobAnswer> jobAnswer{};
+        std::optional<LogEntry> logEntry{};
+        std::optional<LogRecord> logRecord{};
+        std::optional<QueryAnswer> queryAnswer{};
+        std::optional<QueryRequest> queryRequest{};
+        std::optional<RunTask> runTask{};
+        std::optional<SubmitJob> submitJob{};
+    };
+}
+
+namespace Schema {
+    void from_json(const json & j, Drain & x);
+    void to_json(json & j, const Drain & x);
+
+    void from_json(const json & j, KeyVersion & x);
+    void to_json(json & j, const KeyVersion & x);
+
+    void from_json(const json & j, Policy & x);
+    void to_json(json & j, const Policy & x);
+
+    void from_json(const json & j, Resources & x);
+    void to_json(json & j, const Resources & x);
+
+    void from_json(const json & j, Service & x);
+    void to_json(json & j, const Service & x);
+
+    void from_json(const json & j, Team & x);
+    void to_json(json & j, const Team & x);
+
+    void from_json(const json & j, Configuration & x);
+    void to_json(json & j, const Configuration & x);
+
+    void from_json(const json & j, TaskRef & x);
+    void to_json(json & j, const TaskRef & x);
+
+    void from_json(const json & j, TaskRefs & x);
+    void to_json(json & j, const TaskRefs & x);
+
+    void from_json(const json & j, BackendServer & x);
+    void to_json(json & j, const BackendServer & x);
+
+    void from_json(const json & j, AgentHello & x);
+    void to_json(json & j, const AgentHello & x);
+
+    void from_json(const json & j, ShardOwner & x);
+    void to_json(json & j, const ShardOwner & x);
+
+    void from_json(const json & j, AskTasks & x);
+    void to_json(json & j, const AskTasks & x);
+
+    void from_json(const json & j, QueryRequest & x);
+    void to_json(json & j, const QueryRequest & x);
+
+    void from_json(const json & j, SubmitTask & x);
+    void to_json(json & j, const SubmitTask & x);
+
+    void from_json(const json & j, SubmitJob & x);
+    void to_json(json & j, const SubmitJob & x);
+
+    void from_json(const json & j, Forward & x);
+    void to_json(json & j, const Forward & x);
+
+    void from_json(const json & j, JobAnswer & x);
+    void to_json(json & j, const JobAnswer & x);
+
+    void from_json(const json & j, QueryAnswer & x);
+    void to_json(json & j, const QueryAnswer & x);
+
+    void from_json(const json & j, ForwardAnswer & x);
+    void to_json(json & j, const ForwardAnswer & x);
+
+    void from_json(const json & j, Member & x);
+    void to_json(json & j, const Member & x);
+
+    void from_json(const json & j, OwnershipTable & x);
+    void to_json(json & j, const OwnershipTable & x);
+
+    void from_json(const json & j, GatewayPong & x);
+    void to_json(json & j, const GatewayPong & x);
+
+    void from_json(const json & j, TaskSnapshot & x);
+    void to_json(json & j, const TaskSnapshot & x);
+
+    void from_json(const json & j, JobSnapshot & x);
+    void to_json(json & j, const JobSnapshot & x);
+
+    void from_json(const json & j, Handover & x);
+    void to_json(json & j, const Handover & x);
+
+    void from_json(const json & j, HandoverAccepted & x);
+    void to_json(json & j, const HandoverAccepted & x);
+
+    void from_json(const json & j, UnloggedNotice & x);
+    void to_json(json & j, const UnloggedNotice & x);
+
+    void from_json(const json & j, PeerPing & x);
+    void to_json(json & j, const PeerPing & x);
+
+    void from_json(const json & j, StartTask & x);
+    void to_json(json & j, const StartTask & x);
+
+    void from_json(const json & j, StartTasks & x);
+    void to_json(json & j, const StartTasks & x);
+
+    void from_json(const json & j, TaskState & x);
+    void to_json(json & j, const TaskState & x);
+
+    void from_json(const json & j, TaskStates & x);
+    void to_json(json & j, const TaskStates & x);
+
+    void from_json(const json & j, Frame & x);
+    void to_json(json & j, const Frame & x);
+
+    void from_json(const json & j, ConfigChange & x);
+    void to_json(json & j, const ConfigChange & x);
+
+    void from_json(const json & j, Intent & x);
+    void to_json(json & j, const Intent & x);
+
+    void from_json(const json & j, LogRecord & x);
+    void to_json(json & j, const LogRecord & x);
+
+    void from_json(const json & j, LogEntry & x);
+    void to_json(json & j, const LogEntry & x);
+
+    void from_json(const json & j, RunTask & x);
+    void to_json(json & j, const RunTask & x);
+
+    void from_json(const json & j, MessagesSet & x);
+    void to_json(json & j, const MessagesSet & x);
+
+    void from_json(const json & j, PlacementPolicy & x);
+    void to_json(json & j, const PlacementPolicy & x);
+
+    void from_json(const json & j, QueueingPolicy & x);
+    void to_json(json & j, const QueueingPolicy & x);
+
+    void from_json(const json & j, ForwardKind & x);
+    void to_json(json & j, const ForwardKind & x);
+
+    void from_json(const json & j, JobOutcome & x);
+    void to_json(json & j, const JobOutcome & x);
+
+    void from_json(const json & j, Reason & x);
+    void to_json(json & j, const Reason & x);
+
+    void from_json(const json & j, TaskPhase & x);
+    void to_json(json & j, const TaskPhase & x);
+
+    void from_json(const json & j, FrameType & x);
+    void to_json(json & j, const FrameType & x);
+
+    void from_json(const json & j, ConfigKind & x);
+    void to_json(json & j, const ConfigKind & x);
+
+    void from_json(const json & j, RecordKind & x);
+    void to_json(json & j, const RecordKind & x);
+
+    inline void from_json(const json & j, Drain& x) {
+        x.backend = j.at("backend").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Drain & x) {
+        j = json::object();
+        j["backend"] = x.backend;
+    }
+
+    inline void from_json(const json & j, KeyVersion& x) {
+        x.key = j.at("key").get<std::string>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const KeyVersion & x) {
+        j = json::object();
+        j["key"] = x.key;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, Policy& x) {
+        x.maxQueuedTasks = get_stack_optional<int64_t>(j, "maxQueuedTasks");
+        x.maxQueuedTasksPerCaller = get_stack_optional<int64_t>(j, "maxQueuedTasksPerCaller");
+        x.neverRunnableGraceMs = get_stack_optional<int64_t>(j, "neverRunnableGraceMs");
+        x.placement = get_stack_optional<PlacementPolicy>(j, "placement");
+        x.queueing = get_stack_optional<QueueingPolicy>(j, "queueing");
+    }
+
+    inline void to_json(json & j, const Policy & x) {
+        j = json::object();
+        if (x.maxQueuedTasks) {
+            j["maxQueuedTasks"] = x.maxQueuedTasks;
+        }
+        if (x.maxQueuedTasksPerCaller) {
+            j["maxQueuedTasksPerCaller"] = x.maxQueuedTasksPerCaller;
+        }
+        if (x.neverRunnableGraceMs) {
+            j["neverRunnableGraceMs"] = x.neverRunnableGraceMs;
+        }
+        if (x.placement) {
+            j["placement"] = x.placement;
+        }
+        if (x.queueing) {
+            j["queueing"] = x.queueing;
+        }
+    }
+
+    inline void from_json(const json & j, Resources& x) {
+        x.accelerators = j.at("accelerators").get<int64_t>();
+        x.memoryMb = j.at("memoryMb").get<int64_t>();
+        x.processors = j.at("processors").get<double>();
+    }
+
+    inline void to_json(json & j, const Resources & x) {
+        j = json::object();
+        j["accelerators"] = x.accelerators;
+        j["memoryMb"] = x.memoryMb;
+        j["processors"] = x.processors;
+    }
+
+    inline void from_json(const json & j, Service& x) {
+        x.expectedRunMs = get_stack_optional<int64_t>(j, "expectedRunMs");
+        x.name = j.at("name").get<std::string>();
+        x.resources = get_stack_optional<Resources>(j, "resources");
+    }
+
+    inline void to_json(json & j, const Service & x) {
+        j = json::object();
+        if (x.expectedRunMs) {
+            j["expectedRunMs"] = x.expectedRunMs;
+        }
+        j["name"] = x.name;
+        if (x.resources) {
+            j["resources"] = x.resources;
+        }
+    }
+
+    inline void from_json(const json & j, Team& x) {
+        x.name = j.at("name").get<std::string>();
+        x.quota = get_stack_optional<int64_t>(j, "quota");
+        x.weight = get_stack_optional<int64_t>(j, "weight");
+    }
+
+    inline void to_json(json & j, const Team & x) {
+        j = json::object();
+        j["name"] = x.name;
+        if (x.quota) {
+            j["quota"] = x.quota;
+        }
+        if (x.weight) {
+            j["weight"] = x.weight;
+        }
+    }
+
+    inline void from_json(const json & j, Configuration& x) {
+        x.drains = j.at("drains").get<std::vector<Drain>>();
+        x.keyVersions = j.at("keyVersions").get<std::vector<KeyVersion>>();
+        x.policy = j.at("policy").get<Policy>();
+        x.services = j.at("services").get<std::vector<Service>>();
+        x.teams = j.at("teams").get<std::vector<Team>>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Configuration & x) {
+        j = json::object();
+        j["drains"] = x.drains;
+        j["keyVersions"] = x.keyVersions;
+        j["policy"] = x.policy;
+        j["services"] = x.services;
+        j["teams"] = x.teams;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, TaskRef& x) {
+        x.index = j.at("index").get<int64_t>();
+        x.job = j.at("job").get<std::string>();
+    }
+
+    inline void to_json(json & j, const TaskRef & x) {
+        j = json::object();
+        j["index"] = x.index;
+        j["job"] = x.job;
+    }
+
+    inline void from_json(const json & j, TaskRefs& x) {
+        x.tasks = j.at("tasks").get<std::vector<TaskRef>>();
+    }
+
+    inline void to_json(json & j, const TaskRefs & x) {
+        j = json::object();
+        j["tasks"] = x.tasks;
+    }
+
+    inline void from_json(const json & j, BackendServer& x) {
+        x.connections = j.at("connections").get<int64_t>();
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.name = j.at("name").get<std::string>();
+        x.rack = j.at("rack").get<std::string>();
+        x.region = j.at("region").get<std::string>();
+        x.resources = j.at("resources").get<Resources>();
+        x.services = j.at("services").get<std::vector<std::string>>();
+        x.slots = j.at("slots").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const BackendServer & x) {
+        j = json::object();
+        j["connections"] = x.connections;
+        j["failureDomain"] = x.failureDomain;
+        j["name"] = x.name;
+        j["rack"] = x.rack;
+        j["region"] = x.region;
+        j["resources"] = x.resources;
+        j["services"] = x.services;
+        j["slots"] = x.slots;
+    }
+
+    inline void from_json(const json & j, AgentHello& x) {
+        x.backend = j.at("backend").get<BackendServer>();
+        x.configVersion = j.at("configVersion").get<int64_t>();
+        x.draining = j.at("draining").get<bool>();
+        x.healthy = j.at("healthy").get<bool>();
+        x.instance = j.at("instance").get<std::string>();
+        x.running = j.at("running").get<int64_t>();
+        x.sequence = j.at("sequence").get<int64_t>();
+        x.tableVersion = j.at("tableVersion").get<int64_t>();
+        x.window = j.at("window").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const AgentHello & x) {
+        j = json::object();
+        j["backend"] = x.backend;
+        j["configVersion"] = x.configVersion;
+        j["draining"] = x.draining;
+        j["healthy"] = x.healthy;
+        j["instance"] = x.instance;
+        j["running"] = x.running;
+        j["sequence"] = x.sequence;
+        j["tableVersion"] = x.tableVersion;
+        j["window"] = x.window;
+    }
+
+    inline void from_json(const json & j, ShardOwner& x) {
+        x.epoch = j.at("epoch").get<int64_t>();
+        x.owner = j.at("owner").get<std::string>();
+        x.shard = j.at("shard").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const ShardOwner & x) {
+        j = json::object();
+        j["epoch"] = x.epoch;
+        j["owner"] = x.owner;
+        j["shard"] = x.shard;
+    }
+
+    inline void from_json(const json & j, AskTasks& x) {
+        x.requestId = j.at("requestId").get<std::string>();
+        x.shards = j.at("shards").get<std::vector<ShardOwner>>();
+    }
+
+    inline void to_json(json & j, const AskTasks & x) {
+        j = json::object();
+        j["requestId"] = x.requestId;
+        j["shards"] = x.shards;
+    }
+
+    inline void from_json(const json & j, QueryRequest& x) {
+        x.local = get_stack_optional<bool>(j, "local");
+        x.text = j.at("text").get<std::string>();
+    }
+
+    inline void to_json(json & j, const QueryRequest & x) {
+        j = json::object();
+        if (x.local) {
+            j["local"] = x.local;
+        }
+        j["text"] = x.text;
+    }
+
+    inline void from_json(const json & j, SubmitTask& x) {
+        x.payload = j.at("payload").get<std::string>();
+    }
+
+    inline void to_json(json & j, const SubmitTask & x) {
+        j = json::object();
+        j["payload"] = x.payload;
+    }
+
+    inline void from_json(const json & j, SubmitJob& x) {
+        x.caller = j.at("caller").get<std::string>();
+        x.deadlineMs = get_stack_optional<int64_t>(j, "deadlineMs");
+        x.declaredRunMs = get_stack_optional<int64_t>(j, "declaredRunMs");
+        x.firstSubmittedMs = get_stack_optional<int64_t>(j, "firstSubmittedMs");
+        x.id = get_stack_optional<std::string>(j, "id");
+        x.idempotent = get_stack_optional<bool>(j, "idempotent");
+        x.resources = get_stack_optional<Resources>(j, "resources");
+        x.service = j.at("service").get<std::string>();
+        x.tasks = j.at("tasks").get<std::vector<SubmitTask>>();
+        x.team = j.at("team").get<std::string>();
+    }
+
+    inline void to_json(json & j, const SubmitJob & x) {
+        j = json::object();
+        j["caller"] = x.caller;
+        if (x.deadlineMs) {
+            j["deadlineMs"] = x.deadlineMs;
+        }
+        if (x.declaredRunMs) {
+            j["declaredRunMs"] = x.declaredRunMs;
+        }
+        if (x.firstSubmittedMs) {
+            j["firstSubmittedMs"] = x.firstSubmittedMs;
+        }
+        if (x.id) {
+            j["id"] = x.id;
+        }
+        if (x.idempotent) {
+            j["idempotent"] = x.idempotent;
+        }
+        if (x.resources) {
+            j["resources"] = x.resources;
+        }
+        j["service"] = x.service;
+        j["tasks"] = x.tasks;
+        j["team"] = x.team;
+    }
+
+    inline void from_json(const json & j, Forward& x) {
+        x.job = get_stack_optional<std::string>(j, "job");
+        x.kind = j.at("kind").get<ForwardKind>();
+        x.query = get_stack_optional<QueryRequest>(j, "query");
+        x.requestId = j.at("requestId").get<std::string>();
+        x.submit = get_stack_optional<SubmitJob>(j, "submit");
+        x.wait = get_stack_optional<bool>(j, "wait");
+    }
+
+    inline void to_json(json & j, const Forward & x) {
+        j = json::object();
+        if (x.job) {
+            j["job"] = x.job;
+        }
+        j["kind"] = x.kind;
+        if (x.query) {
+            j["query"] = x.query;
+        }
+        j["requestId"] = x.requestId;
+        if (x.submit) {
+            j["submit"] = x.submit;
+        }
+        if (x.wait) {
+            j["wait"] = x.wait;
+        }
+    }
+
+    inline void from_json(const json & j, JobAnswer& x) {
+        x.detail = get_stack_optional<std::string>(j, "detail");
+        x.firstSubmittedMs = get_stack_optional<int64_t>(j, "firstSubmittedMs");
+        x.id = j.at("id").get<std::string>();
+        x.notRun = j.at("notRun").get<bool>();
+        x.outcome = j.at("outcome").get<JobOutcome>();
+        x.reason = j.at("reason").get<Reason>();
+        x.results = get_stack_optional<std::vector<std::string>>(j, "results");
+        x.retryAfterMs = get_stack_optional<int64_t>(j, "retryAfterMs");
+        x.taskCount = j.at("taskCount").get<int64_t>();
+        x.tasksEnded = j.at("tasksEnded").get<int64_t>();
+        x.tasksStarted = j.at("tasksStarted").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const JobAnswer & x) {
+        j = json::object();
+        if (x.detail) {
+            j["detail"] = x.detail;
+        }
+        if (x.firstSubmittedMs) {
+            j["firstSubmittedMs"] = x.firstSubmittedMs;
+        }
+        j["id"] = x.id;
+        j["notRun"] = x.notRun;
+        j["outcome"] = x.outcome;
+        j["reason"] = x.reason;
+        if (x.results) {
+            j["results"] = x.results;
+        }
+        if (x.retryAfterMs) {
+            j["retryAfterMs"] = x.retryAfterMs;
+        }
+        j["taskCount"] = x.taskCount;
+        j["tasksEnded"] = x.tasksEnded;
+        j["tasksStarted"] = x.tasksStarted;
+    }
+
+    inline void from_json(const json & j, QueryAnswer& x) {
+        x.column = get_stack_optional<int64_t>(j, "column");
+        x.columns = j.at("columns").get<std::vector<std::string>>();
+        x.error = get_stack_optional<std::string>(j, "error");
+        x.ok = j.at("ok").get<bool>();
+        x.rows = j.at("rows").get<std::vector<std::vector<std::string>>>();
+        x.silent = j.at("silent").get<std::vector<std::string>>();
+    }
+
+    inline void to_json(json & j, const QueryAnswer & x) {
+        j = json::object();
+        if (x.column) {
+            j["column"] = x.column;
+        }
+        j["columns"] = x.columns;
+        if (x.error) {
+            j["error"] = x.error;
+        }
+        j["ok"] = x.ok;
+        j["rows"] = x.rows;
+        j["silent"] = x.silent;
+    }
+
+    inline void from_json(const json & j, ForwardAnswer& x) {
+        x.answer = get_stack_optional<JobAnswer>(j, "answer");
+        x.notOwner = get_stack_optional<bool>(j, "notOwner");
+        x.query = get_stack_optional<QueryAnswer>(j, "query");
+        x.requestId = j.at("requestId").get<std::string>();
+    }
+
+    inline void to_json(json & j, const ForwardAnswer & x) {
+        j = json::object();
+        if (x.answer) {
+            j["answer"] = x.answer;
+        }
+        if (x.notOwner) {
+            j["notOwner"] = x.notOwner;
+        }
+        if (x.query) {
+            j["query"] = x.query;
+        }
+        j["requestId"] = x.requestId;
+    }
+
+    inline void from_json(const json & j, Member& x) {
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.host = j.at("host").get<std::string>();
+        x.httpPort = j.at("httpPort").get<int64_t>();
+        x.instance = j.at("instance").get<std::string>();
+        x.peerPort = j.at("peerPort").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Member & x) {
+        j = json::object();
+        j["failureDomain"] = x.failureDomain;
+        j["host"] = x.host;
+        j["httpPort"] = x.httpPort;
+        j["instance"] = x.instance;
+        j["peerPort"] = x.peerPort;
+    }
+
+    inline void from_json(const json & j, OwnershipTable& x) {
+        x.roster = j.at("roster").get<std::vector<Member>>();
+        x.shards = j.at("shards").get<std::vector<ShardOwner>>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const OwnershipTable & x) {
+        j = json::object();
+        j["roster"] = x.roster;
+        j["shards"] = x.shards;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, GatewayPong& x) {
+        x.configuration = get_stack_optional<Configuration>(j, "configuration");
+        x.configVersion = j.at("configVersion").get<int64_t>();
+        x.demand = j.at("demand").get<int64_t>();
+        x.instance = j.at("instance").get<std::string>();
+        x.sequence = j.at("sequence").get<int64_t>();
+        x.table = get_stack_optional<OwnershipTable>(j, "table");
+        x.tableVersion = j.at("tableVersion").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const GatewayPong & x) {
+        j = json::object();
+        if (x.configuration) {
+            j["configuration"] = x.configuration;
+        }
+        j["configVersion"] = x.configVersion;
+        j["demand"] = x.demand;
+        j["instance"] = x.instance;
+        j["sequence"] = x.sequence;
+        if (x.table) {
+            j["table"] = x.table;
+        }
+        j["tableVersion"] = x.tableVersion;
+    }
+
+    inline void from_json(const json & j, TaskSnapshot& x) {
+        x.agent = get_stack_optional<std::string>(j, "agent");
+        x.index = j.at("index").get<int64_t>();
+        x.phase = j.at("phase").get<TaskPhase>();
+        x.reason = get_stack_optional<Reason>(j, "reason");
+        x.result = get_stack_optional<std::string>(j, "result");
+        x.sent = j.at("sent").get<bool>();
+    }
+
+    inline void to_json(json & j, const TaskSnapshot & x) {
+        j = json::object();
+        if (x.agent) {
+            j["agent"] = x.agent;
+        }
+        j["index"] = x.index;
+        j["phase"] = x.phase;
+        if (x.reason) {
+            j["reason"] = x.reason;
+        }
+        if (x.result) {
+            j["result"] = x.result;
+        }
+        j["sent"] = x.sent;
+    }
+
+    inline void from_json(const json & j, JobSnapshot& x) {
+        x.answer = j.at("answer").get<JobAnswer>();
+        x.digest = j.at("digest").get<std::string>();
+        x.id = j.at("id").get<std::string>();
+        x.submit = get_stack_optional<SubmitJob>(j, "submit");
+        x.tasks = j.at("tasks").get<std::vector<TaskSnapshot>>();
+    }
+
+    inline void to_json(json & j, const JobSnapshot & x) {
+        j = json::object();
+        j["answer"] = x.answer;
+        j["digest"] = x.digest;
+        j["id"] = x.id;
+        if (x.submit) {
+            j["submit"] = x.submit;
+        }
+        j["tasks"] = x.tasks;
+    }
+
+    inline void from_json(const json & j, Handover& x) {
+        x.from = j.at("from").get<std::string>();
+        x.jobs = j.at("jobs").get<std::vector<JobSnapshot>>();
+        x.requestId = j.at("requestId").get<std::string>();
+        x.shards = j.at("shards").get<std::vector<ShardOwner>>();
+    }
+
+    inline void to_json(json & j, const Handover & x) {
+        j = json::object();
+        j["from"] = x.from;
+        j["jobs"] = x.jobs;
+        j["requestId"] = x.requestId;
+        j["shards"] = x.shards;
+    }
+
+    inline void from_json(const json & j, HandoverAccepted& x) {
+        x.instance = j.at("instance").get<std::string>();
+        x.requestId = j.at("requestId").get<std::string>();
+    }
+
+    inline void to_json(json & j, const HandoverAccepted & x) {
+        j = json::object();
+        j["instance"] = x.instance;
+        j["requestId"] = x.requestId;
+    }
+
+    inline void from_json(const json & j, UnloggedNotice& x) {
+        x.instance = j.at("instance").get<std::string>();
+        x.sinceMs = j.at("sinceMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const UnloggedNotice & x) {
+        j = json::object();
+        j["instance"] = x.instance;
+        j["sinceMs"] = x.sinceMs;
+    }
+
+    inline void from_json(const json & j, PeerPing& x) {
+        x.acknowledgedUnlogged = j.at("acknowledgedUnlogged").get<std::vector<UnloggedNotice>>();
+        x.configuration = get_stack_optional<Configuration>(j, "configuration");
+        x.configVersion = j.at("configVersion").get<int64_t>();
+        x.instance = j.at("instance").get<std::string>();
+        x.reply = j.at("reply").get<bool>();
+        x.sequence = j.at("sequence").get<int64_t>();
+        x.table = get_stack_optional<OwnershipTable>(j, "table");
+        x.tableVersion = j.at("tableVersion").get<int64_t>();
+        x.unloggedSinceMs = j.at("unloggedSinceMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const PeerPing & x) {
+        j = json::object();
+        j["acknowledgedUnlogged"] = x.acknowledgedUnlogged;
+        if (x.configuration) {
+            j["configuration"] = x.configuration;
+        }
+        j["configVersion"] = x.configVersion;
+        j["instance"] = x.instance;
+        j["reply"] = x.reply;
+        j["sequence"] = x.sequence;
+        if (x.table) {
+            j["table"] = x.table;
+        }
+        j["tableVersion"] = x.tableVersion;
+        j["unloggedSinceMs"] = x.unloggedSinceMs;
+    }
+
+    inline void from_json(const json & j, StartTask& x) {
+        x.epoch = j.at("epoch").get<int64_t>();
+        x.index = j.at("index").get<int64_t>();
+        x.job = j.at("job").get<std::string>();
+        x.notAfterMs = j.at("notAfterMs").get<int64_t>();
+        x.payload = j.at("payload").get<std::string>();
+        x.resources = j.at("resources").get<Resources>();
+        x.service = j.at("service").get<std::string>();
+        x.shard = j.at("shard").get<int64_t>();
+        x.unlogged = j.at("unlogged").get<bool>();
+    }
+
+    inline void to_json(json & j, const StartTask & x) {
+        j = json::object();
+        j["epoch"] = x.epoch;
+        j["index"] = x.index;
+        j["job"] = x.job;
+        j["notAfterMs"] = x.notAfterMs;
+        j["payload"] = x.payload;
+        j["resources"] = x.resources;
+        j["service"] = x.service;
+        j["shard"] = x.shard;
+        j["unlogged"] = x.unlogged;
+    }
+
+    inline void from_json(const json & j, StartTasks& x) {
+        x.demand = j.at("demand").get<int64_t>();
+        x.tasks = j.at("tasks").get<std::vector<StartTask>>();
+    }
+
+    inline void to_json(json & j, const StartTasks & x) {
+        j = json::object();
+        j["demand"] = x.demand;
+        j["tasks"] = x.tasks;
+    }
+
+    inline void from_json(const json & j, TaskState& x) {
+        x.index = j.at("index").get<int64_t>();
+        x.job = j.at("job").get<std::string>();
+        x.phase = j.at("phase").get<TaskPhase>();
+        x.reason = j.at("reason").get<Reason>();
+        x.result = get_stack_optional<std::string>(j, "result");
+        x.runMs = get_stack_optional<double>(j, "runMs");
+    }
+
+    inline void to_json(json & j, const TaskState & x) {
+        j = json::object();
+        j["index"] = x.index;
+        j["job"] = x.job;
+        j["phase"] = x.phase;
+        j["reason"] = x.reason;
+        if (x.result) {
+            j["result"] = x.result;
+        }
+        if (x.runMs) {
+            j["runMs"] = x.runMs;
+        }
+    }
+
+    inline void from_json(const json & j, TaskStates& x) {
+        x.answerTo = get_stack_optional<std::string>(j, "answerTo");
+        x.instance = j.at("instance").get<std::string>();
+        x.running = j.at("running").get<int64_t>();
+        x.states = j.at("states").get<std::vector<TaskState>>();
+        x.window = j.at("window").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const TaskStates & x) {
+        j = json::object();
+        if (x.answerTo) {
+            j["answerTo"] = x.answerTo;
+        }
+        j["instance"] = x.instance;
+        j["running"] = x.running;
+        j["states"] = x.states;
+        j["window"] = x.window;
+    }
+
+    inline void from_json(const json & j, Frame& x) {
+        x.acknowledgeTasks = get_stack_optional<TaskRefs>(j, "acknowledgeTasks");
+        x.agentHello = get_stack_optional<AgentHello>(j, "agentHello");
+        x.askTasks = get_stack_optional<AskTasks>(j, "askTasks");
+        x.cancelTasks = get_stack_optional<TaskRefs>(j, "cancelTasks");
+        x.forward = get_stack_optional<Forward>(j, "forward");
+        x.forwardAnswer = get_stack_optional<ForwardAnswer>(j, "forwardAnswer");
+        x.gatewayPong = get_stack_optional<GatewayPong>(j, "gatewayPong");
+        x.handover = get_stack_optional<Handover>(j, "handover");
+        x.handoverAccepted = get_stack_optional<HandoverAccepted>(j, "handoverAccepted");
+        x.peerPing = get_stack_optional<PeerPing>(j, "peerPing");
+        x.startTasks = get_stack_optional<StartTasks>(j, "startTasks");
+        x.taskStates = get_stack_optional<TaskStates>(j, "taskStates");
+        x.type = j.at("type").get<FrameType>();
+    }
+
+    inline void to_json(json & j, const Frame & x) {
+        j = json::object();
+        if (x.acknowledgeTasks) {
+            j["acknowledgeTasks"] = x.acknowledgeTasks;
+        }
+        if (x.agentHello) {
+            j["agentHello"] = x.agentHello;
+        }
+        if (x.askTasks) {
+            j["askTasks"] = x.askTasks;
+        }
+        if (x.cancelTasks) {
+            j["cancelTasks"] = x.cancelTasks;
+        }
+        if (x.forward) {
+            j["forward"] = x.forward;
+        }
+        if (x.forwardAnswer) {
+            j["forwardAnswer"] = x.forwardAnswer;
+        }
+        if (x.gatewayPong) {
+            j["gatewayPong"] = x.gatewayPong;
+        }
+        if (x.handover) {
+            j["handover"] = x.handover;
+        }
+        if (x.handoverAccepted) {
+            j["handoverAccepted"] = x.handoverAccepted;
+        }
+        if (x.peerPing) {
+            j["peerPing"] = x.peerPing;
+        }
+        if (x.startTasks) {
+            j["startTasks"] = x.startTasks;
+        }
+        if (x.taskStates) {
+            j["taskStates"] = x.taskStates;
+        }
+        j["type"] = x.type;
+    }
+
+    inline void from_json(const json & j, ConfigChange& x) {
+        x.drain = get_stack_optional<Drain>(j, "drain");
+        x.kind = j.at("kind").get<ConfigKind>();
+        x.name = j.at("name").get<std::string>();
+        x.policy = get_stack_optional<Policy>(j, "policy");
+        x.remove = j.at("remove").get<bool>();
+        x.service = get_stack_optional<Service>(j, "service");
+        x.team = get_stack_optional<Team>(j, "team");
+    }
+
+    inline void to_json(json & j, const ConfigChange & x) {
+        j = json::object();
+        if (x.drain) {
+            j["drain"] = x.drain;
+        }
+        j["kind"] = x.kind;
+        j["name"] = x.name;
+        if (x.policy) {
+            j["policy"] = x.policy;
+        }
+        j["remove"] = x.remove;
+        if (x.service) {
+            j["service"] = x.service;
+        }
+        if (x.team) {
+            j["team"] = x.team;
+        }
+    }
+
+    inline void from_json(const json & j, Intent& x) {
+        x.digest = j.at("digest").get<std::string>();
+        x.firstSubmittedMs = j.at("firstSubmittedMs").get<int64_t>();
+        x.job = j.at("job").get<std::string>();
+        x.tasks = j.at("tasks").get<int64_t>();
+        x.team = j.at("team").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Intent & x) {
+        j = json::object();
+        j["digest"] = x.digest;
+        j["firstSubmittedMs"] = x.firstSubmittedMs;
+        j["job"] = x.job;
+        j["tasks"] = x.tasks;
+        j["team"] = x.team;
+    }
+
+    inline void from_json(const json & j, LogRecord& x) {
+        x.basedOn = get_stack_optional<int64_t>(j, "basedOn");
+        x.change = get_stack_optional<ConfigChange>(j, "change");
+        x.configuration = get_stack_optional<Configuration>(j, "configuration");
+        x.id = j.at("id").get<std::string>();
+        x.instance = j.at("instance").get<std::string>();
+        x.intents = get_stack_optional<std::vector<Intent>>(j, "intents");
+        x.kind = j.at("kind").get<RecordKind>();
+        x.member = get_stack_optional<Member>(j, "member");
+        x.shards = get_stack_optional<std::vector<ShardOwner>>(j, "shards");
+        x.wallMs = j.at("wallMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const LogRecord & x) {
+        j = json::object();
+        if (x.basedOn) {
+            j["basedOn"] = x.basedOn;
+        }
+        if (x.change) {
+            j["change"] = x.change;
+        }
+        if (x.configuration) {
+            j["configuration"] = x.configuration;
+        }
+        j["id"] = x.id;
+        j["instance"] = x.instance;
+        if (x.intents) {
+            j["intents"] = x.intents;
+        }
+        j["kind"] = x.kind;
+        if (x.member) {
+            j["member"] = x.member;
+        }
+        if (x.shards) {
+            j["shards"] = x.shards;
+        }
+        j["wallMs"] = x.wallMs;
+    }
+
+    inline void from_json(const json & j, LogEntry& x) {
+        x.offset = j.at("offset").get<int64_t>();
+        x.record = j.at("record").get<LogRecord>();
+    }
+
+    inline void to_json(json & j, const LogEntry & x) {
+        j = json::object();
+        j["offset"] = x.offset;
+        j["record"] = x.record;
+    }
+
+    inline void from_json(const json & j, RunTask& x) {
+        x.index = j.at("index").get<int64_t>();
+        x.job = j.at("job").get<std::string>();
+        x.notAfterMs = j.at("notAfterMs").get<int64_t>();
+        x.payload = j.at("payload").get<std::string>();
+        x.service = j.at("service").get<std::string>();
+    }
+
+    inline void to_json(json & j, const RunTask & x) {
+        j = json::object();
+        j["index"] = x.index;
+        j["job"] = x.job;
+        j["notAfterMs"] = x.notAfterMs;
+        j["payload"] = x.payload;
+        j["service"] = x.service;
+    }
+
+    inline void from_json(const json & j, MessagesSet& x) {
+        x.configuration = get_stack_optional<Configuration>(j, "configuration");
+        x.frame = get_stack_optional<Frame>(j, "frame");
+        x.jobAnswer = get_stack_optional<JobAnswer>(j, "jobAnswer");
+        x.logEntry = get_stack_optional<LogEntry>(j, "logEntry");
+        x.logRecord = get_stack_optional<LogRecord>(j, "logRecord");
+        x.queryAnswer = get_stack_optional<QueryAnswer>(j, "queryAnswer");
+        x.queryRequest = get_stack_optional<QueryRequest>(j, "queryRequest");
+        x.runTask = get_stack_optional<RunTask>(j, "runTask");
+        x.submitJob = get_stack_optional<SubmitJob>(j, "submitJob");
+    }
+
+    inline void to_json(json & j, const MessagesSet & x) {
+        j = json::object();
+        if (x.configuration) {
+            j["configuration"] = x.configuration;
+        }
+        if (x.frame) {
+            j["frame"] = x.frame;
+        }
+        if (x.jobAnswer) {
+            j["jobAnswer"] = x.jobAnswer;
+        }
+        if (x.logEntry) {
+            j["logEntry"] = x.logEntry;
+        }
+        if (x.logRecord) {
+            j["logRecord"] = x.logRecord;
+        }
+        if (x.queryAnswer) {
+            j["queryAnswer"] = x.queryAnswer;
+        }
+        if (x.queryRequest) {
+            j["queryRequest"] = x.queryRequest;
+        }
+        if (x.runTask) {
+            j["runTask"] = x.runTask;
+        }
+        if (x.submitJob) {
+            j["submitJob"] = x.submitJob;
+        }
+    }
+
+    inline void from_json(const json & j, PlacementPolicy & x) {
+        if (j == "least_loaded") x = PlacementPolicy::LeastLoaded;
+        else if (j == "random") x = PlacementPolicy::Random;
+        else if (j == "two_choices") x = PlacementPolicy::TwoChoices;
+        else if (j == "weighted_window") x = PlacementPolicy::WeightedWindow;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"PlacementPolicy\""); }
+    }
+
+    inline void to_json(json & j, const PlacementPolicy & x) {
+        switch (x) {
+            case PlacementPolicy::LeastLoaded: j = "least_loaded"; break;
+            case PlacementPolicy::Random: j = "random"; break;
+            case PlacementPolicy::TwoChoices: j = "two_choices"; break;
+            case PlacementPolicy::WeightedWindow: j = "weighted_window"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"PlacementPolicy\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, QueueingPolicy & x) {
+        if (j == "fair") x = QueueingPolicy::Fair;
+        else if (j == "fifo") x = QueueingPolicy::Fifo;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"QueueingPolicy\""); }
+    }
+
+    inline void to_json(json & j, const QueueingPolicy & x) {
+        switch (x) {
+            case QueueingPolicy::Fair: j = "fair"; break;
+            case QueueingPolicy::Fifo: j = "fifo"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"QueueingPolicy\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, ForwardKind & x) {
+        if (j == "cancel") x = ForwardKind::Cancel;
+        else if (j == "configure") x = ForwardKind::Configure;
+        else if (j == "get") x = ForwardKind::Get;
+        else if (j == "query") x = ForwardKind::Query;
+        else if (j == "submit") x = ForwardKind::Submit;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"ForwardKind\""); }
+    }
+
+    inline void to_json(json & j, const ForwardKind & x) {
+        switch (x) {
+            case ForwardKind::Cancel: j = "cancel"; break;
+            case ForwardKind::Configure: j = "configure"; break;
+            case ForwardKind::Get: j = "get"; break;
+            case ForwardKind::Query: j = "query"; break;
+            case ForwardKind::Submit: j = "submit"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"ForwardKind\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, JobOutcome & x) {
+        if (j == "completed") x = JobOutcome::Completed;
+        else if (j == "failed") x = JobOutcome::Failed;
+        else if (j == "pending") x = JobOutcome::Pending;
+        else if (j == "refused") x = JobOutcome::Refused;
+        else if (j == "unknown") x = JobOutcome::Unknown;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"JobOutcome\""); }
+    }
+
+    inline void to_json(json & j, const JobOutcome & x) {
+        switch (x) {
+            case JobOutcome::Completed: j = "completed"; break;
+            case JobOutcome::Failed: j = "failed"; break;
+            case JobOutcome::Pending: j = "pending"; break;
+            case JobOutcome::Refused: j = "refused"; break;
+            case JobOutcome::Unknown: j = "unknown"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"JobOutcome\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Reason & x) {
+        static std::unordered_map<std::string, Reason> enumValues {
+            {"agent_draining", Reason::AgentDraining},
+            {"backend_refused", Reason::BackendRefused},
+            {"backend_unreachable", Reason::BackendUnreachable},
+            {"bad_task_count", Reason::BadTaskCount},
+            {"body_too_large", Reason::BodyTooLarge},
+            {"caller_limit", Reason::CallerLimit},
+            {"cancelled", Reason::Cancelled},
+            {"config_conflict", Reason::ConfigConflict},
+            {"config_invalid", Reason::ConfigInvalid},
+            {"connection_lost", Reason::ConnectionLost},
+            {"deadline_passed", Reason::DeadlinePassed},
+            {"deadline_unreachable", Reason::DeadlineUnreachable},
+            {"epoch_fenced", Reason::EpochFenced},
+            {"id_conflict", Reason::IdConflict},
+            {"lease_lapsed", Reason::LeaseLapsed},
+            {"log_unavailable", Reason::LogUnavailable},
+            {"malformed", Reason::Malformed},
+            {"never_runnable", Reason::NeverRunnable},
+            {"no_slot", Reason::NoSlot},
+            {"none", Reason::None},
+            {"not_after_passed", Reason::NotAfterPassed},
+            {"not_ready", Reason::NotReady},
+            {"owner_unreachable", Reason::OwnerUnreachable},
+            {"predecessor_unlogged", Reason::PredecessorUnlogged},
+            {"queue_full", Reason::QueueFull},
+            {"quota_exceeded", Reason::QuotaExceeded},
+            {"start_unacknowledged", Reason::StartUnacknowledged},
+            {"stopping", Reason::Stopping},
+            {"submission_in_future", Reason::SubmissionInFuture},
+            {"submission_too_old", Reason::SubmissionTooOld},
+            {"task_failed", Reason::TaskFailed},
+            {"task_lost", Reason::TaskLost},
+            {"unknown_job", Reason::UnknownJob},
+            {"unknown_service", Reason::UnknownService},
+            {"unknown_team", Reason::UnknownTeam},
+        };
+        auto iter = enumValues.find(j.get<std::string>());
+        if (iter != enumValues.end()) {
+            x = iter->second;
+        }
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Reason\""); }
+    }
+
+    inline void to_json(json & j, const Reason & x) {
+        switch (x) {
+            case Reason::AgentDraining: j = "agent_draining"; break;
+            case Reason::BackendRefused: j = "backend_refused"; break;
+            case Reason::BackendUnreachable: j = "backend_unreachable"; break;
+            case Reason::BadTaskCount: j = "bad_task_count"; break;
+            case Reason::BodyTooLarge: j = "body_too_large"; break;
+            case Reason::CallerLimit: j = "caller_limit"; break;
+            case Reason::Cancelled: j = "cancelled"; break;
+            case Reason::ConfigConflict: j = "config_conflict"; break;
+            case Reason::ConfigInvalid: j = "config_invalid"; break;
+            case Reason::ConnectionLost: j = "connection_lost"; break;
+            case Reason::DeadlinePassed: j = "deadline_passed"; break;
+            case Reason::DeadlineUnreachable: j = "deadline_unreachable"; break;
+            case Reason::EpochFenced: j = "epoch_fenced"; break;
+            case Reason::IdConflict: j = "id_conflict"; break;
+            case Reason::LeaseLapsed: j = "lease_lapsed"; break;
+            case Reason::LogUnavailable: j = "log_unavailable"; break;
+            case Reason::Malformed: j = "malformed"; break;
+            case Reason::NeverRunnable: j = "never_runnable"; break;
+            case Reason::NoSlot: j = "no_slot"; break;
+            case Reason::None: j = "none"; break;
+            case Reason::NotAfterPassed: j = "not_after_passed"; break;
+            case Reason::NotReady: j = "not_ready"; break;
+            case Reason::OwnerUnreachable: j = "owner_unreachable"; break;
+            case Reason::PredecessorUnlogged: j = "predecessor_unlogged"; break;
+            case Reason::QueueFull: j = "queue_full"; break;
+            case Reason::QuotaExceeded: j = "quota_exceeded"; break;
+            case Reason::StartUnacknowledged: j = "start_unacknowledged"; break;
+            case Reason::Stopping: j = "stopping"; break;
+            case Reason::SubmissionInFuture: j = "submission_in_future"; break;
+            case Reason::SubmissionTooOld: j = "submission_too_old"; break;
+            case Reason::TaskFailed: j = "task_failed"; break;
+            case Reason::TaskLost: j = "task_lost"; break;
+            case Reason::UnknownJob: j = "unknown_job"; break;
+            case Reason::UnknownService: j = "unknown_service"; break;
+            case Reason::UnknownTeam: j = "unknown_team"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Reason\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, TaskPhase & x) {
+        if (j == "failed") x = TaskPhase::Failed;
+        else if (j == "not_started") x = TaskPhase::NotStarted;
+        else if (j == "running") x = TaskPhase::Running;
+        else if (j == "succeeded") x = TaskPhase::Succeeded;
+        else if (j == "unknown") x = TaskPhase::Unknown;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"TaskPhase\""); }
+    }
+
+    inline void to_json(json & j, const TaskPhase & x) {
+        switch (x) {
+            case TaskPhase::Failed: j = "failed"; break;
+            case TaskPhase::NotStarted: j = "not_started"; break;
+            case TaskPhase::Running: j = "running"; break;
+            case TaskPhase::Succeeded: j = "succeeded"; break;
+            case TaskPhase::Unknown: j = "unknown"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"TaskPhase\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, FrameType & x) {
+        if (j == "acknowledge_tasks") x = FrameType::AcknowledgeTasks;
+        else if (j == "agent_hello") x = FrameType::AgentHello;
+        else if (j == "ask_tasks") x = FrameType::AskTasks;
+        else if (j == "cancel_tasks") x = FrameType::CancelTasks;
+        else if (j == "forward") x = FrameType::Forward;
+        else if (j == "forward_answer") x = FrameType::ForwardAnswer;
+        else if (j == "gateway_pong") x = FrameType::GatewayPong;
+        else if (j == "handover") x = FrameType::Handover;
+        else if (j == "handover_accepted") x = FrameType::HandoverAccepted;
+        else if (j == "peer_ping") x = FrameType::PeerPing;
+        else if (j == "start_tasks") x = FrameType::StartTasks;
+        else if (j == "task_states") x = FrameType::TaskStates;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"FrameType\""); }
+    }
+
+    inline void to_json(json & j, const FrameType & x) {
+        switch (x) {
+            case FrameType::AcknowledgeTasks: j = "acknowledge_tasks"; break;
+            case FrameType::AgentHello: j = "agent_hello"; break;
+            case FrameType::AskTasks: j = "ask_tasks"; break;
+            case FrameType::CancelTasks: j = "cancel_tasks"; break;
+            case FrameType::Forward: j = "forward"; break;
+            case FrameType::ForwardAnswer: j = "forward_answer"; break;
+            case FrameType::GatewayPong: j = "gateway_pong"; break;
+            case FrameType::Handover: j = "handover"; break;
+            case FrameType::HandoverAccepted: j = "handover_accepted"; break;
+            case FrameType::PeerPing: j = "peer_ping"; break;
+            case FrameType::StartTasks: j = "start_tasks"; break;
+            case FrameType::TaskStates: j = "task_states"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"FrameType\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, ConfigKind & x) {
+        if (j == "drain") x = ConfigKind::Drain;
+        else if (j == "policy") x = ConfigKind::Policy;
+        else if (j == "service") x = ConfigKind::Service;
+        else if (j == "team") x = ConfigKind::Team;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"ConfigKind\""); }
+    }
+
+    inline void to_json(json & j, const ConfigKind & x) {
+        switch (x) {
+            case ConfigKind::Drain: j = "drain"; break;
+            case ConfigKind::Policy: j = "policy"; break;
+            case ConfigKind::Service: j = "service"; break;
+            case ConfigKind::Team: j = "team"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"ConfigKind\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, RecordKind & x) {
+        if (j == "alive") x = RecordKind::Alive;
+        else if (j == "claim") x = RecordKind::Claim;
+        else if (j == "config") x = RecordKind::Config;
+        else if (j == "config_snapshot") x = RecordKind::ConfigSnapshot;
+        else if (j == "handed_over") x = RecordKind::HandedOver;
+        else if (j == "intents") x = RecordKind::Intents;
+        else if (j == "join") x = RecordKind::Join;
+        else if (j == "leave") x = RecordKind::Leave;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"RecordKind\""); }
+    }
+
+    inline void to_json(json & j, const RecordKind & x) {
+        switch (x) {
+            case RecordKind::Alive: j = "alive"; break;
+            case RecordKind::Claim: j = "claim"; break;
+            case RecordKind::Config: j = "config"; break;
+            case RecordKind::ConfigSnapshot: j = "config_snapshot"; break;
+            case RecordKind::HandedOver: j = "handed_over"; break;
+            case RecordKind::Intents: j = "intents"; break;
+            case RecordKind::Join: j = "join"; break;
+            case RecordKind::Leave: j = "leave"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"RecordKind\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+}
--- /dev/null
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -0,0 +1,350 @@
+//  To parse this JSON data, first install
+//
+//      json.hpp  https://github.com/nlohmann/json
+//
+//  Then include this file, and then do
+//
+//     SettingsSet data = nlohmann::json::parse(jsonString);
+
+#pragma once
+
+#include <optional>
+#include <nlohmann/json.hpp>
+
+#ifndef NLOHMANN_OPT_HELPER
+#define NLOHMANN_OPT_HELPER
+namespace nlohmann {
+    template <typename T>
+    struct adl_serializer<std::shared_ptr<T>> {
+        static void to_json(json & j, const std::shared_ptr<T> & opt) {
+            if (!opt) j = nullptr; else j = *opt;
+        }
+
+        static std::shared_ptr<T> from_json(const json & j) {
+            if (j.is_null()) return std::shared_ptr<T>(); else return std::make_shared<T>(j.get<T>());
+        }
+    };
+    template <typename T>
+    struct adl_serializer<std::optional<T>> {
+        static void to_json(json & j, const std::optional<T> & opt) {
+            if (!opt) j = nullptr; else j = *opt;
+        }
+
+        static std::optional<T> from_json(const json & j) {
+            if (j.is_null()) return std::optional<T>(); else return std::make_optional<T>(j.get<T>());
+        }
+    };
+}
+#endif
+
+namespace Schema {
+    using nlohmann::json;
+
+    #ifndef NLOHMANN_UNTYPED_Schema_HELPER
+    #define NLOHMANN_UNTYPED_Schema_HELPER
+    inline json get_untyped(const json & j, const char * property) {
+        if (j.find(property) != j.end()) {
+            return j.at(property).get<json>();
+        }
+        return json();
+    }
+
+    inline json get_untyped(const json & j, std::string property) {
+        return get_untyped(j, property.data());
+    }
+    #endif
+
+    #ifndef NLOHMANN_OPTIONAL_Schema_HELPER
+    #define NLOHMANN_OPTIONAL_Schema_HELPER
+    template <typename T>
+    inline std::shared_ptr<T> get_heap_optional(const json & j, const char * property) {
+        auto it = j.find(property);
+        if (it != j.end() && !it->is_null()) {
+            return j.at(property).get<std::shared_ptr<T>>();
+        }
+        return std::shared_ptr<T>();
+    }
+
+    template <typename T>
+    inline std::shared_ptr<T> get_heap_optional(const json & j, std::string property) {
+        return get_heap_optional<T>(j, property.data());
+    }
+    template <typename T>
+    inline std::optional<T> get_stack_optional(const json & j, const char * property) {
+        auto it = j.find(property);
+        if (it != j.end() && !it->is_null()) {
+            return j.at(property).get<std::optional<T>>();
+        }
+        return std::optional<T>();
+    }
+
+    template <typename T>
+    inline std::optional<T> get_stack_optional(const json & j, std::string property) {
+        return get_stack_optional<T>(j, property.data());
+    }
+    #endif
+
+    enum class LogLevel : int { Debug, Error, Info, Warning };
+
+    struct AgentSettings {
+        int64_t accelerators{};
+        std::string backendUrl{};
+        int64_t connections{};
+        std::string failureDomain{};
+        /**
+         * host:peerPort of some gateways; the rest are learned from them.
+         */
+        std::vector<std::string> gateways{};
+        int64_t heartbeatMs{};
+        /**
+         * IP address its metrics are served at.
+         */
+        std::string host{};
+        /**
+         * Must equal the gateways' leaseMs.
+         */
+        int64_t leaseMs{};
+        LogLevel logLevel{};
+        int64_t memoryMb{};
+        /**
+         * Port for /metrics, /health and /ready; 0 takes a free one.
+         */
+        int64_t metricsPort{};
+        std::string name{};
+        /**
+         * How long an unacknowledged outcome is kept.
+         */
+        int64_t outcomeRetentionMs{};
+        double processors{};
+        std::string rack{};
+        std::string region{};
+        /**
+         * Services the backend server can run; empty means any.
+         */
+        std::vector<std::string> services{};
+        /**
+         * A connection without a frame for this long is closed and made anew.
+         */
+        int64_t silenceMs{};
+        int64_t slots{};
+        int64_t stopTimeoutMs{};
+    };
+
+    struct GatewaySettings {
+        /**
+         * An agent not heard from for this long gets no work.
+         */
+        int64_t agentSilenceMs{};
+        /**
+         * How long a job id is remembered; shorter than the log's retention.
+         */
+        int64_t dedupWindowMs{};
+        int64_t defaultDeadlineMs{};
+        std::string failureDomain{};
+        int64_t heartbeatMs{};
+        /**
+         * IP address it listens on and is reached at.
+         */
+        std::string host{};
+        /**
+         * Port for callers and operators; 0 takes a free one.
+         */
+        int64_t httpPort{};
+        int64_t httpThreads{};
+        /**
+         * Shortest time between two appends of intents.
+         */
+        int64_t journalBatchMs{};
+        /**
+         * How long an agent accepts starts after it last heard from a majority of the roster.
+         */
+        int64_t leaseMs{};
+        LogLevel logLevel{};
+        /**
+         * Address of the platform's log service.
+         */
+        std::string logUrl{};
+        int64_t maxBodyBytes{};
+        int64_t maxDeadlineMs{};
+        /**
+         * Name of the instance; a random suffix makes it unique for each start.
+         */
+        std::string name{};
+        /**
+         * Port for gateways and agents; 0 takes a free one.
+         */
+        int64_t peerPort{};
+        /**
+         * A gateway not heard from for this long loses its shards.
+         */
+        int64_t peerSilenceMs{};
+        std::string region{};
+        /**
+         * Shards of job ids; the same on every gateway of a region.
+         */
+        int64_t shardCount{};
+        int64_t startAckMs{};
+        /**
+         * How long a graceful stop may take.
+         */
+        int64_t stopTimeoutMs{};
+        /**
+         * Without a durable append for this long, tasks start unlogged.
+         */
+        int64_t unloggedAfterMs{};
+    };
+
+    /**
+     * Settings files of the daemons, one object for each daemon. The defaults suit a site of
+     * four failure domains and eleven workers.
+     */
+    struct SettingsSet {
+        std::optional<AgentSettings> agent{};
+        std::optional<GatewaySettings> gateway{};
+    };
+}
+
+namespace Schema {
+    void from_json(const json & j, AgentSettings & x);
+    void to_json(json & j, const AgentSettings & x);
+
+    void from_json(const json & j, GatewaySettings & x);
+    void to_json(json & j, const GatewaySettings & x);
+
+    void from_json(const json & j, SettingsSet & x);
+    void to_json(json & j, const SettingsSet & x);
+
+    void from_json(const json & j, LogLevel & x);
+    void to_json(json & j, const LogLevel & x);
+
+    inline void from_json(const json & j, AgentSettings& x) {
+        x.accelerators = j.at("accelerators").get<int64_t>();
+        x.backendUrl = j.at("backendUrl").get<std::string>();
+        x.connections = j.at("connections").get<int64_t>();
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.gateways = j.at("gateways").get<std::vector<std::string>>();
+        x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
+        x.host = j.at("host").get<std::string>();
+        x.leaseMs = j.at("leaseMs").get<int64_t>();
+        x.logLevel = j.at("logLevel").get<LogLevel>();
+        x.memoryMb = j.at("memoryMb").get<int64_t>();
+        x.metricsPort = j.at("metricsPort").get<int64_t>();
+        x.name = j.at("name").get<std::string>();
+        x.outcomeRetentionMs = j.at("outcomeRetentionMs").get<int64_t>();
+        x.processors = j.at("processors").get<double>();
+        x.rack = j.at("rack").get<std::string>();
+        x.region = j.at("region").get<std::string>();
+        x.services = j.at("services").get<std::vector<std::string>>();
+        x.silenceMs = j.at("silenceMs").get<int64_t>();
+        x.slots = j.at("slots").get<int64_t>();
+        x.stopTimeoutMs = j.at("stopTimeoutMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const AgentSettings & x) {
+        j = json::object();
+        j["accelerators"] = x.accelerators;
+        j["backendUrl"] = x.backendUrl;
+        j["connections"] = x.connections;
+        j["failureDomain"] = x.failureDomain;
+        j["gateways"] = x.gateways;
+        j["heartbeatMs"] = x.heartbeatMs;
+        j["host"] = x.host;
+        j["leaseMs"] = x.leaseMs;
+        j["logLevel"] = x.logLevel;
+        j["memoryMb"] = x.memoryMb;
+        j["metricsPort"] = x.metricsPort;
+        j["name"] = x.name;
+        j["outcomeRetentionMs"] = x.outcomeRetentionMs;
+        j["processors"] = x.processors;
+        j["rack"] = x.rack;
+        j["region"] = x.region;
+        j["services"] = x.services;
+        j["silenceMs"] = x.silenceMs;
+        j["slots"] = x.slots;
+        j["stopTimeoutMs"] = x.stopTimeoutMs;
+    }
+
+    inline void from_json(const json & j, GatewaySettings& x) {
+        x.agentSilenceMs = j.at("agentSilenceMs").get<int64_t>();
+        x.dedupWindowMs = j.at("dedupWindowMs").get<int64_t>();
+        x.defaultDeadlineMs = j.at("defaultDeadlineMs").get<int64_t>();
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
+        x.host = j.at("host").get<std::string>();
+        x.httpPort = j.at("httpPort").get<int64_t>();
+        x.httpThreads = j.at("httpThreads").get<int64_t>();
+        x.journalBatchMs = j.at("journalBatchMs").get<int64_t>();
+        x.leaseMs = j.at("leaseMs").get<int64_t>();
+        x.logLevel = j.at("logLevel").get<LogLevel>();
+        x.logUrl = j.at("logUrl").get<std::string>();
+        x.maxBodyBytes = j.at("maxBodyBytes").get<int64_t>();
+        x.maxDeadlineMs = j.at("maxDeadlineMs").get<int64_t>();
+        x.name = j.at("name").get<std::string>();
+        x.peerPort = j.at("peerPort").get<int64_t>();
+        x.peerSilenceMs = j.at("peerSilenceMs").get<int64_t>();
+        x.region = j.at("region").get<std::string>();
+        x.shardCount = j.at("shardCount").get<int64_t>();
+        x.startAckMs = j.at("startAckMs").get<int64_t>();
+        x.stopTimeoutMs = j.at("stopTimeoutMs").get<int64_t>();
+        x.unloggedAfterMs = j.at("unloggedAfterMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const GatewaySettings & x) {
+        j = json::object();
+        j["agentSilenceMs"] = x.agentSilenceMs;
+        j["dedupWindowMs"] = x.dedupWindowMs;
+        j["defaultDeadlineMs"] = x.defaultDeadlineMs;
+        j["failureDomain"] = x.failureDomain;
+        j["heartbeatMs"] = x.heartbeatMs;
+        j["host"] = x.host;
+        j["httpPort"] = x.httpPort;
+        j["httpThreads"] = x.httpThreads;
+        j["journalBatchMs"] = x.journalBatchMs;
+        j["leaseMs"] = x.leaseMs;
+        j["logLevel"] = x.logLevel;
+        j["logUrl"] = x.logUrl;
+        j["maxBodyBytes"] = x.maxBodyBytes;
+        j["maxDeadlineMs"] = x.maxDeadlineMs;
+        j["name"] = x.name;
+        j["peerPort"] = x.peerPort;
+        j["peerSilenceMs"] = x.peerSilenceMs;
+        j["region"] = x.region;
+        j["shardCount"] = x.shardCount;
+        j["startAckMs"] = x.startAckMs;
+        j["stopTimeoutMs"] = x.stopTimeoutMs;
+        j["unloggedAfterMs"] = x.unloggedAfterMs;
+    }
+
+    inline void from_json(const json & j, SettingsSet& x) {
+        x.agent = get_stack_optional<AgentSettings>(j, "agent");
+        x.gateway = get_stack_optional<GatewaySettings>(j, "gateway");
+    }
+
+    inline void to_json(json & j, const SettingsSet & x) {
+        j = json::object();
+        if (x.agent) {
+            j["agent"] = x.agent;
+        }
+        if (x.gateway) {
+            j["gateway"] = x.gateway;
+        }
+    }
+
+    inline void from_json(const json & j, LogLevel & x) {
+        if (j == "debug") x = LogLevel::Debug;
+        else if (j == "error") x = LogLevel::Error;
+        else if (j == "info") x = LogLevel::Info;
+        else if (j == "warning") x = LogLevel::Warning;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"LogLevel\""); }
+    }
+
+    inline void to_json(json & j, const LogLevel & x) {
+        switch (x) {
+            case LogLevel::Debug: j = "debug"; break;
+            case LogLevel::Error: j = "error"; break;
+            case LogLevel::Info: j = "info"; break;
+            case LogLevel::Warning: j = "warning"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"LogLevel\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+}
