Schema: let a joining gateway take a silent one's seat

Cause: striking a dead gateway off a roster of three leaves two, of which neither may then be lost. Change: join records carry the instance they replace.

--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -513,6 +513,10 @@
         std::optional<std::vector<Intent>> intents{};
         RecordKind kind{};
         std::optional<Member> member{};
+        /**
+         * join: instance of the silent member whose seat the new one takes.
+         */
+        std::optional<std::string> replaces{};
         /**
          * claim: shards with the epochs they had when claimed; handed_over: with their new owner
          * and epoch.
@@ -1433,6 +1437,7 @@
         x.intents = get_stack_optional<std::vector<Intent>>(j, "intents");
         x.kind = j.at("kind").get<RecordKind>();
         x.member = get_stack_optional<Member>(j, "member");
+        x.replaces = get_stack_optional<std::string>(j, "replaces");
         x.shards = get_stack_optional<std::vector<ShardOwner>>(j, "shards");
         x.wallMs = j.at("wallMs").get<int64_t>();
     }
@@ -1457,6 +1462,9 @@
         if (x.member) {
             j["member"] = x.member;
         }
+        if (x.replaces) {
+            j["replaces"] = x.replaces;
+        }
         if (x.shards) {
             j["shards"] = x.shards;
         }
