Schema: name the attempt that a task state answers

Cause: a not_started under one start could cross a newer start of the same task (next epoch, or a retry at the same agent) and be taken as its refusal: the task would run here and be sent elsewhere. Likewise an acknowledgement of an old refusal would end the reports of a newer outcome. Change: StartTask.attempt, TaskState.epoch and attempt, optional TaskRef.attempt in acknowledgements; agent setting taskTimeoutMs, without which a hung backend server would hold a slot for ever. Conclusion: the owner must take not_started only when (epoch, attempt) is not below its own start's.

--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -142,6 +142,11 @@
     };
 
     struct TaskRef {
+        /**
+         * In an acknowledgement: attempt of the state acknowledged. A state of a later attempt
+         * stays unacknowledged.
+         */
+        std::optional<int64_t> attempt{};
         int64_t index{};
         std::string job{};
     };
@@ -405,6 +410,11 @@
     };
 
     struct StartTask {
+        /**
+         * Grows with each start message that the owner sends for this task under one epoch; a
+         * repeated message keeps it.
+         */
+        int64_t attempt{};
         int64_t epoch{};
         int64_t index{};
         std::string job{};
@@ -425,6 +435,16 @@
     };
 
     struct TaskState {
+        /**
+         * Attempt of that start. not_started covers this epoch and attempt and all below: the owner
+         * takes it as an answer only to a start that is not above, since a late refusal may cross a
+         * newer start.
+         */
+        int64_t attempt{};
+        /**
+         * Epoch of the start that this state belongs to.
+         */
+        int64_t epoch{};
         int64_t index{};
         std::string job{};
         TaskPhase phase = TaskPhase::Unknown;
@@ -822,12 +842,16 @@
     }
 
     inline void from_json(const json & j, TaskRef& x) {
+        x.attempt = get_stack_optional<int64_t>(j, "attempt");
         x.index = j.at("index").get<int64_t>();
         x.job = j.at("job").get<std::string>();
     }
 
     inline void to_json(json & j, const TaskRef & x) {
         j = json::object();
+        if (x.attempt) {
+            j["attempt"] = x.attempt;
+        }
         j["index"] = x.index;
         j["job"] = x.job;
     }
@@ -1248,6 +1272,7 @@
     }
 
     inline void from_json(const json & j, StartTask& x) {
+        x.attempt = j.at("attempt").get<int64_t>();
         x.epoch = j.at("epoch").get<int64_t>();
         x.index = j.at("index").get<int64_t>();
         x.job = j.at("job").get<std::string>();
@@ -1261,6 +1286,7 @@
 
     inline void to_json(json & j, const StartTask & x) {
         j = json::object();
+        j["attempt"] = x.attempt;
         j["epoch"] = x.epoch;
         j["index"] = x.index;
         j["job"] = x.job;
@@ -1284,6 +1310,8 @@
     }
 
     inline void from_json(const json & j, TaskState& x) {
+        x.attempt = j.at("attempt").get<int64_t>();
+        x.epoch = j.at("epoch").get<int64_t>();
         x.index = j.at("index").get<int64_t>();
         x.job = j.at("job").get<std::string>();
         x.phase = j.at("phase").get<TaskPhase>();
@@ -1294,6 +1322,8 @@
 
     inline void to_json(json & j, const TaskState & x) {
         j = json::object();
+        j["attempt"] = x.attempt;
+        j["epoch"] = x.epoch;
         j["index"] = x.index;
         j["job"] = x.job;
         j["phase"] = x.phase;
--- a/Source/Core/Schema/Generated/Settings.h
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -128,6 +128,11 @@
         int64_t silenceMs{};
         int64_t slots{};
         int64_t stopTimeoutMs{};
+        /**
+         * A task without an answer from the backend server for this long counts as lost: it may
+         * have run.
+         */
+        int64_t taskTimeoutMs{};
     };
 
     struct GatewaySettings {
@@ -238,6 +243,7 @@
         x.silenceMs = j.at("silenceMs").get<int64_t>();
         x.slots = j.at("slots").get<int64_t>();
         x.stopTimeoutMs = j.at("stopTimeoutMs").get<int64_t>();
+        x.taskTimeoutMs = j.at("taskTimeoutMs").get<int64_t>();
     }
 
     inline void to_json(json & j, const AgentSettings & x) {
@@ -262,6 +268,7 @@
         j["silenceMs"] = x.silenceMs;
         j["slots"] = x.slots;
         j["stopTimeoutMs"] = x.stopTimeoutMs;
+        j["taskTimeoutMs"] = x.taskTimeoutMs;
     }
 
     inline void from_json(const json & j, GatewaySettings& x) {
