--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -315,8 +315,19 @@
         int64_t peerPort{};
     };
 
+    /**
+     * control_snapshot: the table its writer had.
+     */
     struct OwnershipTable {
+        /**
+         * Instances on the roster before that change.
+         */
+        std::vector<std::string> previousRoster{};
         std::vector<Member> roster{};
+        /**
+         * Offset after the last record that changed the roster, times 65536.
+         */
+        int64_t rosterVersion{};
         std::vector<ShardOwner> shards{};
         /**
          * Offset after the last control record it reflects, times 65536, plus direct handovers seen
@@ -350,6 +361,11 @@
 
     struct TaskSnapshot {
         std::optional<std::string> agent{};
+        int64_t attempt{};
+        /**
+         * Epoch and attempt of the last start sent.
+         */
+        int64_t epoch{};
         int64_t index{};
         TaskPhase phase = TaskPhase::Unknown;
         std::optional<Reason> reason{};
@@ -365,6 +381,17 @@
         std::vector<TaskSnapshot> tasks{};
     };
 
+    /**
+     * Jobs of the shard first submitted within these wall-clock times may have been started by
+     * the instance without an intent in the log.
+     */
+    struct UnloggedWindow {
+        std::string instance{};
+        int64_t shard{};
+        int64_t sinceMs{};
+        int64_t untilMs{};
+    };
+
     /**
      * A leaving owner gives shards, with their jobs and the next epochs, to one successor. It
      * has stopped starting tasks of them.
@@ -374,6 +401,7 @@
         std::vector<JobSnapshot> jobs{};
         std::string requestId{};
         std::vector<ShardOwner> shards{};
+        std::optional<std::vector<UnloggedWindow>> unloggedWindows{};
     };
 
     struct HandoverAccepted {
@@ -403,8 +431,8 @@
         std::optional<OwnershipTable> table{};
         int64_t tableVersion{};
         /**
-         * 0, or the wall-clock time from which the sender may start tasks whose intent is not in
-         * the log.
+         * 0, or: the sender may start jobs first submitted at or after this wall-clock time without
+         * an intent in the log.
          */
         int64_t unloggedSinceMs{};
     };
@@ -515,7 +543,7 @@
         std::string team{};
     };
 
-    enum class RecordKind : int { Alive, Claim, Config, ConfigSnapshot, HandedOver, Intents, Join, Leave };
+    enum class RecordKind : int { Alive, Claim, Config, ConfigSnapshot, ControlSnapshot, HandedOver, Intents, Join, Leave, ShardsTaken };
 
     /**
      * One record of a stream in the platform's log. Readers drop an id seen before: an append
@@ -523,7 +551,8 @@
      */
     struct LogRecord {
         /**
-         * join, leave: table version it was decided on; config: configuration version.
+         * join, leave: table version it was decided on; config: configuration version;
+         * config_snapshot: offset up to which the writer had read.
          */
         std::optional<int64_t> basedOn{};
         std::optional<ConfigChange> change{};
@@ -534,7 +563,8 @@
         RecordKind kind{};
         std::optional<Member> member{};
         /**
-         * join: instance of the silent member whose seat the new one takes.
+         * join: instance of the silent member whose seat the new one takes; leave: the member that
+         * leaves.
          */
         std::optional<std::string> replaces{};
         /**
@@ -542,6 +572,14 @@
          * and epoch.
          */
         std::optional<std::vector<ShardOwner>> shards{};
+        /**
+         * control_snapshot: the table its writer had.
+         */
+        std::optional<OwnershipTable> table{};
+        /**
+         * shards_taken: what earlier owners of the shards may have started without a durable intent.
+         */
+        std::optional<std::vector<UnloggedWindow>> unloggedWindows{};
         int64_t wallMs{};
     };
 
@@ -656,6 +694,9 @@
     void from_json(const json & j, JobSnapshot & x);
     void to_json(json & j, const JobSnapshot & x);
 
+    void from_json(const json & j, UnloggedWindow & x);
+    void to_json(json & j, const UnloggedWindow & x);
+
     void from_json(const json & j, Handover & x);
     void to_json(json & j, const Handover & x);
 
@@ -1124,14 +1165,18 @@
     }
 
     inline void from_json(const json & j, OwnershipTable& x) {
+        x.previousRoster = j.at("previousRoster").get<std::vector<std::string>>();
         x.roster = j.at("roster").get<std::vector<Member>>();
+        x.rosterVersion = j.at("rosterVersion").get<int64_t>();
         x.shards = j.at("shards").get<std::vector<ShardOwner>>();
         x.version = j.at("version").get<int64_t>();
     }
 
     inline void to_json(json & j, const OwnershipTable & x) {
         j = json::object();
+        j["previousRoster"] = x.previousRoster;
         j["roster"] = x.roster;
+        j["rosterVersion"] = x.rosterVersion;
         j["shards"] = x.shards;
         j["version"] = x.version;
     }
@@ -1163,6 +1208,8 @@
 
     inline void from_json(const json & j, TaskSnapshot& x) {
         x.agent = get_stack_optional<std::string>(j, "agent");
+        x.attempt = j.at("attempt").get<int64_t>();
+        x.epoch = j.at("epoch").get<int64_t>();
         x.index = j.at("index").get<int64_t>();
         x.phase = j.at("phase").get<TaskPhase>();
         x.reason = get_stack_optional<Reason>(j, "reason");
@@ -1175,6 +1222,8 @@
         if (x.agent) {
             j["agent"] = x.agent;
         }
+        j["attempt"] = x.attempt;
+        j["epoch"] = x.epoch;
         j["index"] = x.index;
         j["phase"] = x.phase;
         if (x.reason) {
@@ -1205,11 +1254,27 @@
         j["tasks"] = x.tasks;
     }
 
+    inline void from_json(const json & j, UnloggedWindow& x) {
+        x.instance = j.at("instance").get<std::string>();
+        x.shard = j.at("shard").get<int64_t>();
+        x.sinceMs = j.at("sinceMs").get<int64_t>();
+        x.untilMs = j.at("untilMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const UnloggedWindow & x) {
+        j = json::object();
+        j["instance"] = x.instance;
+        j["shard"] = x.shard;
+        j["sinceMs"] = x.sinceMs;
+        j["untilMs"] = x.untilMs;
+    }
+
     inline void from_json(const json & j, Handover& x) {
         x.from = j.at("from").get<std::string>();
         x.jobs = j.at("jobs").get<std::vector<JobSnapshot>>();
         x.requestId = j.at("requestId").get<std::string>();
         x.shards = j.at("shards").get<std::vector<ShardOwner>>();
+        x.unloggedWindows = get_stack_optional<std::vector<UnloggedWindow>>(j, "unloggedWindows");
     }
 
     inline void to_json(json & j, const Handover & x) {
@@ -1218,6 +1283,9 @@
         j["jobs"] = x.jobs;
         j["requestId"] = x.requestId;
         j["shards"] = x.shards;
+        if (x.unloggedWindows) {
+            j["unloggedWindows"] = x.unloggedWindows;
+        }
     }
 
     inline void from_json(const json & j, HandoverAccepted& x) {
@@ -1469,6 +1537,8 @@
         x.member = get_stack_optional<Member>(j, "member");
         x.replaces = get_stack_optional<std::string>(j, "replaces");
         x.shards = get_stack_optional<std::vector<ShardOwner>>(j, "shards");
+        x.table = get_stack_optional<OwnershipTable>(j, "table");
+        x.unloggedWindows = get_stack_optional<std::vector<UnloggedWindow>>(j, "unloggedWindows");
         x.wallMs = j.at("wallMs").get<int64_t>();
     }
 
@@ -1498,6 +1568,12 @@
         if (x.shards) {
             j["shards"] = x.shards;
         }
+        if (x.table) {
+            j["table"] = x.table;
+        }
+        if (x.unloggedWindows) {
+            j["unloggedWindows"] = x.unloggedWindows;
+        }
         j["wallMs"] = x.wallMs;
     }
 
@@ -1807,10 +1883,12 @@
         else if (j == "claim") x = RecordKind::Claim;
         else if (j == "config") x = RecordKind::Config;
         else if (j == "config_snapshot") x = RecordKind::ConfigSnapshot;
+        else if (j == "control_snapshot") x = RecordKind::ControlSnapshot;
         else if (j == "handed_over") x = RecordKind::HandedOver;
         else if (j == "intents") x = RecordKind::Intents;
         else if (j == "join") x = RecordKind::Join;
         else if (j == "leave") x = RecordKind::Leave;
+        else if (j == "shards_taken") x = RecordKind::ShardsTaken;
         else { throw std::runtime_error("Cannot deserialize to enumeration \"RecordKind\""); }
     }
 
@@ -1820,10 +1898,12 @@
             case RecordKind::Claim: j = "claim"; break;
             case RecordKind::Config: j = "config"; break;
             case RecordKind::ConfigSnapshot: j = "config_snapshot"; break;
+            case RecordKind::ControlSnapshot: j = "control_snapshot"; break;
             case RecordKind::HandedOver: j = "handed_over"; break;
             case RecordKind::Intents: j = "intents"; break;
             case RecordKind::Join: j = "join"; break;
             case RecordKind::Leave: j = "leave"; break;
+            case RecordKind::ShardsTaken: j = "shards_taken"; break;
             default: throw std::runtime_error("Unexpected value in enumeration \"RecordKind\": " + std::to_string(static_cast<int>(x)));
         }
     }
