--- a/Source/Core/Dispatch/Dispatch.h
+++ b/Source/Core/Dispatch/Dispatch.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Dispatch/Effects.h"
+#include "Dispatch/Ledger.h"
+#include "Dispatch/Requests.h"
 
 /// Public header of the dispatch library: every decision of a gateway as free functions over plain
 /// structs, without network, clock or thread.
