--- /dev/null
+++ b/Source/Core/Dispatch/ConfigRules.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include "Schema/Schema.h"
+
+/// What a configuration may hold. Ranges are those of the message schema; what the schema can't say
+/// (a change carries what its kind names, a key that is removed exists) is checked here.
+namespace Dispatch {
+
+/// Empty when \a change is well formed; otherwise what is wrong with it.
+std::string configChangeFault(const Schema::ConfigChange &change);
+/// Empty when \a change fits \a configuration as well.
+std::string configReferenceFault(const Schema::Configuration &configuration,
+                                 const Schema::ConfigChange &change);
+/// Sets or removes the key in \a configuration, which then has \a version.
+void applyConfigChange(Schema::Configuration &configuration, const Schema::ConfigChange &change,
+                       std::int64_t version);
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Ownership.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/Clock.h"
+#include "Common/Ids.h"
+#include "Dispatch/ControlTable.h"
+#include "Dispatch/Effects.h"
+#include "Dispatch/LogEvents.h"
+
+/// Which gateway owns which shard, as one gateway sees and changes it: roster, claims, fencing of a
+/// lost owner, direct handover. Epochs are ordered by the log; between gateways there are only
+/// heartbeats that carry the table.
+namespace Dispatch {
+
+struct OwnershipSettings
+{
+    std::int64_t shardCount = 64;
+    std::int64_t heartbeatMs = 500;
+    /// A gateway not heard from for this long loses its shards.
+    std::int64_t peerSilenceMs = 2500;
+    /// How long an agent accepts starts after it last heard from a majority of the roster.
+    std::int64_t leaseMs = 2000;
+    std::int64_t appendRetryMs = 200;
+    std::int64_t dedupWindowMs = 600000;
+    Safeguards safeguards;
+};
+
+enum class ShardPhase {
+    NotOurs,
+    /// Given to us by a handover that has not arrived yet.
+    AwaitingHandover,
+    /// Ours in the log; no majority has acknowledged it yet.
+    Claimed,
+    /// Acknowledged; the agents' leases of the old epoch run out.
+    Fencing,
+    /// Fenced; the journal is being read up to our mark.
+    NeedsJournal,
+    /// The agents are being asked what they hold.
+    NeedsReports,
+    Serving,
+    /// We have stopped serving it and offer it to a successor.
+    HandingOver
+};
+
+/// Our own part in a shard, under one epoch.
+struct ShardRole
+{
+    ShardPhase phase = ShardPhase::NotOurs;
+    std::int64_t epoch = 0;
+    std::int64_t phaseSinceMs = 0;
+    /// Wall-clock time at which no older epoch could start a task any more.
+    std::int64_t fencedWallMs = 0;
+    std::string journalMark;
+    std::vector<Schema::UnloggedWindow> windows;
+};
+
+/// What we know of another gateway.
+struct PeerView
+{
+    std::int64_t firstWatchedMs = 0;
+    /// Of the steady clock; 0 before the first frame.
+    std::int64_t lastHeardMs = 0;
+    std::int64_t sequence = 0;
+    /// Table version it has acknowledged, of those acknowledgements that count.
+    std::int64_t acknowledgedVersion = 0;
+    std::int64_t configVersion = 0;
+    /// Its own declaration, and those of others that it holds.
+    std::int64_t unloggedSinceMs = 0;
+    std::map<std::string, std::int64_t> notices;
+    /// Our version and declaration that it was last told.
+    std::int64_t toldVersion = -1;
+    std::int64_t toldUnloggedMs = -1;
+    std::int64_t lastPingMs = 0;
+};
+
+/// The control record of ours that is under way.
+struct ControlAppend
+{
+    std::uint64_t batch = 0;
+    Schema::LogRecord record;
+    bool inFlight = false;
+    bool durable = false;
+    std::int64_t retryAtMs = 0;
+};
+
+/// A planned handover that balances the shards, or empties a gateway that leaves.
+struct WantedHandover
+{
+    std::string successor;
+    std::vector<std::int64_t> shards;
+};
+
+struct OwnershipState
+{
+    OwnershipSettings settings;
+    Schema::Member self;
+    /// Strictly from the log, and that merged with what peers and handovers told.
+    ControlTable fromLog;
+    ControlTable table;
+    std::int64_t readOffset = 0;
+    bool readToEnd = false;
+    bool gap = false;
+    std::vector<ShardRole> roles;
+    std::map<std::string, PeerView> peers;
+    std::optional<ControlAppend> append;
+    /// Roster change at this offset is acknowledged by both majorities since rosterAckedMs.
+    std::int64_t rosterAckedOffset = -1;
+    std::int64_t rosterAckedMs = 0;
+    bool rosterSettled = false;
+    /// Declarations of other gateways that have not been withdrawn.
+    std::map<std::string, std::int64_t> notices;
+    std::map<std::string, std::int64_t> noticeIdleSinceMs;
+    /// Shards with direct handovers that the log does not show yet.
+    std::vector<std::int64_t> unrecordedHandovers;
+    std::int64_t sequence = 0;
+    std::int64_t startedMs = 0;
+    std::int64_t joinedMs = 0;
+    std::int64_t snapshotDueFromWallMs = 0;
+    bool leaving = false;
+    bool left = false;
+    /// What pings carry for other modules.
+    std::int64_t configVersion = 0;
+    std::int64_t unloggedSinceMs = 0;
+};
+
+OwnershipState makeOwnership(OwnershipSettings settings, Schema::Member self, Common::Moment now);
+
+/// Takes control records in, in log order.
+Effects controlRead(OwnershipState &state, const LogRead &read, Common::Moment now);
+Effects controlAppendDone(OwnershipState &state, std::uint64_t batch, AppendStatus status,
+                          Common::Moment now);
+/// Heartbeats, roster changes, claims, and the passing of time in fences.
+Effects ownershipTick(OwnershipState &state, std::uint64_t &nextBatch, Common::Moment now,
+                      Common::Random &random);
+/// A heartbeat of another gateway, also of one that is not on the roster (yet).
+Effects peerHeard(OwnershipState &state, const Schema::PeerPing &ping, Common::Moment now);
+
+std::int64_t shardOf(const OwnershipState &state, const std::string &job);
+ShardPhase shardPhase(const OwnershipState &state, std::int64_t shard);
+/// Empty where nobody is known to own the shard.
+std::optional<std::string> ownerOf(const OwnershipState &state, std::int64_t shard);
+std::int64_t epochOf(const OwnershipState &state, std::int64_t shard);
+const Schema::Member *memberOf(const OwnershipState &state, const std::string &instance);
+Schema::OwnershipTable ownershipTable(const OwnershipState &state);
+std::int64_t ownershipVersion(const OwnershipState &state);
+/// Whether tasks of the shard may be started now: it is served here, and a majority of the roster
+/// was heard from within the lease (agents would refuse the start otherwise).
+bool mayStart(const OwnershipState &state, std::int64_t shard, Common::Moment now);
+bool peerLive(const OwnershipState &state, const std::string &instance, Common::Moment now);
+/// Shards of ours in \a phase.
+std::vector<std::int64_t> shardsIn(const OwnershipState &state, ShardPhase phase);
+/// The agents' reports are in: the shard is served from now on.
+void shardServing(OwnershipState &state, std::int64_t shard, Common::Moment now);
+/// Whether some earlier owner may have started a job of this shard, first submitted then, without a
+/// durable intent. Such a job, if no one knows of it, is answered unknown and is not started.
+bool predecessorUnlogged(const OwnershipState &state, std::int64_t shard,
+                         std::int64_t firstSubmittedMs);
+
+/// Handovers that balance the shards evenly, or all shards where this gateway leaves.
+std::vector<WantedHandover> wantedHandovers(const OwnershipState &state, Common::Moment now);
+/// Stops serving \a shards for good and makes the message for \a successor; the caller adds the
+/// jobs, and repeats the message until it is accepted or the epochs are superseded.
+Schema::Handover handoverOut(OwnershipState &state, const std::vector<std::int64_t> &shards,
+                             const std::string &successor, Common::Moment now,
+                             Common::Random &random);
+/// Whether a handover made by handoverOut() still stands for any of its shards.
+bool handoverStands(const OwnershipState &state, const Schema::Handover &handover);
+/// The successor has the shards. Ends HandingOver.
+void handoverDone(OwnershipState &state, const Schema::Handover &handover);
+/// Shards taken over, which are served at once; the jobs of the others must be left alone. The
+/// caller accepts the handover also when this is empty because it was a repetition.
+struct HandoverTaken
+{
+    bool accepted = false;
+    std::vector<std::int64_t> shards;
+};
+HandoverTaken handoverIn(OwnershipState &state, const Schema::Handover &handover,
+                         Common::Moment now);
+
+/// From now on no shard is claimed, and wantedHandovers() empties this gateway.
+void leave(OwnershipState &state);
+/// True once the gateway owns nothing and the log shows that it left.
+bool hasLeft(const OwnershipState &state);
+/// True on one live gateway of the roster.
+bool isFirstLive(const OwnershipState &state, Common::Moment now);
+/// Whether \a sinceMs, our declaration, is acknowledged by a majority.
+bool declarationAcknowledged(const OwnershipState &state, std::int64_t sinceMs);
+
+} // namespace Dispatch
