--- /dev/null
+++ b/Source/Core/Agent/Effects.cpp
@@ -0,0 +1,21 @@
+#include "Agent/Effects.h"
+
+#include <iterator>
+
+#include "Common/Common.h"
+
+namespace Agent {
+
+std::size_t TaskKeyHash::operator()(const TaskKey &key) const
+{
+    constexpr std::uint64_t IndexSpread = 0x9e3779b97f4a7c15ULL;
+    return Common::hash64(key.job) ^ (static_cast<std::uint64_t>(key.index) * IndexSpread);
+}
+
+void append(Effects &effects, Effects more)
+{
+    effects.insert(effects.end(), std::make_move_iterator(more.begin()),
+                   std::make_move_iterator(more.end()));
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Source/Core/Agent/Effects.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "Schema/Schema.h"
+
+/// What the agent's decisions ask of the outside, and how its tasks and links are named.
+namespace Agent {
+
+/// A connection attempt to a gateway and the link that comes of it. Numbered by the decisions,
+/// never reused, so that a late event of an old link cannot be taken for one of its successor.
+using LinkNumber = std::uint64_t;
+
+struct TaskKey
+{
+    std::string job;
+    std::int64_t index = 0;
+};
+
+inline bool operator==(const TaskKey &left, const TaskKey &right)
+{
+    return left.index == right.index && left.job == right.job;
+}
+
+struct TaskKeyHash
+{
+    std::size_t operator()(const TaskKey &key) const;
+};
+
+struct ConnectGateway
+{
+    LinkNumber link = 0;
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+struct CloseLink
+{
+    LinkNumber link = 0;
+};
+
+struct SendToGateway
+{
+    LinkNumber link = 0;
+    Schema::Frame frame;
+};
+
+/// Handed to the backend server; from here on the task may have started.
+struct RunTask
+{
+    Schema::RunTask task;
+};
+
+/// Adds \a amount to a counter, labelled with a reason.
+struct CountReason
+{
+    std::string counter;
+    Schema::Reason reason = Schema::Reason::None;
+    double amount = 1;
+};
+
+/// One log line.
+struct Note
+{
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using Effect = std::variant<ConnectGateway, CloseLink, SendToGateway, RunTask, CountReason, Note>;
+/// Carried out in order.
+using Effects = std::vector<Effect>;
+
+/// Adds \a more at the end of \a effects.
+void append(Effects &effects, Effects more);
+
+constexpr const char *RefusalsCounter = "auburntrail_agent_refusals_total";
+constexpr const char *LinkLossesCounter = "auburntrail_agent_link_losses_total";
+constexpr const char *OutcomesCounter = "auburntrail_agent_outcomes_total";
+constexpr const char *RepeatsCounter = "auburntrail_agent_repeated_starts_total";
+constexpr const char *DroppedCounter = "auburntrail_agent_outcomes_dropped_total";
+
+} // namespace Agent
