Schema: let a new owner learn which agents may hold tasks

Cause: a successor that has never met an agent cannot ask it, and would take its tasks for not started. Change: ask_agents and known_agents; a majority's answers name every agent that can have accepted a start. Measured: nothing yet.

--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -194,6 +194,15 @@
         int64_t window{};
     };
 
+    /**
+     * A new owner asks the gateways which agents may hold tasks of its predecessor. An agent
+     * accepts a start only when it has heard from a majority of the roster, so that the answers
+     * of any majority name it.
+     */
+    struct AskAgents {
+        std::string requestId{};
+    };
+
     struct ShardOwner {
         /**
          * Offset of the claim in the control stream times 65536, plus the number of direct
@@ -409,6 +418,20 @@
         std::string requestId{};
     };
 
+    struct KnownAgents {
+        /**
+         * Instances of the agents it has a connection to.
+         */
+        std::vector<std::string> agents{};
+        /**
+         * Wall-clock time since which no other agent can have held a task: the sender was up and
+         * lost no agent for good.
+         */
+        int64_t completeSinceMs{};
+        std::string instance{};
+        std::string requestId{};
+    };
+
     struct UnloggedNotice {
         std::string instance{};
         int64_t sinceMs{};
@@ -495,7 +518,7 @@
         int64_t window{};
     };
 
-    enum class FrameType : int { AcknowledgeTasks, AgentHello, AskTasks, CancelTasks, Forward, ForwardAnswer, GatewayPong, Handover, HandoverAccepted, PeerPing, StartTasks, TaskStates };
+    enum class FrameType : int { AcknowledgeTasks, AgentHello, AskAgents, AskTasks, CancelTasks, Forward, ForwardAnswer, GatewayPong, Handover, HandoverAccepted, KnownAgents, PeerPing, StartTasks, TaskStates };
 
     /**
      * One CBOR message on a WebSocket between processes. Exactly the member named by type is
@@ -504,6 +527,7 @@
     struct Frame {
         std::optional<TaskRefs> acknowledgeTasks{};
         std::optional<AgentHello> agentHello{};
+        std::optional<AskAgents> askAgents{};
         std::optional<AskTasks> askTasks{};
         std::optional<TaskRefs> cancelTasks{};
         std::optional<Forward> forward{};
@@ -511,6 +535,7 @@
         std::optional<GatewayPong> gatewayPong{};
         std::optional<Handover> handover{};
         std::optional<HandoverAccepted> handoverAccepted{};
+        std::optional<KnownAgents> knownAgents{};
         std::optional<PeerPing> peerPing{};
         std::optional<StartTasks> startTasks{};
         std::optional<TaskStates> taskStates{};
@@ -652,6 +677,9 @@
     void from_json(const json & j, AgentHello & x);
     void to_json(json & j, const AgentHello & x);
 
+    void from_json(const json & j, AskAgents & x);
+    void to_json(json & j, const AskAgents & x);
+
     void from_json(const json & j, ShardOwner & x);
     void to_json(json & j, const ShardOwner & x);
 
@@ -703,6 +731,9 @@
     void from_json(const json & j, HandoverAccepted & x);
     void to_json(json & j, const HandoverAccepted & x);
 
+    void from_json(const json & j, KnownAgents & x);
+    void to_json(json & j, const KnownAgents & x);
+
     void from_json(const json & j, UnloggedNotice & x);
     void to_json(json & j, const UnloggedNotice & x);
 
@@ -954,6 +985,15 @@
         j["window"] = x.window;
     }
 
+    inline void from_json(const json & j, AskAgents& x) {
+        x.requestId = j.at("requestId").get<std::string>();
+    }
+
+    inline void to_json(json & j, const AskAgents & x) {
+        j = json::object();
+        j["requestId"] = x.requestId;
+    }
+
     inline void from_json(const json & j, ShardOwner& x) {
         x.epoch = j.at("epoch").get<int64_t>();
         x.owner = j.at("owner").get<std::string>();
@@ -1299,6 +1339,21 @@
         j["requestId"] = x.requestId;
     }
 
+    inline void from_json(const json & j, KnownAgents& x) {
+        x.agents = j.at("agents").get<std::vector<std::string>>();
+        x.completeSinceMs = j.at("completeSinceMs").get<int64_t>();
+        x.instance = j.at("instance").get<std::string>();
+        x.requestId = j.at("requestId").get<std::string>();
+    }
+
+    inline void to_json(json & j, const KnownAgents & x) {
+        j = json::object();
+        j["agents"] = x.agents;
+        j["completeSinceMs"] = x.completeSinceMs;
+        j["instance"] = x.instance;
+        j["requestId"] = x.requestId;
+    }
+
     inline void from_json(const json & j, UnloggedNotice& x) {
         x.instance = j.at("instance").get<std::string>();
         x.sinceMs = j.at("sinceMs").get<int64_t>();
@@ -1426,6 +1481,7 @@
     inline void from_json(const json & j, Frame& x) {
         x.acknowledgeTasks = get_stack_optional<TaskRefs>(j, "acknowledgeTasks");
         x.agentHello = get_stack_optional<AgentHello>(j, "agentHello");
+        x.askAgents = get_stack_optional<AskAgents>(j, "askAgents");
         x.askTasks = get_stack_optional<AskTasks>(j, "askTasks");
         x.cancelTasks = get_stack_optional<TaskRefs>(j, "cancelTasks");
         x.forward = get_stack_optional<Forward>(j, "forward");
@@ -1433,6 +1489,7 @@
         x.gatewayPong = get_stack_optional<GatewayPong>(j, "gatewayPong");
         x.handover = get_stack_optional<Handover>(j, "handover");
         x.handoverAccepted = get_stack_optional<HandoverAccepted>(j, "handoverAccepted");
+        x.knownAgents = get_stack_optional<KnownAgents>(j, "knownAgents");
         x.peerPing = get_stack_optional<PeerPing>(j, "peerPing");
         x.startTasks = get_stack_optional<StartTasks>(j, "startTasks");
         x.taskStates = get_stack_optional<TaskStates>(j, "taskStates");
@@ -1447,6 +1504,9 @@
         if (x.agentHello) {
             j["agentHello"] = x.agentHello;
         }
+        if (x.askAgents) {
+            j["askAgents"] = x.askAgents;
+        }
         if (x.askTasks) {
             j["askTasks"] = x.askTasks;
         }
@@ -1468,6 +1528,9 @@
         if (x.handoverAccepted) {
             j["handoverAccepted"] = x.handoverAccepted;
         }
+        if (x.knownAgents) {
+            j["knownAgents"] = x.knownAgents;
+        }
         if (x.peerPing) {
             j["peerPing"] = x.peerPing;
         }
@@ -1829,6 +1892,7 @@
     inline void from_json(const json & j, FrameType & x) {
         if (j == "acknowledge_tasks") x = FrameType::AcknowledgeTasks;
         else if (j == "agent_hello") x = FrameType::AgentHello;
+        else if (j == "ask_agents") x = FrameType::AskAgents;
         else if (j == "ask_tasks") x = FrameType::AskTasks;
         else if (j == "cancel_tasks") x = FrameType::CancelTasks;
         else if (j == "forward") x = FrameType::Forward;
@@ -1836,6 +1900,7 @@
         else if (j == "gateway_pong") x = FrameType::GatewayPong;
         else if (j == "handover") x = FrameType::Handover;
         else if (j == "handover_accepted") x = FrameType::HandoverAccepted;
+        else if (j == "known_agents") x = FrameType::KnownAgents;
         else if (j == "peer_ping") x = FrameType::PeerPing;
         else if (j == "start_tasks") x = FrameType::StartTasks;
         else if (j == "task_states") x = FrameType::TaskStates;
@@ -1846,6 +1911,7 @@
         switch (x) {
             case FrameType::AcknowledgeTasks: j = "acknowledge_tasks"; break;
             case FrameType::AgentHello: j = "agent_hello"; break;
+            case FrameType::AskAgents: j = "ask_agents"; break;
             case FrameType::AskTasks: j = "ask_tasks"; break;
             case FrameType::CancelTasks: j = "cancel_tasks"; break;
             case FrameType::Forward: j = "forward"; break;
@@ -1853,6 +1919,7 @@
             case FrameType::GatewayPong: j = "gateway_pong"; break;
             case FrameType::Handover: j = "handover"; break;
             case FrameType::HandoverAccepted: j = "handover_accepted"; break;
+            case FrameType::KnownAgents: j = "known_agents"; break;
             case FrameType::PeerPing: j = "peer_ping"; break;
             case FrameType::StartTasks: j = "start_tasks"; break;
             case FrameType::TaskStates: j = "task_states"; break;
