Agent: decide on starts, outcomes, reports and links

Cause: the agent's state machine was missing. Change: Outcomes (memory of starts and refusals), Starts, Reports, Links, BackendAnswer and AgentCore, pure functions over AgentState.

--- a/Source/Core/Agent/Agent.h
+++ b/Source/Core/Agent/Agent.h
@@ -1,7 +1,14 @@
 #pragma once
 
+#include "Agent/AgentCore.h"
+#include "Agent/AgentState.h"
+#include "Agent/BackendAnswer.h"
 #include "Agent/Effects.h"
 #include "Agent/Fence.h"
+#include "Agent/Links.h"
+#include "Agent/Outcomes.h"
+#include "Agent/Reports.h"
+#include "Agent/Starts.h"
 #include "Agent/Windows.h"
 
 /// Public header of the agent library: what the process beside each backend server decides, and the
--- /dev/null
+++ b/Source/Core/Agent/AgentCore.cpp
@@ -0,0 +1,261 @@
+#include "Agent/AgentCore.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Agent/BackendAnswer.h"
+#include "Agent/Reports.h"
+#include "Agent/Starts.h"
+
+namespace Agent {
+
+namespace {
+
+std::string senderOf(const Endpoint &endpoint)
+{
+    return endpoint.answered ? endpoint.instance : std::string();
+}
+
+Effects setDrain(AgentState &state, bool drained, Common::Moment now)
+{
+    if (state.drainConfigured == drained) {
+        return {};
+    }
+    state.drainConfigured = drained;
+    Effects effects{Note{drained ? "drain_started" : "drain_ended", {}}};
+    if (drained) {
+        append(effects, returnQueued(state, Schema::Reason::AgentDraining, now));
+    }
+    append(effects, sendHellos(state, true, now));
+    return effects;
+}
+
+/// Configuration never goes back, however late an older document arrives.
+Effects takeConfiguration(AgentState &state, const Schema::Configuration &configuration,
+                          Common::Moment now)
+{
+    if (configuration.version <= state.configVersion) {
+        return {};
+    }
+    state.configVersion = configuration.version;
+    const auto &drains = configuration.drains;
+    const bool drained = std::any_of(drains.begin(), drains.end(), [&](const Schema::Drain &drain) {
+        return drain.backend == state.backend.name;
+    });
+    return setDrain(state, drained, now);
+}
+
+Effects takeTable(AgentState &state, const Schema::OwnershipTable &table, Common::Moment now)
+{
+    const bool newer = table.version > state.fence.tableVersion;
+    const RaisedShards raised = adoptTable(state.fence, table);
+    if (newer) {
+        setRoster(state.links, state.fence.roster);
+    }
+    return followNewEpochs(state, raised, now);
+}
+
+/// The settings may name a balancer, or a gateway by another address than the roster: one link to
+/// each gateway is enough, and states must not arrive twice.
+Effects closeDuplicate(AgentState &state, Endpoint &endpoint, Common::Moment now)
+{
+    Effects effects{CloseLink{endpoint.link}, Note{"link_duplicate", {{"gateway", endpoint.host}}}};
+    noteClosed(state.links, endpoint, now);
+    return effects;
+}
+
+Effects takePong(AgentState &state, Endpoint &endpoint, const Schema::GatewayPong &pong,
+                 Common::Moment now)
+{
+    Effects effects;
+    const bool first = !endpoint.answered;
+    const std::optional<std::int64_t> sentMs = noteAnswered(endpoint, pong);
+    if (isDuplicate(state.links, endpoint)) {
+        return closeDuplicate(state, endpoint, now);
+    }
+    if (first) {
+        oweAgain(state, pong.instance, now);
+        effects.emplace_back(Note{"link_answered", {{"gateway", pong.instance}}});
+    }
+    if (pong.table) {
+        append(effects, takeTable(state, *pong.table, now));
+    }
+    if (pong.configuration) {
+        append(effects, takeConfiguration(state, *pong.configuration, now));
+    }
+    if (sentMs) {
+        noteAnswer(state.fence, pong, *sentMs);
+    }
+    return effects;
+}
+
+Effects takeStarts(AgentState &state, Endpoint &endpoint, const Schema::StartTasks &starts,
+                   Common::Moment now)
+{
+    endpoint.demand = starts.demand;
+    return acceptStarts(state, endpoint.link, senderOf(endpoint), starts, now);
+}
+
+Effects takeAsk(AgentState &state, const Endpoint &endpoint, const Schema::AskTasks &ask,
+                Common::Moment now)
+{
+    const LinkNumber link = endpoint.link;
+    Effects effects = followNewEpochs(state, adoptShards(state.fence, ask.shards), now);
+    append(effects, answerAsk(state, link, ask, now));
+    return effects;
+}
+
+bool carriesMember(const Schema::Frame &frame)
+{
+    switch (frame.type) {
+    case Schema::FrameType::GatewayPong:
+        return frame.gatewayPong.has_value();
+    case Schema::FrameType::StartTasks:
+        return frame.startTasks.has_value();
+    case Schema::FrameType::AcknowledgeTasks:
+        return frame.acknowledgeTasks.has_value();
+    case Schema::FrameType::CancelTasks:
+        return frame.cancelTasks.has_value();
+    case Schema::FrameType::AskTasks:
+        return frame.askTasks.has_value();
+    default:
+        return false;
+    }
+}
+
+Effects takeFrame(AgentState &state, Endpoint &endpoint, const Schema::Frame &frame,
+                  Common::Moment now)
+{
+    if (!carriesMember(frame)) {
+        return {CountReason{RefusalsCounter, Schema::Reason::Malformed}};
+    }
+    switch (frame.type) {
+    case Schema::FrameType::GatewayPong:
+        return takePong(state, endpoint, *frame.gatewayPong, now);
+    case Schema::FrameType::StartTasks:
+        return takeStarts(state, endpoint, *frame.startTasks, now);
+    case Schema::FrameType::AcknowledgeTasks:
+        takeAcknowledgement(state, senderOf(endpoint), *frame.acknowledgeTasks);
+        return {};
+    case Schema::FrameType::CancelTasks:
+        return cancelQueued(state, *frame.cancelTasks, now);
+    default:
+        return takeAsk(state, endpoint, *frame.askTasks, now);
+    }
+}
+
+/// After a pause of this process all links look silent, though their frames wait unread. Silence is
+/// judged anew from here on; the lease is not touched, since it counts from what was sent.
+void forgivePause(AgentState &state, Common::Moment now)
+{
+    const std::int64_t pausedMs = state.lastTickMs == 0 ? 0 : now.steadyMs - state.lastTickMs;
+    state.lastTickMs = now.steadyMs;
+    if (pausedMs < state.links.options.silenceMs / 2) {
+        return;
+    }
+    for (auto &entry : state.links.endpoints) {
+        entry.second.heardMs = now.steadyMs;
+    }
+}
+
+} // namespace
+
+Effects linkOpened(AgentState &state, LinkNumber link, Common::Moment now)
+{
+    Endpoint *endpoint = findLink(state.links, link);
+    if (endpoint == nullptr) {
+        return {CloseLink{link}};
+    }
+    noteOpened(*endpoint, now);
+    return sendHellos(state, false, now);
+}
+
+Effects linkClosed(AgentState &state, LinkNumber link, Common::Moment now)
+{
+    Endpoint *endpoint = findLink(state.links, link);
+    if (endpoint == nullptr) {
+        return {};
+    }
+    Effects effects;
+    if (endpoint->stage == LinkStage::Open) {
+        effects.emplace_back(CountReason{LinkLossesCounter, Schema::Reason::ConnectionLost});
+        effects.emplace_back(Note{"link_lost", {{"gateway", endpoint->host}}});
+    }
+    state.directReplies.erase(link);
+    noteClosed(state.links, *endpoint, now);
+    return effects;
+}
+
+Effects frameReceived(AgentState &state, LinkNumber link, const Schema::Frame &frame,
+                      Common::Moment now)
+{
+    Endpoint *endpoint = findLink(state.links, link);
+    if (endpoint == nullptr) {
+        return {};
+    }
+    endpoint->heardMs = now.steadyMs;
+    return takeFrame(state, *endpoint, frame, now);
+}
+
+Effects runAnswered(AgentState &state, const TaskKey &key, const Net::HttpResult &answer,
+                    Common::Moment now)
+{
+    return endRunning(state, key, readRunAnswer(answer), now);
+}
+
+Effects healthAnswered(AgentState &state, bool healthy, Common::Moment now)
+{
+    if (healthy == state.healthy) {
+        return {};
+    }
+    state.healthy = healthy;
+    Effects effects{Note{healthy ? "backend_healthy" : "backend_unhealthy", {}}};
+    append(effects, sendHellos(state, true, now));
+    return effects;
+}
+
+Effects tick(AgentState &state, Common::Moment now)
+{
+    forgivePause(state, now);
+    Effects effects = superviseLinks(state.links, now);
+    append(effects, startQueued(state, now));
+    append(effects, sendHellos(state, false, now));
+    const std::size_t unacknowledged = forgetExpired(state.outcomes, now);
+    if (unacknowledged != 0) {
+        effects.emplace_back(CountReason{DroppedCounter, Schema::Reason::OwnerUnreachable,
+                                         static_cast<double>(unacknowledged)});
+    }
+    return effects;
+}
+
+Effects flush(AgentState &state, Common::Moment now)
+{
+    return flushReports(state, now);
+}
+
+Effects beginStop(AgentState &state, Common::Moment now)
+{
+    state.stopping = true;
+    state.stopDeadlineMs = now.steadyMs + state.stopTimeoutMs;
+    Effects effects{Note{"stopping", {{"running", std::to_string(state.slots.running.size())}}}};
+    append(effects, returnQueued(state, Schema::Reason::AgentDraining, now));
+    append(effects, sendHellos(state, true, now));
+    return effects;
+}
+
+bool stopFinished(const AgentState &state, Common::Moment now)
+{
+    if (!state.stopping) {
+        return false;
+    }
+    const bool idle = state.slots.running.empty() && state.slots.queue.empty();
+    const bool told = state.outcomes.due.empty() && state.directReplies.empty();
+    return (idle && told) || now.steadyMs >= state.stopDeadlineMs;
+}
+
+bool isReady(const AgentState &state, Common::Moment now)
+{
+    return state.healthy && !isDraining(state) && leaseLeftMs(state.fence, now) > 0;
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Source/Core/Agent/BackendAnswer.cpp
@@ -0,0 +1,70 @@
+#include "Agent/BackendAnswer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Agent {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusPreconditionFailed = 412;
+constexpr int StatusUnavailable = 503;
+
+TaskEnd endWith(Schema::TaskPhase phase, Schema::Reason reason)
+{
+    TaskEnd end;
+    end.phase = phase;
+    end.reason = reason;
+    return end;
+}
+
+/// The task ran; an answer without a readable result is a failure of the task.
+TaskEnd readResult(const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const bool readable =
+            json.is_object() && json.contains("result") && json.at("result").is_string();
+    if (!readable) {
+        return endWith(Schema::TaskPhase::Failed, Schema::Reason::TaskFailed);
+    }
+    TaskEnd end = endWith(Schema::TaskPhase::Succeeded, Schema::Reason::None);
+    end.result = json.at("result").get<std::string>();
+    return end;
+}
+
+TaskEnd readStatus(const Net::HttpResult &answer)
+{
+    switch (answer.status) {
+    case StatusOk:
+        return readResult(answer.body);
+    case StatusPreconditionFailed:
+        return endWith(Schema::TaskPhase::NotStarted, Schema::Reason::NotAfterPassed);
+    case StatusUnavailable:
+        return endWith(Schema::TaskPhase::NotStarted, Schema::Reason::BackendRefused);
+    default:
+        return endWith(Schema::TaskPhase::Failed, Schema::Reason::TaskFailed);
+    }
+}
+
+} // namespace
+
+TaskEnd readRunAnswer(const Net::HttpResult &answer)
+{
+    switch (answer.transport) {
+    case Net::HttpTransport::Answered:
+        return readStatus(answer);
+    case Net::HttpTransport::NotConnected:
+        return endWith(Schema::TaskPhase::NotStarted, Schema::Reason::BackendUnreachable);
+    case Net::HttpTransport::Lost:
+    case Net::HttpTransport::TimedOut:
+        break;
+    }
+    return endWith(Schema::TaskPhase::Unknown, Schema::Reason::TaskLost);
+}
+
+bool readHealthAnswer(const Net::HttpResult &answer)
+{
+    return answer.transport == Net::HttpTransport::Answered && answer.status == StatusOk;
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Source/Core/Agent/Reports.cpp
@@ -0,0 +1,267 @@
+#include "Agent/Reports.h"
+
+#include <algorithm>
+#include <limits>
+#include <unordered_map>
+#include <utility>
+
+namespace Agent {
+
+namespace {
+
+/// Frames stay well below a link's bound on unsent bytes.
+constexpr std::size_t MostStatesInFrame = 2000;
+constexpr std::size_t MostResultBytesInFrame = 1U << 20U;
+/// A task that ends sooner is reported once. Well below the gateways' startAckMs.
+constexpr std::int64_t LongestRunningReportDelayMs = 200;
+
+using StatesByLink = std::map<LinkNumber, std::vector<Schema::TaskState>>;
+
+std::int64_t runningReportDelayMs(const AgentState &state)
+{
+    return std::min(LongestRunningReportDelayMs, state.links.options.heartbeatMs / 2);
+}
+
+std::int64_t heldTasks(const AgentState &state)
+{
+    return static_cast<std::int64_t>(state.slots.running.size() + state.slots.queue.size());
+}
+
+Demands demandsByAddress(AgentState &state)
+{
+    std::unordered_map<std::string, std::int64_t> held;
+    for (const TaskKey &key : state.slots.running) {
+        ++held[ownerOf(state.fence, findRecord(state.outcomes, key)->shard)];
+    }
+    for (const Schema::StartTask &task : state.slots.queue) {
+        ++held[ownerOf(state.fence, task.shard)];
+    }
+    Demands demands;
+    for (const auto &[address, endpoint] : state.links.endpoints) {
+        if (endpoint.stage == LinkStage::Open) {
+            const std::int64_t used = endpoint.answered ? held[endpoint.instance] : 0;
+            demands[address] = {used, endpoint.demand};
+        }
+    }
+    return demands;
+}
+
+/// The windows in force, by link.
+std::unordered_map<LinkNumber, std::int64_t> windowsByLink(AgentState &state)
+{
+    std::unordered_map<LinkNumber, std::int64_t> windows;
+    for (const auto &[address, window] : splitSlots(state.slots.slots, demandsByAddress(state))) {
+        windows[state.links.endpoints.at(address).link] = window;
+    }
+    return windows;
+}
+
+SendToGateway makeReport(AgentState &state, Endpoint &endpoint, std::int64_t window,
+                         std::vector<Schema::TaskState> states)
+{
+    Schema::TaskStates report;
+    report.instance = state.instance;
+    report.window = window;
+    report.running = heldTasks(state);
+    report.states = std::move(states);
+    endpoint.toldWindow = window;
+    SendToGateway send{endpoint.link, {}};
+    send.frame.type = Schema::FrameType::TaskStates;
+    send.frame.taskStates = std::move(report);
+    return send;
+}
+
+bool isFrameFull(const std::vector<Schema::TaskState> &states, std::size_t resultBytes)
+{
+    return states.size() >= MostStatesInFrame || resultBytes >= MostResultBytesInFrame;
+}
+
+Effects makeReports(AgentState &state, Endpoint &endpoint, std::int64_t window,
+                    std::vector<Schema::TaskState> states)
+{
+    Effects effects;
+    std::vector<Schema::TaskState> part;
+    std::size_t resultBytes = 0;
+    for (Schema::TaskState &entry : states) {
+        if (isFrameFull(part, resultBytes)) {
+            effects.emplace_back(makeReport(state, endpoint, window, std::exchange(part, {})));
+            resultBytes = 0;
+        }
+        resultBytes += entry.result ? entry.result->size() : 0;
+        part.push_back(std::move(entry));
+    }
+    effects.emplace_back(makeReport(state, endpoint, window, std::move(part)));
+    return effects;
+}
+
+/// Final states whose time has come. One whose owner is not reached is tried again later.
+void collectDue(AgentState &state, Common::Moment now, StatesByLink &states)
+{
+    Outcomes &outcomes = state.outcomes;
+    const Outcomes::DueEntry later{now.steadyMs + 1, nullptr};
+    const std::vector<Outcomes::DueEntry> dueNow(outcomes.due.begin(),
+                                                 outcomes.due.lower_bound(later));
+    for (const Outcomes::DueEntry &entry : dueNow) {
+        const TaskRecord &record = outcomes.records.at(*entry.second);
+        const Endpoint *owner = findInstance(state.links, ownerOf(state.fence, record.shard));
+        if (owner != nullptr) {
+            states[owner->link].push_back(stateOf(*entry.second, record));
+        }
+        oweAt(outcomes, *entry.second, now.steadyMs + outcomes.options.repeatReportMs);
+    }
+}
+
+/// Running and queued tasks not yet reported: after the delay, or with a frame that goes anyway.
+void collectRunning(AgentState &state, Common::Moment now, StatesByLink &states)
+{
+    const auto collect = [&](const TaskKey &key) {
+        TaskRecord *record = findRecord(state.outcomes, key);
+        if (record->runningReported) {
+            return;
+        }
+        const Endpoint *owner = findInstance(state.links, ownerOf(state.fence, record->shard));
+        if (owner == nullptr) {
+            return;
+        }
+        const bool waited = now.steadyMs - record->changedMs >= runningReportDelayMs(state);
+        if (waited || states.count(owner->link) != 0) {
+            states[owner->link].push_back(stateOf(key, *record));
+            record->runningReported = true;
+        }
+    };
+    for (const TaskKey &key : state.slots.running) {
+        collect(key);
+    }
+    for (const Schema::StartTask &task : state.slots.queue) {
+        collect({task.job, task.index});
+    }
+}
+
+/// A gateway with waiting tasks whose window has grown while slots are free is told at once:
+/// waiting for the next heartbeat would leave the slots idle.
+bool shouldTellWindow(const AgentState &state, const Endpoint &endpoint, std::int64_t window)
+{
+    return endpoint.answered && endpoint.demand > 0 && window > endpoint.toldWindow
+           && static_cast<std::int64_t>(state.slots.running.size()) < state.slots.slots;
+}
+
+Schema::AgentHello makeHello(const AgentState &state, std::int64_t sequence, std::int64_t window)
+{
+    Schema::AgentHello hello;
+    hello.instance = state.instance;
+    hello.backend = state.backend;
+    hello.sequence = sequence;
+    hello.window = window;
+    hello.running = heldTasks(state);
+    hello.draining = isDraining(state);
+    hello.healthy = state.healthy;
+    hello.tableVersion = state.fence.tableVersion;
+    hello.configVersion = state.configVersion;
+    return hello;
+}
+
+} // namespace
+
+Effects flushReports(AgentState &state, Common::Moment now)
+{
+    StatesByLink states = std::exchange(state.directReplies, {});
+    collectDue(state, now, states);
+    collectRunning(state, now, states);
+    Effects effects;
+    const auto windows = windowsByLink(state);
+    for (auto &entry : state.links.endpoints) {
+        Endpoint &endpoint = entry.second;
+        const auto window = windows.find(endpoint.link);
+        if (endpoint.stage != LinkStage::Open || window == windows.end()) {
+            continue;
+        }
+        const auto own = states.find(endpoint.link);
+        if (own != states.end()) {
+            append(effects, makeReports(state, endpoint, window->second, std::move(own->second)));
+        } else if (shouldTellWindow(state, endpoint, window->second)) {
+            effects.emplace_back(makeReport(state, endpoint, window->second, {}));
+        }
+    }
+    return effects;
+}
+
+Effects answerAsk(AgentState &state, LinkNumber link, const Schema::AskTasks &ask,
+                  Common::Moment now)
+{
+    Endpoint *endpoint = findLink(state.links, link);
+    if (endpoint == nullptr) {
+        return {};
+    }
+    std::unordered_set<std::int64_t> shards;
+    for (const Schema::ShardOwner &entry : ask.shards) {
+        shards.insert(entry.shard);
+    }
+    std::vector<Schema::TaskState> states;
+    for (auto &[key, record] : state.outcomes.records) {
+        if (shards.count(record.shard) == 0) {
+            continue;
+        }
+        states.push_back(stateOf(key, record));
+        record.runningReported = true;
+        if (record.owed) {
+            oweAt(state.outcomes, key, now.steadyMs + state.outcomes.options.repeatReportMs);
+        }
+    }
+    const std::int64_t window = windowsByLink(state)[link];
+    Effects effects = makeReports(state, *endpoint, window, std::move(states));
+    std::get<SendToGateway>(effects.back()).frame.taskStates->answerTo = ask.requestId;
+    return effects;
+}
+
+void oweAgain(AgentState &state, const std::string &gateway, Common::Moment now)
+{
+    std::vector<TaskKey> owed;
+    for (const Outcomes::DueEntry &entry : state.outcomes.due) {
+        if (ownerOf(state.fence, state.outcomes.records.at(*entry.second).shard) == gateway) {
+            owed.push_back(*entry.second);
+        }
+    }
+    for (const TaskKey &key : owed) {
+        oweAt(state.outcomes, key, now.steadyMs);
+    }
+    for (const TaskKey &key : state.slots.running) {
+        TaskRecord *record = findRecord(state.outcomes, key);
+        if (ownerOf(state.fence, record->shard) == gateway) {
+            record->runningReported = false;
+        }
+    }
+}
+
+void takeAcknowledgement(AgentState &state, const std::string &gateway,
+                         const Schema::TaskRefs &refs)
+{
+    for (const Schema::TaskRef &ref : refs.tasks) {
+        const TaskKey key{ref.job, ref.index};
+        const TaskRecord *record = findRecord(state.outcomes, key);
+        if (record != nullptr && ownerOf(state.fence, record->shard) == gateway) {
+            const auto any = std::numeric_limits<std::int64_t>::max();
+            acknowledge(state.outcomes, key, ref.attempt.value_or(any));
+        }
+    }
+}
+
+Effects sendHellos(AgentState &state, bool atOnce, Common::Moment now)
+{
+    Effects effects;
+    const auto windows = windowsByLink(state);
+    for (auto &entry : state.links.endpoints) {
+        Endpoint &endpoint = entry.second;
+        if (endpoint.stage != LinkStage::Open || (!atOnce && endpoint.nextHelloMs > now.steadyMs)) {
+            continue;
+        }
+        const std::int64_t sequence = nextHello(state.links, endpoint, now);
+        endpoint.toldWindow = windows.at(endpoint.link);
+        SendToGateway send{endpoint.link, {}};
+        send.frame.type = Schema::FrameType::AgentHello;
+        send.frame.agentHello = makeHello(state, sequence, endpoint.toldWindow);
+        effects.emplace_back(std::move(send));
+    }
+    return effects;
+}
+
+} // namespace Agent
