--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -438,8 +438,8 @@
     };
 
     /**
-     * Heartbeat between gateways. acknowledgedVersion is the table version the sender passes to
-     * agents and will never go below.
+     * Heartbeat between gateways. tableVersion is the table the sender passes to agents; it
+     * never goes below it.
      */
     struct PeerPing {
         /**
@@ -449,6 +449,10 @@
         std::optional<Configuration> configuration{};
         int64_t configVersion{};
         std::string instance{};
+        /**
+         * The sender stops gracefully and takes no shards.
+         */
+        bool leaving{};
         bool reply{};
         int64_t sequence{};
         std::optional<OwnershipTable> table{};
@@ -1370,6 +1374,7 @@
         x.configuration = get_stack_optional<Configuration>(j, "configuration");
         x.configVersion = j.at("configVersion").get<int64_t>();
         x.instance = j.at("instance").get<std::string>();
+        x.leaving = j.at("leaving").get<bool>();
         x.reply = j.at("reply").get<bool>();
         x.sequence = j.at("sequence").get<int64_t>();
         x.table = get_stack_optional<OwnershipTable>(j, "table");
@@ -1385,6 +1390,7 @@
         }
         j["configVersion"] = x.configVersion;
         j["instance"] = x.instance;
+        j["leaving"] = x.leaving;
         j["reply"] = x.reply;
         j["sequence"] = x.sequence;
         if (x.table) {
