--- /dev/null
+++ b/Source/Core/StandIn/FakeBackendServer.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "StandIn/FakeBackendState.h"
+
+namespace StandIn {
+
+/// The stand-in backend server over HTTP, on threads of its own:
+///   POST /run              a Schema::RunTask -> 200 with the result as body after the run time;
+///                          500 task_failed: it ran and failed; 412 not_after_passed, 503 no_slot
+///                          or backend_refused, 400 malformed: nothing was started
+///   GET  /health           200 while it takes work
+///   POST /control, GET /control   faults and size, see FakeBackendControl
+///   GET  /control/stats    counts, and every task that started twice
+///   GET  /control/starts   every task that started
+/// The body of each answer but 200 is {"reason":"..."}.
+class FakeBackendServer
+{
+public:
+    ~FakeBackendServer();
+    FakeBackendServer(const FakeBackendServer &) = delete;
+    FakeBackendServer &operator=(const FakeBackendServer &) = delete;
+
+    std::uint16_t port() const;
+    std::string url() const;
+    FakeBackendControl control() const;
+    void setControl(const FakeBackendControl &control);
+    nlohmann::json stats() const;
+    nlohmann::json starts() const;
+
+private:
+    friend class FakeBackendServerBuilder;
+    struct Implementation;
+    explicit FakeBackendServer(std::unique_ptr<Implementation> implementation);
+    std::unique_ptr<Implementation> implementation;
+};
+
+class FakeBackendServerBuilder
+{
+public:
+    FakeBackendServerBuilder &listenOn(std::string host, std::uint16_t port);
+    FakeBackendServerBuilder &threads(int count);
+    FakeBackendServerBuilder &control(const FakeBackendControl &control);
+    /// Listens and serves. Throws std::runtime_error where the address cannot be had.
+    std::unique_ptr<FakeBackendServer> build();
+
+private:
+    std::string host = "127.0.0.1";
+    std::uint16_t port = 0;
+    int threadCount = 1;
+    FakeBackendControl initialControl;
+};
+
+} // namespace StandIn
--- /dev/null
+++ b/Source/Core/StandIn/FakeBackendState.cpp
@@ -0,0 +1,156 @@
+#include "StandIn/FakeBackendState.h"
+
+#include <algorithm>
+
+#include "StandIn/ControlJson.h"
+
+namespace StandIn {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string taskKey(const Schema::RunTask &task)
+{
+    return task.job + '/' + std::to_string(task.index);
+}
+
+Json startsJson(const TaskStarts &task)
+{
+    return {{"job", task.job},
+            {"index", task.index},
+            {"starts", task.starts},
+            {"firstWallMs", task.firstWallMs},
+            {"lastWallMs", task.lastWallMs}};
+}
+
+void recordStart(FakeBackend &backend, const Schema::RunTask &task, std::int64_t wallMs)
+{
+    TaskStarts &record = backend.tasks[taskKey(task)];
+    if (record.starts == 0) {
+        record.job = task.job;
+        record.index = task.index;
+        record.firstWallMs = wallMs;
+    }
+    ++record.starts;
+    record.lastWallMs = wallMs;
+    ++backend.starts;
+    ++backend.running;
+    backend.mostRunning = std::max(backend.mostRunning, backend.running);
+}
+
+} // namespace
+
+Json controlJson(const FakeBackendControl &control)
+{
+    return {{"speed", control.speed},         {"slots", control.slots},
+            {"failAll", control.failAll},     {"hang", control.hang},
+            {"refuseAll", control.refuseAll}, {"silent", control.silent},
+            {"unhealthy", control.unhealthy}};
+}
+
+Common::Outcome<FakeBackendControl> changedControl(const FakeBackendControl &control,
+                                                   const Json &change)
+{
+    BOOST_LEAF_AUTO(json, mergeControl(controlJson(control), change));
+    FakeBackendControl changed;
+    changed.speed = json.at("speed").get<double>();
+    changed.slots = json.at("slots").get<std::int64_t>();
+    changed.failAll = json.at("failAll").get<bool>();
+    changed.hang = json.at("hang").get<bool>();
+    changed.refuseAll = json.at("refuseAll").get<bool>();
+    changed.silent = json.at("silent").get<bool>();
+    changed.unhealthy = json.at("unhealthy").get<bool>();
+    if (changed.speed <= 0) {
+        return Common::failure(Schema::Reason::Malformed, "speed: must be above 0");
+    }
+    return changed;
+}
+
+Common::Outcome<FakeTask> parsePayload(const std::string &payload)
+{
+    const Json json = Json::parse(payload, nullptr, false);
+    if (!json.is_object()) {
+        return Common::failure(Schema::Reason::Malformed, "payload is not a JSON object");
+    }
+    try {
+        FakeTask task;
+        task.runMs = std::max(0.0, json.value("runMs", 0.0));
+        task.result = json.value("result", std::string());
+        task.fail = json.value("fail", false);
+        return task;
+    } catch (const Json::exception &error) {
+        return Common::failure(Schema::Reason::Malformed, error.what());
+    }
+}
+
+RunVerdict startTask(FakeBackend &backend, const Schema::RunTask &task, std::int64_t wallMs)
+{
+    if (backend.control.refuseAll) {
+        ++backend.refusedAll;
+        return RunVerdict::Refused;
+    }
+    // The agent checks its lease before it sends the task; a pause in between could let a fenced
+    // start through. Agent and backend server share a clock, so this check closes the gap.
+    if (wallMs > task.notAfterMs) {
+        ++backend.refusedNotAfter;
+        return RunVerdict::NotAfterPassed;
+    }
+    if (backend.running >= backend.control.slots) {
+        ++backend.refusedNoSlot;
+        return RunVerdict::NoSlot;
+    }
+    recordStart(backend, task, wallMs);
+    return RunVerdict::Started;
+}
+
+void endTask(FakeBackend &backend, bool hasFailed)
+{
+    --backend.running;
+    if (hasFailed) {
+        ++backend.failed;
+    } else {
+        ++backend.succeeded;
+    }
+}
+
+double runTimeMs(const FakeBackendControl &control, const FakeTask &task)
+{
+    if (control.failAll) {
+        return 0;
+    }
+    return task.runMs / control.speed;
+}
+
+Json backendStats(const FakeBackend &backend)
+{
+    Json doubles = Json::array();
+    for (const auto &[key, task] : backend.tasks) {
+        if (task.starts > 1) {
+            doubles.push_back(startsJson(task));
+        }
+    }
+    return {{"starts", backend.starts},
+            {"distinct", backend.tasks.size()},
+            {"doubles", std::move(doubles)},
+            {"running", backend.running},
+            {"mostRunning", backend.mostRunning},
+            {"succeeded", backend.succeeded},
+            {"failed", backend.failed},
+            {"refused",
+             {{"no_slot", backend.refusedNoSlot},
+              {"not_after_passed", backend.refusedNotAfter},
+              {"backend_refused", backend.refusedAll}}},
+            {"control", controlJson(backend.control)}};
+}
+
+Json backendStarts(const FakeBackend &backend)
+{
+    Json starts = Json::array();
+    for (const auto &[key, task] : backend.tasks) {
+        starts.push_back(startsJson(task));
+    }
+    return starts;
+}
+
+} // namespace StandIn
