--- a/Source/Core/Dispatch/ConfigRules.h
+++ b/Source/Core/Dispatch/ConfigRules.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "Schema/Schema.h"
@@ -8,6 +9,12 @@
 /// (a change carries what its kind names, a key that is removed exists) is checked here.
 namespace Dispatch {
 
+/// Name of the key that \a change sets, e.g. "team/quotes".
+std::string configKey(const Schema::ConfigChange &change);
+/// 0 where the key was never changed. A removed key keeps the version of its removal, so that a
+/// change based on an older document still loses.
+std::int64_t keyVersion(const Schema::Configuration &configuration, const std::string &key);
+
 /// Empty when \a change is well formed; otherwise what is wrong with it.
 std::string configChangeFault(const Schema::ConfigChange &change);
 /// Empty when \a change fits \a configuration as well.
--- /dev/null
+++ b/Source/Core/Dispatch/ConfigStore.cpp
@@ -0,0 +1,304 @@
+#include "Dispatch/ConfigStore.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Dispatch/ConfigRules.h"
+
+namespace Dispatch {
+
+namespace {
+
+Schema::LogRecord makeRecord(const ConfigStore &store, Schema::RecordKind kind, Common::Moment now,
+                             Common::Random &random)
+{
+    Schema::LogRecord record;
+    record.id = Common::randomId(random);
+    record.kind = kind;
+    record.instance = store.self;
+    record.wallMs = now.wallMs;
+    return record;
+}
+
+void takeIntoForce(ConfigStore &store, const Schema::Configuration &newer)
+{
+    if (newer.version > store.inForce.version) {
+        store.inForce = newer;
+    }
+}
+
+/// The first record with this id decides: a repetition of one that won is void, as its key has
+/// changed since, and must not turn the verdict.
+void decideProposal(ConfigStore &store, const std::string &recordId, bool won)
+{
+    const auto found = std::find_if(
+            store.proposed.begin(), store.proposed.end(),
+            [&](const ProposedChange &proposal) { return proposal.record.id == recordId; });
+    if (found == store.proposed.end()) {
+        return;
+    }
+    ChangeResult result;
+    result.requestId = found->requestId;
+    result.verdict = won ? ChangeVerdict::Accepted : ChangeVerdict::Conflict;
+    result.version = store.fromLog.version;
+    store.results.push_back(std::move(result));
+    store.proposed.erase(found);
+}
+
+bool changeWins(const ConfigStore &store, const Schema::LogRecord &record)
+{
+    if (!record.change || !configChangeFault(*record.change).empty()) {
+        return false;
+    }
+    const std::int64_t changedAt = keyVersion(store.fromLog, configKey(*record.change));
+    return !store.settings.safeguards.conditionalRecords || changedAt <= record.basedOn.value_or(0);
+}
+
+void readChange(ConfigStore &store, const Schema::LogEntry &entry)
+{
+    const bool won = changeWins(store, entry.record);
+    if (won) {
+        applyConfigChange(store.fromLog, *entry.record.change, entry.offset + 1);
+    }
+    decideProposal(store, entry.record.id, won);
+    if (store.neededSinceWallMs == 0) {
+        store.neededSinceWallMs = entry.record.wallMs;
+    }
+}
+
+/// A snapshot closes a gap only where every
+/// record since the offset it reflects will be read after it.
+void readSnapshot(ConfigStore &store, const Schema::LogEntry &entry)
+{
+    store.neededSinceWallMs = entry.record.wallMs;
+    if (!store.gap || !entry.record.configuration
+        || entry.record.basedOn.value_or(0) < store.gapEnd) {
+        return;
+    }
+    // Changes read since the gap have been put on a document that lacked the dropped ones.
+    store.fromLog = *entry.record.configuration;
+    store.gap = false;
+    for (const Schema::LogEntry &held : store.sinceGap) {
+        if (held.offset >= *entry.record.basedOn) {
+            readChange(store, held);
+        }
+    }
+    store.sinceGap.clear();
+}
+
+void readEntry(ConfigStore &store, const Schema::LogEntry &entry)
+{
+    if (entry.record.kind == Schema::RecordKind::ConfigSnapshot) {
+        readSnapshot(store, entry);
+        return;
+    }
+    if (entry.record.kind != Schema::RecordKind::Config) {
+        return;
+    }
+    if (store.gap) {
+        store.sinceGap.push_back(entry);
+        return;
+    }
+    readChange(store, entry);
+}
+
+/// A peer's document whose last change lies past the gap reflects all that was dropped.
+void closeGapFromPeers(ConfigStore &store)
+{
+    if (!store.gap || store.inForce.version < store.gapEnd) {
+        return;
+    }
+    store.fromLog = store.inForce;
+    store.gap = false;
+    for (const Schema::LogEntry &held : std::exchange(store.sinceGap, {})) {
+        if (held.offset >= store.fromLog.version) {
+            readChange(store, held);
+        }
+    }
+    takeIntoForce(store, store.fromLog);
+}
+
+/// Live gateways put a snapshot into the log within seconds of its return. Without one there are
+/// none, and waiting on would keep the site down for good.
+Effects startAfresh(ConfigStore &store, Common::Moment now)
+{
+    if (!store.gap || !store.readToEnd || store.inForce.version != 0
+        || now.steadyMs - store.gapSinceMs < store.settings.lostAfterMs) {
+        return {};
+    }
+    store.gap = false;
+    for (const Schema::LogEntry &held : std::exchange(store.sinceGap, {})) {
+        readChange(store, held);
+    }
+    takeIntoForce(store, store.fromLog);
+    return {Note{"config_lost", {{"before", std::to_string(store.gapEnd)}}}};
+}
+
+Effects sendProposal(ProposedChange &proposal, std::uint64_t &nextBatch)
+{
+    proposal.batch = nextBatch++;
+    proposal.inFlight = true;
+    return {AppendToLog{LogStream::Config, proposal.batch, {proposal.record}}};
+}
+
+void giveUpProposals(ConfigStore &store, Common::Moment now)
+{
+    for (const ProposedChange &proposal : store.proposed) {
+        if (now.steadyMs >= proposal.giveUpAtMs) {
+            store.results.push_back(ChangeResult{proposal.requestId, ChangeVerdict::Unknown, 0});
+        }
+    }
+    store.proposed.erase(std::remove_if(store.proposed.begin(), store.proposed.end(),
+                                        [&](const ProposedChange &proposal) {
+                                            return now.steadyMs >= proposal.giveUpAtMs;
+                                        }),
+                         store.proposed.end());
+}
+
+Effects sendSnapshot(ConfigStore &store, std::uint64_t &nextBatch, Common::Moment now,
+                     Common::Random &random)
+{
+    const std::int64_t period = store.settings.dedupWindowMs / 2;
+    const bool due = store.neededSinceWallMs != 0 && store.readToEnd && !store.gap
+                     && now.wallMs - store.neededSinceWallMs >= period;
+    const bool lately = store.snapshotSentMs >= 0
+                        && now.steadyMs - store.snapshotSentMs < store.settings.snapshotRetryMs;
+    if (!due || lately) {
+        return {};
+    }
+    store.snapshotSentMs = now.steadyMs;
+    Schema::LogRecord record = makeRecord(store, Schema::RecordKind::ConfigSnapshot, now, random);
+    record.configuration = store.fromLog;
+    record.basedOn = store.readOffset;
+    return {AppendToLog{LogStream::Config, nextBatch++, {std::move(record)}}};
+}
+
+} // namespace
+
+ConfigStore makeConfigStore(ConfigSettings settings, std::string self)
+{
+    ConfigStore store;
+    store.settings = settings;
+    store.self = std::move(self);
+    return store;
+}
+
+const Schema::Configuration &configuration(const ConfigStore &store)
+{
+    return store.inForce;
+}
+
+bool configurationReady(const ConfigStore &store)
+{
+    const bool known = (store.readToEnd && !store.gap) || store.adopted;
+    return known && store.inForce.version >= store.peersVersion;
+}
+
+Common::Outcome<void> proposeChange(ConfigStore &store, const std::string &requestId,
+                                    const Schema::ConfigChange &change, std::int64_t basedOn,
+                                    Common::Moment now, Common::Random &random)
+{
+    std::string fault = configChangeFault(change);
+    if (!fault.empty()) {
+        return Common::failure(Schema::Reason::ConfigInvalid, std::move(fault));
+    }
+    // First, so that the loser of a race hears of the race and not of its consequence.
+    const std::int64_t changedAt = keyVersion(store.inForce, configKey(change));
+    if (changedAt > basedOn) {
+        return Common::failure(Schema::Reason::ConfigConflict, configKey(change)
+                                                                       + " was changed at version "
+                                                                       + std::to_string(changedAt));
+    }
+    fault = configReferenceFault(store.inForce, change);
+    if (!fault.empty()) {
+        return Common::failure(Schema::Reason::ConfigInvalid, std::move(fault));
+    }
+    ProposedChange proposal;
+    proposal.requestId = requestId;
+    proposal.record = makeRecord(store, Schema::RecordKind::Config, now, random);
+    proposal.record.change = change;
+    proposal.record.basedOn = basedOn;
+    proposal.giveUpAtMs = now.steadyMs + store.settings.verdictTimeoutMs;
+    store.proposed.push_back(std::move(proposal));
+    return {};
+}
+
+std::vector<ChangeResult> takeChangeResults(ConfigStore &store)
+{
+    return std::exchange(store.results, {});
+}
+
+Effects configTick(ConfigStore &store, std::uint64_t &nextBatch, bool writesSnapshots,
+                   Common::Moment now, Common::Random &random)
+{
+    Effects effects = startAfresh(store, now);
+    giveUpProposals(store, now);
+    for (ProposedChange &proposal : store.proposed) {
+        if (!proposal.inFlight && !proposal.durable && now.steadyMs >= proposal.retryAtMs) {
+            append(effects, sendProposal(proposal, nextBatch));
+        }
+    }
+    if (writesSnapshots) {
+        append(effects, sendSnapshot(store, nextBatch, now, random));
+    }
+    return effects;
+}
+
+Effects configAppendDone(ConfigStore &store, std::uint64_t batch, AppendStatus status,
+                         Common::Moment now)
+{
+    for (ProposedChange &proposal : store.proposed) {
+        if (proposal.batch != batch || !proposal.inFlight) {
+            continue;
+        }
+        proposal.inFlight = false;
+        if (status == AppendStatus::Durable) {
+            proposal.durable = true;
+            return {};
+        }
+        proposal.retryAtMs = now.steadyMs + store.settings.retryMs;
+        return {CountReason{"config_append_retries", Schema::Reason::LogUnavailable}};
+    }
+    return {};
+}
+
+Effects configRead(ConfigStore &store, const LogRead &read, Common::Moment now)
+{
+    Effects effects;
+    if (read.oldestOffset > store.readOffset) {
+        effects.push_back(Note{"config_gap", {{"to", std::to_string(read.oldestOffset)}}});
+        store.gap = true;
+        store.gapEnd = read.oldestOffset;
+        store.gapSinceMs = now.steadyMs;
+        store.sinceGap.clear();
+        closeGapFromPeers(store);
+    }
+    for (const Schema::LogEntry &entry : read.entries) {
+        if (entry.offset >= store.readOffset) {
+            readEntry(store, entry);
+        }
+    }
+    store.readOffset = std::max(store.readOffset, read.nextOffset);
+    store.readToEnd = store.readToEnd || read.atEnd;
+    if (!store.gap) {
+        takeIntoForce(store, store.fromLog);
+    }
+    return effects;
+}
+
+bool adoptConfiguration(ConfigStore &store, const Schema::Configuration &from)
+{
+    peerHasVersion(store, from.version);
+    store.adopted = true;
+    const bool newer = from.version > store.inForce.version;
+    takeIntoForce(store, from);
+    closeGapFromPeers(store);
+    return newer;
+}
+
+void peerHasVersion(ConfigStore &store, std::int64_t version)
+{
+    store.peersVersion = std::max(store.peersVersion, version);
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/ConfigStore.h
+++ b/Source/Core/Dispatch/ConfigStore.h
@@ -8,8 +8,10 @@
 #include "Common/Clock.h"
 #include "Common/Ids.h"
 #include "Common/Outcome.h"
+#include "Dispatch/ConfigRules.h"
 #include "Dispatch/Effects.h"
 #include "Dispatch/LogEvents.h"
+#include "Dispatch/Safeguards.h"
 
 /// The operators' configuration: compare-and-set by key, decided by log order, never going back.
 /// One document is folded strictly from the log; the one in force is the newer of that and the
@@ -22,6 +24,11 @@
     std::int64_t retryMs = 200;
     /// An operator's change whose fate is not known after this long is answered so.
     std::int64_t verdictTimeoutMs = 10000;
+    std::int64_t snapshotRetryMs = 5000;
+    /// A gap that nothing has closed for this long while the log was read to its end: nobody has
+    /// the document any more, as after a site was down for longer than the log's retention.
+    std::int64_t lostAfterMs = 30000;
+    Safeguards safeguards;
 };
 
 enum class ChangeVerdict {
@@ -62,11 +69,17 @@
     std::int64_t readOffset = 0;
     /// The log dropped records that were never read here; only a snapshot or a peer helps.
     bool gap = false;
+    /// The first offset the log still held when the gap was found, and the changes read since,
+    /// which wait for a document to be put on.
+    std::int64_t gapEnd = 0;
+    std::vector<Schema::LogEntry> sinceGap;
+    std::int64_t gapSinceMs = 0;
     bool readToEnd = false;
+    bool adopted = false;
     std::int64_t peersVersion = 0;
-    std::int64_t snapshotDueFromWallMs = 0;
-    std::uint64_t snapshotBatch = 0;
-    std::int64_t snapshotRetryAtMs = 0;
+    /// Time of the oldest record that a fresh reader needs; 0 while the stream is empty.
+    std::int64_t neededSinceWallMs = 0;
+    std::int64_t snapshotSentMs = -1;
     std::vector<ProposedChange> proposed;
     std::vector<ChangeResult> results;
 };
@@ -78,10 +91,6 @@
 /// fresh instance must not serve.
 bool configurationReady(const ConfigStore &store);
 
-/// Name of the key that \a change sets, e.g. "team/quotes".
-std::string configKey(const Schema::ConfigChange &change);
-std::int64_t keyVersion(const Schema::Configuration &configuration, const std::string &key);
-
 /// Checks \a change and puts it forward. \a basedOn is the version its author saw. Fails with
 /// config_invalid, or config_conflict where it is already known to be late. The verdict comes from
 /// takeChangeResults().
--- /dev/null
+++ b/Source/Core/Dispatch/ControlAppend.cpp
@@ -0,0 +1,330 @@
+#include <algorithm>
+#include <utility>
+
+#include "Dispatch/OwnershipParts.h"
+
+/// The control records that this gateway writes: joins, leaves, claims, handovers and snapshots.
+/// One is under way at a time. Each holds only where what it was based on still holds, so a record
+/// whose answer was lost does no harm when it turns up late or twice.
+namespace Dispatch {
+
+namespace {
+
+/// A durable record not read back for this long fell into a gap.
+constexpr std::int64_t ReadBackMs = 10000;
+/// A silent member's seat is left for a replacement for this many times the silence.
+constexpr std::int64_t SeatKeptSilences = 10;
+/// Where the preferred claimant does not claim, any other does after this many silences.
+constexpr std::int64_t OrphanSilences = 3;
+/// A roster this large may lose a silent member's seat.
+constexpr std::size_t RosterToShrink = 4;
+
+using Wanted = std::optional<Schema::LogRecord>;
+
+Schema::LogRecord rosterRecord(const OwnershipState &state, Schema::RecordKind kind)
+{
+    Schema::LogRecord record;
+    record.kind = kind;
+    record.basedOn = tableVersion(state.table);
+    return record;
+}
+
+bool rosterMayChange(const OwnershipState &state)
+{
+    return state.rosterSettled || neverOwned(state.table)
+           || !state.settings.safeguards.rosterOneAtATime;
+}
+
+const Schema::Member *memberAtOurAddress(const OwnershipState &state)
+{
+    for (const Schema::Member &member : state.table.roster) {
+        if (member.host == state.self.host && member.peerPort == state.self.peerPort) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+/// Whether enough members told us what they know that no declaration can have been missed.
+bool informed(const OwnershipState &state)
+{
+    return blocksMajorities(rosterInstances(state.table), [&](const std::string &instance) {
+        const auto peer = state.peers.find(instance);
+        return peer != state.peers.end() && peer->second.heard;
+    });
+}
+
+/// The process that held our address is gone, and what it had acknowledged with it. Where too few
+/// others are left to ask, it is taken to have been unlogged ever since: ids of before that the
+/// journal doesn't know are answered unknown, which is true, and not started.
+Wanted wantSeatAtOurAddress(OwnershipState &state, const Schema::Member &replaced,
+                            Common::Moment now)
+{
+    if (!informed(state)) {
+        if (now.steadyMs - state.startedMs < state.settings.peerSilenceMs) {
+            return std::nullopt;
+        }
+        if (state.notices.emplace(replaced.instance, 1).second) {
+            ++state.noticeRevision;
+        }
+    }
+    Schema::LogRecord record = rosterRecord(state, Schema::RecordKind::Join);
+    record.member = state.self;
+    record.replaces = replaced.instance;
+    return record;
+}
+
+Wanted wantJoin(OwnershipState &state, Common::Moment now)
+{
+    if (const Schema::Member *replaced = memberAtOurAddress(state)) {
+        return wantSeatAtOurAddress(state, *replaced, now);
+    }
+    if (!rosterMayChange(state)) {
+        return std::nullopt;
+    }
+    Schema::LogRecord record = rosterRecord(state, Schema::RecordKind::Join);
+    record.member = state.self;
+    for (const std::string &instance : rosterInstances(state.table)) {
+        if (peerSilent(state, instance, now)) {
+            record.replaces = instance;
+            return record;
+        }
+        if (!peerLive(state, instance, now)) {
+            return std::nullopt;
+        }
+    }
+    return record;
+}
+
+bool ownsNothing(const OwnershipState &state)
+{
+    return std::all_of(state.roles.begin(), state.roles.end(),
+                       [](const ShardRole &role) { return role.phase == ShardPhase::NotOurs; });
+}
+
+Wanted wantLeave(const OwnershipState &state)
+{
+    if (!rosterMayChange(state) || !(ownsNothing(state) || state.nothingLeftToDo)) {
+        return std::nullopt;
+    }
+    Schema::LogRecord record = rosterRecord(state, Schema::RecordKind::Leave);
+    record.replaces = state.self.instance;
+    return record;
+}
+
+Wanted wantRemoval(const OwnershipState &state, Common::Moment now)
+{
+    if (state.table.roster.size() < RosterToShrink || !rosterMayChange(state)
+        || !isFirstLive(state, now)) {
+        return std::nullopt;
+    }
+    for (const auto &[instance, peer] : state.peers) {
+        const std::int64_t seen = std::max(peer.lastHeardMs, peer.firstWatchedMs);
+        if (onRoster(state.table, instance)
+            && now.steadyMs - seen >= SeatKeptSilences * state.settings.peerSilenceMs) {
+            Schema::LogRecord record = rosterRecord(state, Schema::RecordKind::Leave);
+            record.replaces = instance;
+            return record;
+        }
+    }
+    return std::nullopt;
+}
+
+bool orphaned(const OwnershipState &state, std::int64_t shard, Common::Moment now)
+{
+    const ShardClaim &claim = state.table.shards[static_cast<std::size_t>(shard)];
+    if (claim.owner == state.self.instance) {
+        const ShardRole &role = state.roles[static_cast<std::size_t>(shard)];
+        return role.phase == ShardPhase::AwaitingHandover
+               && now.steadyMs - role.phaseSinceMs >= OrphanSilences * state.settings.peerSilenceMs;
+    }
+    return !onRoster(state.table, claim.owner) || peerSilent(state, claim.owner, now);
+}
+
+/// A first owner waits two heartbeats, so that gateways that start together share the shards at
+/// once instead of handing them over later.
+bool claimable(const OwnershipState &state, std::int64_t shard, Common::Moment now)
+{
+    const bool first = state.table.shards[static_cast<std::size_t>(shard)].epoch == 0;
+    return !first || now.steadyMs - state.joinedMs >= 2 * state.settings.heartbeatMs;
+}
+
+std::vector<std::int64_t> orphanedShards(OwnershipState &state, Common::Moment now)
+{
+    std::vector<std::int64_t> shards;
+    for (std::int64_t shard = 0; shard < state.settings.shardCount; ++shard) {
+        std::int64_t &since = state.orphanSinceMs[static_cast<std::size_t>(shard)];
+        if (!orphaned(state, shard, now) || !claimable(state, shard, now)) {
+            since = -1;
+            continue;
+        }
+        since = since < 0 ? now.steadyMs : since;
+        shards.push_back(shard);
+    }
+    return shards;
+}
+
+/// All gateways spread the orphans over the same live members in the same way, so that each claims
+/// its part; where their views differ, the log decides.
+Wanted wantClaim(OwnershipState &state, Common::Moment now)
+{
+    const std::vector<std::int64_t> orphans = orphanedShards(state, now);
+    const std::vector<std::string> claimants = takers(state, now);
+    if (orphans.empty() || claimants.empty()) {
+        return std::nullopt;
+    }
+    std::map<std::string, std::int64_t> owned = ownedShards(state, claimants);
+    std::vector<Schema::ShardOwner> ours;
+    for (const std::int64_t shard : orphans) {
+        const auto least = std::min_element(
+                owned.begin(), owned.end(),
+                [](const auto &left, const auto &right) { return left.second < right.second; });
+        ++least->second;
+        const std::int64_t since = state.orphanSinceMs[static_cast<std::size_t>(shard)];
+        const bool overdue = now.steadyMs - since >= OrphanSilences * state.settings.peerSilenceMs;
+        if (least->first == state.self.instance || overdue) {
+            ours.push_back(shardOwner(state, shard));
+        }
+    }
+    if (ours.empty()) {
+        return std::nullopt;
+    }
+    Schema::LogRecord record;
+    record.kind = Schema::RecordKind::Claim;
+    record.shards = std::move(ours);
+    return record;
+}
+
+Wanted wantHandedOver(const OwnershipState &state)
+{
+    std::vector<Schema::ShardOwner> shards;
+    for (const std::int64_t shard : shardsIn(state, ShardPhase::Serving)) {
+        const std::int64_t logged = state.fromLog.shards[static_cast<std::size_t>(shard)].epoch;
+        const std::int64_t epoch = epochOf(state, shard);
+        if (epoch != logged && epochBase(epoch) == epochBase(logged)) {
+            shards.push_back(shardOwner(state, shard));
+        }
+    }
+    if (shards.empty()) {
+        return std::nullopt;
+    }
+    Schema::LogRecord record;
+    record.kind = Schema::RecordKind::HandedOver;
+    record.shards = std::move(shards);
+    return record;
+}
+
+/// Retention drops the first claims some day; a fresh gateway then starts from this.
+Wanted wantSnapshot(const OwnershipState &state, Common::Moment now)
+{
+    const bool due = state.neededSinceWallMs != 0
+                     && now.wallMs - state.neededSinceWallMs >= state.settings.dedupWindowMs / 2;
+    if (!due || !isFirstLive(state, now)) {
+        return std::nullopt;
+    }
+    Schema::LogRecord record;
+    record.kind = Schema::RecordKind::ControlSnapshot;
+    record.table = exportTable(state.fromLog);
+    return record;
+}
+
+Wanted wantedRecord(OwnershipState &state, Common::Moment now)
+{
+    if (!state.readToEnd || state.gap) {
+        return std::nullopt;
+    }
+    if (!onRoster(state.table, state.self.instance)) {
+        return state.leaving ? std::nullopt : wantJoin(state, now);
+    }
+    Wanted wanted = wantHandedOver(state);
+    if (!wanted) {
+        wanted = state.leaving ? wantLeave(state) : wantClaim(state, now);
+    }
+    if (!wanted) {
+        wanted = wantRemoval(state, now);
+    }
+    return wanted ? wanted : wantSnapshot(state, now);
+}
+
+bool sameShards(const Schema::LogRecord &left, const Schema::LogRecord &right)
+{
+    const std::vector<Schema::ShardOwner> none;
+    const std::vector<Schema::ShardOwner> &a = left.shards ? *left.shards : none;
+    const std::vector<Schema::ShardOwner> &b = right.shards ? *right.shards : none;
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const Schema::ShardOwner &x, const Schema::ShardOwner &y) {
+                          return x.shard == y.shard && x.owner == y.owner && x.epoch == y.epoch;
+                      });
+}
+
+/// A record with the same content keeps its id when it is sent again, so that readers who have it
+/// drop the repetition.
+bool repeats(const Schema::LogRecord &sent, const Schema::LogRecord &wanted)
+{
+    return sent.kind == wanted.kind && sent.kind != Schema::RecordKind::ControlSnapshot
+           && sent.replaces == wanted.replaces && sent.basedOn == wanted.basedOn
+           && sameShards(sent, wanted);
+}
+
+Effects sendRecord(OwnershipState &state, Schema::LogRecord record, std::uint64_t &nextBatch,
+                   Common::Moment now, Common::Random &random)
+{
+    if (state.append && repeats(state.append->record, record)) {
+        record = state.append->record;
+    } else {
+        record.id = Common::randomId(random);
+        record.instance = state.self.instance;
+        record.wallMs = now.wallMs;
+    }
+    state.append = ControlAppend{};
+    state.append->batch = nextBatch++;
+    state.append->record = record;
+    state.append->inFlight = true;
+    state.append->sinceMs = now.steadyMs;
+    return {AppendToLog{LogStream::Control, state.append->batch, {std::move(record)}}};
+}
+
+bool appendUnderWay(const OwnershipState &state, Common::Moment now)
+{
+    if (!state.append) {
+        return false;
+    }
+    const std::int64_t age = now.steadyMs - state.append->sinceMs;
+    if (state.append->durable) {
+        return age < ReadBackMs;
+    }
+    return state.append->inFlight || age < state.settings.appendRetryMs;
+}
+
+} // namespace
+
+Effects advanceControlAppend(OwnershipState &state, std::uint64_t &nextBatch, Common::Moment now,
+                             Common::Random &random)
+{
+    if (appendUnderWay(state, now)) {
+        return {};
+    }
+    Wanted wanted = wantedRecord(state, now);
+    if (!wanted) {
+        state.append.reset();
+        return {};
+    }
+    return sendRecord(state, std::move(*wanted), nextBatch, now, random);
+}
+
+Effects controlAppendDone(OwnershipState &state, std::uint64_t batch, AppendStatus status,
+                          Common::Moment now)
+{
+    if (!state.append || state.append->batch != batch) {
+        return {};
+    }
+    state.append->inFlight = false;
+    state.append->durable = status == AppendStatus::Durable;
+    state.append->sinceMs = now.steadyMs;
+    if (state.append->durable) {
+        return {};
+    }
+    return {CountReason{"control_append_retries", Schema::Reason::LogUnavailable}};
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Handover.cpp
@@ -0,0 +1,177 @@
+#include <algorithm>
+
+#include "Dispatch/OwnershipParts.h"
+
+/// Direct handover of shards: a chain of single holders, which needs neither log nor agreement.
+namespace Dispatch {
+
+namespace {
+
+ShardRole &roleOf(OwnershipState &state, std::int64_t shard)
+{
+    return state.roles.at(static_cast<std::size_t>(shard));
+}
+
+bool knownShard(const OwnershipState &state, std::int64_t shard)
+{
+    return shard >= 0 && shard < state.settings.shardCount;
+}
+
+/// Gives the first of \a shards to \a receivers in turn, each up to \a target.
+std::vector<WantedHandover> spread(std::vector<std::int64_t> shards,
+                                   const std::map<std::string, std::int64_t> &owned,
+                                   const std::vector<std::string> &receivers, std::int64_t target)
+{
+    std::vector<WantedHandover> wanted;
+    auto next = shards.begin();
+    for (const std::string &receiver : receivers) {
+        WantedHandover handover;
+        handover.successor = receiver;
+        for (std::int64_t count = owned.at(receiver); count < target && next != shards.end();
+             ++count) {
+            handover.shards.push_back(*next++);
+        }
+        if (!handover.shards.empty()) {
+            wanted.push_back(std::move(handover));
+        }
+    }
+    return wanted;
+}
+
+bool handoverAhead(const OwnershipState &state, const Schema::Handover &handover)
+{
+    return std::any_of(
+            handover.shards.begin(), handover.shards.end(), [&](const Schema::ShardOwner &given) {
+                return knownShard(state, given.shard)
+                       && epochBase(given.epoch) > epochBase(epochOf(state, given.shard));
+            });
+}
+
+bool takeShard(OwnershipState &state, const Schema::ShardOwner &given, Common::Moment now)
+{
+    ShardClaim &claim = state.table.shards[static_cast<std::size_t>(given.shard)];
+    ShardRole &role = roleOf(state, given.shard);
+    const bool superseded = epochBase(given.epoch) != epochBase(claim.epoch)
+                            || given.epoch < claim.epoch || given.owner != state.self.instance;
+    const bool repeated = given.epoch == claim.epoch && role.phase != ShardPhase::AwaitingHandover;
+    if (superseded || repeated) {
+        return false;
+    }
+    claim = ShardClaim{given.owner, given.epoch};
+    role = ShardRole{};
+    role.phase = ShardPhase::Serving;
+    role.epoch = given.epoch;
+    role.phaseSinceMs = now.steadyMs;
+    return true;
+}
+
+} // namespace
+
+std::map<std::string, std::int64_t> ownedShards(const OwnershipState &state,
+                                                const std::vector<std::string> &members)
+{
+    std::map<std::string, std::int64_t> owned;
+    for (const std::string &member : members) {
+        owned[member] = 0;
+    }
+    for (const ShardClaim &claim : state.table.shards) {
+        const auto owner = owned.find(claim.owner);
+        if (owner != owned.end()) {
+            ++owner->second;
+        }
+    }
+    return owned;
+}
+
+std::vector<WantedHandover> wantedHandovers(const OwnershipState &state, Common::Moment now)
+{
+    std::vector<std::string> receivers = takers(state, now);
+    const auto members = static_cast<std::int64_t>(receivers.size());
+    receivers.erase(std::remove(receivers.begin(), receivers.end(), state.self.instance),
+                    receivers.end());
+    std::vector<std::int64_t> shards = shardsIn(state, ShardPhase::Serving);
+    if (receivers.empty() || shards.empty()) {
+        return {};
+    }
+    const std::map<std::string, std::int64_t> owned = ownedShards(state, receivers);
+    const std::int64_t total = state.settings.shardCount;
+    const std::int64_t fairShare = (total + members - 1) / members;
+    if (state.leaving) {
+        return spread(std::move(shards), owned, receivers, fairShare);
+    }
+    const auto surplus = static_cast<std::int64_t>(shards.size()) - fairShare;
+    if (surplus <= 0) {
+        return {};
+    }
+    shards.resize(static_cast<std::size_t>(surplus));
+    return spread(std::move(shards), owned, receivers, total / members);
+}
+
+Schema::Handover handoverOut(OwnershipState &state, const std::vector<std::int64_t> &shards,
+                             const std::string &successor, Common::Moment now,
+                             Common::Random &random)
+{
+    Schema::Handover handover;
+    handover.requestId = Common::randomId(random);
+    handover.from = state.self.instance;
+    std::vector<Schema::UnloggedWindow> windows;
+    for (const std::int64_t shard : shards) {
+        ShardRole &role = roleOf(state, shard);
+        if (role.phase != ShardPhase::Serving || role.epoch % EpochStep == EpochStep - 1) {
+            continue;
+        }
+        role.phase = ShardPhase::HandingOver;
+        role.phaseSinceMs = now.steadyMs;
+        state.table.shards[static_cast<std::size_t>(shard)] = ShardClaim{successor, role.epoch + 1};
+        handover.shards.push_back(shardOwner(state, shard));
+        windows.insert(windows.end(), role.windows.begin(), role.windows.end());
+    }
+    if (!windows.empty()) {
+        handover.unloggedWindows = std::move(windows);
+    }
+    return handover;
+}
+
+bool handoverStands(const OwnershipState &state, const Schema::Handover &handover)
+{
+    return std::any_of(handover.shards.begin(), handover.shards.end(),
+                       [&](const Schema::ShardOwner &given) {
+                           return shardPhase(state, given.shard) == ShardPhase::HandingOver
+                                  && epochOf(state, given.shard) == given.epoch;
+                       });
+}
+
+void handoverDone(OwnershipState &state, const Schema::Handover &handover)
+{
+    for (const Schema::ShardOwner &given : handover.shards) {
+        ShardRole &role = roleOf(state, given.shard);
+        if (role.phase == ShardPhase::HandingOver && role.epoch + 1 == given.epoch) {
+            role.phase = ShardPhase::NotOurs;
+        }
+    }
+}
+
+HandoverTaken handoverIn(OwnershipState &state, const Schema::Handover &handover,
+                         Common::Moment now)
+{
+    HandoverTaken taken;
+    // Ahead of us: the sender repeats it, and its heartbeat brings the table it stands on.
+    if (!onRoster(state.table, state.self.instance) || handoverAhead(state, handover)) {
+        return taken;
+    }
+    taken.accepted = true;
+    for (const Schema::ShardOwner &given : handover.shards) {
+        if (knownShard(state, given.shard) && takeShard(state, given, now)) {
+            taken.shards.push_back(given.shard);
+        }
+    }
+    for (const Schema::UnloggedWindow &window :
+         handover.unloggedWindows.value_or(std::vector<Schema::UnloggedWindow>{})) {
+        if (std::count(taken.shards.begin(), taken.shards.end(), window.shard) != 0) {
+            roleOf(state, window.shard).windows.push_back(window);
+        }
+    }
+    return taken;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Heartbeats.cpp
@@ -0,0 +1,238 @@
+#include <algorithm>
+#include <set>
+
+#include "Dispatch/OwnershipParts.h"
+
+/// Heartbeats between gateways: liveness, table versions and unlogged declarations.
+namespace Dispatch {
+
+namespace {
+
+/// While a direct handover is not in the log yet, two tables of one version can differ: the whole
+/// table goes out every few heartbeats then.
+constexpr std::int64_t TableEveryHeartbeats = 8;
+
+bool hasUnrecordedHandover(const OwnershipState &state)
+{
+    for (std::size_t shard = 0; shard < state.table.shards.size(); ++shard) {
+        const std::int64_t epoch = state.table.shards[shard].epoch;
+        if (epoch % EpochStep != 0 && state.fromLog.shards[shard].epoch != epoch) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<Schema::UnloggedNotice> noticeList(const OwnershipState &state)
+{
+    std::vector<Schema::UnloggedNotice> notices;
+    for (const auto &[instance, sinceMs] : state.notices) {
+        Schema::UnloggedNotice notice;
+        notice.instance = instance;
+        notice.sinceMs = sinceMs;
+        notices.push_back(std::move(notice));
+    }
+    return notices;
+}
+
+Effect makePing(OwnershipState &state, const std::string &instance, PeerView &peer, bool reply,
+                Common::Moment now)
+{
+    Schema::PeerPing ping;
+    ping.instance = state.self.instance;
+    ping.sequence = ++state.sequence;
+    ping.reply = reply;
+    ping.leaving = state.leaving;
+    ping.tableVersion = tableVersion(state.table);
+    ping.configVersion = state.configVersion;
+    ping.unloggedSinceMs = state.unloggedSinceMs;
+    ping.acknowledgedUnlogged = noticeList(state);
+    const bool repeat = ping.sequence % TableEveryHeartbeats == 0 && hasUnrecordedHandover(state);
+    if (peer.reportedVersion < ping.tableVersion || repeat) {
+        ping.table = exportTable(state.table);
+    }
+    peer.toldVersion = ping.tableVersion;
+    peer.toldRevision = state.noticeRevision;
+    peer.lastPingMs = now.steadyMs;
+    Schema::Frame frame;
+    frame.type = Schema::FrameType::PeerPing;
+    frame.peerPing = std::move(ping);
+    return SendToGateway{instance, std::move(frame)};
+}
+
+bool toldAll(const OwnershipState &state, const PeerView &peer)
+{
+    return peer.toldVersion == tableVersion(state.table)
+           && peer.toldRevision == state.noticeRevision;
+}
+
+void setNotice(OwnershipState &state, const std::string &instance, std::int64_t sinceMs)
+{
+    std::int64_t &known = state.notices[instance];
+    if (known != sinceMs) {
+        known = sinceMs;
+        ++state.noticeRevision;
+    }
+}
+
+/// Hearsay only adds: a declaration is withdrawn by its declarer alone, for only the declarer knows
+/// that all it started is in the log.
+void takeHearsay(OwnershipState &state, const Schema::UnloggedNotice &notice)
+{
+    if (notice.instance == state.self.instance) {
+        return;
+    }
+    const auto known = state.notices.find(notice.instance);
+    if (known == state.notices.end() || notice.sinceMs < known->second) {
+        setNotice(state, notice.instance, notice.sinceMs);
+    }
+}
+
+void takeNotices(OwnershipState &state, PeerView &peer, const Schema::PeerPing &ping)
+{
+    peer.notices.clear();
+    for (const Schema::UnloggedNotice &notice : ping.acknowledgedUnlogged) {
+        peer.notices[notice.instance] = notice.sinceMs;
+        takeHearsay(state, notice);
+    }
+    if (ping.unloggedSinceMs != 0) {
+        peer.notices[ping.instance] = ping.unloggedSinceMs;
+        setNotice(state, ping.instance, ping.unloggedSinceMs);
+    } else if (state.notices.erase(ping.instance) != 0) {
+        ++state.noticeRevision;
+    }
+}
+
+/// An acknowledgement by someone who knows more than we do doesn't count until we know it too: it
+/// may be that our claim or our ownership is superseded, and the roster another.
+void takeAcknowledgements(const OwnershipState &state, PeerView &peer, const Schema::PeerPing &ping)
+{
+    peer.reportedVersion = ping.tableVersion;
+    if (ping.tableVersion > tableVersion(state.table)) {
+        return;
+    }
+    peer.acknowledgedVersion = std::max(peer.acknowledgedVersion, ping.tableVersion);
+    const auto ours = peer.notices.find(state.self.instance);
+    peer.acknowledgedUnloggedMs = ours == peer.notices.end() ? 0 : ours->second;
+}
+
+void watchRoster(OwnershipState &state, Common::Moment now)
+{
+    for (const Schema::Member &member : state.table.roster) {
+        if (member.instance != state.self.instance && state.peers.count(member.instance) == 0) {
+            PeerView &peer = state.peers[member.instance];
+            peer.firstWatchedMs = now.steadyMs;
+            peer.lastPingMs = now.steadyMs - state.settings.heartbeatMs;
+        }
+    }
+}
+
+void forgetStrangers(OwnershipState &state, Common::Moment now)
+{
+    for (auto peer = state.peers.begin(); peer != state.peers.end();) {
+        const std::int64_t seen = std::max(peer->second.lastHeardMs, peer->second.firstWatchedMs);
+        const bool gone = !onRoster(state.table, peer->first)
+                          && std::count(state.table.previousRoster.begin(),
+                                        state.table.previousRoster.end(), peer->first)
+                                     == 0
+                          && now.steadyMs - seen >= state.settings.peerSilenceMs;
+        peer = gone ? state.peers.erase(peer) : std::next(peer);
+    }
+}
+
+} // namespace
+
+Effects sendHeartbeats(OwnershipState &state, Common::Moment now)
+{
+    watchRoster(state, now);
+    forgetStrangers(state, now);
+    Effects effects;
+    for (auto &[instance, peer] : state.peers) {
+        const bool due = now.steadyMs - peer.lastPingMs >= state.settings.heartbeatMs;
+        if (due || (peer.heard && !toldAll(state, peer))) {
+            effects.push_back(makePing(state, instance, peer, false, now));
+        }
+    }
+    return effects;
+}
+
+Effects peerHeard(OwnershipState &state, const Schema::PeerPing &ping, Common::Moment now)
+{
+    if (ping.instance == state.self.instance) {
+        return {};
+    }
+    PeerView &peer = state.peers[ping.instance];
+    if (peer.heard && ping.sequence <= peer.sequence) {
+        return {};
+    }
+    if (!peer.heard && peer.firstWatchedMs == 0) {
+        peer.firstWatchedMs = now.steadyMs;
+    }
+    peer.heard = true;
+    peer.lastHeardMs = now.steadyMs;
+    peer.sequence = ping.sequence;
+    peer.leaving = ping.leaving;
+    if (ping.table) {
+        mergeTable(state.table, importTable(*ping.table, state.settings.shardCount));
+        closeGapFromPeers(state, now);
+        reconcileRoles(state, now);
+    }
+    takeNotices(state, peer, ping);
+    takeAcknowledgements(state, peer, ping);
+    settleRoster(state, now);
+    Effects effects = advanceFences(state, now);
+    const bool behind = ping.tableVersion != tableVersion(state.table);
+    if (!ping.reply && (behind || !toldAll(state, peer))) {
+        effects.push_back(makePing(state, ping.instance, peer, true, now));
+    }
+    return effects;
+}
+
+bool peerSilent(const OwnershipState &state, const std::string &instance, Common::Moment now)
+{
+    if (instance == state.self.instance) {
+        return false;
+    }
+    const auto peer = state.peers.find(instance);
+    if (peer == state.peers.end()) {
+        return false;
+    }
+    const std::int64_t seen = std::max(peer->second.lastHeardMs, peer->second.firstWatchedMs);
+    return now.steadyMs - seen >= state.settings.peerSilenceMs;
+}
+
+bool peerLive(const OwnershipState &state, const std::string &instance, Common::Moment now)
+{
+    if (instance == state.self.instance) {
+        return true;
+    }
+    const auto peer = state.peers.find(instance);
+    return peer != state.peers.end() && peer->second.heard && !peerSilent(state, instance, now);
+}
+
+std::vector<std::string> liveMembers(const OwnershipState &state, Common::Moment now)
+{
+    std::vector<std::string> live;
+    for (const std::string &instance : rosterInstances(state.table)) {
+        if (peerLive(state, instance, now)) {
+            live.push_back(instance);
+        }
+    }
+    std::sort(live.begin(), live.end());
+    return live;
+}
+
+std::vector<std::string> takers(const OwnershipState &state, Common::Moment now)
+{
+    std::vector<std::string> taking = liveMembers(state, now);
+    taking.erase(std::remove_if(taking.begin(), taking.end(),
+                                [&](const std::string &instance) {
+                                    const auto peer = state.peers.find(instance);
+                                    return peer == state.peers.end() ? state.leaving
+                                                                     : peer->second.leaving;
+                                }),
+                 taking.end());
+    return taking;
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/Journal.h
+++ b/Source/Core/Dispatch/Journal.h
@@ -59,6 +59,7 @@
     /// shards_taken records that go out before further intents.
     std::deque<Schema::LogRecord> marks;
     std::vector<std::string> newlyDurable;
+    /// shards_taken records of ours that were read back.
     std::vector<std::string> marksRead;
     std::int64_t lastAppendMs = 0;
     std::int64_t lastDurableMs = 0;
@@ -67,6 +68,12 @@
     std::int64_t unloggedSinceMs = 0;
     /// The declaration a majority has acknowledged; 0 for none.
     std::int64_t acknowledgedSinceMs = 0;
+    /// Never declared twice, so that an old acknowledgement can't pass for a new one.
+    std::int64_t lastDeclaredMs = 0;
+    /// The log answers again: nothing more starts unlogged, and the declaration is withdrawn once
+    /// the first unloggedHeld intents, which may have started so, are durable.
+    bool resuming = false;
+    std::size_t unloggedHeld = 0;
     /// What has been read of the stream.
     std::int64_t readOffset = 0;
     bool readOnce = false;
@@ -93,6 +100,10 @@
                           Common::Moment now);
 Effects journalRead(JournalState &state, const LogRead &read, Common::Moment now);
 
+/// A declaration that stands is made anew, to be acknowledged anew: this gateway has gained a
+/// shard, for which an earlier successor may have recorded the old declaration as ended.
+void redeclare(JournalState &state);
+
 /// Appends a shards_taken record; its id turns up in marksRead once everything before it was read.
 std::string markShardsTaken(JournalState &state, std::vector<Schema::ShardOwner> shards,
                             std::vector<Schema::UnloggedWindow> windows, Common::Moment now,
--- a/Source/Core/Dispatch/Ownership.h
+++ b/Source/Core/Dispatch/Ownership.h
@@ -27,6 +27,8 @@
     std::int64_t leaseMs = 2000;
     std::int64_t appendRetryMs = 200;
     std::int64_t dedupWindowMs = 600000;
+    /// A gap in the control stream that nothing has closed for this long: nobody knows the table.
+    std::int64_t lostAfterMs = 30000;
     Safeguards safeguards;
 };
 
@@ -63,18 +65,19 @@
 struct PeerView
 {
     std::int64_t firstWatchedMs = 0;
-    /// Of the steady clock; 0 before the first frame.
+    bool heard = false;
     std::int64_t lastHeardMs = 0;
     std::int64_t sequence = 0;
-    /// Table version it has acknowledged, of those acknowledgements that count.
-    std::int64_t acknowledgedVersion = 0;
+    bool leaving = false;
     std::int64_t configVersion = 0;
-    /// Its own declaration, and those of others that it holds.
-    std::int64_t unloggedSinceMs = 0;
+    std::int64_t reportedVersion = 0;
+    /// Of reports that came when our table was not behind the sender's.
+    std::int64_t acknowledgedVersion = 0;
+    std::int64_t acknowledgedUnloggedMs = 0;
+    /// Declarations, its own among them, as it last reported them.
     std::map<std::string, std::int64_t> notices;
-    /// Our version and declaration that it was last told.
     std::int64_t toldVersion = -1;
-    std::int64_t toldUnloggedMs = -1;
+    std::int64_t toldRevision = -1;
     std::int64_t lastPingMs = 0;
 };
 
@@ -85,7 +88,7 @@
     Schema::LogRecord record;
     bool inFlight = false;
     bool durable = false;
-    std::int64_t retryAtMs = 0;
+    std::int64_t sinceMs = 0;
 };
 
 /// A planned handover that balances the shards, or empties a gateway that leaves.
@@ -104,26 +107,35 @@
     ControlTable table;
     std::int64_t readOffset = 0;
     bool readToEnd = false;
+    /// The log dropped records that were never read here. Those read since wait for a table that
+    /// reflects all before gapEnd.
     bool gap = false;
+    std::int64_t gapEnd = 0;
+    std::int64_t gapSinceMs = 0;
+    std::vector<Schema::LogEntry> sinceGap;
     std::vector<ShardRole> roles;
     std::map<std::string, PeerView> peers;
     std::optional<ControlAppend> append;
-    /// Roster change at this offset is acknowledged by both majorities since rosterAckedMs.
+    /// The roster change that ends at this offset has been acknowledged since rosterAckedMs.
     std::int64_t rosterAckedOffset = -1;
     std::int64_t rosterAckedMs = 0;
+    /// It is known to every gateway and agent that could matter; the next may follow.
     bool rosterSettled = false;
     /// Declarations of other gateways that have not been withdrawn.
     std::map<std::string, std::int64_t> notices;
     std::map<std::string, std::int64_t> noticeIdleSinceMs;
-    /// Shards with direct handovers that the log does not show yet.
-    std::vector<std::int64_t> unrecordedHandovers;
+    /// Grows with each change to the declarations we hold, or to our own.
+    std::int64_t noticeRevision = 0;
     std::int64_t sequence = 0;
     std::int64_t startedMs = 0;
+    bool hasJoined = false;
     std::int64_t joinedMs = 0;
-    std::int64_t snapshotDueFromWallMs = 0;
+    std::vector<std::int64_t> orphanSinceMs;
+    /// Time of the oldest record that a fresh reader needs; 0 while the stream is empty.
+    std::int64_t neededSinceWallMs = 0;
     bool leaving = false;
-    bool left = false;
-    /// What pings carry for other modules.
+    bool nothingLeftToDo = false;
+    /// What heartbeats carry for other modules.
     std::int64_t configVersion = 0;
     std::int64_t unloggedSinceMs = 0;
 };
@@ -184,11 +196,19 @@
 
 /// From now on no shard is claimed, and wantedHandovers() empties this gateway.
 void leave(OwnershipState &state);
-/// True once the gateway owns nothing and the log shows that it left.
+/// Nothing is left to do here: the gateway leaves the roster even where its shards found no
+/// successor. It must start no task and answer no agent from then on.
+void finishLeaving(OwnershipState &state);
+/// True once the log shows that it left.
 bool hasLeft(const OwnershipState &state);
 /// True on one live gateway of the roster.
 bool isFirstLive(const OwnershipState &state, Common::Moment now);
 /// Whether \a sinceMs, our declaration, is acknowledged by a majority.
 bool declarationAcknowledged(const OwnershipState &state, std::int64_t sinceMs);
+/// Our declaration changes; 0 withdraws it.
+void setDeclaration(OwnershipState &state, std::int64_t sinceMs);
+/// A shard is fenced and its journal mark was read: \a windows are those of the journal.
+void shardJournalRead(OwnershipState &state, std::int64_t shard,
+                      const std::vector<Schema::UnloggedWindow> &windows, Common::Moment now);
 
 } // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Site.cpp
@@ -0,0 +1,202 @@
+#include "Dispatch/Site.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace Dispatch {
+
+namespace {
+
+OwnershipSettings ownershipSettings(const Schema::GatewaySettings &settings,
+                                    const Safeguards &safeguards)
+{
+    OwnershipSettings own;
+    own.shardCount = settings.shardCount;
+    own.heartbeatMs = settings.heartbeatMs;
+    own.peerSilenceMs = settings.peerSilenceMs;
+    own.leaseMs = settings.leaseMs;
+    own.dedupWindowMs = settings.dedupWindowMs;
+    own.safeguards = safeguards;
+    return own;
+}
+
+/// Fenced shards get one mark in the journal: what is read up to it is all that can matter.
+void markFencedShards(SiteState &site, Common::Moment now, Common::Random &random)
+{
+    std::vector<Schema::ShardOwner> shards;
+    std::vector<Schema::UnloggedWindow> windows;
+    std::vector<ShardRole *> roles;
+    for (const std::int64_t shard : shardsIn(site.ownership, ShardPhase::NeedsJournal)) {
+        ShardRole &role = site.ownership.roles[static_cast<std::size_t>(shard)];
+        if (!role.journalMark.empty()) {
+            continue;
+        }
+        Schema::ShardOwner owner;
+        owner.shard = shard;
+        owner.owner = site.ownership.self.instance;
+        owner.epoch = role.epoch;
+        shards.push_back(std::move(owner));
+        windows.insert(windows.end(), role.windows.begin(), role.windows.end());
+        roles.push_back(&role);
+    }
+    if (shards.empty()) {
+        return;
+    }
+    const std::string mark =
+            markShardsTaken(site.journal, std::move(shards), std::move(windows), now, random);
+    for (ShardRole *role : roles) {
+        role->journalMark = mark;
+    }
+}
+
+void passMarks(SiteState &site, Common::Moment now)
+{
+    for (const std::string &mark : takeMarksRead(site.journal)) {
+        for (const std::int64_t shard : shardsIn(site.ownership, ShardPhase::NeedsJournal)) {
+            if (site.ownership.roles[static_cast<std::size_t>(shard)].journalMark == mark) {
+                shardJournalRead(site.ownership, shard, site.journal.windows, now);
+            }
+        }
+    }
+}
+
+/// The declaration goes out with heartbeats, and its acknowledgement lets starts go on.
+void exchangeDeclarations(SiteState &site)
+{
+    setDeclaration(site.ownership, site.journal.unloggedSinceMs);
+    if (site.journal.unloggedSinceMs != 0
+        && declarationAcknowledged(site.ownership, site.journal.unloggedSinceMs)) {
+        site.journal.acknowledgedSinceMs = site.journal.unloggedSinceMs;
+    }
+}
+
+void fillPings(SiteState &site, Effects &effects)
+{
+    for (Effect &effect : effects) {
+        auto *send = std::get_if<SendToGateway>(&effect);
+        if (send == nullptr || !send->frame.peerPing) {
+            continue;
+        }
+        const auto peer = site.ownership.peers.find(send->instance);
+        const bool behind = peer != site.ownership.peers.end() && peer->second.heard
+                            && peer->second.configVersion < site.config.inForce.version;
+        if (behind) {
+            send->frame.peerPing->configuration = site.config.inForce;
+        }
+    }
+}
+
+} // namespace
+
+SiteState makeSite(const Schema::GatewaySettings &settings, const Schema::Member &self,
+                   Common::Moment now, const Safeguards &safeguards)
+{
+    JournalSettings journal;
+    journal.batchMs = settings.journalBatchMs;
+    journal.unloggedAfterMs = settings.unloggedAfterMs;
+    journal.dedupWindowMs = settings.dedupWindowMs;
+    ConfigSettings config;
+    config.dedupWindowMs = settings.dedupWindowMs;
+    config.safeguards = safeguards;
+    SiteState site;
+    site.ownership = makeOwnership(ownershipSettings(settings, safeguards), self, now);
+    site.journal = makeJournal(journal, self.instance);
+    site.config = makeConfigStore(config, self.instance);
+    return site;
+}
+
+Effects logRead(SiteState &site, LogStream stream, const LogRead &read, Common::Moment now)
+{
+    switch (stream) {
+    case LogStream::Control:
+        return controlRead(site.ownership, read, now);
+    case LogStream::Journal: {
+        Effects effects = journalRead(site.journal, read, now);
+        passMarks(site, now);
+        return effects;
+    }
+    case LogStream::Config:
+        return configRead(site.config, read, now);
+    }
+    return {};
+}
+
+Effects appendDone(SiteState &site, LogStream stream, std::uint64_t batch, AppendStatus status,
+                   Common::Moment now)
+{
+    switch (stream) {
+    case LogStream::Control:
+        return controlAppendDone(site.ownership, batch, status, now);
+    case LogStream::Journal:
+        return journalAppendDone(site.journal, batch, status, now);
+    case LogStream::Config:
+        return configAppendDone(site.config, batch, status, now);
+    }
+    return {};
+}
+
+Effects siteTick(SiteState &site, Common::Moment now, Common::Random &random)
+{
+    Effects effects = journalTick(site.journal, site.nextBatch, now, random);
+    exchangeDeclarations(site);
+    site.ownership.configVersion = site.config.inForce.version;
+    append(effects, ownershipTick(site.ownership, site.nextBatch, now, random));
+    markFencedShards(site, now, random);
+    append(effects,
+           configTick(site.config, site.nextBatch, isFirstLive(site.ownership, now), now, random));
+    fillPings(site, effects);
+    return effects;
+}
+
+Effects pingHeard(SiteState &site, const Schema::PeerPing &ping, Common::Moment now)
+{
+    site.ownership.configVersion = site.config.inForce.version;
+    setDeclaration(site.ownership, site.journal.unloggedSinceMs);
+    Effects effects = peerHeard(site.ownership, ping, now);
+    exchangeDeclarations(site);
+    peerHasVersion(site.config, ping.configVersion);
+    const auto peer = site.ownership.peers.find(ping.instance);
+    if (peer != site.ownership.peers.end()) {
+        peer->second.configVersion = ping.configVersion;
+    }
+    if (ping.configuration) {
+        adoptConfiguration(site.config, *ping.configuration);
+    }
+    fillPings(site, effects);
+    return effects;
+}
+
+void serveShard(SiteState &site, std::int64_t shard, Common::Moment now)
+{
+    shardServing(site.ownership, shard, now);
+    redeclare(site.journal);
+}
+
+HandoverTaken takeHandover(SiteState &site, const Schema::Handover &handover, Common::Moment now)
+{
+    HandoverTaken taken = handoverIn(site.ownership, handover, now);
+    if (!taken.shards.empty()) {
+        redeclare(site.journal);
+    }
+    return taken;
+}
+
+JobHistory jobHistory(const SiteState &site, const std::string &job, std::int64_t firstSubmittedMs)
+{
+    if (findIntent(site.journal, job)) {
+        return JobHistory::Journaled;
+    }
+    const std::int64_t shard = shardOf(site.ownership, job);
+    return predecessorUnlogged(site.ownership, shard, firstSubmittedMs) ? JobHistory::Unknown
+                                                                        : JobHistory::NeverStarted;
+}
+
+IntentState startAllowed(const SiteState &site, const std::string &job, Common::Moment now)
+{
+    if (!mayStart(site.ownership, shardOf(site.ownership, job), now)) {
+        return IntentState::Waiting;
+    }
+    return intentState(site.journal, job);
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/Site.h
+++ b/Source/Core/Dispatch/Site.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <string>
+#include <cstdint>
 #include <vector>
 
 #include "Dispatch/ConfigStore.h"
@@ -8,7 +8,7 @@
 #include "Dispatch/Ownership.h"
 
 /// All that the gateways of a site agree on, through the log and their heartbeats: ownership,
-/// journal and configuration, wired together.
+/// journal and configuration, wired together. What concerns one of them alone is asked of that one.
 namespace Dispatch {
 
 struct SiteState
@@ -20,7 +20,7 @@
 };
 
 SiteState makeSite(const Schema::GatewaySettings &settings, const Schema::Member &self,
-                   Common::Moment now);
+                   Common::Moment now, const Safeguards &safeguards = {});
 
 /// A delivery of one stream. Streams are read from offset 0 on.
 Effects logRead(SiteState &site, LogStream stream, const LogRead &read, Common::Moment now);
@@ -30,4 +30,23 @@
 Effects siteTick(SiteState &site, Common::Moment now, Common::Random &random);
 Effects pingHeard(SiteState &site, const Schema::PeerPing &ping, Common::Moment now);
 
+/// The agents' reports on a shard in ShardPhase::NeedsReports are in.
+void serveShard(SiteState &site, std::int64_t shard, Common::Moment now);
+/// See handoverIn(). Jobs that come with the shards and aren't in the journal are to be added to
+/// it.
+HandoverTaken takeHandover(SiteState &site, const Schema::Handover &handover, Common::Moment now);
+
+/// What a new owner knows of a job that it has no other trace of.
+enum class JobHistory {
+    /// No earlier owner can have started it.
+    NeverStarted,
+    /// Its intent is in the journal: some of its tasks may have been started.
+    Journaled,
+    /// An earlier owner may have started it without a durable intent.
+    Unknown
+};
+JobHistory jobHistory(const SiteState &site, const std::string &job, std::int64_t firstSubmittedMs);
+/// Whether tasks of the job, whose intent was added to the journal, may be started now.
+IntentState startAllowed(const SiteState &site, const std::string &job, Common::Moment now);
+
 } // namespace Dispatch
