--- /dev/null
+++ b/Source/Core/Dispatch/Admission.cpp
@@ -0,0 +1,85 @@
+#include "Dispatch/Admission.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+namespace {
+
+/// The wait is a prediction: later short jobs and other callers may pass. A job let in that misses
+/// its deadline has wasted its slots, a job refused in error can come again; so the wait counts a
+/// quarter more.
+constexpr double WaitMargin = 1.25;
+constexpr std::int64_t MinRetryAfterMs = 100;
+constexpr std::int64_t MaxRetryAfterMs = 60000;
+/// Refused together, callers come back over a span as long as half the wait they were given.
+constexpr std::uint64_t SpreadSteps = 1024;
+
+Refusal refusal(Schema::Reason reason, const char *detail, double retryAfterMs,
+                const AdmissionQuery &query)
+{
+    const double part = static_cast<double>(query.spread % SpreadSteps) / SpreadSteps;
+    const auto spreadMs = static_cast<std::int64_t>(retryAfterMs * (1 + part / 2));
+    return {reason, detail, std::clamp(spreadMs, MinRetryAfterMs, MaxRetryAfterMs)};
+}
+
+double drainMs(double workMs, double capacity)
+{
+    return capacity > 0 ? workMs / capacity : 0;
+}
+
+double quotaWaitMs(const Backlog &backlog, const AdmissionQuery &query)
+{
+    if (backlog.teamQuota <= 0) {
+        return 0;
+    }
+    const bool fitsAtOnce = backlog.teamWorkMs <= 0 && query.tasks <= backlog.teamQuota;
+    return fitsAtOnce
+                   ? 0
+                   : (backlog.teamWorkMs + query.workMs) / static_cast<double>(backlog.teamQuota);
+}
+
+double capacityWaitMs(const Backlog &backlog, const AdmissionQuery &query)
+{
+    if (backlog.queuedWorkMs <= 0 && query.tasks <= backlog.freePlaces) {
+        return 0;
+    }
+    return drainMs(backlog.callerWorkMs + query.workMs, backlog.capacity * backlog.share);
+}
+
+} // namespace
+
+double predictedWaitMs(const Backlog &backlog, const AdmissionQuery &query)
+{
+    return std::max(capacityWaitMs(backlog, query), quotaWaitMs(backlog, query));
+}
+
+std::optional<Refusal> decideAdmission(const AdmissionLimits &limits, const Backlog &backlog,
+                                       const AdmissionQuery &query)
+{
+    if (query.timeLeftMs <= 0) {
+        return Refusal{Schema::Reason::DeadlinePassed, "the deadline has passed", 0};
+    }
+    if (backlog.callerTasks + query.tasks > limits.maxQueuedTasksPerCaller) {
+        const double wait = drainMs(backlog.callerWorkMs, backlog.capacity * backlog.share);
+        return refusal(Schema::Reason::CallerLimit, "too many tasks of this caller are queued",
+                       wait / 2, query);
+    }
+    if (backlog.queuedTasks + query.tasks > limits.maxQueuedTasks) {
+        const double wait = drainMs(backlog.queuedWorkMs, backlog.capacity);
+        return refusal(Schema::Reason::QueueFull, "the queue is full", wait / 2, query);
+    }
+    if (!limits.predictsDeadlines) {
+        return std::nullopt;
+    }
+    const auto left = static_cast<double>(query.timeLeftMs);
+    const double tooLate = predictedWaitMs(backlog, query) * WaitMargin + query.slowestRunMs - left;
+    if (tooLate <= 0) {
+        return std::nullopt;
+    }
+    const bool byQuota = quotaWaitMs(backlog, query) > capacityWaitMs(backlog, query);
+    const Schema::Reason reason =
+            byQuota ? Schema::Reason::QuotaExceeded : Schema::Reason::DeadlineUnreachable;
+    return refusal(reason, "the backlog is longer than the deadline allows", tooLate, query);
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/BackendPool.cpp
@@ -0,0 +1,473 @@
+#include "Dispatch/BackendPool.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+namespace {
+
+constexpr std::int64_t SweepPeriodMs = 25;
+constexpr std::int64_t NoSlotPauseMs = 20;
+/// One task of a lost backend server's is refused, then one for each pause, up to 6.4 s.
+constexpr std::int64_t FirstRefusalPauseMs = 100;
+constexpr int MaxRefusalDoublings = 6;
+constexpr std::int64_t StepsPeriodMs = 100;
+constexpr std::int64_t MaxForgivenessStepMs = 1000;
+/// More than the services a site has; each costs an entry for every backend server.
+constexpr std::size_t MaxIdleRequirements = 64;
+
+bool runsService(const Schema::BackendServer &server, const std::string &service)
+{
+    return server.services.empty()
+           || std::find(server.services.begin(), server.services.end(), service)
+                      != server.services.end();
+}
+
+bool fits(const Schema::Resources &whole, const Schema::Resources &used,
+          const Schema::Resources &wanted)
+{
+    return used.processors + wanted.processors <= whole.processors
+           && used.memoryMb + wanted.memoryMb <= whole.memoryMb
+           && used.accelerators + wanted.accelerators <= whole.accelerators;
+}
+
+std::string keyOf(const std::string &service, const Schema::Resources &resources)
+{
+    return service + '\n' + std::to_string(resources.processors) + '\n'
+           + std::to_string(resources.memoryMb) + '\n' + std::to_string(resources.accelerators);
+}
+
+void insertFree(BackendPool &pool, BackendIndex index, RequirementId id)
+{
+    Requirement &requirement = pool.requirements[id];
+    pool.backends[index].freePosition[id] = static_cast<std::int32_t>(requirement.free.size());
+    requirement.free.push_back(index);
+}
+
+void removeFree(BackendPool &pool, BackendIndex index, RequirementId id)
+{
+    Requirement &requirement = pool.requirements[id];
+    const auto position = static_cast<std::size_t>(pool.backends[index].freePosition[id]);
+    const BackendIndex last = requirement.free.back();
+    requirement.free[position] = last;
+    pool.backends[last].freePosition[id] = static_cast<std::int32_t>(position);
+    requirement.free.pop_back();
+    pool.backends[index].freePosition[id] = NotFree;
+}
+
+bool hasPlace(const BackendRecord &backend, const Requirement &requirement)
+{
+    return backend.inFlight < placesOf(backend)
+           && fits(backend.server.resources, backend.used, requirement.resources);
+}
+
+void refreshMembership(BackendPool &pool, BackendIndex index, RequirementId id, bool out)
+{
+    const BackendRecord &backend = pool.backends[index];
+    const std::int32_t position = backend.freePosition[id];
+    if (position == NotAble) {
+        return;
+    }
+    const bool free = !out && hasPlace(backend, pool.requirements[id]);
+    if (free && position == NotFree) {
+        insertFree(pool, index, id);
+    } else if (!free && position != NotFree) {
+        removeFree(pool, index, id);
+    }
+}
+
+/// Whether the backend server counts as able, after its equipment or its leaving has changed.
+void judgeAbility(BackendPool &pool, BackendIndex index, RequirementId id, std::int64_t nowMs)
+{
+    BackendRecord &backend = pool.backends[index];
+    Requirement &requirement = pool.requirements[id];
+    const bool was = backend.freePosition[id] != NotAble;
+    const bool is = isAble(backend, requirement);
+    if (was == is) {
+        return;
+    }
+    requirement.stepsStale = true;
+    if (is) {
+        backend.freePosition[id] = NotFree;
+        requirement.ableCount += 1;
+        return;
+    }
+    if (backend.freePosition[id] != NotFree) {
+        removeFree(pool, index, id);
+    }
+    backend.freePosition[id] = NotAble;
+    requirement.ableCount -= 1;
+    if (requirement.ableCount == 0) {
+        requirement.unableSinceMs = nowMs;
+    }
+}
+
+void judgeAbilities(BackendPool &pool, BackendIndex index, std::int64_t nowMs)
+{
+    pool.backends[index].freePosition.resize(pool.requirements.size(), NotAble);
+    for (RequirementId id = 0; id < pool.requirements.size(); ++id) {
+        judgeAbility(pool, index, id, nowMs);
+    }
+    refreshBackend(pool, index, nowMs);
+}
+
+std::uint32_t findDomain(BackendPool &pool, const std::string &name)
+{
+    const auto found =
+            std::find_if(pool.domains.begin(), pool.domains.end(),
+                         [&](const FailureDomainLoad &domain) { return domain.name == name; });
+    if (found != pool.domains.end()) {
+        return static_cast<std::uint32_t>(found - pool.domains.begin());
+    }
+    pool.domains.push_back({name, 0});
+    return static_cast<std::uint32_t>(pool.domains.size() - 1);
+}
+
+bool isDrained(const BackendPool &pool, const std::string &name)
+{
+    return std::find(pool.drains.begin(), pool.drains.end(), name) != pool.drains.end();
+}
+
+/// A newcomer among backend servers at work starts slowly. When most are new, as at this gateway's
+/// own start, there is no cold one among warm ones, and holding all back would only delay callers.
+bool joinsEstablished(const BackendPool &pool)
+{
+    std::size_t known = 0;
+    std::size_t established = 0;
+    for (const BackendRecord &backend : pool.backends) {
+        if (!backend.instance.empty() && !backend.lost) {
+            known += 1;
+            established += backend.health.outcomes > 0 ? 1 : 0;
+        }
+    }
+    return established * 2 > known;
+}
+
+BackendIndex addBackend(BackendPool &pool, const std::string &instance)
+{
+    auto index = static_cast<BackendIndex>(pool.backends.size());
+    const bool slowly = joinsEstablished(pool);
+    if (pool.unusedBackends.empty()) {
+        pool.backends.emplace_back();
+    } else {
+        index = pool.unusedBackends.back();
+        pool.unusedBackends.pop_back();
+    }
+    BackendRecord &backend = pool.backends[index];
+    backend = BackendRecord();
+    backend.instance = instance;
+    if (slowly) {
+        beginSlowStart(backend.health);
+    }
+    pool.byInstance.emplace(instance, index);
+    return index;
+}
+
+void forget(BackendPool &pool, BackendIndex index)
+{
+    BackendRecord &backend = pool.backends[index];
+    pool.byInstance.erase(backend.instance);
+    backend.instance.clear();
+    pool.unusedBackends.push_back(index);
+}
+
+void forgetOldestIdle(BackendPool &pool)
+{
+    const RequirementId id = pool.idleRequirements.front();
+    pool.idleRequirements.pop_front();
+    Requirement &requirement = pool.requirements[id];
+    requirement.idle = false;
+    if (requirement.users > 0) {
+        return;
+    }
+    for (BackendRecord &backend : pool.backends) {
+        if (id < backend.freePosition.size()) {
+            backend.freePosition[id] = NotAble;
+        }
+    }
+    pool.requirementsByKey.erase(requirement.key);
+    requirement = Requirement();
+    pool.unusedRequirements.push_back(id);
+}
+
+bool sameEquipment(const Schema::BackendServer &left, const Schema::BackendServer &right)
+{
+    return left.name == right.name && left.failureDomain == right.failureDomain
+           && left.services == right.services
+           && left.resources.processors == right.resources.processors
+           && left.resources.memoryMb == right.resources.memoryMb
+           && left.resources.accelerators == right.resources.accelerators;
+}
+
+} // namespace
+
+bool isAble(const BackendRecord &backend, const Requirement &requirement)
+{
+    return !backend.instance.empty() && !backend.lost && !backend.draining
+           && !backend.drainedByOperator && requirement.users > 0
+           && runsService(backend.server, requirement.service)
+           && fits(backend.server.resources, {}, requirement.resources);
+}
+
+bool isOut(const BackendPool &pool, const BackendRecord &backend, std::int64_t nowMs)
+{
+    return backend.lost || backend.draining || backend.drainedByOperator || !backend.healthy
+           || backend.stalled || nowMs - backend.heardMs > pool.silenceMs
+           || nowMs < backend.pausedUntilMs;
+}
+
+std::int64_t placesOf(const BackendRecord &backend)
+{
+    const std::int64_t window = std::min(backend.window, backend.server.connections);
+    return healthLimit(backend.health, window);
+}
+
+RequirementId useRequirement(BackendPool &pool, const std::string &service,
+                             const Schema::Resources &resources, std::int64_t nowMs)
+{
+    const std::string key = keyOf(service, resources);
+    const auto found = pool.requirementsByKey.find(key);
+    if (found != pool.requirementsByKey.end()) {
+        pool.requirements[found->second].users += 1;
+        return found->second;
+    }
+    auto id = static_cast<RequirementId>(pool.requirements.size());
+    if (pool.unusedRequirements.empty()) {
+        pool.requirements.emplace_back();
+    } else {
+        id = pool.unusedRequirements.back();
+        pool.unusedRequirements.pop_back();
+    }
+    Requirement &requirement = pool.requirements[id];
+    requirement = Requirement();
+    requirement.key = key;
+    requirement.service = service;
+    requirement.resources = resources;
+    requirement.users = 1;
+    requirement.unableSinceMs = nowMs;
+    pool.requirementsByKey.emplace(key, id);
+    for (BackendIndex index = 0; index < pool.backends.size(); ++index) {
+        pool.backends[index].freePosition.resize(pool.requirements.size(), NotAble);
+        judgeAbility(pool, index, id, nowMs);
+        refreshMembership(pool, index, id, isOut(pool, pool.backends[index], nowMs));
+    }
+    return id;
+}
+
+void releaseRequirement(BackendPool &pool, RequirementId id)
+{
+    Requirement &requirement = pool.requirements[id];
+    requirement.users -= 1;
+    if (requirement.users > 0 || requirement.idle) {
+        return;
+    }
+    requirement.idle = true;
+    pool.idleRequirements.push_back(id);
+    if (pool.idleRequirements.size() > MaxIdleRequirements) {
+        forgetOldestIdle(pool);
+    }
+}
+
+BackendIndex backendHeard(BackendPool &pool, const Schema::AgentHello &hello, std::int64_t nowMs)
+{
+    const auto found = pool.byInstance.find(hello.instance);
+    const bool known = found != pool.byInstance.end();
+    const BackendIndex index = known ? found->second : addBackend(pool, hello.instance);
+    BackendRecord &backend = pool.backends[index];
+    // Heartbeats after the first may leave the description out.
+    const bool described = !hello.backend.name.empty();
+    const bool changed = !known || backend.lost || backend.draining != hello.draining
+                         || (described && !sameEquipment(backend.server, hello.backend));
+    backend.lost = false;
+    backend.draining = hello.draining;
+    backend.healthy = hello.healthy;
+    backend.window = hello.window;
+    backend.reportedRunning = hello.running;
+    backend.heardMs = nowMs;
+    if (described) {
+        if (backend.inFlight > 0 && backend.server.failureDomain != hello.backend.failureDomain) {
+            pool.domains[backend.domain].inFlight -= backend.inFlight;
+            pool.domains[findDomain(pool, hello.backend.failureDomain)].inFlight +=
+                    backend.inFlight;
+        }
+        backend.server = hello.backend;
+        backend.domain = findDomain(pool, hello.backend.failureDomain);
+        backend.drainedByOperator = isDrained(pool, hello.backend.name);
+    }
+    if (changed) {
+        judgeAbilities(pool, index, nowMs);
+    } else {
+        refreshBackend(pool, index, nowMs);
+    }
+    return index;
+}
+
+void backendLost(BackendPool &pool, BackendIndex index, std::int64_t nowMs)
+{
+    pool.backends[index].lost = true;
+    judgeAbilities(pool, index, nowMs);
+    if (pool.backends[index].inFlight == 0) {
+        forget(pool, index);
+    }
+}
+
+void setDrains(BackendPool &pool, const std::vector<Schema::Drain> &drains, std::int64_t nowMs)
+{
+    pool.drains.clear();
+    for (const Schema::Drain &drain : drains) {
+        pool.drains.push_back(drain.backend);
+    }
+    for (BackendIndex index = 0; index < pool.backends.size(); ++index) {
+        BackendRecord &backend = pool.backends[index];
+        backend.drainedByOperator = isDrained(pool, backend.server.name);
+        judgeAbilities(pool, index, nowMs);
+    }
+}
+
+void refreshBackend(BackendPool &pool, BackendIndex index, std::int64_t nowMs)
+{
+    const bool out = isOut(pool, pool.backends[index], nowMs);
+    const std::size_t count = pool.backends[index].freePosition.size();
+    for (RequirementId id = 0; id < count; ++id) {
+        refreshMembership(pool, index, id, out);
+    }
+}
+
+void occupy(BackendPool &pool, BackendIndex index, const Requirement &requirement, double workMs,
+            std::int64_t nowMs)
+{
+    BackendRecord &backend = pool.backends[index];
+    backend.inFlight += 1;
+    backend.used.processors += requirement.resources.processors;
+    backend.used.memoryMb += requirement.resources.memoryMb;
+    backend.used.accelerators += requirement.resources.accelerators;
+    pool.domains[backend.domain].inFlight += 1;
+    pool.inFlight += 1;
+    pool.inFlightWorkMs += workMs;
+    refreshBackend(pool, index, nowMs);
+}
+
+void vacate(BackendPool &pool, BackendIndex index, const Schema::Resources &resources,
+            double workMs, std::int64_t nowMs)
+{
+    BackendRecord &backend = pool.backends[index];
+    backend.inFlight -= 1;
+    backend.used.processors -= resources.processors;
+    backend.used.memoryMb -= resources.memoryMb;
+    backend.used.accelerators -= resources.accelerators;
+    pool.domains[backend.domain].inFlight -= 1;
+    pool.inFlight -= 1;
+    pool.inFlightWorkMs = pool.inFlight == 0 ? 0 : pool.inFlightWorkMs - workMs;
+    if (backend.inFlight == 0) {
+        // Sums of fractions would drift.
+        backend.used = Schema::Resources();
+        backend.stalled = false;
+    }
+    if (backend.lost && backend.inFlight == 0) {
+        forget(pool, index);
+        return;
+    }
+    refreshBackend(pool, index, nowMs);
+}
+
+void startRefused(BackendPool &pool, BackendIndex index, Schema::Reason reason, std::int64_t nowMs)
+{
+    BackendRecord &backend = pool.backends[index];
+    switch (reason) {
+    case Schema::Reason::NoSlot:
+        // Crossing messages overfilled it; its next message brings a window that is true.
+        backend.window = std::min(backend.window, backend.inFlight);
+        backend.pausedUntilMs = nowMs + NoSlotPauseMs;
+        break;
+    case Schema::Reason::AgentDraining:
+        backend.draining = true;
+        judgeAbilities(pool, index, nowMs);
+        break;
+    case Schema::Reason::NotAfterPassed:
+        break;
+    default:
+        backend.refusalsInRow = std::min(backend.refusalsInRow + 1, MaxRefusalDoublings);
+        backend.pausedUntilMs = nowMs + (FirstRefusalPauseMs << backend.refusalsInRow);
+        break;
+    }
+    refreshBackend(pool, index, nowMs);
+}
+
+void sweepBackends(BackendPool &pool, std::int64_t nowMs)
+{
+    if (nowMs - pool.sweptMs < SweepPeriodMs) {
+        return;
+    }
+    const std::int64_t elapsedMs = std::min(nowMs - pool.sweptMs, MaxForgivenessStepMs);
+    pool.sweptMs = nowMs;
+    pool.whole = {1, 0, 0};
+    for (BackendIndex index = 0; index < pool.backends.size(); ++index) {
+        BackendRecord &backend = pool.backends[index];
+        if (backend.instance.empty()) {
+            continue;
+        }
+        if (backend.inFlight == 0) {
+            forgiveSlowness(backend.speed, elapsedMs);
+        }
+        advanceHealth(backend.health, nowMs);
+        refreshBackend(pool, index, nowMs);
+        if (!isOut(pool, backend, nowMs)) {
+            const auto slots = static_cast<double>(placesOf(backend));
+            pool.whole.slots += slots;
+            pool.whole.capacity += slots / speedFactor(backend.speed);
+        }
+    }
+}
+
+const std::vector<SpeedStep> &speedSteps(BackendPool &pool, RequirementId id, std::int64_t nowMs)
+{
+    Requirement &requirement = pool.requirements[id];
+    if (!requirement.stepsStale && nowMs - requirement.stepsAtMs < StepsPeriodMs) {
+        return requirement.steps;
+    }
+    requirement.stepsStale = false;
+    requirement.stepsAtMs = nowMs;
+    requirement.steps.clear();
+    for (const BackendRecord &backend : pool.backends) {
+        const bool able = id < backend.freePosition.size() && backend.freePosition[id] != NotAble;
+        const auto slots = static_cast<double>(placesOf(backend));
+        if (able && slots > 0 && !isOut(pool, backend, nowMs)) {
+            const double factor = speedFactor(backend.speed);
+            requirement.steps.push_back({factor, slots, slots / factor});
+        }
+    }
+    std::sort(requirement.steps.begin(), requirement.steps.end(),
+              [](const SpeedStep &left, const SpeedStep &right) {
+                  return left.factor < right.factor;
+              });
+    SpeedStep sum{1, 0, 0};
+    for (SpeedStep &step : requirement.steps) {
+        sum.slots += step.slots;
+        sum.capacity += step.capacity;
+        step.slots = sum.slots;
+        step.capacity = sum.capacity;
+    }
+    return requirement.steps;
+}
+
+SpeedStep wholeCapacity(BackendPool &pool, RequirementId id, std::int64_t nowMs)
+{
+    const std::vector<SpeedStep> &steps = speedSteps(pool, id, nowMs);
+    return steps.empty() ? SpeedStep{1, 0, 0} : steps.back();
+}
+
+std::pair<std::size_t, std::size_t> countEjected(const BackendPool &pool)
+{
+    std::size_t known = 0;
+    std::size_t ejected = 0;
+    for (const BackendRecord &backend : pool.backends) {
+        if (backend.instance.empty() || backend.lost || backend.draining) {
+            continue;
+        }
+        known += 1;
+        const HealthPhase phase = backend.health.phase;
+        ejected += phase == HealthPhase::Ejected || phase == HealthPhase::Trial ? 1 : 0;
+    }
+    return {known, ejected};
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Estimates.cpp
@@ -0,0 +1,153 @@
+#include "Dispatch/Estimates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Dispatch {
+namespace {
+
+/// First guess without any declaration: the middle of the 50 ms to 1 s that most tasks take, on a
+/// logarithmic scale.
+constexpr double DefaultRunMs = 220;
+constexpr double BucketGrowth = 1.2;
+/// A guess weighs as much as this many outcomes.
+constexpr double PriorWeight = 3;
+/// A guess may be off by ten times either way, as declared times are.
+constexpr double PriorSpread = 10;
+constexpr std::int64_t GuessSamples = 8;
+/// Bucket counts are halved past this weight: a service that changes is known anew after as many
+/// outcomes, and the p95 still rests on a dozen.
+constexpr double MaxWeight = 512;
+constexpr double MeanMemory = 128;
+/// One in sixteen: noise of 20% in the factor for exponentially distributed run times, and a
+/// backend server ten times slower than believed is steered around after its slots have turned over
+/// once.
+constexpr double SpeedMemory = 16;
+/// Only the product of base and factor shows in outcomes; the pull towards 1 keeps the two from
+/// drifting apart.
+constexpr double FactorPull = 0.999;
+constexpr double MaxLogFactor = 4.6;
+/// A backend server ten times slower is offered a task about once a minute.
+constexpr double ForgivenessHalfLifeMs = 20000;
+constexpr std::size_t MaxProfiles = 4096;
+
+std::size_t bucketOf(double runMs)
+{
+    const double exponent = std::log(std::max(runMs, 1.0)) / std::log(BucketGrowth);
+    return std::min(static_cast<std::size_t>(exponent), RunBucketCount - 1);
+}
+
+double bucketMiddleMs(std::size_t bucket)
+{
+    return std::pow(BucketGrowth, static_cast<double>(bucket) + 0.5);
+}
+
+int magnitudeOf(std::int64_t declaredMs)
+{
+    return declaredMs <= 0 ? -1 : static_cast<int>(std::log2(static_cast<double>(declaredMs)));
+}
+
+double blendWithPrior(const RunProfile &profile, double prior, double learned)
+{
+    const auto samples = static_cast<double>(profile.samples);
+    return (PriorWeight * prior + samples * learned) / (PriorWeight + samples);
+}
+
+double learnedQuantileMs(const RunProfile &profile, double quantile)
+{
+    double left = quantile * profile.weight;
+    for (std::size_t bucket = 0; bucket < RunBucketCount; ++bucket) {
+        left -= profile.buckets[bucket];
+        if (left <= 0 && profile.buckets[bucket] > 0) {
+            return bucketMiddleMs(bucket);
+        }
+    }
+    return profile.meanMs;
+}
+
+void countRun(RunProfile &profile, double baseMs)
+{
+    profile.buckets[bucketOf(baseMs)] += 1;
+    profile.weight += 1;
+    if (profile.weight < MaxWeight) {
+        return;
+    }
+    for (float &count : profile.buckets) {
+        count /= 2;
+    }
+    profile.weight /= 2;
+}
+
+} // namespace
+
+ProfileId findProfile(Estimates &estimates, const std::string &service, std::int64_t declaredMs)
+{
+    const std::string key = service + '\n' + std::to_string(magnitudeOf(declaredMs));
+    const auto found = estimates.byKey.find(key);
+    if (found != estimates.byKey.end()) {
+        return found->second;
+    }
+    if (declaredMs > 0 && estimates.profiles.size() >= MaxProfiles) {
+        return findProfile(estimates, service, 0);
+    }
+    RunProfile profile;
+    profile.priorMs = declaredMs > 0 ? static_cast<double>(declaredMs) : DefaultRunMs;
+    const auto id = static_cast<ProfileId>(estimates.profiles.size());
+    estimates.profiles.push_back(profile);
+    estimates.byKey.emplace(key, id);
+    return id;
+}
+
+bool isGuess(const Estimates &estimates, ProfileId profile)
+{
+    return estimates.profiles[profile].samples < GuessSamples;
+}
+
+double meanRunMs(const Estimates &estimates, ProfileId profile)
+{
+    const RunProfile &known = estimates.profiles[profile];
+    return blendWithPrior(known, known.priorMs, known.meanMs);
+}
+
+double runQuantileMs(const Estimates &estimates, ProfileId profile, double quantile)
+{
+    const RunProfile &known = estimates.profiles[profile];
+    const double prior = known.priorMs * std::pow(PriorSpread, 2 * quantile - 1);
+    if (known.samples == 0) {
+        return prior;
+    }
+    return blendWithPrior(known, prior, learnedQuantileMs(known, quantile));
+}
+
+double speedFactor(const BackendSpeed &speed)
+{
+    return std::exp(speed.logFactor);
+}
+
+void forgiveSlowness(BackendSpeed &speed, std::int64_t idleMs)
+{
+    if (speed.logFactor > 0) {
+        speed.logFactor *= std::exp2(-static_cast<double>(idleMs) / ForgivenessHalfLifeMs);
+    }
+}
+
+void learnRun(Estimates &estimates, ProfileId profile, BackendSpeed &speed, double runMs)
+{
+    RunProfile &known = estimates.profiles[profile];
+    const double logRun = std::log(std::max(runMs, 1.0));
+    const double baseMs = std::max(runMs, 1.0) / speedFactor(speed);
+    known.samples += 1;
+    const double share = 1 / std::min(static_cast<double>(known.samples), MeanMemory);
+    known.meanMs += share * (baseMs - known.meanMs);
+    known.meanLog += share * (logRun - speed.logFactor - known.meanLog);
+    countRun(known, baseMs);
+
+    speed.samples += 1;
+    const double speedShare =
+            1 / std::min(static_cast<double>(speed.samples) + PriorWeight, SpeedMemory);
+    const double error = logRun - known.meanLog - speed.logFactor;
+    const double moved = (speed.logFactor + speedShare * error) * FactorPull;
+    speed.logFactor = std::clamp(moved, -MaxLogFactor, MaxLogFactor);
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Health.cpp
@@ -0,0 +1,138 @@
+#include "Dispatch/Health.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Dispatch {
+namespace {
+
+constexpr std::size_t EjectableOneIn = 3;
+/// Three fast failures in a row: with one honest failure in twenty, once in 8,000 tasks.
+constexpr int MaxFastFailures = 3;
+/// Five slow ones in a row: once in 3 million.
+constexpr int MaxFailures = 5;
+/// For one that fails most but not all.
+constexpr double MaxFailureRate = 0.5;
+constexpr std::int64_t RateOutcomes = 12;
+constexpr double RateMemory = 12;
+/// A restart takes seconds; a trial that fails costs a caller a job, so they soon become rare.
+constexpr std::int64_t FirstEjectionMs = 2000;
+constexpr std::int64_t MaxEjectionMs = 60000;
+constexpr int MaxDoublings = 5;
+constexpr std::int64_t SlowStartTasks = 2;
+constexpr std::int64_t SlowStartEnds = 64;
+constexpr std::size_t MaxOutcomesKept = 64;
+
+void succeeded(HealthRecord &record)
+{
+    record.failuresInRow = 0;
+    record.fastFailuresInRow = 0;
+    if (record.phase == HealthPhase::Trial) {
+        beginSlowStart(record);
+        return;
+    }
+    if (record.phase != HealthPhase::SlowStart) {
+        return;
+    }
+    // One more for each success doubles the limit with each turnover of the slots.
+    record.slowStartLimit += 1;
+    if (record.slowStartLimit >= SlowStartEnds) {
+        record.phase = HealthPhase::Healthy;
+        record.ejections = 0;
+    }
+}
+
+} // namespace
+
+std::size_t mostEjected(std::size_t backendCount)
+{
+    if (backendCount < 2) {
+        return 0;
+    }
+    return std::max<std::size_t>(1, backendCount / EjectableOneIn);
+}
+
+void noteServiceOutcome(ServiceOutcomes &service, std::uint32_t backend, bool succeeded)
+{
+    const auto found = service.lastSucceeded.find(backend);
+    if (found != service.lastSucceeded.end()) {
+        service.failing -= found->second ? 0 : 1;
+        found->second = succeeded;
+        service.failing += succeeded ? 0 : 1;
+        return;
+    }
+    // At fleet size, the first backend servers seen are sample enough.
+    if (service.lastSucceeded.size() >= MaxOutcomesKept) {
+        return;
+    }
+    service.lastSucceeded.emplace(backend, succeeded);
+    service.failing += succeeded ? 0 : 1;
+}
+
+bool serviceToBlame(const ServiceOutcomes &service)
+{
+    return service.failing * 2 > service.lastSucceeded.size();
+}
+
+bool outcomeObserved(HealthRecord &record, const TaskOutcome &outcome)
+{
+    record.outcomes += 1;
+    const double share = 1 / std::min(static_cast<double>(record.outcomes), RateMemory);
+    record.failureRate += share * ((outcome.succeeded ? 0 : 1) - record.failureRate);
+    if (outcome.succeeded) {
+        succeeded(record);
+        return false;
+    }
+    record.failuresInRow += 1;
+    record.fastFailuresInRow = outcome.fast ? record.fastFailuresInRow + 1 : 0;
+    if (record.phase == HealthPhase::Ejected) {
+        return false;
+    }
+    return record.phase == HealthPhase::Trial || record.fastFailuresInRow >= MaxFastFailures
+           || record.failuresInRow >= MaxFailures
+           || (record.outcomes >= RateOutcomes && record.failureRate > MaxFailureRate);
+}
+
+void eject(HealthRecord &record, std::int64_t nowMs)
+{
+    const int doublings = std::min(record.ejections, MaxDoublings);
+    record.phase = HealthPhase::Ejected;
+    record.ejectedUntilMs = nowMs + std::min(FirstEjectionMs << doublings, MaxEjectionMs);
+    record.ejections += 1;
+    record.outcomes = 0;
+    record.failureRate = 0;
+    record.failuresInRow = 0;
+    record.fastFailuresInRow = 0;
+}
+
+void beginSlowStart(HealthRecord &record)
+{
+    record.phase = HealthPhase::SlowStart;
+    record.slowStartLimit = SlowStartTasks;
+}
+
+bool advanceHealth(HealthRecord &record, std::int64_t nowMs)
+{
+    if (record.phase != HealthPhase::Ejected || nowMs < record.ejectedUntilMs) {
+        return false;
+    }
+    record.phase = HealthPhase::Trial;
+    return true;
+}
+
+std::int64_t healthLimit(const HealthRecord &record, std::int64_t window)
+{
+    switch (record.phase) {
+    case HealthPhase::Ejected:
+        return 0;
+    case HealthPhase::Trial:
+        return std::min<std::int64_t>(window, 1);
+    case HealthPhase::SlowStart:
+        return std::min(window, record.slowStartLimit);
+    case HealthPhase::Healthy:
+        return window;
+    }
+    return window;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/JobBook.cpp
@@ -0,0 +1,181 @@
+#include "Dispatch/JobBook.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+namespace {
+
+ServiceSettings settingsOf(const SchedulerState &state, const std::string &service)
+{
+    const auto found = state.services.find(service);
+    return found == state.services.end() ? ServiceSettings{} : found->second;
+}
+
+/// Time after which the job's run time leaves nothing of its deadline.
+std::int64_t lastStartOf(SchedulerState &state, const ScheduledJob &job, Common::Moment now)
+{
+    if (isGuess(state.estimates, job.profile)) {
+        return job.demand.deadlineMs;
+    }
+    constexpr double Median = 0.5;
+    const std::vector<SpeedStep> &steps = speedSteps(state.pool, job.requirement, now.steadyMs);
+    const double factor = steps.empty() ? 1 : steps.front().factor;
+    const double runMs = runQuantileMs(state.estimates, job.profile, Median) * factor;
+    return job.demand.deadlineMs - static_cast<std::int64_t>(runMs);
+}
+
+void countTasks(SchedulerState &state, const ScheduledJob &job, std::int64_t tasks)
+{
+    CallerQueue &caller = state.queue.callers[job.caller];
+    state.queuedTasks += tasks;
+    caller.queuedTasks += tasks;
+    addQueued(state.queuedWork, job.profile, tasks);
+    addQueued(caller.queuedWork, job.profile, tasks);
+    addQueued(state.queue.teams[job.team].queuedWork, job.profile, tasks);
+    if (job.runnable) {
+        state.runnableTasks += tasks;
+        state.pool.requirements[job.requirement].queuedTasks += tasks;
+    }
+}
+
+void offerTasks(SchedulerState &state, const ScheduledJob &job)
+{
+    if (!job.runnable || job.queued.empty() || isQueued(state.queue, job.number)) {
+        return;
+    }
+    QueuedJob entry;
+    entry.job = job.number;
+    entry.lane = laneOf(job);
+    entry.team = job.team;
+    entry.caller = job.caller;
+    entry.arrivalMs = job.admittedMs;
+    entry.idealMs = job.idealMs;
+    enqueue(state.queue, entry);
+}
+
+std::int64_t waitingTasks(const ScheduledJob &job)
+{
+    return static_cast<std::int64_t>(job.queued.size()) + job.delayed;
+}
+
+} // namespace
+
+LaneId laneOf(const ScheduledJob &job)
+{
+    return job.requirement * 2 + (job.isLong ? 1 : 0);
+}
+
+ScheduledJob describeJob(SchedulerState &state, const JobDemand &demand, Common::Moment now)
+{
+    const ServiceSettings settings = settingsOf(state, demand.service);
+    const std::int64_t declaredMs =
+            demand.declaredRunMs > 0 ? demand.declaredRunMs : settings.expectedRunMs;
+    ScheduledJob job;
+    job.demand = demand;
+    job.number = state.nextNumber++;
+    job.profile = findProfile(state.estimates, demand.service, declaredMs);
+    job.requirement = useRequirement(state.pool, demand.service,
+                                     demand.resources.value_or(settings.resources), now.steadyMs);
+    job.team = findTeam(state.queue, demand.team);
+    job.caller = findCaller(state.queue, job.team, demand.caller);
+    job.admittedMs = now.steadyMs;
+    const double runMs = meanRunMs(state.estimates, job.profile);
+    const SpeedStep whole = wholeCapacity(state.pool, job.requirement, now.steadyMs);
+    const double allMs = whole.capacity > 0 ? runMs * demand.taskCount / whole.capacity : 0;
+    job.idealMs = std::max(runMs, allMs);
+    job.isLong = runMs >= LongTaskMs;
+    job.lastStartMs = lastStartOf(state, job, now);
+    return job;
+}
+
+void discardJob(SchedulerState &state, const ScheduledJob &job)
+{
+    releaseRequirement(state.pool, job.requirement);
+}
+
+void enterJob(SchedulerState &state, ScheduledJob job, std::vector<int> queued)
+{
+    std::sort(queued.rbegin(), queued.rend());
+    job.queued = std::move(queued);
+    countTasks(state, job, waitingTasks(job));
+    watchDeadline(state, job);
+    state.numbers.emplace(job.demand.id, job.number);
+    const JobNumber number = job.number;
+    state.jobs.emplace(number, std::move(job));
+}
+
+ScheduledJob *findJob(SchedulerState &state, const std::string &id)
+{
+    const auto number = state.numbers.find(id);
+    return number == state.numbers.end() ? nullptr : &state.jobs.at(number->second);
+}
+
+void releaseJob(SchedulerState &state, ScheduledJob &job)
+{
+    if (job.runnable) {
+        return;
+    }
+    const std::int64_t tasks = waitingTasks(job);
+    countTasks(state, job, -tasks);
+    job.runnable = true;
+    countTasks(state, job, tasks);
+    offerTasks(state, job);
+}
+
+int takeTask(SchedulerState &state, ScheduledJob &job)
+{
+    const int index = job.queued.back();
+    job.queued.pop_back();
+    countTasks(state, job, -1);
+    if (job.queued.empty()) {
+        dequeue(state.queue, job.number);
+    }
+    return index;
+}
+
+void delayTask(SchedulerState &state, ScheduledJob &job, int index, std::int64_t readyMs)
+{
+    job.delayed += 1;
+    countTasks(state, job, 1);
+    state.delayed.insert({readyMs, {job.number, index}});
+}
+
+void releaseDelayed(SchedulerState &state, std::int64_t nowMs)
+{
+    while (!state.delayed.empty() && state.delayed.begin()->first <= nowMs) {
+        const auto [number, index] = state.delayed.begin()->second;
+        state.delayed.erase(state.delayed.begin());
+        const auto found = state.jobs.find(number);
+        if (found == state.jobs.end()) {
+            continue;
+        }
+        ScheduledJob &job = found->second;
+        job.delayed -= 1;
+        job.queued.push_back(index);
+        offerTasks(state, job);
+    }
+}
+
+void removeJob(SchedulerState &state, JobNumber number)
+{
+    const auto found = state.jobs.find(number);
+    if (found == state.jobs.end()) {
+        return;
+    }
+    const ScheduledJob &job = found->second;
+    dequeue(state.queue, number);
+    countTasks(state, job, -waitingTasks(job));
+    releaseRequirement(state.pool, job.requirement);
+    state.byLastStart.erase({job.lastStartMs, number});
+    state.numbers.erase(job.demand.id);
+    state.jobs.erase(found);
+}
+
+void watchDeadline(SchedulerState &state, const ScheduledJob &job)
+{
+    if (job.started == 0) {
+        state.byLastStart.insert({job.lastStartMs, job.number});
+    }
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/JobBook.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "Common/Common.h"
+#include "Dispatch/SchedulerState.h"
+
+/// Which tasks of which job wait, are held or delayed, with all counts that follow from it. The
+/// scheduler's decisions change a job's tasks through these functions only, so that the counts by
+/// caller, team and requirement cannot differ from the queue.
+namespace Dispatch {
+
+/// The demand with what its service's settings add, profiled and numbered; not yet entered.
+ScheduledJob describeJob(SchedulerState &state, const JobDemand &demand, Common::Moment now);
+
+/// Gives back what describeJob() took for a job that is refused.
+void discardJob(SchedulerState &state, const ScheduledJob &job);
+
+/// Enters the job with \a queued as its waiting tasks.
+void enterJob(SchedulerState &state, ScheduledJob job, std::vector<int> queued);
+
+ScheduledJob *findJob(SchedulerState &state, const std::string &id);
+
+void releaseJob(SchedulerState &state, ScheduledJob &job);
+
+/// Takes the job's next task out of the queue.
+int takeTask(SchedulerState &state, ScheduledJob &job);
+
+/// Puts a task back that had been taken, at the front of its job, once \a readyMs has come.
+void delayTask(SchedulerState &state, ScheduledJob &job, int index, std::int64_t readyMs);
+void releaseDelayed(SchedulerState &state, std::int64_t nowMs);
+
+/// Takes the job out with all its waiting tasks.
+void removeJob(SchedulerState &state, JobNumber number);
+
+/// Watches for the time after which the job cannot make its deadline; started jobs are not watched.
+void watchDeadline(SchedulerState &state, const ScheduledJob &job);
+
+LaneId laneOf(const ScheduledJob &job);
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -0,0 +1,146 @@
+#include "Dispatch/Placement.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+namespace {
+
+/// All of a small site, and at 860 backend servers a sample whose best is among the fastest 6%. The
+/// cost for each task stays the same at any size, and gateways do not all pick the same one.
+constexpr std::size_t CandidateCount = 16;
+/// A failure domain with all of the work looks that much slower than one with its part: equals are
+/// spread, so that a lost domain takes its part of the running tasks and not most of them, but a
+/// backend server a third faster is still preferred.
+constexpr double DomainSpread = 0.15;
+/// Breaks ties between equals differently at each gateway.
+constexpr double ScoreJitter = 0.02;
+/// The wait for a faster place is an estimate: a sure place now is worth this much of it.
+constexpr double WaitCaution = 1.5;
+/// Ones this close in speed are not worth waiting for.
+constexpr double NoticeablyFaster = 0.9;
+constexpr double TrialPreferred = 0.5;
+constexpr double TrialAvoided = 2;
+
+double uniform(Common::Random &random)
+{
+    return static_cast<double>(random() >> 11U) * 0x1.0p-53;
+}
+
+BackendIndex drawFree(const Requirement &requirement, Common::Random &random)
+{
+    return requirement.free[random() % requirement.free.size()];
+}
+
+/// The trial of an ejected backend server may fail a job: one that can be submitted again is
+/// preferred for it, another takes it only where little else is free.
+double trialFactor(const BackendRecord &backend, bool idempotent)
+{
+    if (backend.health.phase != HealthPhase::Trial) {
+        return 1;
+    }
+    return idempotent ? TrialPreferred : TrialAvoided;
+}
+
+double score(const BackendPool &pool, const BackendRecord &backend, bool idempotent,
+             Common::Random &random)
+{
+    const double fairPart = 1 / static_cast<double>(pool.domains.size());
+    const auto inDomain = static_cast<double>(pool.domains[backend.domain].inFlight);
+    const double part =
+            pool.inFlight == 0 ? fairPart : inDomain / static_cast<double>(pool.inFlight);
+    return speedFactor(backend.speed) * trialFactor(backend, idempotent)
+           * (1 + DomainSpread * (part - fairPart)) * (1 + ScoreJitter * uniform(random));
+}
+
+BackendIndex fastestOfSample(const BackendPool &pool, const Requirement &requirement,
+                             bool idempotent, Common::Random &random)
+{
+    const std::size_t count = std::min(requirement.free.size(), CandidateCount);
+    const std::size_t first = random() % requirement.free.size();
+    BackendIndex best = requirement.free[first];
+    double bestScore = score(pool, pool.backends[best], idempotent, random);
+    for (std::size_t offset = 1; offset < count; ++offset) {
+        const BackendIndex index = requirement.free[(first + offset) % requirement.free.size()];
+        const double candidate = score(pool, pool.backends[index], idempotent, random);
+        if (candidate < bestScore) {
+            best = index;
+            bestScore = candidate;
+        }
+    }
+    return best;
+}
+
+/// A faster backend server will be free so soon that the task would end earlier there. The queue in
+/// front is counted, so that under overload every place is used.
+bool betterToWait(BackendPool &pool, const PlacementQuery &query, BackendIndex index,
+                  std::int64_t nowMs)
+{
+    const double factor = speedFactor(pool.backends[index].speed);
+    const std::vector<SpeedStep> &steps = speedSteps(pool, query.requirement, nowMs);
+    const double bound = factor * NoticeablyFaster;
+    const auto above =
+            std::partition_point(steps.begin(), steps.end(),
+                                 [bound](const SpeedStep &step) { return step.factor < bound; });
+    if (above == steps.begin() || pool.inFlight == 0) {
+        return false;
+    }
+    const SpeedStep &faster = *(above - 1);
+    const double meanInFlightMs = pool.inFlightWorkMs / static_cast<double>(pool.inFlight);
+    const auto queued = static_cast<double>(pool.requirements[query.requirement].queuedTasks);
+    const double waitMs = (queued + 1) * meanInFlightMs / faster.capacity;
+    const double savedMs = query.runMs * (factor - faster.slots / faster.capacity);
+    return waitMs * WaitCaution < savedMs;
+}
+
+double reportedLoad(const BackendRecord &backend)
+{
+    const auto slots = static_cast<double>(std::max<std::int64_t>(backend.server.slots, 1));
+    return static_cast<double>(backend.reportedRunning) / slots;
+}
+
+BackendIndex leastLoaded(const BackendPool &pool, const Requirement &requirement)
+{
+    return *std::min_element(requirement.free.begin(), requirement.free.end(),
+                             [&pool](BackendIndex left, BackendIndex right) {
+                                 return reportedLoad(pool.backends[left])
+                                        < reportedLoad(pool.backends[right]);
+                             });
+}
+
+BackendIndex betterOfTwo(const BackendPool &pool, const Requirement &requirement,
+                         Common::Random &random)
+{
+    const BackendIndex first = drawFree(requirement, random);
+    const BackendIndex second = drawFree(requirement, random);
+    return reportedLoad(pool.backends[second]) < reportedLoad(pool.backends[first]) ? second
+                                                                                    : first;
+}
+
+} // namespace
+
+std::optional<BackendIndex> placeTask(BackendPool &pool, Schema::PlacementPolicy policy,
+                                      const PlacementQuery &query, std::int64_t nowMs,
+                                      Common::Random &random)
+{
+    const Requirement &requirement = pool.requirements[query.requirement];
+    if (requirement.free.empty()) {
+        return std::nullopt;
+    }
+    switch (policy) {
+    case Schema::PlacementPolicy::Random:
+        return drawFree(requirement, random);
+    case Schema::PlacementPolicy::TwoChoices:
+        return betterOfTwo(pool, requirement, random);
+    case Schema::PlacementPolicy::LeastLoaded:
+        return leastLoaded(pool, requirement);
+    case Schema::PlacementPolicy::WeightedWindow:
+        break;
+    }
+    const BackendIndex best = fastestOfSample(pool, requirement, query.idempotent, random);
+    if (betterToWait(pool, query, best, nowMs)) {
+        return std::nullopt;
+    }
+    return best;
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduler.h
@@ -53,6 +53,11 @@
 bool taskEnded(SchedulerState &state, const TaskKey &task, const std::string &agent, bool succeeded,
                double runMs, Common::Moment now);
 
+/// Like taskEnded(), for an end that tells nothing of the backend server: the task was cancelled,
+/// or is unknown for another cause.
+bool taskAbandoned(SchedulerState &state, const TaskKey &task, const std::string &agent,
+                   Common::Moment now);
+
 /// The task is proven not to have started at \a agent.
 RetryDecision taskNotStarted(SchedulerState &state, const TaskKey &task, const std::string &agent,
                              Schema::Reason reason, Common::Moment now, Common::Random &random);
--- a/Source/Core/Dispatch/SchedulerState.h
+++ b/Source/Core/Dispatch/SchedulerState.h
@@ -1,14 +1,123 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "Common/Common.h"
+#include "Dispatch/Admission.h"
+#include "Dispatch/BackendPool.h"
+#include "Dispatch/Estimates.h"
+#include "Dispatch/FairQueue.h"
+#include "Dispatch/Health.h"
+#include "Dispatch/RetryBudget.h"
+#include "Dispatch/SchedulerTypes.h"
+#include "Dispatch/SlotReserve.h"
+#include "Schema/Schema.h"
 
 namespace Dispatch {
 
+struct TaskKeyHash
+{
+    std::size_t operator()(const TaskKey &key) const
+    {
+        return std::hash<std::string>()(key.job) * 31 + static_cast<std::size_t>(key.index);
+    }
+};
+
+/// A job that has tasks to be placed or in flight, until dropJob().
+struct ScheduledJob
+{
+    JobDemand demand;
+    JobNumber number = 0;
+    ProfileId profile = 0;
+    RequirementId requirement = 0;
+    TeamId team = 0;
+    CallerId caller = 0;
+    bool isLong = false;
+    bool runnable = false;
+    double idealMs = 0;
+    std::int64_t admittedMs = 0;
+    /// Wall clock: a task that starts later will more likely than not miss the deadline.
+    std::int64_t lastStartMs = 0;
+    /// Last first.
+    std::vector<int> queued;
+    /// Waiting out their back-off.
+    std::int64_t delayed = 0;
+    /// Refused starts by task.
+    std::map<int, int> attempts;
+    /// Tasks in flight or ended.
+    std::int64_t started = 0;
+};
+
+struct TaskInFlight
+{
+    BackendIndex backend = 0;
+    std::string agent;
+    ProfileId profile = 0;
+    std::string service;
+    Schema::Resources resources;
+    CallerId caller = 0;
+    bool isLong = false;
+    double workMs = 0;
+    /// What the caller was charged: the work on this backend server.
+    double chargedMs = 0;
+    std::int64_t sinceMs = 0;
+};
+
+struct ServiceSettings
+{
+    Schema::Resources resources;
+    std::int64_t expectedRunMs = 0;
+};
+
+/// Modules that a test switches off, to show that its bound rests on them.
+struct SchedulerSwitches
+{
+    bool ejection = true;
+    bool slotReserve = true;
+    bool retryBudget = true;
+    bool learning = true;
+};
+
 /// Everything the scheduler knows. Reached through Scheduler.h only.
 struct SchedulerState
 {
     /// An agent not heard from for this long gets no work.
     std::int64_t agentSilenceMs = 2500;
+    SchedulerSwitches switches;
+    AdmissionLimits limits;
+    Schema::PlacementPolicy placement = Schema::PlacementPolicy::WeightedWindow;
+    std::unordered_map<std::string, ServiceSettings> services;
+    std::unordered_map<std::string, Schema::Team> teams;
+    int gateways = 1;
+
+    Estimates estimates;
+    BackendPool pool;
+    FairQueue queue;
+    SlotReserve reserve;
+    RetryBudget retries;
+    std::unordered_map<std::string, ServiceOutcomes> outcomes;
+    WorkRate admitted;
+
+    std::unordered_map<std::string, JobNumber> numbers;
+    std::unordered_map<JobNumber, ScheduledJob> jobs;
+    JobNumber nextNumber = 1;
+    std::unordered_map<TaskKey, TaskInFlight, TaskKeyHash> inFlight;
+    /// Steady time at which a task's back-off ends.
+    std::set<std::pair<std::int64_t, std::pair<JobNumber, int>>> delayed;
+    /// Jobs by the wall-clock time after which they cannot make their deadline.
+    std::set<std::pair<std::int64_t, JobNumber>> byLastStart;
+    std::int64_t queuedTasks = 0;
+    std::int64_t runnableTasks = 0;
+    QueuedWork queuedWork;
+    std::int64_t stalledCheckedMs = 0;
+    std::int64_t neverRunnableCheckedMs = 0;
+    std::int64_t callersForgottenMs = 0;
 };
 
 } // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/SchedulerTasks.cpp
@@ -0,0 +1,299 @@
+#include <algorithm>
+
+#include "Dispatch/JobBook.h"
+#include "Dispatch/Placement.h"
+#include "Dispatch/Scheduler.h"
+
+namespace Dispatch {
+namespace {
+
+/// Below this part of the expected time, a failure says more of the backend server than of the
+/// task.
+constexpr double FastFailurePart = 0.25;
+/// A task this much over the time that 95 of 100 stay under hangs, more likely than not.
+constexpr double OverdueTimes = 3;
+constexpr double OverdueQuantile = 0.95;
+constexpr std::int64_t StalledPeriodMs = 100;
+constexpr std::int64_t ForgetCallersPeriodMs = 10000;
+
+std::size_t outOfWork(const BackendPool &pool)
+{
+    const auto stalled =
+            std::count_if(pool.backends.begin(), pool.backends.end(),
+                          [](const BackendRecord &backend) { return backend.stalled; });
+    return countEjected(pool).second + static_cast<std::size_t>(stalled);
+}
+
+bool mayTakeOut(const BackendPool &pool)
+{
+    return outOfWork(pool) < mostEjected(countEjected(pool).first);
+}
+
+bool isOverdue(const SchedulerState &state, const TaskInFlight &task, std::int64_t nowMs)
+{
+    const double factor = speedFactor(state.pool.backends[task.backend].speed);
+    const double highMs = runQuantileMs(state.estimates, task.profile, OverdueQuantile) * factor;
+    return static_cast<double>(nowMs - task.sinceMs) > OverdueTimes * highMs;
+}
+
+/// A backend server that hangs reports no outcome to learn from; its age in flight gives it away.
+void checkStalled(SchedulerState &state, std::int64_t nowMs)
+{
+    if (!state.switches.ejection || nowMs - state.stalledCheckedMs < StalledPeriodMs) {
+        return;
+    }
+    state.stalledCheckedMs = nowMs;
+    std::vector<std::int64_t> overdue(state.pool.backends.size());
+    for (const auto &entry : state.inFlight) {
+        overdue[entry.second.backend] += isOverdue(state, entry.second, nowMs) ? 1 : 0;
+    }
+    for (BackendIndex index = 0; index < state.pool.backends.size(); ++index) {
+        BackendRecord &backend = state.pool.backends[index];
+        const bool stalled = overdue[index] * 2 > backend.inFlight;
+        if (stalled != backend.stalled && (!stalled || mayTakeOut(state.pool))) {
+            backend.stalled = stalled;
+            refreshBackend(state.pool, index, nowMs);
+        }
+    }
+}
+
+/// Blocks the lanes for which nothing is free. False where no lane with jobs is left.
+bool blockFullLanes(const SchedulerState &state, BlockedLanes &blocked)
+{
+    const std::vector<std::size_t> &laneJobs = state.queue.laneJobs;
+    blocked.assign(laneJobs.size(), false);
+    bool open = false;
+    for (LaneId lane = 0; lane < laneJobs.size(); ++lane) {
+        blocked[lane] = laneJobs[lane] == 0 || state.pool.requirements[lane / 2].free.empty();
+        open = open || !blocked[lane];
+    }
+    return open;
+}
+
+std::optional<BackendIndex> placeFor(SchedulerState &state, const ScheduledJob &job,
+                                     Common::Moment now, Common::Random &random)
+{
+    const bool reserved = state.switches.slotReserve && state.queue.order == QueueOrder::Fair
+                          && longTasksBlocked(state.reserve, state.pool.whole.slots, now.steadyMs);
+    if (job.isLong && reserved) {
+        return std::nullopt;
+    }
+    const PlacementQuery query{job.requirement, meanRunMs(state.estimates, job.profile),
+                               job.demand.idempotent};
+    return placeTask(state.pool, state.placement, query, now.steadyMs, random);
+}
+
+void flyTask(SchedulerState &state, ScheduledJob &job, int index, BackendIndex backend,
+             Common::Moment now)
+{
+    const Requirement &requirement = state.pool.requirements[job.requirement];
+    const double runMs = meanRunMs(state.estimates, job.profile);
+    TaskInFlight task;
+    task.backend = backend;
+    task.agent = state.pool.backends[backend].instance;
+    task.profile = job.profile;
+    task.service = job.demand.service;
+    task.resources = requirement.resources;
+    task.caller = job.caller;
+    task.isLong = job.isLong;
+    task.workMs = runMs;
+    task.chargedMs = runMs * speedFactor(state.pool.backends[backend].speed);
+    task.sinceMs = now.steadyMs;
+    occupy(state.pool, backend, requirement, task.workMs, now.steadyMs);
+    chargeStart(state.queue, job.caller, task.chargedMs);
+    reserveStarted(state.reserve, job.isLong, now.steadyMs);
+    job.started += 1;
+    state.inFlight.emplace(TaskKey{job.demand.id, index}, std::move(task));
+}
+
+Assignment startTask(SchedulerState &state, ScheduledJob &job, BackendIndex backend,
+                     Common::Moment now)
+{
+    const int index = takeTask(state, job);
+    flyTask(state, job, index, backend, now);
+    startCounted(state.retries);
+    return {{job.demand.id, index}, state.pool.backends[backend].instance};
+}
+
+void prepareAssignment(SchedulerState &state, Common::Moment now)
+{
+    state.pool.silenceMs = state.agentSilenceMs;
+    sweepBackends(state.pool, now.steadyMs);
+    checkStalled(state, now.steadyMs);
+    releaseDelayed(state, now.steadyMs);
+    if (now.steadyMs - state.callersForgottenMs >= ForgetCallersPeriodMs) {
+        state.callersForgottenMs = now.steadyMs;
+        forgetIdleCallers(state.queue);
+    }
+}
+
+/// Removes the task from those in flight, where it is at \a agent.
+std::optional<TaskInFlight> landTask(SchedulerState &state, const TaskKey &key,
+                                     const std::string &agent, Common::Moment now)
+{
+    const auto found = state.inFlight.find(key);
+    if (found == state.inFlight.end() || found->second.agent != agent) {
+        return std::nullopt;
+    }
+    TaskInFlight task = std::move(found->second);
+    state.inFlight.erase(found);
+    vacate(state.pool, task.backend, task.resources, task.workMs, now.steadyMs);
+    reserveEnded(state.reserve, task.isLong);
+    return task;
+}
+
+void judgeBackend(SchedulerState &state, const TaskInFlight &task, bool succeeded, double runMs,
+                  Common::Moment now)
+{
+    ServiceOutcomes &service = state.outcomes[task.service];
+    noteServiceOutcome(service, task.backend, succeeded);
+    if (!succeeded && serviceToBlame(service)) {
+        return;
+    }
+    HealthRecord &health = state.pool.backends[task.backend].health;
+    const bool fast = runMs < task.chargedMs * FastFailurePart;
+    const bool bad = outcomeObserved(health, {succeeded, fast});
+    const bool counted = health.phase == HealthPhase::Trial || (bad && mayTakeOut(state.pool));
+    if (bad && counted && state.switches.ejection) {
+        eject(health, now.steadyMs);
+    }
+    refreshBackend(state.pool, task.backend, now.steadyMs);
+}
+
+} // namespace
+
+std::vector<Assignment> assignTasks(SchedulerState &state, Common::Moment now,
+                                    Common::Random &random, std::size_t limit)
+{
+    prepareAssignment(state, now);
+    std::vector<Assignment> assignments;
+    BlockedLanes blocked;
+    if (state.runnableTasks == 0 || !blockFullLanes(state, blocked)) {
+        return assignments;
+    }
+    while (assignments.size() < limit) {
+        const std::optional<QueuedJob> next = nextJob(state.queue, blocked);
+        if (!next) {
+            break;
+        }
+        ScheduledJob &job = state.jobs.at(next->job);
+        if (now.wallMs >= job.demand.deadlineMs) {
+            dequeue(state.queue, job.number);
+            continue;
+        }
+        const std::optional<BackendIndex> backend = placeFor(state, job, now, random);
+        if (!backend) {
+            blocked[next->lane] = true;
+            continue;
+        }
+        assignments.push_back(startTask(state, job, *backend, now));
+    }
+    return assignments;
+}
+
+void taskAdopted(SchedulerState &state, const TaskKey &task, const std::string &agent,
+                 Common::Moment now)
+{
+    ScheduledJob *job = findJob(state, task.job);
+    const auto backend = state.pool.byInstance.find(agent);
+    if (job == nullptr || backend == state.pool.byInstance.end()
+        || state.inFlight.count(task) > 0) {
+        return;
+    }
+    flyTask(state, *job, task.index, backend->second, now);
+    // restoreJob() has counted it as started.
+    job->started -= 1;
+}
+
+bool taskEnded(SchedulerState &state, const TaskKey &key, const std::string &agent, bool succeeded,
+               double runMs, Common::Moment now)
+{
+    const std::optional<TaskInFlight> task = landTask(state, key, agent, now);
+    if (!task) {
+        return false;
+    }
+    chargeEnd(state.queue, task->caller, runMs > 0 ? runMs - task->chargedMs : 0);
+    BackendRecord &backend = state.pool.backends[task->backend];
+    const bool forgotten = backend.instance != agent;
+    if (forgotten) {
+        return true;
+    }
+    if (succeeded) {
+        backend.refusalsInRow = 0;
+    }
+    if (succeeded && runMs > 0 && state.switches.learning) {
+        learnRun(state.estimates, task->profile, backend.speed, runMs);
+    }
+    judgeBackend(state, *task, succeeded, runMs, now);
+    return true;
+}
+
+bool taskAbandoned(SchedulerState &state, const TaskKey &key, const std::string &agent,
+                   Common::Moment now)
+{
+    const std::optional<TaskInFlight> task = landTask(state, key, agent, now);
+    if (!task) {
+        return false;
+    }
+    chargeEnd(state.queue, task->caller, 0);
+    return true;
+}
+
+RetryDecision taskNotStarted(SchedulerState &state, const TaskKey &key, const std::string &agent,
+                             Schema::Reason reason, Common::Moment now, Common::Random &random)
+{
+    const std::optional<TaskInFlight> task = landTask(state, key, agent, now);
+    if (!task) {
+        return RetryDecision::Ignored;
+    }
+    chargeEnd(state.queue, task->caller, -task->chargedMs);
+    if (state.pool.backends[task->backend].instance == agent) {
+        startRefused(state.pool, task->backend, reason, now.steadyMs);
+    }
+    ScheduledJob *job = findJob(state, key.job);
+    if (job == nullptr) {
+        return RetryDecision::Ignored;
+    }
+    job->started -= 1;
+    watchDeadline(state, *job);
+    const int attempt = ++job->attempts[key.index];
+    if (!state.switches.retryBudget) {
+        delayTask(state, *job, key.index, now.steadyMs);
+        return RetryDecision::Requeued;
+    }
+    if (attempt >= MaxStartAttempts) {
+        return RetryDecision::GivenUp;
+    }
+    const std::int64_t backoffMs = spendRetry(state.retries, attempt, random);
+    delayTask(state, *job, key.index, now.steadyMs + backoffMs);
+    return RetryDecision::Requeued;
+}
+
+void agentHeard(SchedulerState &state, const Schema::AgentHello &hello, Common::Moment now)
+{
+    backendHeard(state.pool, hello, now.steadyMs);
+}
+
+void agentWindow(SchedulerState &state, const std::string &instance, std::int64_t window,
+                 std::int64_t running, Common::Moment now)
+{
+    const auto found = state.pool.byInstance.find(instance);
+    if (found == state.pool.byInstance.end()) {
+        return;
+    }
+    BackendRecord &backend = state.pool.backends[found->second];
+    backend.window = window;
+    backend.reportedRunning = running;
+    backend.heardMs = now.steadyMs;
+    refreshBackend(state.pool, found->second, now.steadyMs);
+}
+
+void agentLost(SchedulerState &state, const std::string &instance, Common::Moment now)
+{
+    const auto found = state.pool.byInstance.find(instance);
+    if (found != state.pool.byInstance.end()) {
+        backendLost(state.pool, found->second, now.steadyMs);
+    }
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/SchedulerTypes.h
+++ b/Source/Core/Dispatch/SchedulerTypes.h
@@ -66,7 +66,7 @@
     Requeued,
     /// Its attempts are used up: it will not be assigned again.
     GivenUp,
-    /// Not known as in flight at that agent.
+    /// Not known as in flight at that agent, or its job is gone.
     Ignored
 };
 
