PlatformLog: append once and follow streams over HTTP

Cause: gateways read and write the platform's log; only a proven non-write may count as such. Change: LogClient on Net::HttpClient, with jittered repetition of reads; the timer thread moves from StandIn to Common, which both use.

--- a/Source/Core/Common/Common.h
+++ b/Source/Core/Common/Common.h
@@ -10,6 +10,7 @@
 #include "Common/NameTable.h"
 #include "Common/Outcome.h"
 #include "Common/SettingsFile.h"
+#include "Common/TimerThread.h"
 
 /// Public header of the common library: clocks, identifiers, outcomes, logs, metrics and settings
 /// files that every other library builds on.
--- a/Source/Core/StandIn/TimerThread.cpp
+++ b/Source/Core/Common/TimerThread.cpp
@@ -1,6 +1,6 @@
-#include "StandIn/TimerThread.h"
+#include "Common/TimerThread.h"
 
-namespace StandIn {
+namespace Common {
 
 TimerThread::TimerThread()
     : thread([this] { this->run(); })
@@ -56,4 +56,4 @@
     }
 }
 
-} // namespace StandIn
+} // namespace Common
--- a/Source/Core/StandIn/TimerThread.h
+++ b/Source/Core/Common/TimerThread.h
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <thread>
 
-namespace StandIn {
+namespace Common {
 
 /// Runs functions at given times on one thread, so that thousands of pending answers need no thread
 /// each.
@@ -36,4 +36,4 @@
     std::thread thread;
 };
 
-} // namespace StandIn
+} // namespace Common
--- a/Source/Core/PlatformLog/LogClient.h
+++ b/Source/Core/PlatformLog/LogClient.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/Metrics.h"
 #include "Schema/Schema.h"
 
 namespace PlatformLog {
@@ -15,8 +16,10 @@
 const char *streamName(Stream stream);
 
 /// How an append ended. Unknown means that the service may have written the records: they are
-/// appended again under the same record ids, and readers drop the repetition.
+/// appended again under the same record ids, and readers drop the repetition. After Refused and
+/// Unavailable nothing was written.
 enum class AppendStatus { Durable, Unknown, Refused, Unavailable };
+const char *appendStatusName(AppendStatus status);
 
 struct AppendResult
 {
@@ -43,7 +46,14 @@
     std::string url;
     std::int64_t appendTimeoutMs = 1000;
     std::int64_t longPollMs = 1000;
+    /// How long an answer may take beyond the long poll.
+    std::int64_t readTimeoutMs = 1000;
+    /// Pause before the first repetition of a read that failed. It doubles up to eight times this,
+    /// and is spread by half to either side: gateways that lost the service together would
+    /// otherwise come back to it together.
     std::int64_t retryMs = 200;
+    /// Counts appends by status and repeated reads by reason, where set. Must outlive the client.
+    Common::Metrics *metrics = nullptr;
 };
 
 /// Talks to the log service on threads of its own. One attempt for each append: whether and when to
@@ -56,12 +66,17 @@
     LogClient(const LogClient &) = delete;
     LogClient &operator=(const LogClient &) = delete;
 
-    /// Appends \a records in one request, in order. \a done runs on a thread of the client.
+    /// Appends \a records in one request, in order. \a done runs on a thread of the client, or at
+    /// once after stop().
     void append(Stream stream, std::vector<Schema::LogRecord> records,
                 std::function<void(AppendResult)> done);
-    /// Reads \a stream from \a offset on, for as long as the client lives: each batch, and each
-    /// change between available and not, goes to \a deliver on a thread of the client.
+    /// Reads \a stream from \a offset on, for as long as the client lives. \a deliver gets every
+    /// answer of the service on a thread of the client, also an empty one, which shows that the
+    /// stream had no more at the time; and one result that is not available at the start of each
+    /// time without answers. A record that can't be read as one of ours is skipped.
     void follow(Stream stream, std::int64_t offset, std::function<void(ReadResult)> deliver);
+    /// Ends appends in flight as Unknown or Unavailable and waits for the threads. Nothing is
+    /// delivered afterwards. Not to be called from \a done or \a deliver.
     void stop();
 
 private:
--- a/Source/Core/StandIn/FakeBackendServer.cpp
+++ b/Source/Core/StandIn/FakeBackendServer.cpp
@@ -5,7 +5,6 @@
 
 #include "Net/HttpServer.h"
 #include "StandIn/Replies.h"
-#include "StandIn/TimerThread.h"
 
 namespace StandIn {
 
@@ -80,7 +79,7 @@
     std::vector<HangingTask> hanging;
     bool stopping = false;
     std::string host;
-    TimerThread timers;
+    Common::TimerThread timers;
     std::unique_ptr<Net::HttpServer> server;
 };
 
--- a/Source/Core/StandIn/FakeLogServer.cpp
+++ b/Source/Core/StandIn/FakeLogServer.cpp
@@ -8,7 +8,6 @@
 
 #include "Net/HttpServer.h"
 #include "StandIn/Replies.h"
-#include "StandIn/TimerThread.h"
 
 namespace StandIn {
 
@@ -127,7 +126,7 @@
     std::uint64_t nextWaiting = 0;
     bool stopping = false;
     std::string host;
-    TimerThread timers;
+    Common::TimerThread timers;
     std::unique_ptr<Net::HttpServer> server;
 };
 
