Dispatch: compose a gateway from its decisions

Change: owner (accept, start, report, end once), router (forward to the owner, hold while there is none), recovery (ask a majority which agents may hold tasks, ask those, settle the rest as lost), transfer (shards handed over with their jobs), one state machine over them.

--- /dev/null
+++ b/Source/Core/Dispatch/AgentTable.cpp
@@ -0,0 +1,82 @@
+#include "Dispatch/AgentTable.h"
+
+namespace Dispatch {
+
+std::vector<std::string> agentLinked(AgentTable &table, const std::string &instance,
+                                     const std::string &backend)
+{
+    std::vector<std::string> replaced;
+    for (const auto &[other, record] : table.agents) {
+        if (other != instance && record.backend == backend) {
+            replaced.push_back(other);
+        }
+    }
+    AgentRecord &record = table.agents[instance];
+    record.backend = backend;
+    record.isLinked = true;
+    return replaced;
+}
+
+void agentUnlinked(AgentTable &table, const std::string &instance, Common::Moment now)
+{
+    const auto found = table.agents.find(instance);
+    if (found == table.agents.end() || !found->second.isLinked) {
+        return;
+    }
+    found->second.isLinked = false;
+    found->second.lostAtMs = now.steadyMs;
+    found->second.openQuestion.clear();
+}
+
+void taskWith(AgentTable &table, const std::string &instance, const TaskKey &task)
+{
+    table.agents[instance].tasks.emplace(task.job, task.index);
+}
+
+void taskLeft(AgentTable &table, const std::string &instance, const TaskKey &task)
+{
+    const auto found = table.agents.find(instance);
+    if (found != table.agents.end()) {
+        found->second.tasks.erase({task.job, task.index});
+    }
+}
+
+std::vector<std::string> linkedAgents(const AgentTable &table)
+{
+    std::vector<std::string> linked;
+    for (const auto &[instance, record] : table.agents) {
+        if (record.isLinked) {
+            linked.push_back(instance);
+        }
+    }
+    return linked;
+}
+
+std::vector<std::string> goneAgents(const AgentTable &table, Common::Moment now,
+                                    std::int64_t graceMs)
+{
+    std::vector<std::string> gone;
+    for (const auto &[instance, record] : table.agents) {
+        if (!record.isLinked && record.lostAtMs + graceMs <= now.steadyMs) {
+            gone.push_back(instance);
+        }
+    }
+    return gone;
+}
+
+std::vector<TaskKey> removeAgent(AgentTable &table, const std::string &instance, Common::Moment now)
+{
+    std::vector<TaskKey> tasks;
+    const auto found = table.agents.find(instance);
+    if (found == table.agents.end()) {
+        return tasks;
+    }
+    for (const auto &[job, index] : found->second.tasks) {
+        tasks.push_back({job, static_cast<int>(index)});
+    }
+    table.agents.erase(found);
+    table.lastGoneMs = now.steadyMs;
+    return tasks;
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/Effects.h
+++ b/Source/Core/Dispatch/Effects.h
@@ -41,6 +41,16 @@
     Schema::JobAnswer answer;
 };
 
+/// Answer to an operator's change of the configuration.
+struct AnswerConfigure
+{
+    std::string requestId;
+    /// None where the change was accepted.
+    Schema::Reason reason = Schema::Reason::None;
+    std::string detail;
+    std::int64_t version = 0;
+};
+
 /// Adds one to a counter that is labelled with a reason.
 struct CountReason
 {
@@ -55,8 +65,8 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using Effect =
-        std::variant<SendToGateway, SendToAgent, AppendToLog, AnswerRequest, CountReason, Note>;
+using Effect = std::variant<SendToGateway, SendToAgent, AppendToLog, AnswerRequest, AnswerConfigure,
+                            CountReason, Note>;
 using Effects = std::vector<Effect>;
 
 /// Adds \a more at the end of \a effects.
--- /dev/null
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -0,0 +1,292 @@
+#include "Dispatch/GatewayCore.h"
+
+#include <algorithm>
+
+#include "Dispatch/Owner.h"
+#include "Dispatch/Recovery.h"
+#include "Dispatch/Router.h"
+#include "Dispatch/Transfer.h"
+
+namespace Dispatch {
+
+using Schema::FrameType;
+using Schema::Reason;
+
+namespace {
+
+/// The owner answers at the job's deadline; its answer needs a moment to come back.
+constexpr std::int64_t AnswerGraceMs = 2'000;
+constexpr std::int64_t QuestionTimeoutMs = 10'000;
+constexpr std::int64_t SweepMs = 1'000;
+/// An agent without a connection for this many silences takes its outcomes along for good.
+constexpr std::int64_t GoneFactor = 4;
+
+LedgerSettings ledgerSettings(const Schema::GatewaySettings &settings)
+{
+    LedgerSettings ledger;
+    ledger.shardCount = settings.shardCount;
+    ledger.dedupWindowMs = settings.dedupWindowMs;
+    ledger.defaultDeadlineMs = settings.defaultDeadlineMs;
+    ledger.maxDeadlineMs = settings.maxDeadlineMs;
+    ledger.clockSkewMs = MaxSubmissionSkewMs;
+    return ledger;
+}
+
+Effect pongTo(const GatewayState &state, const std::string &agent, const Schema::AgentHello &hello)
+{
+    Schema::Frame frame;
+    frame.type = FrameType::GatewayPong;
+    Schema::GatewayPong &pong = frame.gatewayPong.emplace();
+    pong.instance = state.self.instance;
+    pong.sequence = hello.sequence;
+    pong.demand = totalDemand(state.scheduler);
+    pong.tableVersion = ownershipVersion(state.site.ownership);
+    const Schema::Configuration &config = configuration(state.site.config);
+    pong.configVersion = config.version;
+    if (hello.tableVersion < pong.tableVersion) {
+        pong.table = ownershipTable(state.site.ownership);
+    }
+    if (hello.configVersion < config.version) {
+        pong.configuration = config;
+    }
+    return SendToAgent{agent, std::move(frame)};
+}
+
+Effects helloHeard(GatewayState &state, const std::string &agent, const Schema::AgentHello &hello,
+                   Common::Moment now)
+{
+    const auto known = state.agents.agents.find(agent);
+    const bool isNewLink = known == state.agents.agents.end() || !known->second.isLinked;
+    Effects effects;
+    for (const std::string &replaced : agentLinked(state.agents, agent, hello.backend.name)) {
+        append(effects, agentGone(state, replaced, now));
+    }
+    agentHeard(state.scheduler, hello, now);
+    effects.push_back(pongTo(state, agent, hello));
+    if (isNewLink) {
+        effects.emplace_back(
+                Note{"agent_linked", {{"agent", agent}, {"backend", hello.backend.name}}});
+        append(effects, askAfterReconnection(state, agent));
+    }
+    return effects;
+}
+
+/// Applies a configuration that has come into force.
+void adoptPolicy(GatewayState &state, Common::Moment now)
+{
+    const Schema::Configuration &config = configuration(state.site.config);
+    if (config.version != state.schedulerConfigVersion) {
+        state.schedulerConfigVersion = config.version;
+        schedulerConfigured(state.scheduler, config, now);
+    }
+}
+
+void countGateways(GatewayState &state, Common::Moment now)
+{
+    int live = 0;
+    for (const Schema::Member &member : state.site.ownership.table.roster) {
+        const bool isSelf = member.instance == state.self.instance;
+        live += isSelf || peerLive(state.site.ownership, member.instance, now) ? 1 : 0;
+    }
+    gatewaysCounted(state.scheduler, std::max(live, 1));
+}
+
+Effects sweep(GatewayState &state, Common::Moment now)
+{
+    if (now.steadyMs < state.lastSweepMs + SweepMs) {
+        return {};
+    }
+    state.lastSweepMs = now.steadyMs;
+    countGateways(state, now);
+    forgetExpired(state.ledger, now);
+    Effects effects;
+    const std::int64_t graceMs = GoneFactor * state.settings.agentSilenceMs;
+    for (const std::string &agent : goneAgents(state.agents, now, graceMs)) {
+        append(effects, agentGone(state, agent, now));
+    }
+    return effects;
+}
+
+Effects answerChanges(GatewayState &state)
+{
+    Effects effects;
+    for (const ChangeResult &result : takeChangeResults(state.site.config)) {
+        AnswerConfigure answer;
+        answer.requestId = result.requestId;
+        answer.version = result.version;
+        if (result.verdict == ChangeVerdict::Conflict) {
+            answer.reason = Reason::ConfigConflict;
+            answer.detail = "another change to the same key came first";
+        } else if (result.verdict == ChangeVerdict::Unknown) {
+            answer.reason = Reason::LogUnavailable;
+            answer.detail = "the log has not shown the change in time; it may yet take effect";
+        }
+        effects.emplace_back(std::move(answer));
+    }
+    return effects;
+}
+
+bool ownsNothing(const GatewayState &state)
+{
+    const auto &shards = state.site.ownership.table.shards;
+    return std::none_of(shards.begin(), shards.end(), [&state](const ShardClaim &claim) {
+        return claim.owner == state.self.instance;
+    });
+}
+
+} // namespace
+
+GatewayState makeGateway(const Schema::GatewaySettings &settings, const Schema::Member &self,
+                         Common::Moment now)
+{
+    GatewayState state;
+    state.settings = settings;
+    state.self = self;
+    state.startedWallMs = now.wallMs;
+    state.site = makeSite(settings, self, now);
+    state.scheduler.agentSilenceMs = settings.agentSilenceMs;
+    state.ledger.settings = ledgerSettings(settings);
+    return state;
+}
+
+Effects callerAsked(GatewayState &state, CallerRequest asked, Common::Moment now,
+                    Common::Random &random)
+{
+    Request request;
+    request.remoteId = std::move(asked.token);
+    request.kind = asked.kind;
+    request.wait = asked.wait;
+    request.job = std::move(asked.job);
+    request.submit = std::move(asked.submit);
+    request.deadlineMs =
+            now.wallMs + (asked.wait ? state.settings.maxDeadlineMs : QuestionTimeoutMs);
+    if (request.submit) {
+        request.idMintedHere = !request.submit->id;
+        if (request.idMintedHere) {
+            request.submit->id = mintJobId(state, random);
+            request.submit->firstSubmittedMs = now.wallMs;
+        }
+        request.job = *request.submit->id;
+        const std::int64_t deadlineMs = deadlineOf(state.ledger, *request.submit);
+        request.deadlineMs = std::max(deadlineMs, now.wallMs) + AnswerGraceMs;
+    }
+    const std::string id = addRequest(state.requests, std::move(request)).id;
+    return routeRequest(state, id, now);
+}
+
+Effects configureAsked(GatewayState &state, const std::string &token,
+                       const Schema::ConfigChange &change, std::int64_t basedOn, Common::Moment now,
+                       Common::Random &random)
+{
+    Effects effects;
+    Common::handle(
+            [&] { return proposeChange(state.site.config, token, change, basedOn, now, random); },
+            [&](const Common::Failure &failure) {
+                effects.emplace_back(AnswerConfigure{token, failure.reason, failure.detail,
+                                                     configuration(state.site.config).version});
+            });
+    return effects;
+}
+
+Effects agentFrameHeard(GatewayState &state, const std::string &agent, const Schema::Frame &frame,
+                        Common::Moment now, Common::Random &random)
+{
+    if (frame.type == FrameType::AgentHello) {
+        return helloHeard(state, agent, *frame.agentHello, now);
+    }
+    if (frame.type != FrameType::TaskStates) {
+        return {};
+    }
+    agentWindow(state.scheduler, agent, frame.taskStates->window, frame.taskStates->running, now);
+    Effects effects = tasksReported(state, agent, *frame.taskStates, now, random);
+    append(effects, questionAnswered(state, agent, *frame.taskStates, now, random));
+    return effects;
+}
+
+Effects gatewayFrameHeard(GatewayState &state, const std::string &gateway,
+                          const Schema::Frame &frame, Common::Moment now)
+{
+    switch (frame.type) {
+    case FrameType::PeerPing:
+        return pingHeard(state.site, *frame.peerPing, now);
+    case FrameType::Forward:
+        return forwardHeard(state, gateway, *frame.forward, now);
+    case FrameType::ForwardAnswer:
+        return forwardAnswered(state, *frame.forwardAnswer, now);
+    case FrameType::Handover:
+        return handoverHeard(state, *frame.handover, now);
+    case FrameType::HandoverAccepted:
+        return handoverAccepted(state, *frame.handoverAccepted);
+    case FrameType::AskAgents:
+        return agentsAskedFor(state, gateway, *frame.askAgents, now);
+    case FrameType::KnownAgents:
+        return knownAgentsHeard(state, *frame.knownAgents);
+    default:
+        return {};
+    }
+}
+
+void agentLinkLost(GatewayState &state, const std::string &agent, Common::Moment now)
+{
+    agentUnlinked(state.agents, agent, now);
+    agentLost(state.scheduler, agent, now);
+}
+
+void gatewayLinkLost(GatewayState &state, const std::string &gateway)
+{
+    holdForwardedTo(state.requests, gateway);
+}
+
+Effects logHeard(GatewayState &state, LogStream stream, const LogRead &read, Common::Moment now)
+{
+    return logRead(state.site, stream, read, now);
+}
+
+Effects appendEnded(GatewayState &state, LogStream stream, std::uint64_t batch, AppendStatus status,
+                    Common::Moment now)
+{
+    return appendDone(state.site, stream, batch, status, now);
+}
+
+Effects settle(GatewayState &state, Common::Moment now, Common::Random &random)
+{
+    Effects effects = siteTick(state.site, now, random);
+    adoptPolicy(state, now);
+    const std::int64_t version = ownershipVersion(state.site.ownership);
+    if (version != state.settledVersion) {
+        state.settledVersion = version;
+        dropLostShards(state, now);
+    }
+    append(effects, answerChanges(state));
+    append(effects, recoveryTick(state, now));
+    append(effects, transferTick(state, now, random));
+    append(effects, sweep(state, now));
+    append(effects, releaseJournaled(state, now));
+    append(effects, endOverdueJobs(state, now));
+    append(effects, routeHeld(state, now));
+    append(effects, startTasks(state, now, random));
+    return effects;
+}
+
+bool isReady(const GatewayState &state)
+{
+    const auto &shards = state.site.ownership.table.shards;
+    const bool knowsOwners =
+            std::none_of(shards.begin(), shards.end(),
+                         [](const ShardClaim &claim) { return claim.owner.empty(); });
+    return !state.stopping && configurationReady(state.site.config) && knowsOwners;
+}
+
+void beginStop(GatewayState &state)
+{
+    state.stopping = true;
+    leave(state.site.ownership);
+}
+
+bool isStopped(const GatewayState &state)
+{
+    return state.stopping && ownsNothing(state) && state.offers.empty()
+           && state.requests.requests.empty();
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/Ledger.cpp
+++ b/Source/Core/Dispatch/Ledger.cpp
@@ -143,33 +143,6 @@
     return TaskStage::Waiting;
 }
 
-Schema::JobSnapshot snapshotOf(const JobEntry &job)
-{
-    Schema::JobSnapshot snapshot;
-    snapshot.id = job.id;
-    snapshot.digest = job.digest;
-    snapshot.answer = job.answer ? *job.answer : pendingAnswer(job);
-    if (job.answer) {
-        return snapshot;
-    }
-    snapshot.submit = job.submit;
-    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
-        const TaskEntry &task = job.tasks[index];
-        Schema::TaskSnapshot row;
-        row.index = static_cast<std::int64_t>(index);
-        row.phase = phaseOf(task.stage);
-        row.sent = task.stage != TaskStage::Waiting;
-        row.agent = task.agent;
-        row.epoch = task.epoch;
-        row.attempt = task.attempt;
-        if (!task.result.empty()) {
-            row.result = task.result;
-        }
-        snapshot.tasks.push_back(std::move(row));
-    }
-    return snapshot;
-}
-
 } // namespace
 
 std::int64_t shardOf(const LedgerState &state, const std::string &job)
@@ -216,7 +189,7 @@
     if (job == nullptr) {
         return SubmitVerdict::New;
     }
-    if (job->digest != submissionDigest(submit)) {
+    if (!job->digest.empty() && job->digest != submissionDigest(submit)) {
         return SubmitVerdict::Conflict;
     }
     if (job->answer) {
@@ -241,24 +214,28 @@
     return state.jobs.at(id);
 }
 
-JobEntry &addRecoveredJob(LedgerState &state, const Schema::Intent &intent)
+JobEntry &addRecoveredJob(LedgerState &state, const std::string &id, std::int64_t taskCount,
+                          std::int64_t firstSubmittedMs)
 {
     JobEntry job;
-    job.id = intent.job;
-    job.digest = intent.digest;
-    job.shard = shardOf(state, job.id);
-    job.firstSubmittedMs = intent.firstSubmittedMs;
-    job.deadlineMs = intent.firstSubmittedMs + state.settings.maxDeadlineMs;
+    job.id = id;
+    job.shard = shardOf(state, id);
+    job.firstSubmittedMs = firstSubmittedMs;
+    job.deadlineMs = firstSubmittedMs + state.settings.maxDeadlineMs;
     job.startable = true;
-    job.tasks.resize(static_cast<std::size_t>(intent.tasks));
+    job.tasks.resize(static_cast<std::size_t>(taskCount));
+    for (TaskEntry &task : job.tasks) {
+        task.stage = TaskStage::Sent;
+    }
     insertJob(state, std::move(job));
-    return state.jobs.at(intent.job);
+    return state.jobs.at(id);
 }
 
 void adoptSubmission(LedgerState &state, JobEntry &job, const Schema::SubmitJob &submit)
 {
     eraseFrom(state.deadlines, job.deadlineMs, job.id);
     job.submit = submit;
+    job.digest = submissionDigest(submit);
     job.deadlineMs = deadlineOf(state, submit);
     state.deadlines.emplace(job.deadlineMs, job.id);
 }
@@ -399,7 +376,10 @@
     }
     job.submit.reset();
     job.answer = std::move(answer);
-    return std::exchange(job.waiters, {});
+    std::vector<std::string> waiters = std::exchange(job.waiters, {});
+    waiters.insert(waiters.end(), job.acceptWaiters.begin(), job.acceptWaiters.end());
+    job.acceptWaiters.clear();
+    return waiters;
 }
 
 std::vector<std::string> pastDeadline(const LedgerState &state, Common::Moment now)
@@ -443,31 +423,60 @@
     return answer;
 }
 
-ShardExport exportShard(LedgerState &state, std::int64_t shard)
+std::vector<std::string> jobsOfShard(const LedgerState &state, std::int64_t shard)
 {
-    ShardExport exported;
-    for (auto job = state.jobs.begin(); job != state.jobs.end();) {
-        if (job->second.shard != shard) {
-            ++job;
-            continue;
+    std::vector<std::string> jobs;
+    for (const auto &[id, job] : state.jobs) {
+        if (job.shard == shard) {
+            jobs.push_back(id);
         }
-        exported.jobs.push_back(snapshotOf(job->second));
-        for (const std::string &waiter : job->second.waiters) {
-            exported.waiters.emplace_back(job->first, waiter);
+    }
+    return jobs;
+}
+
+Schema::JobSnapshot snapshotOf(const JobEntry &job)
+{
+    Schema::JobSnapshot snapshot;
+    snapshot.id = job.id;
+    snapshot.digest = job.digest;
+    snapshot.answer = job.answer ? *job.answer : pendingAnswer(job);
+    if (job.answer) {
+        return snapshot;
+    }
+    snapshot.submit = job.submit;
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        const TaskEntry &task = job.tasks[index];
+        Schema::TaskSnapshot row;
+        row.index = static_cast<std::int64_t>(index);
+        row.phase = phaseOf(task.stage);
+        row.sent = task.stage != TaskStage::Waiting;
+        row.agent = task.agent;
+        row.epoch = task.epoch;
+        row.attempt = task.attempt;
+        if (!task.result.empty()) {
+            row.result = task.result;
         }
-        const std::int64_t expiry = job->second.firstSubmittedMs + state.settings.dedupWindowMs;
-        eraseFrom(state.expiries, expiry, job->first);
-        eraseFrom(state.deadlines, job->second.deadlineMs, job->first);
-        job = state.jobs.erase(job);
+        snapshot.tasks.push_back(std::move(row));
     }
-    return exported;
+    return snapshot;
 }
 
-void importJob(LedgerState &state, const Schema::JobSnapshot &snapshot)
+void removeJob(LedgerState &state, const std::string &job)
 {
-    if (state.jobs.count(snapshot.id) != 0) {
+    const auto found = state.jobs.find(job);
+    if (found == state.jobs.end()) {
         return;
     }
+    eraseFrom(state.expiries, found->second.firstSubmittedMs + state.settings.dedupWindowMs, job);
+    eraseFrom(state.deadlines, found->second.deadlineMs, job);
+    state.jobs.erase(found);
+}
+
+JobEntry *importJob(LedgerState &state, const Schema::JobSnapshot &snapshot)
+{
+    if (state.jobs.count(snapshot.id) != 0) {
+        return nullptr;
+    }
     JobEntry job;
     job.id = snapshot.id;
     job.digest = snapshot.digest;
@@ -492,6 +501,7 @@
         job.tasks.push_back(std::move(task));
     }
     insertJob(state, std::move(job));
+    return findJob(state, snapshot.id);
 }
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Ledger.h
+++ b/Source/Core/Dispatch/Ledger.h
@@ -44,6 +44,7 @@
 struct JobEntry
 {
     std::string id;
+    /// Empty while the content is not known.
     std::string digest;
     /// Absent while the job is known only from the journal or from agents' reports.
     std::optional<Schema::SubmitJob> submit;
@@ -54,8 +55,9 @@
     bool startable = false;
     bool unlogged = false;
     std::vector<TaskEntry> tasks;
-    /// Requests to be answered when the job ends.
+    /// Requests to be answered when the job ends, and those to be answered once it is accepted.
     std::vector<std::string> waiters;
+    std::vector<std::string> acceptWaiters;
     /// Set once, when the job ends; every later question gets the same answer.
     std::optional<Schema::JobAnswer> answer;
 };
@@ -99,8 +101,10 @@
 std::int64_t deadlineOf(const LedgerState &state, const Schema::SubmitJob &submit);
 
 JobEntry &addJob(LedgerState &state, const Schema::SubmitJob &submit);
-/// A job that a predecessor journaled.
-JobEntry &addRecoveredJob(LedgerState &state, const Schema::Intent &intent);
+/// A job known only from the journal or an agent's report: each of its tasks may have started. Its
+/// content is not known until a resubmission brings it.
+JobEntry &addRecoveredJob(LedgerState &state, const std::string &id, std::int64_t taskCount,
+                          std::int64_t firstSubmittedMs);
 void adoptSubmission(LedgerState &state, JobEntry &job, const Schema::SubmitJob &submit);
 
 JobEntry *findJob(LedgerState &state, const std::string &job);
@@ -127,7 +131,7 @@
                                 std::string detail = {});
 /// What a job's state is while it is running.
 Schema::JobAnswer pendingAnswer(const JobEntry &job);
-/// Ends the job: waiting tasks are dropped and the waiters are returned, each owed \a answer.
+/// Ends the job: waiting tasks are dropped and all waiters are returned, each owed \a answer.
 std::vector<std::string> endJob(LedgerState &state, JobEntry &job, Schema::JobAnswer answer);
 
 /// Jobs not ended whose deadline has passed.
@@ -139,14 +143,11 @@
 Schema::JobAnswer refusal(const std::string &id, std::size_t taskCount, Schema::Reason reason,
                           std::string detail, std::int64_t retryAfterMs = 0);
 
-/// Jobs of \a shard for a successor; they leave this ledger. Waiters stay behind, returned with
-/// their job so that they can be forwarded.
-struct ShardExport
-{
-    std::vector<Schema::JobSnapshot> jobs;
-    std::vector<std::pair<std::string, std::string>> waiters;
-};
-ShardExport exportShard(LedgerState &state, std::int64_t shard);
-void importJob(LedgerState &state, const Schema::JobSnapshot &snapshot);
+std::vector<std::string> jobsOfShard(const LedgerState &state, std::int64_t shard);
+Schema::JobSnapshot snapshotOf(const JobEntry &job);
+/// Takes the job out: its shard has another owner. Its waiters must have been dealt with.
+void removeJob(LedgerState &state, const std::string &job);
+/// A predecessor's job; null where it is known already.
+JobEntry *importJob(LedgerState &state, const Schema::JobSnapshot &snapshot);
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Requests.cpp
+++ b/Source/Core/Dispatch/Requests.cpp
@@ -14,6 +14,7 @@
 {
     request.id = "r" + std::to_string(++table.lastId);
     table.deadlines.emplace(request.deadlineMs, request.id);
+    table.held.insert(request.id);
     const std::string id = request.id;
     return table.requests.emplace(id, std::move(request)).first->second;
 }
@@ -32,6 +33,7 @@
     }
     Request request = std::move(found->second);
     table.requests.erase(found);
+    table.held.erase(id);
     const auto range = table.deadlines.equal_range(request.deadlineMs);
     const auto entry = std::find_if(range.first, range.second,
                                     [&id](const auto &deadline) { return deadline.second == id; });
@@ -41,28 +43,47 @@
     return request;
 }
 
-std::vector<std::string> holdForwardedTo(RequestTable &table, const std::string &instance)
+void holdRequest(RequestTable &table, Request &request, std::int64_t retryAtMs)
+{
+    request.stage = RequestStage::Held;
+    request.forwardedTo.clear();
+    request.retryAtMs = retryAtMs;
+    table.held.insert(request.id);
+}
+
+void markForwarded(RequestTable &table, Request &request, const std::string &instance)
+{
+    request.stage = RequestStage::Forwarded;
+    request.forwardedTo = instance;
+    request.mayHaveActed = true;
+    table.held.erase(request.id);
+}
+
+void markWaiting(RequestTable &table, Request &request)
+{
+    request.stage = RequestStage::Waiting;
+    request.mayHaveActed = true;
+    table.held.erase(request.id);
+}
+
+void holdForwardedTo(RequestTable &table, const std::string &instance)
 {
-    std::vector<std::string> held;
     for (auto &[id, request] : table.requests) {
         if (request.stage == RequestStage::Forwarded && request.forwardedTo == instance) {
-            request.stage = RequestStage::Held;
-            request.forwardedTo.clear();
-            held.push_back(id);
+            holdRequest(table, request);
         }
     }
-    return held;
 }
 
-std::vector<std::string> heldRequests(const RequestTable &table)
+std::vector<std::string> heldRequests(const RequestTable &table, Common::Moment now)
 {
-    std::vector<std::string> held;
-    for (const auto &[id, request] : table.requests) {
-        if (request.stage == RequestStage::Held) {
-            held.push_back(id);
+    std::vector<std::string> ready;
+    for (const std::string &id : table.held) {
+        if (table.requests.at(id).retryAtMs <= now.steadyMs) {
+            ready.push_back(id);
         }
     }
-    return held;
+    return ready;
 }
 
 std::vector<std::string> overdueRequests(const RequestTable &table, Common::Moment now)
--- a/Source/Core/Dispatch/Requests.h
+++ b/Source/Core/Dispatch/Requests.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +41,8 @@
     std::int64_t deadlineMs = 0;
     RequestStage stage = RequestStage::Held;
     std::string forwardedTo;
+    /// Steady time before which a held request is not tried again.
+    std::int64_t retryAtMs = 0;
     /// True once any gateway may have acted on it.
     bool mayHaveActed = false;
 };
@@ -48,6 +51,7 @@
 {
     std::unordered_map<std::string, Request> requests;
     std::multimap<std::int64_t, std::string> deadlines;
+    std::set<std::string> held;
     std::uint64_t lastId = 0;
 };
 
@@ -57,9 +61,13 @@
 /// Ends the request; empty where it was answered before.
 std::optional<Request> takeRequest(RequestTable &table, const std::string &id);
 
+void holdRequest(RequestTable &table, Request &request, std::int64_t retryAtMs = 0);
+void markForwarded(RequestTable &table, Request &request, const std::string &instance);
+void markWaiting(RequestTable &table, Request &request);
 /// Requests with \a instance go back to Held: its link was lost, and asking again is idempotent.
-std::vector<std::string> holdForwardedTo(RequestTable &table, const std::string &instance);
-std::vector<std::string> heldRequests(const RequestTable &table);
+void holdForwardedTo(RequestTable &table, const std::string &instance);
+/// Held requests that may be tried now.
+std::vector<std::string> heldRequests(const RequestTable &table, Common::Moment now);
 std::vector<std::string> overdueRequests(const RequestTable &table, Common::Moment now);
 
 Schema::Frame forwardFrame(const Request &request);
--- /dev/null
+++ b/Source/Core/Dispatch/Router.cpp
@@ -0,0 +1,122 @@
+#include "Dispatch/Router.h"
+
+#include "Dispatch/Owner.h"
+
+namespace Dispatch {
+
+using Schema::ForwardKind;
+
+namespace {
+
+constexpr const char *RetriedCounter = "auburntrail_forward_retries_total";
+constexpr std::int64_t NotOwnerRetryMs = 50;
+
+Effects askOwnLedger(GatewayState &state, const Request &request, Common::Moment now)
+{
+    switch (request.kind) {
+    case ForwardKind::Submit:
+        return ownerSubmit(state, request.id, now);
+    case ForwardKind::Cancel:
+        return ownerCancel(state, request.id);
+    default:
+        return ownerGet(state, request.id);
+    }
+}
+
+Effects sendElsewhere(GatewayState &state, Request &request, const std::string &owner)
+{
+    if (!request.fromGateway.empty()) {
+        // A forwarded request is not forwarded again: two gateways with different tables would pass
+        // it to and fro. The sender asks the owner it knows by then.
+        const std::optional<Request> taken = takeRequest(state.requests, request.id);
+        Schema::Frame frame;
+        frame.type = Schema::FrameType::ForwardAnswer;
+        frame.forwardAnswer.emplace();
+        frame.forwardAnswer->requestId = taken->remoteId;
+        frame.forwardAnswer->notOwner = true;
+        return {SendToGateway{taken->fromGateway, std::move(frame)}};
+    }
+    markForwarded(state.requests, request, owner);
+    return {SendToGateway{owner, forwardFrame(request)}};
+}
+
+} // namespace
+
+Effects routeRequest(GatewayState &state, const std::string &requestId, Common::Moment now)
+{
+    Request *request = findRequest(state.requests, requestId);
+    if (request == nullptr || request->stage != RequestStage::Held) {
+        return {};
+    }
+    const std::int64_t shard = shardOf(state.ledger, request->job);
+    const std::optional<std::string> owner = ownerOf(state.site.ownership, shard);
+    if (!owner) {
+        return {};
+    }
+    if (*owner != state.self.instance) {
+        const bool isReachable = peerLive(state.site.ownership, *owner, now);
+        return isReachable ? sendElsewhere(state, *request, *owner) : Effects{};
+    }
+    if (shardPhase(state.site.ownership, shard) != ShardPhase::Serving) {
+        return {};
+    }
+    return askOwnLedger(state, *request, now);
+}
+
+Effects routeHeld(GatewayState &state, Common::Moment now)
+{
+    Effects effects;
+    for (const std::string &id : overdueRequests(state.requests, now)) {
+        const Request *request = findRequest(state.requests, id);
+        append(effects, answerRequest(state, id, unansweredAnswer(*request)));
+    }
+    for (const std::string &id : heldRequests(state.requests, now)) {
+        append(effects, routeRequest(state, id, now));
+    }
+    return effects;
+}
+
+Effects forwardHeard(GatewayState &state, const std::string &gateway,
+                     const Schema::Forward &forward, Common::Moment now)
+{
+    Request request;
+    request.fromGateway = gateway;
+    request.remoteId = forward.requestId;
+    request.kind = forward.kind;
+    request.wait = forward.wait.value_or(false);
+    request.job = forward.job.value_or("");
+    request.submit = forward.submit;
+    request.deadlineMs = now.wallMs + state.settings.maxDeadlineMs;
+    const std::string id = addRequest(state.requests, std::move(request)).id;
+    return routeRequest(state, id, now);
+}
+
+Effects forwardAnswered(GatewayState &state, const Schema::ForwardAnswer &answer,
+                        Common::Moment now)
+{
+    Request *request = findRequest(state.requests, answer.requestId);
+    if (request == nullptr || request->stage != RequestStage::Forwarded) {
+        return {};
+    }
+    if (answer.answer) {
+        return answerRequest(state, answer.requestId, *answer.answer);
+    }
+    // Its table is older or newer than ours; a moment later one of them has caught up.
+    holdRequest(state.requests, *request, now.steadyMs + NotOwnerRetryMs);
+    return {CountReason{RetriedCounter, Schema::Reason::OwnerUnreachable}};
+}
+
+std::string mintJobId(const GatewayState &state, Common::Random &random)
+{
+    constexpr int Tries = 4096;
+    std::string id;
+    for (int attempt = 0; attempt < Tries; ++attempt) {
+        id = Common::randomId(random);
+        if (shardPhase(state.site.ownership, shardOf(state.ledger, id)) == ShardPhase::Serving) {
+            break;
+        }
+    }
+    return id;
+}
+
+} // namespace Dispatch
