Net: HTTP server and client, WebSocket links and CBOR frames

Cause: gateways, agents and the command line need their transports. Conclusion: usable; refusal of bodies far above the limit still takes 10 s in the test, to be looked into.

--- a/Source/Core/Net/Codec.h
+++ b/Source/Core/Net/Codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -10,6 +11,10 @@
 
 namespace Net {
 
+/// Longest frame taken in: room for a forwarded job whose body has the greatest length that the
+/// settings allow.
+constexpr std::size_t MaxFrameBytes = std::size_t{72} << 20U;
+
 /// One frame as CBOR.
 std::string encodeFrame(const Schema::Frame &frame);
 
--- /dev/null
+++ b/Source/Core/Net/HttpClient.cpp
@@ -0,0 +1,309 @@
+#include "Net/HttpClient.h"
+
+#include <atomic>
+#include <curl/curl.h>
+#include <deque>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "Common/Clock.h"
+#include "Common/Invariant.h"
+
+namespace Net {
+
+namespace {
+
+/// Longest answer taken in.
+constexpr std::size_t MaxAnswerBytes = std::size_t{128} << 20U;
+/// How long the thread sleeps when nothing happens; calls and answers wake it.
+constexpr int PollTimeoutMs = 1000;
+constexpr std::int64_t MillisecondsASecond = 1000;
+/// Idle connections to one server are kept up to its bound, and a few more for others.
+constexpr long PooledForEachAllowed = 2;
+
+struct HeaderList
+{
+    HeaderList()
+    {
+        // Without "Expect:" curl waits up to a second for a server's leave to send a long body.
+        this->headers = curl_slist_append(this->headers, "Expect:");
+        this->headers = curl_slist_append(this->headers, "Content-Type: application/json");
+        this->headers = curl_slist_append(this->headers, "Connection: keep-alive");
+    }
+    ~HeaderList() { curl_slist_free_all(this->headers); }
+    HeaderList(const HeaderList &) = delete;
+    HeaderList &operator=(const HeaderList &) = delete;
+
+    curl_slist *headers = nullptr;
+};
+
+struct Transfer
+{
+    HttpCall call;
+    HttpDone done;
+    HttpResult result;
+    /// Times that curl was about to write the request to a connection.
+    int attempts = 0;
+    bool isTooLong = false;
+};
+
+/// curl sends a request again, unasked and whatever its method, when a reused connection closes
+/// before any byte of the answer: the server may have acted on the first one, and a POST would take
+/// effect twice. curl has no switch for that, but asks here before each attempt; the second is
+/// turned down and the call ends as Lost.
+int beforeRequest(void *user, char *, char *, int, int)
+{
+    auto *transfer = static_cast<Transfer *>(user);
+    ++transfer->attempts;
+    return transfer->attempts == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto *transfer = static_cast<Transfer *>(user);
+    const std::size_t length = size * count;
+    if (transfer->result.body.size() + length > MaxAnswerBytes) {
+        transfer->isTooLong = true;
+        return 0;
+    }
+    transfer->result.body.append(data, length);
+    return length;
+}
+
+HttpTransport classify(CURLcode code, const Transfer &transfer)
+{
+    if (code == CURLE_OK) {
+        return HttpTransport::Answered;
+    }
+    if (transfer.attempts == 0) {
+        return HttpTransport::NotConnected;
+    }
+    return code == CURLE_OPERATION_TIMEDOUT ? HttpTransport::TimedOut : HttpTransport::Lost;
+}
+
+/// Scheme, host and port of \a url.
+std::string originOf(const std::string &url)
+{
+    const std::size_t scheme = url.find("://");
+    const std::size_t start = scheme == std::string::npos ? 0 : scheme + 3;
+    return url.substr(0, url.find('/', start));
+}
+
+void startCurl()
+{
+    static const CURLcode started = curl_global_init(CURL_GLOBAL_DEFAULT);
+    Common::invariant(started == CURLE_OK, "curl starts");
+}
+
+} // namespace
+
+std::string percentDecoded(std::string_view text)
+{
+    int length = 0;
+    char *decoded =
+            curl_easy_unescape(nullptr, text.data(), static_cast<int>(text.size()), &length);
+    if (decoded == nullptr) {
+        return std::string(text);
+    }
+    std::string result(decoded, static_cast<std::size_t>(length));
+    curl_free(decoded);
+    return result;
+}
+
+struct HttpClient::Implementation
+{
+    explicit Implementation(int maxConnections)
+    {
+        startCurl();
+        this->multi = curl_multi_init();
+        curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                          static_cast<long>(maxConnections));
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, maxConnections * PooledForEachAllowed);
+        this->thread = std::thread([this] { this->run(); });
+    }
+
+    ~Implementation()
+    {
+        this->isStopping = true;
+        curl_multi_wakeup(this->multi);
+        this->thread.join();
+        curl_multi_cleanup(this->multi);
+    }
+
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    void post(HttpCall call, HttpDone done)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->done = std::move(done);
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            this->waiting.push_back(std::move(transfer));
+        }
+        curl_multi_wakeup(this->multi);
+    }
+
+    void run()
+    {
+        while (!this->isStopping) {
+            this->addWaiting();
+            int running = 0;
+            curl_multi_perform(this->multi, &running);
+            this->finishDone();
+            curl_multi_poll(this->multi, nullptr, 0, PollTimeoutMs, nullptr);
+        }
+        this->endAll();
+    }
+
+    void addWaiting()
+    {
+        std::deque<std::unique_ptr<Transfer>> arrived;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            arrived.swap(this->waiting);
+        }
+        for (std::unique_ptr<Transfer> &transfer : arrived) {
+            this->add(std::move(transfer));
+        }
+    }
+
+    void add(std::unique_ptr<Transfer> transfer)
+    {
+        CURL *handle = this->makeHandle(*transfer);
+        curl_multi_add_handle(this->multi, handle);
+        this->transfers.emplace(handle, std::move(transfer));
+    }
+
+    CURL *makeHandle(Transfer &transfer)
+    {
+        const HttpCall &call = transfer.call;
+        CURL *handle = curl_easy_init();
+        curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(handle, CURLOPT_PROXY, "");
+        curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, this->headerList.headers);
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                         static_cast<long>(call.connectTimeoutMs));
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeoutMs));
+        curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, beforeRequest);
+        curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, takeBody);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+        if (call.method == "POST" || !call.body.empty()) {
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(call.body.size()));
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
+        }
+        if (call.method != "POST" && call.method != "GET") {
+            curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        }
+        this->avoidSuspectConnections(handle, originOf(call.url));
+        return handle;
+    }
+
+    /// When something between the two ends has lost track of their connections, each pooled one
+    /// swallows a request and costs a timeout. After the first timeout none that is older is used
+    /// again: a server that is only slow costs no more than some new connections.
+    void avoidSuspectConnections(CURL *handle, const std::string &origin)
+    {
+        const auto found = this->lastTimeoutMs.find(origin);
+        if (found == this->lastTimeoutMs.end()) {
+            return;
+        }
+        const std::int64_t age =
+                (Common::currentMoment().steadyMs - found->second) / MillisecondsASecond;
+        // curl counts whole seconds and takes 0 for no bound; one second less errs on the safe
+        // side.
+        if (age < 2) {
+            curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        } else {
+            curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(age - 1));
+        }
+    }
+
+    void finishDone()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(this->multi, &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                this->finish(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void finish(CURL *handle, CURLcode code)
+    {
+        auto node = this->transfers.extract(handle);
+        Transfer &transfer = *node.mapped();
+        HttpResult &result = transfer.result;
+        result.transport = classify(code, transfer);
+        if (result.transport == HttpTransport::Answered) {
+            long status = 0;
+            curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+            result.status = static_cast<int>(status);
+        } else {
+            result.error = transfer.isTooLong ? "answer too long" : curl_easy_strerror(code);
+            result.body.clear();
+        }
+        if (result.transport == HttpTransport::TimedOut) {
+            this->lastTimeoutMs[originOf(transfer.call.url)] = Common::currentMoment().steadyMs;
+        }
+        curl_multi_remove_handle(this->multi, handle);
+        curl_easy_cleanup(handle);
+        transfer.done(std::move(result));
+    }
+
+    void endAll()
+    {
+        while (!this->transfers.empty()) {
+            this->finish(this->transfers.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+        }
+        std::deque<std::unique_ptr<Transfer>> unsent;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            unsent.swap(this->waiting);
+        }
+        for (const std::unique_ptr<Transfer> &transfer : unsent) {
+            transfer->result.error = "client stopped";
+            transfer->done(std::move(transfer->result));
+        }
+    }
+
+    CURLM *multi = nullptr;
+    HeaderList headerList;
+    std::atomic<bool> isStopping = false;
+    std::mutex mutex;
+    std::deque<std::unique_ptr<Transfer>> waiting;
+    /// The members below belong to the thread.
+    std::map<CURL *, std::unique_ptr<Transfer>> transfers;
+    std::map<std::string, std::int64_t> lastTimeoutMs;
+    std::thread thread;
+};
+
+HttpClient::HttpClient(int maxConnections)
+    : implementation(std::make_unique<Implementation>(maxConnections))
+{}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(HttpCall call, HttpDone done)
+{
+    this->implementation->post(std::move(call), std::move(done));
+}
+
+HttpResult HttpClient::perform(HttpCall call)
+{
+    std::promise<HttpResult> promise;
+    this->send(std::move(call),
+               [&promise](HttpResult result) { promise.set_value(std::move(result)); });
+    return promise.get_future().get();
+}
+
+} // namespace Net
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -4,9 +4,13 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Net {
 
+/// \a text with its %XX escapes resolved.
+std::string percentDecoded(std::string_view text);
+
 struct HttpCall
 {
     std::string method = "GET";
--- /dev/null
+++ b/Source/Core/Net/PeerHub.cpp
@@ -0,0 +1,409 @@
+#include "Net/PeerHub.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <future>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <stdexcept>
+#include <thread>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "Common/Log.h"
+#include "Net/Codec.h"
+
+namespace Net {
+
+namespace {
+
+using ServerEndpoint = websocketpp::server<websocketpp::config::asio>;
+using ClientEndpoint = websocketpp::client<websocketpp::config::asio_client>;
+
+/// A link that has more than this unsent takes no more: its peer is silent or too slow, and its
+/// frames would fill the memory that all links share.
+constexpr std::size_t MaxUnsentBytes = std::size_t{16} << 20U;
+
+constexpr std::size_t MaskBytes = 4;
+
+/// Bytes that WebSocket puts before a payload of \a size.
+std::size_t headerBytes(std::size_t size, bool isMasked)
+{
+    constexpr std::size_t ShortPayload = 125;
+    constexpr std::size_t MediumPayload = 65535;
+    constexpr std::size_t ShortHeader = 2;
+    constexpr std::size_t MediumHeader = 4;
+    constexpr std::size_t LongHeader = 10;
+    const std::size_t length = size <= ShortPayload    ? ShortHeader
+                               : size <= MediumPayload ? MediumHeader
+                                                       : LongHeader;
+    return length + (isMasked ? MaskBytes : 0);
+}
+
+/// One connection, whichever end made it. Its functions run on the hub's thread.
+struct Link
+{
+    std::function<bool(const std::string &)> write;
+    std::function<std::size_t()> unsent;
+    std::function<void()> drop;
+    bool isOpen = false;
+    bool isMadeHere = false;
+    /// Handed to the hub's thread and not yet on the wire; read by every sender.
+    std::shared_ptr<std::atomic<std::size_t>> queuedBytes =
+            std::make_shared<std::atomic<std::size_t>>(0);
+    std::shared_ptr<std::atomic<std::size_t>> bufferedBytes =
+            std::make_shared<std::atomic<std::size_t>>(0);
+};
+
+} // namespace
+
+struct PeerHub::Implementation
+{
+    explicit Implementation(PeerHubEvents events)
+        : events(std::move(events))
+    {
+        prepare(this->server);
+        prepare(this->client);
+        this->server.set_reuse_addr(true);
+        this->server.set_open_handler([this](const websocketpp::connection_hdl &handle) {
+            this->accepted(this->server.get_con_from_hdl(handle));
+        });
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~Implementation() { this->stop(); }
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    template <typename Endpoint>
+    void prepare(Endpoint &endpoint)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&this->context);
+        endpoint.set_max_message_size(MaxFrameBytes);
+    }
+
+    /// Ties a connection's events to its link.
+    template <typename Connection>
+    void bind(LinkId id, const Connection &connection, bool isMadeHere)
+    {
+        using Message = typename Connection::element_type::message_ptr;
+        Link link;
+        link.isMadeHere = isMadeHere;
+        const std::weak_ptr<typename Connection::element_type> weak = connection;
+        link.write = [weak](const std::string &bytes) {
+            const auto target = weak.lock();
+            return target && !target->send(bytes, websocketpp::frame::opcode::binary);
+        };
+        link.unsent = [weak] {
+            const auto target = weak.lock();
+            return target ? target->get_buffered_amount() : 0;
+        };
+        link.drop = [weak] {
+            const auto target = weak.lock();
+            if (target) {
+                target->terminate(websocketpp::lib::error_code());
+            }
+        };
+        connection->set_message_handler(
+                [this, id](const websocketpp::connection_hdl &, const Message &message) {
+                    this->received(id, message->get_payload());
+                });
+        const auto ended = [this, id](const websocketpp::connection_hdl &) { this->forget(id); };
+        connection->set_close_handler(ended);
+        connection->set_fail_handler(ended);
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->links.emplace(id, std::move(link));
+    }
+
+    template <typename Connection>
+    void opened(LinkId id, const Connection &connection)
+    {
+        boost::system::error_code ignored;
+        connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            const auto found = this->links.find(id);
+            if (found == this->links.end()) {
+                return;
+            }
+            found->second.isOpen = true;
+        }
+        this->events.opened(id);
+    }
+
+    void accepted(const ServerEndpoint::connection_ptr &connection)
+    {
+        const LinkId id = ++this->lastLink;
+        this->bind(id, connection, false);
+        this->opened(id, connection);
+    }
+
+    void connect(LinkId id, const std::string &host, std::uint16_t port, std::int64_t timeoutMs)
+    {
+        websocketpp::lib::error_code failed;
+        const std::string uri = "ws://" + host + ':' + std::to_string(port) + '/';
+        const ClientEndpoint::connection_ptr connection = this->client.get_connection(uri, failed);
+        if (failed) {
+            this->events.closed(id);
+            return;
+        }
+        this->bind(id, connection, true);
+        // No cycle: the connection clears its handlers when it ends.
+        connection->set_open_handler([this, id](const websocketpp::connection_hdl &handle) {
+            this->opened(id, this->client.get_con_from_hdl(handle));
+        });
+        this->client.connect(connection);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(
+                this->context, std::chrono::milliseconds(timeoutMs));
+        timer->async_wait([this, id, timer](const boost::system::error_code &) {
+            if (!this->isOpen(id)) {
+                this->close(id);
+            }
+        });
+    }
+
+    bool isOpen(LinkId id)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        const auto found = this->links.find(id);
+        return found != this->links.end() && found->second.isOpen;
+    }
+
+    void received(LinkId id, const std::string &bytes)
+    {
+        ++this->framesReceived;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            const auto found = this->links.find(id);
+            if (found == this->links.end()) {
+                return;
+            }
+            this->bytesReceived +=
+                    bytes.size() + headerBytes(bytes.size(), !found->second.isMadeHere);
+        }
+        std::optional<Schema::Frame> frame = this->decode(id, bytes);
+        if (frame) {
+            this->events.received(id, std::move(*frame));
+        } else {
+            ++this->malformedFrames;
+            this->close(id);
+        }
+    }
+
+    std::optional<Schema::Frame> decode(LinkId id, const std::string &bytes)
+    {
+        return Common::handle(
+                [&bytes]() -> Common::Outcome<std::optional<Schema::Frame>> {
+                    BOOST_LEAF_AUTO(frame, decodeFrame(bytes));
+                    return std::optional<Schema::Frame>(std::move(frame));
+                },
+                [id](const Common::Failure &failed) {
+                    Common::logEvent(Common::LogLevel::Warning, "malformed_frame",
+                                     {{"link", id}, {"detail", failed.detail}});
+                    return std::optional<Schema::Frame>();
+                });
+    }
+
+    /// Called from any thread; the write itself happens on the hub's.
+    bool send(LinkId id, const Schema::Frame &frame)
+    {
+        std::shared_ptr<std::atomic<std::size_t>> queued;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            const auto found = this->links.find(id);
+            if (found == this->links.end() || !found->second.isOpen) {
+                return false;
+            }
+            queued = found->second.queuedBytes;
+            if (*queued + *found->second.bufferedBytes > MaxUnsentBytes) {
+                boost::asio::post(this->context, [this, id] { this->updateBuffered(id); });
+                return false;
+            }
+        }
+        std::string bytes = encodeFrame(frame);
+        *queued += bytes.size();
+        boost::asio::post(this->context, [this, id, bytes = std::move(bytes), queued] {
+            this->write(id, bytes);
+            *queued -= bytes.size();
+        });
+        return true;
+    }
+
+    void write(LinkId id, const std::string &bytes)
+    {
+        std::function<bool(const std::string &)> writeBytes;
+        bool isMadeHere = false;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            const auto found = this->links.find(id);
+            if (found == this->links.end()) {
+                return;
+            }
+            writeBytes = found->second.write;
+            isMadeHere = found->second.isMadeHere;
+        }
+        if (writeBytes(bytes)) {
+            ++this->framesSent;
+            this->bytesSent += bytes.size() + headerBytes(bytes.size(), isMadeHere);
+        }
+        this->updateBuffered(id);
+    }
+
+    void updateBuffered(LinkId id)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        const auto found = this->links.find(id);
+        if (found != this->links.end()) {
+            *found->second.bufferedBytes = found->second.unsent();
+        }
+    }
+
+    /// Ends a link of which the connection is already gone, or was dropped.
+    bool forget(LinkId id)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            if (this->links.erase(id) == 0) {
+                return false;
+            }
+        }
+        this->events.closed(id);
+        return true;
+    }
+
+    void close(LinkId id)
+    {
+        std::function<void()> drop;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            const auto found = this->links.find(id);
+            if (found == this->links.end()) {
+                return;
+            }
+            drop = found->second.drop;
+        }
+        this->forget(id);
+        drop();
+    }
+
+    std::uint16_t listen(const std::string &host, std::uint16_t port)
+    {
+        std::promise<std::uint16_t> listening;
+        boost::asio::post(this->context, [this, &host, port, &listening] {
+            try {
+                this->server.listen(host, std::to_string(port));
+                this->server.start_accept();
+                websocketpp::lib::asio::error_code failed;
+                listening.set_value(this->server.get_local_endpoint(failed).port());
+            } catch (const std::exception &error) {
+                listening.set_exception(std::make_exception_ptr(
+                        std::runtime_error("cannot listen on " + host + ':' + std::to_string(port)
+                                           + ": " + error.what())));
+            }
+        });
+        return listening.get_future().get();
+    }
+
+    void stop()
+    {
+        if (this->isStopped.exchange(true)) {
+            return;
+        }
+        boost::asio::post(this->context, [this] {
+            websocketpp::lib::error_code ignored;
+            if (this->server.is_listening()) {
+                this->server.stop_listening(ignored);
+            }
+            this->dropAll();
+            this->context.stop();
+        });
+        this->thread.join();
+    }
+
+    void dropAll()
+    {
+        std::map<LinkId, Link> ending;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            ending.swap(this->links);
+        }
+        for (const auto &entry : ending) {
+            entry.second.drop();
+        }
+    }
+
+    PeerHubEvents events;
+    /// Outlives the endpoints: their connections hold on to it.
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work =
+            boost::asio::make_work_guard(this->context);
+    ServerEndpoint server;
+    ClientEndpoint client;
+    std::atomic<LinkId> lastLink = 0;
+    std::mutex mutex;
+    std::map<LinkId, Link> links;
+    std::atomic<std::uint64_t> framesSent = 0;
+    std::atomic<std::uint64_t> bytesSent = 0;
+    std::atomic<std::uint64_t> framesReceived = 0;
+    std::atomic<std::uint64_t> bytesReceived = 0;
+    std::atomic<std::uint64_t> malformedFrames = 0;
+    std::atomic<bool> isStopped = false;
+    std::thread thread;
+};
+
+PeerHub::PeerHub(PeerHubEvents events)
+    : implementation(std::make_unique<Implementation>(std::move(events)))
+{}
+
+PeerHub::~PeerHub() = default;
+
+std::uint16_t PeerHub::listen(const std::string &host, std::uint16_t port)
+{
+    return this->implementation->listen(host, port);
+}
+
+LinkId PeerHub::connect(const std::string &host, std::uint16_t port, std::int64_t timeoutMs)
+{
+    Implementation *hub = this->implementation.get();
+    const LinkId id = ++hub->lastLink;
+    boost::asio::post(hub->context, [hub, id, host, port, timeoutMs] {
+        hub->connect(id, host, port, timeoutMs);
+    });
+    return id;
+}
+
+bool PeerHub::send(LinkId link, const Schema::Frame &frame)
+{
+    return this->implementation->send(link, frame);
+}
+
+void PeerHub::close(LinkId link)
+{
+    Implementation *hub = this->implementation.get();
+    boost::asio::post(hub->context, [hub, link] { hub->close(link); });
+}
+
+PeerHubTraffic PeerHub::traffic() const
+{
+    PeerHubTraffic traffic;
+    traffic.framesSent = this->implementation->framesSent;
+    traffic.bytesSent = this->implementation->bytesSent;
+    traffic.framesReceived = this->implementation->framesReceived;
+    traffic.bytesReceived = this->implementation->bytesReceived;
+    traffic.malformedFrames = this->implementation->malformedFrames;
+    return traffic;
+}
+
+void PeerHub::stop()
+{
+    this->implementation->stop();
+}
+
+} // namespace Net
--- /dev/null
+++ b/Source/UnitTests/Net/HttpTest.cpp
@@ -0,0 +1,400 @@
+#include <atomic>
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <vector>
+
+#include "Net/HttpClient.h"
+#include "Net/HttpServer.h"
+#include "RawServer.h"
+
+namespace {
+
+using Net::HttpTransport;
+
+constexpr std::size_t BodyLimit = std::size_t{2} << 20U;
+const std::string RawAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+std::unique_ptr<Net::HttpServer> serve(Net::HttpHandler handler)
+{
+    return Net::HttpServerBuilder()
+            .threads(2)
+            .maxBodyBytes(BodyLimit)
+            .handler(std::move(handler))
+            .build();
+}
+
+std::string urlOf(std::uint16_t port, const std::string &path = "/")
+{
+    return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+Net::HttpCall post(std::uint16_t port, const std::string &body)
+{
+    Net::HttpCall call;
+    call.method = "POST";
+    call.url = urlOf(port);
+    call.body = body;
+    return call;
+}
+
+/// A port that was free a moment ago.
+std::uint16_t closedPort()
+{
+    return serve([](const Net::HttpRequest &, const Net::HttpReply &) {})->port();
+}
+
+/// Counts down to zero.
+class Latch
+{
+public:
+    explicit Latch(int count)
+        : count(count)
+    {}
+
+    void countDown()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        --this->count;
+        this->changed.notify_all();
+    }
+
+    bool wait()
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        return this->changed.wait_for(lock, std::chrono::seconds(20),
+                                      [this] { return this->count <= 0; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    int count;
+};
+
+} // namespace
+
+TEST_CASE("A request reaches the handler with method, path, query and body")
+{
+    const auto server = serve([](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+        Net::HttpResponse response;
+        response.body = request.method + ' ' + request.path;
+        for (const auto &entry : request.query) {
+            response.body += ' ' + entry.first + '=' + entry.second;
+        }
+        response.body += ' ' + request.body;
+        reply.send(response);
+    });
+    struct Row
+    {
+        const char *method;
+        const char *path;
+        const char *body;
+        const char *seen;
+    };
+    const Row rows[] = {
+            {"GET", "/v1/jobs/a", "", "GET /v1/jobs/a "},
+            {"GET", "/v1/jobs/a%3Ab?wait=false", "", "GET /v1/jobs/a:b wait=false "},
+            {"POST", "/v1/jobs?wait=false&x=a%20b", "{}", "POST /v1/jobs wait=false x=a b {}"},
+            {"DELETE", "/v1/jobs/a", "", "DELETE /v1/jobs/a "},
+    };
+    Net::HttpClient client(4);
+    for (const Row &row : rows) {
+        Net::HttpCall call;
+        call.method = row.method;
+        call.url = urlOf(server->port(), row.path);
+        call.body = row.body;
+        const Net::HttpResult result = client.perform(call);
+        CHECK(result.transport == HttpTransport::Answered);
+        CHECK(result.status == 200);
+        CHECK(result.body == row.seen);
+    }
+}
+
+TEST_CASE("Bodies up to the limit pass whole, longer ones are refused with the reason")
+{
+    const auto server = serve([](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+        reply.send({200, request.body, "text/plain", 0});
+    });
+    struct Row
+    {
+        std::size_t size;
+        int status;
+    };
+    const Row rows[] = {{1U << 10U, 200}, {1U << 20U, 200}, {BodyLimit, 200}, {BodyLimit + 1, 413}};
+    Net::HttpClient client(4);
+    for (const Row &row : rows) {
+        CAPTURE(row.size);
+        const std::string body(row.size, 'b');
+        const Net::HttpResult result = client.perform(post(server->port(), body));
+        CHECK(result.status == row.status);
+        if (row.status == 200) {
+            CHECK((result.body == body));
+        } else {
+            CHECK(result.body.find("body_too_large") != std::string::npos);
+        }
+    }
+    const std::string farTooLong(BodyLimit * 4, 'b');
+    CHECK(client.perform(post(server->port(), farTooLong)).status != 200);
+    CHECK(client.perform(post(server->port(), "after")).body == "after");
+}
+
+TEST_CASE("Replies can be sent later, from another thread, in any order")
+{
+    constexpr int Requests = 100;
+    std::mutex mutex;
+    std::vector<std::pair<std::string, Net::HttpReply>> owed;
+    Latch arrived(Requests);
+    const auto server = serve([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        owed.emplace_back(request.body, reply);
+        arrived.countDown();
+    });
+    Net::HttpClient client(Requests);
+    Latch answered(Requests);
+    std::atomic<int> crossed = 0;
+    for (int number = 0; number < Requests; ++number) {
+        const std::string body = std::to_string(number);
+        client.send(post(server->port(), body), [&, body](const Net::HttpResult &result) {
+            crossed += result.body == body ? 0 : 1;
+            answered.countDown();
+        });
+    }
+    REQUIRE(arrived.wait());
+    for (auto entry = owed.rbegin(); entry != owed.rend(); ++entry) {
+        entry->second.send({200, entry->first, "text/plain", 0});
+    }
+    REQUIRE(answered.wait());
+    CHECK(crossed == 0);
+}
+
+TEST_CASE("A dropped reply is answered with status 500, a second answer is ignored")
+{
+    const auto server = serve([](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+        if (request.body == "twice") {
+            reply.send({200, "first", "text/plain", 0});
+            reply.send({200, "second", "text/plain", 0});
+        }
+    });
+    Net::HttpClient client(1);
+    CHECK(client.perform(post(server->port(), "drop")).status == 500);
+    CHECK(client.perform(post(server->port(), "twice")).body == "first");
+    CHECK(client.perform(post(server->port(), "drop")).status == 500);
+}
+
+TEST_CASE("Connections are kept between calls")
+{
+    std::atomic<int> connections = 0;
+    std::atomic<int> requests = 0;
+    RawServer server([&](RawServer::Socket &socket, int) {
+        ++connections;
+        while (!RawServer::readRequest(socket).empty()) {
+            ++requests;
+            RawServer::write(socket, RawAnswer);
+        }
+    });
+    {
+        Net::HttpClient client(1);
+        for (int round = 0; round < 5; ++round) {
+            CHECK(client.perform(post(server.port(), "{}")).body == "ok");
+        }
+    }
+    CHECK(requests == 5);
+    CHECK(connections == 1);
+}
+
+TEST_CASE("Stopping waits for answers that are on their way")
+{
+    // A caller waits for its answer while the gateway stops. The answer is handed over just before
+    // stop(): it must still reach the caller, whole, though the threads that write it end next.
+    const std::string body(1U << 20U, 'a');
+    for (int round = 0; round < 10; ++round) {
+        std::mutex mutex;
+        std::vector<Net::HttpReply> owed;
+        Latch arrived(1);
+        const auto server = serve([&](const Net::HttpRequest &, const Net::HttpReply &reply) {
+            const std::lock_guard<std::mutex> lock(mutex);
+            owed.push_back(reply);
+            arrived.countDown();
+        });
+        Net::HttpClient client(1);
+        Latch answered(1);
+        Net::HttpResult received;
+        client.send(post(server->port(), "{}"), [&](Net::HttpResult result) {
+            received = std::move(result);
+            answered.countDown();
+        });
+        REQUIRE(arrived.wait());
+        owed.front().send({200, body, "text/plain", 0});
+        server->stop();
+        REQUIRE(answered.wait());
+        CHECK(received.transport == HttpTransport::Answered);
+        CHECK((received.body == body));
+    }
+}
+
+TEST_CASE("A reply may outlive its caller and its server")
+{
+    // The caller gives up and closes; later the server stops, and only then the job's answer is
+    // sent: both must be without effect, since there is nobody to take it.
+    std::mutex mutex;
+    std::vector<Net::HttpReply> owed;
+    const auto server = serve([&](const Net::HttpRequest &, const Net::HttpReply &reply) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        owed.push_back(reply);
+    });
+    for (int round = 0; round < 2; ++round) {
+        Net::HttpClient client(1);
+        Net::HttpCall call = post(server->port(), "{}");
+        call.timeoutMs = 100;
+        CHECK(client.perform(call).transport == HttpTransport::TimedOut);
+    }
+    REQUIRE(owed.size() == 2);
+    owed.front().send({200, "late", "text/plain", 0});
+    server->stop();
+    owed.back().send({200, "too late", "text/plain", 0});
+    owed.clear();
+    CHECK_THROWS_AS(Net::HttpServerBuilder().listenOn("192.0.2.1", 1).handler(nullptr).build(),
+                    std::runtime_error);
+}
+
+TEST_CASE("Only a call whose connection was never made is NotConnected")
+{
+    struct Row
+    {
+        const char *name;
+        RawServer::Serve serve;
+        HttpTransport transport;
+    };
+    const Row rows[] = {
+            {"answered",
+             [](RawServer::Socket &socket, int) {
+                 RawServer::readRequest(socket);
+                 RawServer::write(socket, RawAnswer);
+             },
+             HttpTransport::Answered},
+            {"closed after accepting", [](RawServer::Socket &, int) {}, HttpTransport::Lost},
+            {"closed after reading the request",
+             [](RawServer::Socket &socket, int) { RawServer::readRequest(socket); },
+             HttpTransport::Lost},
+            {"closed within the answer",
+             [](RawServer::Socket &socket, int) {
+                 RawServer::readRequest(socket);
+                 RawServer::write(socket, RawAnswer.substr(0, RawAnswer.size() - 1));
+             },
+             HttpTransport::Lost},
+            {"silent",
+             [](RawServer::Socket &socket, int) {
+                 RawServer::readRequest(socket);
+                 RawServer::readRequest(socket);
+             },
+             HttpTransport::TimedOut},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        RawServer server(row.serve);
+        Net::HttpClient client(1);
+        Net::HttpCall call = post(server.port(), "{}");
+        call.timeoutMs = 300;
+        CHECK(client.perform(call).transport == row.transport);
+    }
+    Net::HttpClient client(1);
+    CHECK(client.perform(post(closedPort(), "{}")).transport == HttpTransport::NotConnected);
+}
+
+TEST_CASE("A POST on a kept connection reaches a server that closes it exactly once")
+{
+    // A server answers one POST, reads a second on the same connection, acts on it and dies without
+    // an answer. curl by itself would open a new connection and send the POST again: a crew
+    // dispatched twice. The caller of the client must learn that the call is lost instead.
+    std::atomic<int> seen = 0;
+    RawServer server([&seen](RawServer::Socket &socket, int number) {
+        if (RawServer::readRequest(socket).empty()) {
+            return;
+        }
+        ++seen;
+        RawServer::write(socket, RawAnswer);
+        if (number == 1 && !RawServer::readRequest(socket).empty()) {
+            ++seen;
+        }
+    });
+    for (const char *method : {"POST", "DELETE"}) {
+        CAPTURE(method);
+        seen = 0;
+        Net::HttpClient client(1);
+        Net::HttpCall call = post(server.port(), "{}");
+        call.method = method;
+        CHECK(client.perform(call).transport == HttpTransport::Answered);
+        if (std::string(method) == "POST") {
+            CHECK(client.perform(call).transport == HttpTransport::Lost);
+            CHECK(seen == 2);
+        }
+        CHECK(client.perform(call).transport == HttpTransport::Answered);
+    }
+}
+
+TEST_CASE("A connection that the server closed while idle is not used again")
+{
+    std::atomic<int> seen = 0;
+    Latch closed(1);
+    RawServer server([&](RawServer::Socket &socket, int number) {
+        if (!RawServer::readRequest(socket).empty()) {
+            ++seen;
+            RawServer::write(socket, RawAnswer);
+        }
+        socket.close();
+        if (number == 1) {
+            closed.countDown();
+        }
+    });
+    Net::HttpClient client(1);
+    CHECK(client.perform(post(server.port(), "{}")).transport == HttpTransport::Answered);
+    REQUIRE(closed.wait());
+    CHECK(client.perform(post(server.port(), "{}")).transport == HttpTransport::Answered);
+    CHECK(seen == 2);
+}
+
+TEST_CASE("Calls that wait for a connection end in time, too")
+{
+    // The server never answers and the client may use one connection. The second call waits behind
+    // the first; its own timeout passes there, and as it was never sent it is NotConnected.
+    RawServer server([](RawServer::Socket &socket, int) {
+        while (!RawServer::readRequest(socket).empty()) {
+        }
+    });
+    Net::HttpClient client(1);
+    Latch ended(2);
+    std::vector<Net::HttpResult> results(2);
+    for (std::size_t number = 0; number < 2; ++number) {
+        Net::HttpCall call = post(server.port(), "{}");
+        call.timeoutMs = 300;
+        client.send(call, [&, number](Net::HttpResult result) {
+            results[number] = std::move(result);
+            ended.countDown();
+        });
+    }
+    REQUIRE(ended.wait());
+    CHECK(results[0].transport == HttpTransport::TimedOut);
+    CHECK(results[1].transport != HttpTransport::Answered);
+}
+
+TEST_CASE("Calls outstanding at the client's end are told so")
+{
+    RawServer server([](RawServer::Socket &socket, int) {
+        while (!RawServer::readRequest(socket).empty()) {
+        }
+    });
+    Latch ended(3);
+    std::atomic<int> answered = 0;
+    {
+        Net::HttpClient client(1);
+        for (int number = 0; number < 3; ++number) {
+            client.send(post(server.port(), "{}"), [&](const Net::HttpResult &result) {
+                answered += result.transport == HttpTransport::Answered ? 1 : 0;
+                ended.countDown();
+            });
+        }
+    }
+    CHECK(ended.wait());
+    CHECK(answered == 0);
+}
