--- /dev/null
+++ b/Source/AuburntrailFakeBackend/Main.cpp
@@ -0,0 +1,54 @@
+#include <CLI/CLI.hpp>
+#include <exception>
+
+#include "Common/Common.h"
+#include "StandIn/StandIn.h"
+
+namespace {
+
+struct Options
+{
+    StandIn::DaemonOptions daemon;
+    StandIn::FakeBackendControl control;
+};
+
+void addOptions(CLI::App &app, Options &options)
+{
+    StandIn::addDaemonOptions(app, options.daemon);
+    app.add_option("--slots", options.control.slots, "tasks that run at once")
+            ->check(CLI::Range(0, 1024))
+            ->capture_default_str();
+    app.add_option("--speed", options.control.speed, "a task of 100 ms takes 50 ms at speed 2")
+            ->check(CLI::PositiveNumber)
+            ->capture_default_str();
+}
+
+void run(const Options &options)
+{
+    const StandIn::DaemonOptions &daemon = options.daemon;
+    StandIn::runDaemon("fake-backend", daemon, [&] {
+        return StandIn::FakeBackendServerBuilder()
+                .listenOn(daemon.host, daemon.port)
+                .threads(daemon.threads)
+
+                .control(options.control)
+                .build();
+    });
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    CLI::App app("Stand-in for a backend server");
+    Options options;
+    addOptions(app, options);
+    CLI11_PARSE(app, argumentCount, arguments);
+    try {
+        run(options);
+        return 0;
+    } catch (const std::exception &error) {
+        Common::logEvent(Common::LogLevel::Error, "failed", {{"error", error.what()}});
+        return 1;
+    }
+}
--- a/Source/Core/StandIn/FakeBackendServer.cpp
+++ b/Source/Core/StandIn/FakeBackendServer.cpp
@@ -186,10 +186,7 @@
         this->answer(reply, reasonResponse(HttpStatus::InternalError, "task_failed", task.result));
         return;
     }
-    Net::HttpResponse response;
-    response.contentType = "text/plain";
-    response.body = task.result;
-    this->answer(reply, std::move(response));
+    this->answer(reply, jsonResponse({{"result", task.result}}));
 }
 
 void FakeBackendServer::Implementation::answer(const Net::HttpReply &reply,
--- a/Source/Core/StandIn/FakeBackendServer.h
+++ b/Source/Core/StandIn/FakeBackendServer.h
@@ -10,7 +10,7 @@
 namespace StandIn {
 
 /// The stand-in backend server over HTTP, on threads of its own:
-///   POST /run              a Schema::RunTask -> 200 with the result as body after the run time;
+///   POST /run              a Schema::RunTask -> 200 with {"result":"..."} after the run time;
 ///                          500 task_failed: it ran and failed; 412 not_after_passed, 503 no_slot
 ///                          or backend_refused, 400 malformed: nothing was started
 ///   GET  /health           200 while it takes work
--- a/Source/Core/StandIn/StandIn.h
+++ b/Source/Core/StandIn/StandIn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "StandIn/DaemonProcess.h"
 #include "StandIn/FakeBackendServer.h"
 #include "StandIn/FakeBackendState.h"
 #include "StandIn/FakeLogServer.h"
