Gateway: run the decisions as a daemon

Cause: the decisions need a process around them. Change: one control thread with a mailbox, HTTP and WebSocket and log threads that only post to it, links known by their first frame and given up when silent, graceful stop on SIGTERM.

--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -68,20 +68,21 @@
     return text + '"';
 }
 
-std::string formatLine(LogLevel level, std::string_view event,
-                       std::initializer_list<LogField> fields)
+std::string startLine(LogLevel level, std::string_view event)
 {
     std::string line = "level=";
     line += nameOf(LogLevelNames, level);
     line += " process=" + processName() + " event=";
     line += event;
-    for (const LogField &field : fields) {
-        line += ' ' + field.key + '=';
-        line += needsQuotes(field.value) ? quoteValue(field.value) : field.value;
-    }
     return line;
 }
 
+void addField(std::string &line, const std::string &key, const std::string &value)
+{
+    line += ' ' + key + '=';
+    line += needsQuotes(value) ? quoteValue(value) : value;
+}
+
 } // namespace
 
 void startLogging(std::string_view process, std::string_view levelName)
@@ -104,7 +105,21 @@
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    BOOST_LOG_SEV(logger(), level) << formatLine(level, event, fields);
+    std::string line = startLine(level, event);
+    for (const LogField &field : fields) {
+        addField(line, field.key, field.value);
+    }
+    BOOST_LOG_SEV(logger(), level) << line;
+}
+
+void logEvent(LogLevel level, std::string_view event,
+              const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    std::string line = startLine(level, event);
+    for (const auto &[key, value] : fields) {
+        addField(line, key, value);
+    }
+    BOOST_LOG_SEV(logger(), level) << line;
 }
 
 } // namespace Common
--- a/Source/Core/Common/Log.h
+++ b/Source/Core/Common/Log.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
+#include <vector>
 
 namespace Common {
 
@@ -36,5 +38,7 @@
 /// Writes one line: time, level, process, event and the fields, as key=value pairs. A value with
 /// blanks, quotes or control characters is quoted and escaped, so that a line stays one line.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+void logEvent(LogLevel level, std::string_view event,
+              const std::vector<std::pair<std::string, std::string>> &fields);
 
 } // namespace Common
--- /dev/null
+++ b/Source/Core/Gateway/ControlMessage.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <variant>
+
+#include "Dispatch/Dispatch.h"
+#include "Gateway/CallerApi.h"
+#include "Net/Net.h"
+#include "PlatformLog/PlatformLog.h"
+
+/// What the traffic threads tell the control thread.
+namespace Gateway {
+
+struct ApiCalled
+{
+    ApiRequest request;
+    Net::HttpReply reply;
+};
+
+struct ApiRefused
+{
+    Schema::Reason reason = Schema::Reason::None;
+};
+
+struct LinkUp
+{
+    Net::LinkId link = 0;
+};
+
+struct FrameArrived
+{
+    Net::LinkId link = 0;
+    Schema::Frame frame;
+};
+
+struct LinkDown
+{
+    Net::LinkId link = 0;
+};
+
+struct LogDelivered
+{
+    Dispatch::LogStream stream = Dispatch::LogStream::Control;
+    PlatformLog::ReadResult read;
+};
+
+struct LogAppended
+{
+    Dispatch::LogStream stream = Dispatch::LogStream::Control;
+    std::uint64_t batch = 0;
+    PlatformLog::AppendResult result;
+};
+
+struct StopRequested
+{};
+
+using ControlMessage = std::variant<ApiCalled, ApiRefused, LinkUp, FrameArrived, LinkDown,
+                                    LogDelivered, LogAppended, StopRequested>;
+
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Links.cpp
@@ -0,0 +1,100 @@
+#include "Gateway/Links.h"
+
+namespace Gateway {
+
+namespace {
+
+void eraseIfSame(std::map<std::string, Net::LinkId> &index, const Link &link)
+{
+    const auto found = index.find(link.instance);
+    if (found != index.end() && found->second == link.id) {
+        index.erase(found);
+    }
+}
+
+} // namespace
+
+Net::LinkId linkTo(const LinkTable &table, const std::string &instance)
+{
+    const auto outbound = table.outboundTo.find(instance);
+    if (outbound != table.outboundTo.end() && table.links.at(outbound->second).isOpen) {
+        return outbound->second;
+    }
+    const auto inbound = table.inboundFrom.find(instance);
+    return inbound == table.inboundFrom.end() ? 0 : inbound->second;
+}
+
+void linkOpened(LinkTable &table, Net::LinkId id, Common::Moment now)
+{
+    Link &link = table.links[id];
+    link.id = id;
+    link.isOpen = true;
+    link.lastHeardMs = now.steadyMs;
+}
+
+void linkDialled(LinkTable &table, Net::LinkId id, const std::string &instance, Common::Moment now)
+{
+    Link link;
+    link.id = id;
+    link.kind = PeerKind::Gateway;
+    link.instance = instance;
+    link.isOutbound = true;
+    link.lastHeardMs = now.steadyMs;
+    table.links.emplace(id, link);
+    table.outboundTo[instance] = id;
+}
+
+Net::LinkId linkIdentified(LinkTable &table, Net::LinkId id, PeerKind kind,
+                           const std::string &instance, Common::Moment now)
+{
+    Link &link = table.links[id];
+    link.lastHeardMs = now.steadyMs;
+    if (link.isOutbound || link.instance == instance) {
+        return 0;
+    }
+    link.kind = kind;
+    link.instance = instance;
+    Net::LinkId &known = table.inboundFrom[instance];
+    const Net::LinkId replaced = known == id ? 0 : known;
+    known = id;
+    return replaced;
+}
+
+Link linkClosed(LinkTable &table, Net::LinkId id)
+{
+    const auto found = table.links.find(id);
+    if (found == table.links.end()) {
+        return {};
+    }
+    const Link link = found->second;
+    table.links.erase(found);
+    eraseIfSame(table.outboundTo, link);
+    eraseIfSame(table.inboundFrom, link);
+    return link;
+}
+
+std::vector<Net::LinkId> silentLinks(const LinkTable &table, Common::Moment now,
+                                     std::int64_t silenceMs)
+{
+    std::vector<Net::LinkId> silent;
+    for (const auto &[id, link] : table.links) {
+        if (link.lastHeardMs + silenceMs <= now.steadyMs) {
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
+Sender senderOf(const Schema::Frame &frame)
+{
+    switch (frame.type) {
+    case Schema::FrameType::AgentHello:
+        return {PeerKind::Agent, frame.agentHello->instance};
+    case Schema::FrameType::PeerPing:
+        return {PeerKind::Gateway, frame.peerPing->instance};
+    default:
+        return {};
+    }
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Links.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Common/Common.h"
+#include "Net/Net.h"
+#include "Schema/Schema.h"
+
+/// Which WebSocket link leads to which gateway or agent. A link is known by the first frame on it;
+/// one that goes silent is given up, since a connection can be dead for good without either end
+/// being told.
+namespace Gateway {
+
+enum class PeerKind { Unidentified, Gateway, Agent };
+
+struct Link
+{
+    Net::LinkId id = 0;
+    PeerKind kind = PeerKind::Unidentified;
+    std::string instance;
+    bool isOutbound = false;
+    bool isOpen = false;
+    std::int64_t lastHeardMs = 0;
+};
+
+struct LinkTable
+{
+    std::unordered_map<Net::LinkId, Link> links;
+    /// Outbound links come first: a gateway's own connection is the one whose silence it judges.
+    std::map<std::string, Net::LinkId> outboundTo;
+    std::map<std::string, Net::LinkId> inboundFrom;
+};
+
+/// The link by which \a instance can be reached; 0 for none.
+Net::LinkId linkTo(const LinkTable &table, const std::string &instance);
+
+void linkOpened(LinkTable &table, Net::LinkId id, Common::Moment now);
+void linkDialled(LinkTable &table, Net::LinkId id, const std::string &instance, Common::Moment now);
+/// The sender of a frame named itself. Returns the link it replaces, or 0.
+Net::LinkId linkIdentified(LinkTable &table, Net::LinkId id, PeerKind kind,
+                           const std::string &instance, Common::Moment now);
+/// Forgets the link and returns what it was.
+Link linkClosed(LinkTable &table, Net::LinkId id);
+/// Links not heard from for \a silenceMs.
+std::vector<Net::LinkId> silentLinks(const LinkTable &table, Common::Moment now,
+                                     std::int64_t silenceMs);
+
+/// Who sent \a frame, where the frame says so itself.
+struct Sender
+{
+    PeerKind kind = PeerKind::Unidentified;
+    std::string instance;
+};
+Sender senderOf(const Schema::Frame &frame);
+
+} // namespace Gateway
