--- a/Source/Core/Agent/Agent.h
+++ b/Source/Core/Agent/Agent.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Agent/AgentCore.h"
+#include "Agent/AgentDaemon.h"
+#include "Agent/AgentMetrics.h"
 #include "Agent/AgentState.h"
 #include "Agent/BackendAnswer.h"
 #include "Agent/Effects.h"
--- /dev/null
+++ b/Source/Core/Agent/AgentDaemon.cpp
@@ -0,0 +1,364 @@
+#include "Agent/AgentDaemon.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <utility>
+#include <variant>
+
+#include "Agent/AgentCore.h"
+#include "Agent/AgentMetrics.h"
+#include "Agent/BackendAnswer.h"
+#include "Common/Common.h"
+#include "Net/Net.h"
+
+namespace Agent {
+
+namespace {
+
+constexpr std::int64_t TickMs = 20;
+constexpr std::int64_t PublishMs = 500;
+constexpr std::int64_t ShortestHealthTimeoutMs = 1000;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusNotFound = 404;
+
+struct LinkOpened
+{
+    Net::LinkId link = 0;
+};
+
+struct LinkClosed
+{
+    Net::LinkId link = 0;
+};
+
+struct FrameArrived
+{
+    Net::LinkId link = 0;
+    Schema::Frame frame;
+};
+
+struct RunAnswered
+{
+    TaskKey key;
+    Net::HttpResult answer;
+};
+
+struct HealthAnswered
+{
+    bool healthy = false;
+};
+
+struct StopRequested
+{};
+
+/// What the traffic threads hand to the control thread.
+using ControlMessage = std::variant<LinkOpened, LinkClosed, FrameArrived, RunAnswered,
+                                    HealthAnswered, StopRequested>;
+
+std::string uniqueInstance(const std::string &name, Common::Random &random)
+{
+    return name + '-' + Common::randomId(random);
+}
+
+AgentState makeState(const Schema::AgentSettings &settings)
+{
+    Common::Random random = Common::makeRandom();
+    std::string instance = uniqueInstance(settings.name, random);
+    return makeAgentState(settings, std::move(instance), random);
+}
+
+} // namespace
+
+struct AgentDaemon::Implementation
+{
+    explicit Implementation(Schema::AgentSettings chosen);
+
+    void start();
+    bool run();
+
+    void takeMessage(ControlMessage message);
+    Effects decide(const LinkOpened &event, Common::Moment now);
+    Effects decide(const LinkClosed &event, Common::Moment now);
+    Effects decide(const FrameArrived &event, Common::Moment now);
+    Effects decide(const RunAnswered &event, Common::Moment now);
+    Effects decide(const HealthAnswered &event, Common::Moment now);
+    Effects decide(const StopRequested &event, Common::Moment now);
+
+    void carryOut(Effects effects);
+    void carryOut(const ConnectGateway &effect);
+    void carryOut(const CloseLink &effect);
+    void carryOut(const SendToGateway &effect);
+    void carryOut(const RunTask &effect);
+    void carryOut(const CountReason &effect);
+    void carryOut(const Note &effect);
+
+    void passTime(Common::Moment now);
+    void askHealth();
+    void publish(Common::Moment now);
+    Net::HttpResponse answerOperator(const Net::HttpRequest &request);
+    LinkNumber numberOf(Net::LinkId link) const;
+
+    Schema::AgentSettings settings;
+    AgentState state;
+    Common::Metrics metrics;
+    Common::Mailbox<ControlMessage> mailbox;
+    std::atomic<bool> ready{false};
+
+    /// Between the decisions' link numbers and the hub's; touched by the control thread only.
+    std::map<LinkNumber, Net::LinkId> hubLinks;
+    std::map<Net::LinkId, LinkNumber> linkNumbers;
+    std::int64_t nextTickMs = 0;
+    std::int64_t nextHealthMs = 0;
+    std::int64_t nextPublishMs = 0;
+    bool askingHealth = false;
+
+    // Last, so that their threads end before what they post to.
+    std::unique_ptr<Net::PeerHub> hub;
+    std::unique_ptr<Net::HttpClient> runClient;
+    /// Of its own: health must be seen also while every connection is busy with tasks.
+    std::unique_ptr<Net::HttpClient> healthClient;
+    std::unique_ptr<Net::HttpServer> server;
+};
+
+AgentDaemon::Implementation::Implementation(Schema::AgentSettings chosen)
+    : settings(std::move(chosen))
+    , state(makeState(this->settings))
+{}
+
+void AgentDaemon::Implementation::start()
+{
+    this->server =
+            Net::HttpServerBuilder()
+                    .listenOn(this->settings.host,
+                              static_cast<std::uint16_t>(this->settings.metricsPort))
+                    .handler([this](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        reply.send(this->answerOperator(request));
+                    })
+                    .build();
+    Net::PeerHubEvents events;
+    events.opened = [this](Net::LinkId link) { this->mailbox.post(LinkOpened{link}); };
+    events.closed = [this](Net::LinkId link) { this->mailbox.post(LinkClosed{link}); };
+    events.received = [this](Net::LinkId link, Schema::Frame frame) {
+        this->mailbox.post(FrameArrived{link, std::move(frame)});
+    };
+    this->hub = std::make_unique<Net::PeerHub>(std::move(events));
+    this->runClient =
+            std::make_unique<Net::HttpClient>(static_cast<int>(this->settings.connections));
+    this->healthClient = std::make_unique<Net::HttpClient>(1);
+}
+
+bool AgentDaemon::Implementation::run()
+{
+    Common::logEvent(Common::LogLevel::Info, "agent_started",
+                     {{"instance", this->state.instance},
+                      {"backend", this->settings.backendUrl},
+                      {"metrics_port", this->server->port()}});
+    while (!stopFinished(this->state, Common::currentMoment())) {
+        for (ControlMessage &message : this->mailbox.take(std::chrono::milliseconds(TickMs))) {
+            this->takeMessage(std::move(message));
+        }
+        this->passTime(Common::currentMoment());
+        this->carryOut(flush(this->state, Common::currentMoment()));
+    }
+    return this->state.slots.running.empty() && this->state.outcomes.due.empty();
+}
+
+void AgentDaemon::Implementation::takeMessage(ControlMessage message)
+{
+    // The clock is read for each message: one that waited through a pause must not be judged by an
+    // older time.
+    this->carryOut(std::visit(
+            [this](const auto &event) { return this->decide(event, Common::currentMoment()); },
+            message));
+}
+
+LinkNumber AgentDaemon::Implementation::numberOf(Net::LinkId link) const
+{
+    const auto found = this->linkNumbers.find(link);
+    return found == this->linkNumbers.end() ? 0 : found->second;
+}
+
+Effects AgentDaemon::Implementation::decide(const LinkOpened &event, Common::Moment now)
+{
+    return linkOpened(this->state, this->numberOf(event.link), now);
+}
+
+Effects AgentDaemon::Implementation::decide(const LinkClosed &event, Common::Moment now)
+{
+    const LinkNumber number = this->numberOf(event.link);
+    this->linkNumbers.erase(event.link);
+    this->hubLinks.erase(number);
+    return linkClosed(this->state, number, now);
+}
+
+Effects AgentDaemon::Implementation::decide(const FrameArrived &event, Common::Moment now)
+{
+    return frameReceived(this->state, this->numberOf(event.link), event.frame, now);
+}
+
+Effects AgentDaemon::Implementation::decide(const RunAnswered &event, Common::Moment now)
+{
+    return runAnswered(this->state, event.key, event.answer, now);
+}
+
+Effects AgentDaemon::Implementation::decide(const HealthAnswered &event, Common::Moment now)
+{
+    this->askingHealth = false;
+    return healthAnswered(this->state, event.healthy, now);
+}
+
+Effects AgentDaemon::Implementation::decide(const StopRequested &, Common::Moment now)
+{
+    return this->state.stopping ? Effects() : beginStop(this->state, now);
+}
+
+void AgentDaemon::Implementation::carryOut(Effects effects)
+{
+    for (const Effect &effect : effects) {
+        std::visit([this](const auto &one) { this->carryOut(one); }, effect);
+    }
+}
+
+void AgentDaemon::Implementation::carryOut(const ConnectGateway &effect)
+{
+    const Net::LinkId link = this->hub->connect(effect.host, effect.port);
+    this->hubLinks[effect.link] = link;
+    this->linkNumbers[link] = effect.link;
+}
+
+void AgentDaemon::Implementation::carryOut(const CloseLink &effect)
+{
+    const auto found = this->hubLinks.find(effect.link);
+    if (found != this->hubLinks.end()) {
+        this->hub->close(found->second);
+    }
+}
+
+void AgentDaemon::Implementation::carryOut(const SendToGateway &effect)
+{
+    const auto found = this->hubLinks.find(effect.link);
+    if (found != this->hubLinks.end() && !this->hub->send(found->second, effect.frame)) {
+        this->metrics.count("auburntrail_agent_frames_dropped_total");
+    }
+}
+
+void AgentDaemon::Implementation::carryOut(const RunTask &effect)
+{
+    Net::HttpCall call;
+    call.method = "POST";
+    call.url = this->settings.backendUrl + "/run";
+    call.body = nlohmann::json(effect.task).dump();
+    call.timeoutMs = this->settings.taskTimeoutMs;
+    this->metrics.count("auburntrail_agent_task_starts_total");
+    this->runClient->send(
+            std::move(call),
+            [this, key = TaskKey{effect.task.job, effect.task.index}](Net::HttpResult answer) {
+                this->mailbox.post(RunAnswered{key, std::move(answer)});
+            });
+}
+
+void AgentDaemon::Implementation::carryOut(const CountReason &effect)
+{
+    this->metrics.count(effect.counter, {{"reason", Schema::enumName(effect.reason)}},
+                        effect.amount);
+}
+
+void AgentDaemon::Implementation::carryOut(const Note &effect)
+{
+    Common::logEvent(Common::LogLevel::Info, effect.event, effect.fields);
+}
+
+void AgentDaemon::Implementation::passTime(Common::Moment now)
+{
+    if (now.steadyMs >= this->nextHealthMs && !this->askingHealth) {
+        this->nextHealthMs = now.steadyMs + this->settings.heartbeatMs;
+        this->askHealth();
+    }
+    if (now.steadyMs >= this->nextTickMs) {
+        this->nextTickMs = now.steadyMs + TickMs;
+        this->carryOut(tick(this->state, now));
+    }
+    if (now.steadyMs >= this->nextPublishMs) {
+        this->nextPublishMs = now.steadyMs + PublishMs;
+        this->publish(now);
+    }
+    this->ready = isReady(this->state, now);
+}
+
+void AgentDaemon::Implementation::askHealth()
+{
+    this->askingHealth = true;
+    Net::HttpCall call;
+    call.url = this->settings.backendUrl + "/health";
+    call.timeoutMs = std::max(ShortestHealthTimeoutMs, this->settings.heartbeatMs);
+    this->healthClient->send(std::move(call), [this](const Net::HttpResult &answer) {
+        this->mailbox.post(HealthAnswered{readHealthAnswer(answer)});
+    });
+}
+
+void AgentDaemon::Implementation::publish(Common::Moment now)
+{
+    publishState(this->metrics, this->state, now);
+    publishTraffic(this->metrics, this->hub->traffic());
+}
+
+Net::HttpResponse AgentDaemon::Implementation::answerOperator(const Net::HttpRequest &request)
+{
+    Net::HttpResponse response;
+    if (request.path == "/metrics") {
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = this->metrics.expose();
+    } else if (request.path == "/health") {
+        response.body = R"({"live":true})";
+    } else if (request.path == "/ready") {
+        const bool isReadyNow = this->ready;
+        response.status = isReadyNow ? response.status : StatusUnavailable;
+        response.body = isReadyNow ? R"({"ready":true})" : R"({"ready":false})";
+    } else {
+        response.status = StatusNotFound;
+        response.body = R"({"error":"no such path"})";
+    }
+    return response;
+}
+
+AgentDaemon::AgentDaemon(std::unique_ptr<Implementation> implementation)
+    : implementation(std::move(implementation))
+{}
+
+AgentDaemon::~AgentDaemon()
+{
+    this->implementation->server->stop();
+    this->implementation->hub->stop();
+}
+
+std::uint16_t AgentDaemon::metricsPort() const
+{
+    return this->implementation->server->port();
+}
+
+void AgentDaemon::requestStop()
+{
+    this->implementation->mailbox.post(StopRequested{});
+}
+
+bool AgentDaemon::run()
+{
+    return this->implementation->run();
+}
+
+AgentDaemonBuilder &AgentDaemonBuilder::settings(Schema::AgentSettings settings)
+{
+    this->chosen = std::move(settings);
+    return *this;
+}
+
+std::unique_ptr<AgentDaemon> AgentDaemonBuilder::build()
+{
+    auto implementation = std::make_unique<AgentDaemon::Implementation>(this->chosen);
+    implementation->start();
+    return std::unique_ptr<AgentDaemon>(new AgentDaemon(std::move(implementation)));
+}
+
+} // namespace Agent
