--- a/Source/Core/Gateway/ControlMessage.h
+++ b/Source/Core/Gateway/ControlMessage.h
@@ -17,11 +17,6 @@
     Net::HttpReply reply;
 };
 
-struct ApiRefused
-{
-    Schema::Reason reason = Schema::Reason::None;
-};
-
 struct LinkUp
 {
     Net::LinkId link = 0;
@@ -54,7 +49,7 @@
 struct StopRequested
 {};
 
-using ControlMessage = std::variant<ApiCalled, ApiRefused, LinkUp, FrameArrived, LinkDown,
-                                    LogDelivered, LogAppended, StopRequested>;
+using ControlMessage = std::variant<ApiCalled, LinkUp, FrameArrived, LinkDown, LogDelivered,
+                                    LogAppended, StopRequested>;
 
 } // namespace Gateway
--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -61,7 +61,6 @@
     bool run();
     void handle(ControlMessage message);
     void on(ApiCalled &called);
-    void on(ApiRefused &refused);
     void on(LinkUp &up);
     void on(FrameArrived &arrived);
     void on(LinkDown &down);
