Net: refuse long bodies at once, keep answers that take over a minute

Cause: Pistache's own reading of a request went on scanning a body above its limit (4 MB of zeros held a thread for more than 8 s, the caller had no answer), answered 408 to a request whose answer took longer than its header timeout (60 s by default; shown with 1 s), closed HTTP/1.1 connections that named no Connection header, and dropped raw headers such as Retry-After. Change: RequestHandler reads requests itself with the library's parser, refuses by the announced length, answers 100-continue, and the idle timeout is 2 h with TCP keepalive. HttpClient's distrust of pooled connections after a timeout has its test.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -4,10 +4,14 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
+#include <pistache/peer.h>
 #include <shared_mutex>
 #include <stdexcept>
+#include <sys/socket.h>
 
 #include "Common/Log.h"
 #include "Net/HttpClient.h"
@@ -19,15 +23,31 @@
 
 namespace Http = Pistache::Http;
 
-/// Pistache's own limit cuts a request off without a body in its answer; with this much more room
-/// for headers and a longer body, a caller a little above the limit gets the reason.
-constexpr std::size_t RequestHeadroomBytes = std::size_t{256} << 10U;
-/// Pistache answers 408 on a connection that is older than this since its last request began, also
-/// while the answer is still owed. It must be longer than any job may wait.
-constexpr std::chrono::hours KeepAliveTimeout{24};
+/// Room for the request line, headers and chunk sizes beside the body.
+constexpr std::size_t HeaderRoomBytes = std::size_t{64} << 10U;
+/// Pistache answers 408 when this has passed since a request, also while its answer is still owed:
+/// with its default of a minute a job that waits longer would be cut off. Longer than the longest
+/// deadline of a job; connections whose caller vanished are found by watchForSilence() instead.
+constexpr std::chrono::hours IdleTimeout{2};
 /// How long stop() waits for answers that are sent but not yet written.
 constexpr std::chrono::seconds FlushTimeout{2};
 
+/// The library knows no such header, and writes only headers of a type it is given.
+class RetryAfter : public Http::Header::Header
+{
+public:
+    NAME("Retry-After")
+
+    explicit RetryAfter(int seconds)
+        : seconds(seconds)
+    {}
+
+    void write(std::ostream &stream) const override { stream << this->seconds; }
+
+private:
+    int seconds;
+};
+
 /// Stands between replies, which live as long as their holder likes, and the endpoint, which ends.
 struct Gate
 {
@@ -53,19 +73,45 @@
     }
 };
 
-HttpResponse bodyTooLarge(std::size_t limit)
+HttpResponse refusal(int status, Schema::Reason reason, const std::string &detail)
 {
-    constexpr int ContentTooLarge = 413;
     HttpResponse response;
-    response.status = ContentTooLarge;
+    response.status = status;
     response.body = nlohmann::json{
-            {"reason", Schema::enumName(Schema::Reason::BodyTooLarge)},
-            {"detail", "a body may have " + std::to_string(limit) + " bytes"},
+            {"reason", Schema::enumName(reason)},
+            {"detail", detail},
             {"notRun",
-             true}}.dump();
+             true}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
 }
 
+HttpResponse bodyTooLarge(std::size_t limit)
+{
+    constexpr int ContentTooLarge = 413;
+    return refusal(ContentTooLarge, Schema::Reason::BodyTooLarge,
+                   "a body may have " + std::to_string(limit) + " bytes");
+}
+
+HttpResponse malformedRequest(const std::string &detail)
+{
+    constexpr int BadRequest = 400;
+    return refusal(BadRequest, Schema::Reason::Malformed, "HTTP: " + detail);
+}
+
+/// Lets the kernel notice a caller that vanished without a word, whose connection would otherwise
+/// be held until the idle timeout.
+void watchForSilence(int socket)
+{
+    constexpr int On = 1;
+    constexpr int IdleSeconds = 60;
+    constexpr int ProbeSeconds = 10;
+    constexpr int Probes = 3;
+    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &IdleSeconds, sizeof IdleSeconds);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeSeconds, sizeof ProbeSeconds);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
+}
+
 HttpRequest convert(const Http::Request &source)
 {
     HttpRequest request;
@@ -109,8 +155,7 @@
             return;
         }
         if (response.retryAfterSeconds > 0) {
-            this->writer.headers().addRaw(
-                    {"Retry-After", std::to_string(response.retryAfterSeconds)});
+            this->writer.headers().add<RetryAfter>(response.retryAfterSeconds);
         }
         this->gate->addUnwritten(1);
         const auto written = [gate = this->gate] { gate->addUnwritten(-1); };
@@ -130,14 +175,26 @@
     : implementation(std::move(implementation))
 {}
 
-void HttpReply::send(HttpResponse response) const
+void HttpReply::send(const HttpResponse &response) const
 {
     this->implementation->send(response);
 }
 
 namespace {
 
-/// Pistache's way into a HttpHandler.
+/// What the handler keeps of a connection, in its Pistache::Tcp::Peer.
+struct ConnectionState
+{
+    bool isRefused = false;
+    /// Whether "100 Continue" was sent for the request being read.
+    bool isContinued = false;
+};
+
+constexpr const char *ConnectionStateName = "connectionState";
+
+/// Pistache's way into a HttpHandler. It takes the place of the library's own reading of requests,
+/// which goes on scanning a body that is too long: 4 MB of it held a thread for seconds, and the
+/// caller had no answer. Here such a connection is answered once and nothing more is parsed.
 class RequestHandler : public Http::Handler
 {
 public:
@@ -151,16 +208,101 @@
 
     void onRequest(const Http::Request &request, Http::ResponseWriter writer) override
     {
+        const auto connection = request.headers().tryGet<Http::Header::Connection>();
+        const bool isClosing = connection ? connection->control() == Http::ConnectionControl::Close
+                                          : request.version() == Http::Version::Http10;
+        writer.headers().add<Http::Header::Connection>(
+                isClosing ? Http::ConnectionControl::Close : Http::ConnectionControl::KeepAlive);
         const HttpReply reply(
                 std::make_shared<HttpReply::Implementation>(std::move(writer), this->gate));
-        if (request.body().size() > this->bodyLimit) {
-            reply.send(bodyTooLarge(this->bodyLimit));
-            return;
-        }
         this->handler(convert(request), reply);
     }
 
 private:
+    using Peer = std::shared_ptr<Pistache::Tcp::Peer>;
+
+    void onConnection(const Peer &peer) override
+    {
+        watchForSilence(peer->fd());
+        peer->putData(ParserData, std::make_shared<Http::RequestParser>(this->getMaxRequestSize()));
+        peer->putData(ConnectionStateName, std::make_shared<ConnectionState>());
+    }
+
+    void onInput(const char *bytes, std::size_t length, const Peer &peer) override
+    {
+        if (stateOf(peer).isRefused) {
+            return;
+        }
+        Http::RequestParser &parser = *getParser(peer);
+        try {
+            if (!parser.feed(bytes, length)) {
+                this->refuse(peer, bodyTooLarge(this->bodyLimit));
+                return;
+            }
+            const bool isWhole = parser.parse() == Http::Private::State::Done;
+            const bool isBodyNext = parser.step()->id() == Http::Private::BodyStep::Id;
+            if (isBodyNext && this->isTooLong(parser.request)) {
+                this->refuse(peer, bodyTooLarge(this->bodyLimit));
+            } else if (isWhole) {
+                this->onRequest(parser.request, this->writerFor(peer));
+                stateOf(peer).isContinued = false;
+                parser.reset();
+            } else if (isBodyNext) {
+                sendContinue(peer, parser.request);
+            }
+        } catch (const std::bad_alloc &) {
+            // The library reserves whatever length a request announces.
+            this->refuse(peer, bodyTooLarge(this->bodyLimit));
+        } catch (const std::length_error &) {
+            this->refuse(peer, bodyTooLarge(this->bodyLimit));
+        } catch (const std::exception &error) {
+            this->refuse(peer, malformedRequest(error.what()));
+        }
+    }
+
+    static ConnectionState &stateOf(const Peer &peer)
+    {
+        return *std::static_pointer_cast<ConnectionState>(peer->getData(ConnectionStateName));
+    }
+
+    Http::ResponseWriter writerFor(const Peer &peer)
+    {
+        return {Http::Version::Http11, this->transport(), this, peer};
+    }
+
+    bool isTooLong(const Http::Request &request) const
+    {
+        const auto announced = request.headers().tryGet<Http::Header::ContentLength>();
+        return (announced && announced->value() > this->bodyLimit)
+               || request.body().size() > this->bodyLimit;
+    }
+
+    /// Answers and closes: what else arrives belongs to the refused request.
+    void refuse(const Peer &peer, const HttpResponse &response)
+    {
+        stateOf(peer).isRefused = true;
+        Http::ResponseWriter writer = this->writerFor(peer);
+        writer.headers().add<Http::Header::Connection>(Http::ConnectionControl::Close);
+        const auto closeForWriting = [peer] { ::shutdown(peer->fd(), SHUT_WR); };
+        writer.send(static_cast<Http::Code>(response.status), response.body,
+                    Http::Mime::MediaType::fromString(response.contentType))
+                .then([closeForWriting](ssize_t) { closeForWriting(); },
+                      [closeForWriting](const std::exception_ptr &) { closeForWriting(); });
+    }
+
+    /// Some callers, curl's command line among them, ask before a long body and wait a second for
+    /// the answer.
+    static void sendContinue(const Peer &peer, const Http::Request &request)
+    {
+        ConnectionState &state = stateOf(peer);
+        if (state.isContinued || !request.headers().has<Http::Header::Expect>()) {
+            return;
+        }
+        state.isContinued = true;
+        static const std::string interimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+        peer->send(Pistache::RawBuffer(interimAnswer, interimAnswer.size()));
+    }
+
     HttpHandler handler;
     std::size_t bodyLimit;
     std::shared_ptr<Gate> gate;
@@ -241,8 +383,10 @@
             Http::Endpoint::options()
                     .threads(this->threadCount)
                     .flags(Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay)
-                    .maxRequestSize(this->bodyLimit + RequestHeadroomBytes)
-                    .keepaliveTimeout(KeepAliveTimeout));
+                    .maxRequestSize(this->bodyLimit + HeaderRoomBytes)
+                    .headerTimeout(IdleTimeout)
+                    .bodyTimeout(IdleTimeout)
+                    .keepaliveTimeout(IdleTimeout));
     implementation->endpoint.setHandler(std::make_shared<RequestHandler>(
             this->requestHandler, this->bodyLimit, implementation->gate));
     implementation->endpoint.serveThreaded();
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -34,7 +34,7 @@
     struct Implementation;
     explicit HttpReply(std::shared_ptr<Implementation> implementation);
 
-    void send(HttpResponse response) const;
+    void send(const HttpResponse &response) const;
 
 private:
     std::shared_ptr<Implementation> implementation;
--- a/Source/UnitTests/Net/HttpTest.cpp
+++ b/Source/UnitTests/Net/HttpTest.cpp
@@ -2,6 +2,7 @@
 #include <condition_variable>
 #include <doctest/doctest.h>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 #include "Net/HttpClient.h"
@@ -121,12 +122,14 @@
         std::size_t size;
         int status;
     };
-    const Row rows[] = {{1U << 10U, 200}, {1U << 20U, 200}, {BodyLimit, 200}, {BodyLimit + 1, 413}};
+    const Row rows[] = {{1U << 10U, 200},     {1U << 20U, 200},      {BodyLimit, 200},
+                        {BodyLimit + 1, 413}, {BodyLimit * 16, 413}, {1, 200}};
     Net::HttpClient client(4);
     for (const Row &row : rows) {
         CAPTURE(row.size);
         const std::string body(row.size, 'b');
         const Net::HttpResult result = client.perform(post(server->port(), body));
+        INFO(result.body.substr(0, 200));
         CHECK(result.status == row.status);
         if (row.status == 200) {
             CHECK((result.body == body));
@@ -134,9 +137,40 @@
             CHECK(result.body.find("body_too_large") != std::string::npos);
         }
     }
-    const std::string farTooLong(BodyLimit * 4, 'b');
-    CHECK(client.perform(post(server->port(), farTooLong)).status != 200);
-    CHECK(client.perform(post(server->port(), "after")).body == "after");
+}
+
+TEST_CASE("What a raw client sends is answered as HTTP asks")
+{
+    const auto server = serve([](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+        reply.send({200, request.body, "text/plain", 7});
+    });
+    const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+    struct Row
+    {
+        const char *name;
+        std::string request;
+        const char *expected;
+    };
+    const Row rows[] = {
+            {"not HTTP", "hello there\r\n\r\n", "400 Bad Request"},
+            {"length beyond memory", post + "Content-Length: 99999999999999999\r\n\r\n",
+             "body_too_large"},
+            {"chunks", post + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+             "\r\n\r\nab"},
+            {"connection kept by default", post + "Content-Length: 2\r\n\r\nab",
+             "Connection: Keep-Alive"},
+            {"connection closed on request",
+             post + "Connection: close\r\nContent-Length: 2\r\n\r\nab", "Connection: Close"},
+            {"leave asked for a body", post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+             "100 Continue"},
+            {"retry time", post + "Content-Length: 2\r\n\r\nab", "Retry-After: 7"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        const std::string answer = RawServer::exchange(server->port(), row.request, row.expected);
+        INFO(row.name, ": ", answer);
+        CHECK(answer.find(row.expected) != std::string::npos);
+    }
 }
 
 TEST_CASE("Replies can be sent later, from another thread, in any order")
@@ -354,6 +388,47 @@
     CHECK(seen == 2);
 }
 
+TEST_CASE("One timeout is enough to leave all connections that have gone silent")
+{
+    // A firewall forgets two open connections of the client; new ones work. The first call on one
+    // of them costs its timeout. The next must not cost another on the second connection: the
+    // client takes a new one, also once the timeout lies some seconds back.
+    Latch bothOpen(2);
+    std::atomic<int> answered = 0;
+    RawServer server([&](RawServer::Socket &socket, int number) {
+        constexpr int Forgotten = 2;
+        if (number <= Forgotten && !RawServer::readRequest(socket).empty()) {
+            bothOpen.countDown();
+            bothOpen.wait();
+            RawServer::write(socket, RawAnswer);
+        }
+        while (!RawServer::readRequest(socket).empty()) {
+            if (number > Forgotten) {
+                ++answered;
+                RawServer::write(socket, RawAnswer);
+            }
+        }
+    });
+    Net::HttpClient client(2);
+    Latch pooled(2);
+    for (int number = 0; number < 2; ++number) {
+        client.send(post(server.port(), "{}"),
+                    [&pooled](const Net::HttpResult &) { pooled.countDown(); });
+    }
+    REQUIRE(pooled.wait());
+    Net::HttpCall call = post(server.port(), "{}");
+    call.timeoutMs = 300;
+    CHECK(client.perform(call).transport == HttpTransport::TimedOut);
+    CHECK(client.perform(call).transport == HttpTransport::Answered);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2200));
+    Latch ended(2);
+    for (int number = 0; number < 2; ++number) {
+        client.send(call, [&ended](const Net::HttpResult &) { ended.countDown(); });
+    }
+    REQUIRE(ended.wait());
+    CHECK(answered == 3);
+}
+
 TEST_CASE("Calls that wait for a connection end in time, too")
 {
     // The server never answers and the client may use one connection. The second call waits behind
--- a/Source/UnitTests/Net/RawServer.cpp
+++ b/Source/UnitTests/Net/RawServer.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
+#include <sys/time.h>
 
 using boost::asio::ip::tcp;
 
@@ -17,9 +19,12 @@
     tcp::socket last(this->context);
     boost::system::error_code ignored;
     const tcp::endpoint endpoint = this->acceptor.local_endpoint();
-    this->serve = nullptr;
+    this->isStopping = true;
     last.connect(endpoint, ignored);
     this->thread.join();
+    for (std::thread &connection : this->connections) {
+        connection.join();
+    }
 }
 
 std::uint16_t RawServer::port() const
@@ -32,26 +37,27 @@
     for (int number = 1;; ++number) {
         tcp::socket socket(this->context);
         this->acceptor.accept(socket);
-        const Serve serveThis = this->serve;
-        if (!serveThis) {
+        if (this->isStopping) {
             return;
         }
-        serveThis(socket, number);
+        this->connections.emplace_back(
+                [this, number](tcp::socket served) { this->serve(served, number); },
+                std::move(socket));
     }
 }
 
 std::string RawServer::readRequest(Socket &socket)
 {
-    static const std::string LengthName = "Content-Length: ";
+    static const std::string lengthName = "Content-Length: ";
     std::string text;
     char buffer[4096];
     boost::system::error_code failed;
     while (true) {
         const std::size_t headersEnd = text.find("\r\n\r\n");
         if (headersEnd != std::string::npos) {
-            const std::size_t length = text.find(LengthName);
+            const std::size_t length = text.find(lengthName);
             const std::size_t body =
-                    length < headersEnd ? std::stoul(text.substr(length + LengthName.size())) : 0;
+                    length < headersEnd ? std::stoul(text.substr(length + lengthName.size())) : 0;
             if (text.size() >= headersEnd + 4 + body) {
                 return text;
             }
@@ -69,3 +75,25 @@
     boost::system::error_code ignored;
     boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
 }
+
+std::string RawServer::exchange(std::uint16_t port, const std::string &request,
+                                const std::string &expected)
+{
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    // A server that never answers must fail the test rather than hang it.
+    const timeval patience{5, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    write(socket, request);
+    std::string text;
+    char buffer[4096];
+    while (text.find(expected) == std::string::npos) {
+        const ssize_t count = ::recv(socket.native_handle(), buffer, sizeof buffer, 0);
+        if (count <= 0) {
+            return text;
+        }
+        text.append(buffer, static_cast<std::size_t>(count));
+    }
+    return text;
+}
--- a/Source/UnitTests/Net/RawServer.h
+++ b/Source/UnitTests/Net/RawServer.h
@@ -1,13 +1,15 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
-/// A TCP server that misbehaves as a test asks. One thread, one connection after the other.
+/// A TCP server that misbehaves as a test asks. Each connection has a thread.
 class RawServer
 {
 public:
@@ -16,7 +18,7 @@
     using Serve = std::function<void(Socket &, int number)>;
 
     explicit RawServer(Serve serve);
-    /// The connection being served must end by itself.
+    /// Connections being served must end by themselves.
     ~RawServer();
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
@@ -27,11 +29,17 @@
     static std::string readRequest(Socket &socket);
     static void write(Socket &socket, const std::string &bytes);
 
+    /// As a client: sends \a request and reads until \a expected has come or the server closes.
+    static std::string exchange(std::uint16_t port, const std::string &request,
+                                const std::string &expected);
+
 private:
     void run();
 
     Serve serve;
     boost::asio::io_context context;
     boost::asio::ip::tcp::acceptor acceptor;
+    std::atomic<bool> isStopping = false;
+    std::vector<std::thread> connections;
     std::thread thread;
 };
