--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -329,7 +329,7 @@
      */
     struct OwnershipTable {
         /**
-         * Instances on the roster before that change.
+         * Instances on the roster before that change; empty once it is settled.
          */
         std::vector<std::string> previousRoster{};
         std::vector<Member> roster{};
@@ -408,6 +408,10 @@
     struct Handover {
         std::string from{};
         std::vector<JobSnapshot> jobs{};
+        /**
+         * Offset up to which the sender has read the journal; the successor serves once it has too.
+         */
+        int64_t journalOffset{};
         std::string requestId{};
         std::vector<ShardOwner> shards{};
         std::optional<std::vector<UnloggedWindow>> unloggedWindows{};
@@ -449,10 +453,18 @@
         std::optional<Configuration> configuration{};
         int64_t configVersion{};
         std::string instance{};
+        /**
+         * Offset up to which the sender has read the journal.
+         */
+        int64_t journalOffset{};
         /**
          * The sender stops gracefully and takes no shards.
          */
         bool leaving{};
+        /**
+         * Gateways the sender hears from: nobody takes over from one that a third still hears.
+         */
+        std::vector<std::string> live{};
         bool reply{};
         int64_t sequence{};
         std::optional<OwnershipTable> table{};
@@ -572,7 +584,7 @@
         std::string team{};
     };
 
-    enum class RecordKind : int { Alive, Claim, Config, ConfigSnapshot, ControlSnapshot, HandedOver, Intents, Join, Leave, ShardsTaken };
+    enum class RecordKind : int { Claim, Config, ConfigSnapshot, ControlSnapshot, HandedOver, Intents, Join, Leave, RosterSettled, ShardsTaken };
 
     /**
      * One record of a stream in the platform's log. Readers drop an id seen before: an append
@@ -580,8 +592,9 @@
      */
     struct LogRecord {
         /**
-         * join, leave: table version it was decided on; config: configuration version;
-         * config_snapshot: offset up to which the writer had read.
+         * join, leave: table version it was decided on; roster_settled: rosterVersion of the
+         * change; config: configuration version; config_snapshot: offset up to which the writer had
+         * read.
          */
         std::optional<int64_t> basedOn{};
         std::optional<ConfigChange> change{};
@@ -1316,6 +1329,7 @@
     inline void from_json(const json & j, Handover& x) {
         x.from = j.at("from").get<std::string>();
         x.jobs = j.at("jobs").get<std::vector<JobSnapshot>>();
+        x.journalOffset = j.at("journalOffset").get<int64_t>();
         x.requestId = j.at("requestId").get<std::string>();
         x.shards = j.at("shards").get<std::vector<ShardOwner>>();
         x.unloggedWindows = get_stack_optional<std::vector<UnloggedWindow>>(j, "unloggedWindows");
@@ -1325,6 +1339,7 @@
         j = json::object();
         j["from"] = x.from;
         j["jobs"] = x.jobs;
+        j["journalOffset"] = x.journalOffset;
         j["requestId"] = x.requestId;
         j["shards"] = x.shards;
         if (x.unloggedWindows) {
@@ -1374,7 +1389,9 @@
         x.configuration = get_stack_optional<Configuration>(j, "configuration");
         x.configVersion = j.at("configVersion").get<int64_t>();
         x.instance = j.at("instance").get<std::string>();
+        x.journalOffset = j.at("journalOffset").get<int64_t>();
         x.leaving = j.at("leaving").get<bool>();
+        x.live = j.at("live").get<std::vector<std::string>>();
         x.reply = j.at("reply").get<bool>();
         x.sequence = j.at("sequence").get<int64_t>();
         x.table = get_stack_optional<OwnershipTable>(j, "table");
@@ -1390,7 +1407,9 @@
         }
         j["configVersion"] = x.configVersion;
         j["instance"] = x.instance;
+        j["journalOffset"] = x.journalOffset;
         j["leaving"] = x.leaving;
+        j["live"] = x.live;
         j["reply"] = x.reply;
         j["sequence"] = x.sequence;
         if (x.table) {
@@ -1952,8 +1971,7 @@
     }
 
     inline void from_json(const json & j, RecordKind & x) {
-        if (j == "alive") x = RecordKind::Alive;
-        else if (j == "claim") x = RecordKind::Claim;
+        if (j == "claim") x = RecordKind::Claim;
         else if (j == "config") x = RecordKind::Config;
         else if (j == "config_snapshot") x = RecordKind::ConfigSnapshot;
         else if (j == "control_snapshot") x = RecordKind::ControlSnapshot;
@@ -1961,13 +1979,13 @@
         else if (j == "intents") x = RecordKind::Intents;
         else if (j == "join") x = RecordKind::Join;
         else if (j == "leave") x = RecordKind::Leave;
+        else if (j == "roster_settled") x = RecordKind::RosterSettled;
         else if (j == "shards_taken") x = RecordKind::ShardsTaken;
         else { throw std::runtime_error("Cannot deserialize to enumeration \"RecordKind\""); }
     }
 
     inline void to_json(json & j, const RecordKind & x) {
         switch (x) {
-            case RecordKind::Alive: j = "alive"; break;
             case RecordKind::Claim: j = "claim"; break;
             case RecordKind::Config: j = "config"; break;
             case RecordKind::ConfigSnapshot: j = "config_snapshot"; break;
@@ -1976,6 +1994,7 @@
             case RecordKind::Intents: j = "intents"; break;
             case RecordKind::Join: j = "join"; break;
             case RecordKind::Leave: j = "leave"; break;
+            case RecordKind::RosterSettled: j = "roster_settled"; break;
             case RecordKind::ShardsTaken: j = "shards_taken"; break;
             default: throw std::runtime_error("Unexpected value in enumeration \"RecordKind\": " + std::to_string(static_cast<int>(x)));
         }
