--- a/Source/Core/Agent/AgentDaemon.cpp
+++ b/Source/Core/Agent/AgentDaemon.cpp
@@ -86,7 +86,7 @@
     Effects decide(const HealthAnswered &event, Common::Moment now);
     Effects decide(const StopRequested &event, Common::Moment now);
 
-    void carryOut(Effects effects);
+    void carryOut(const Effects &effects);
     void carryOut(const ConnectGateway &effect);
     void carryOut(const CloseLink &effect);
     void carryOut(const SendToGateway &effect);
@@ -214,7 +214,7 @@
     return this->state.stopping ? Effects() : beginStop(this->state, now);
 }
 
-void AgentDaemon::Implementation::carryOut(Effects effects)
+void AgentDaemon::Implementation::carryOut(const Effects &effects)
 {
     for (const Effect &effect : effects) {
         std::visit([this](const auto &one) { this->carryOut(one); }, effect);
