Agent: survive a payload that is not UTF-8

Cause: JSON towards the backend server throws on bytes that are not UTF-8, which CBOR frames may hold; the agent would end and lose its outcomes. Change: such bytes are replaced. Conclusion: found while looking at why a gateway ended with an exception.

--- a/Source/Core/Agent/AgentDaemon.cpp
+++ b/Source/Core/Agent/AgentDaemon.cpp
@@ -62,6 +62,13 @@
     return name + '-' + Common::randomId(random);
 }
 
+/// CBOR strings from a gateway may hold bytes that are not UTF-8, which JSON cannot carry: they are
+/// replaced, since throwing here would end the agent and lose the outcomes it keeps.
+std::string jsonText(const Schema::RunTask &task)
+{
+    return nlohmann::json(task).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 AgentState makeState(const Schema::AgentSettings &settings)
 {
     Common::Random random = Common::makeRandom();
@@ -249,7 +256,7 @@
     Net::HttpCall call;
     call.method = "POST";
     call.url = this->settings.backendUrl + "/run";
-    call.body = nlohmann::json(effect.task).dump();
+    call.body = jsonText(effect.task);
     call.timeoutMs = this->settings.taskTimeoutMs;
     this->metrics.count("auburntrail_agent_task_starts_total");
     this->runClient->send(
--- a/Source/UnitTests/Agent/DaemonTest.cpp
+++ b/Source/UnitTests/Agent/DaemonTest.cpp
@@ -24,10 +24,11 @@
 
     ~FakeGateway() { this->hub.stop(); }
 
-    void start(const std::string &job)
+    void start(const std::string &job, const std::string &payload = "{}")
     {
         Schema::StartTask task;
         task.job = job;
+        task.payload = payload;
         task.shard = Shard;
         task.epoch = 1;
         task.attempt = 1;
@@ -252,3 +253,19 @@
     REQUIRE(gateway.waitFor([&] { return !gateway.hello.healthy; }));
     CHECK(agent.stop());
 }
+
+// A peer sends a payload that is not UTF-8. JSON towards the backend server cannot carry it; an
+// exception would end the agent, and with it the outcomes that it keeps for every owner.
+TEST_CASE("A payload that is not UTF-8 does not stop the daemon")
+{
+    FakeGateway gateway;
+    FakeBackend backend;
+    RunningAgent agent(gateway.port, backend.server->port());
+    REQUIRE(gateway.waitFor([&] { return gateway.hello.healthy && gateway.hello.tableVersion; }));
+    gateway.start("garbled", "\xff\xfe");
+    backend.waitForTasks(1);
+    backend.answerAll(200);
+    REQUIRE(gateway.waitFor([&] { return gateway.states.count("garbled") != 0; }));
+    CHECK(gateway.states["garbled"].phase == Schema::TaskPhase::Succeeded);
+    CHECK(agent.stop());
+}
