--- /dev/null
+++ b/Source/AuburntrailTool/Commands.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// The command line's subcommands. Each adds itself to the application and runs as its callback.
+namespace Tool {
+
+/// What a script can tell apart. Errors in the command line itself give 100 and above, from CLI11.
+enum class ExitCode {
+    Done = 0,
+    Failed = 1,
+    Refused = 2,
+    Unknown = 3,
+    Unreachable = 4,
+    Conflict = 5,
+};
+
+constexpr const char *ExitCodeHelp =
+        "Exit codes: 0 done (also: job completed or pending); 1 failed after a start, or a local "
+        "error;\n2 refused, not run; 3 outcome unknown; 4 no gateway could be reached; 5 lost "
+        "against another operator's change;\n100 and above: error in the command line";
+
+/// Options that all subcommands share, and how the one that ran ended.
+struct Context
+{
+    std::vector<std::string> gateways{"127.0.0.1:8080"};
+    std::int64_t timeoutMs = 60000;
+    bool isJson = false;
+    ExitCode exitCode = ExitCode::Done;
+};
+
+void addSubmitCommand(CLI::App &app, Context &context);
+void addJobCommands(CLI::App &app, Context &context);
+void addDrainCommands(CLI::App &app, Context &context);
+void addQueryCommand(CLI::App &app, Context &context);
+void addStatusCommand(CLI::App &app, Context &context);
+void addConfigCommand(CLI::App &app, Context &context);
+void addBenchCommand(CLI::App &app, Context &context);
+
+} // namespace Tool
--- a/Source/Core/Common/SettingsFile.cpp
+++ b/Source/Core/Common/SettingsFile.cpp
@@ -144,25 +144,6 @@
     return {};
 }
 
-Outcome<Json> readYaml(const std::string &path)
-{
-    if (path.empty()) {
-        return Json::object();
-    }
-    try {
-        Json settings = yamlToJson(YAML::LoadFile(path));
-        if (settings.is_null()) {
-            return Json::object();
-        }
-        if (!settings.is_object()) {
-            return failure(Schema::Reason::Malformed, path + ": expected lines of key: value");
-        }
-        return settings;
-    } catch (const YAML::Exception &error) {
-        return failure(Schema::Reason::Malformed, path + ": " + error.what());
-    }
-}
-
 YAML::Node jsonToYaml(const Json &value)
 {
     YAML::Node node;
@@ -201,11 +182,30 @@
 
 } // namespace
 
+Outcome<Json> readYamlFile(const std::string &path)
+{
+    if (path.empty()) {
+        return Json::object();
+    }
+    try {
+        Json settings = yamlToJson(YAML::LoadFile(path));
+        if (settings.is_null()) {
+            return Json::object();
+        }
+        if (!settings.is_object()) {
+            return failure(Schema::Reason::Malformed, path + ": expected lines of key: value");
+        }
+        return settings;
+    } catch (const YAML::Exception &error) {
+        return failure(Schema::Reason::Malformed, path + ": " + error.what());
+    }
+}
+
 Outcome<Json> loadSettingsJson(const std::string &path, const std::string &definition)
 {
     const Json schema = Json::parse(Schema::settingsSchemaText());
     const Json &properties = schema.at("definitions").at(definition).at("properties");
-    BOOST_LEAF_AUTO(settings, readYaml(path));
+    BOOST_LEAF_AUTO(settings, readYamlFile(path));
     for (const auto &entry : settings.items()) {
         BOOST_LEAF_CHECK(checkSetting(path, entry.key(), entry.value(), properties));
     }
--- a/Source/Core/Common/SettingsFile.h
+++ b/Source/Core/Common/SettingsFile.h
@@ -20,6 +20,10 @@
     return json.template get<Settings>();
 }
 
+/// Reads a YAML or JSON file that holds one object, without checking it against a schema. An empty
+/// \a path gives an empty object.
+Outcome<nlohmann::json> readYamlFile(const std::string &path);
+
 /// The settings in force as YAML, for --print-settings.
 std::string settingsYaml(const nlohmann::json &settings);
 
