--- a/Source/Core/Dispatch/Admission.cpp
+++ b/Source/Core/Dispatch/Admission.cpp
@@ -38,12 +38,18 @@
                    : (backlog.teamWorkMs + query.workMs) / static_cast<double>(backlog.teamQuota);
 }
 
+/// The smaller of two bounds. By its fair share, the caller's own work is done whatever the others
+/// send; by what the others leave, everything queued is.
 double capacityWaitMs(const Backlog &backlog, const AdmissionQuery &query)
 {
     if (backlog.queuedWorkMs <= 0 && query.tasks <= backlog.freePlaces) {
         return 0;
     }
-    return drainMs(backlog.callerWorkMs + query.workMs, backlog.capacity * backlog.share);
+    const double left = std::max(backlog.leftByOthers, backlog.fairShare);
+    const double own =
+            drainMs(backlog.callerWorkMs + query.workMs, backlog.capacity * backlog.fairShare);
+    const double all = drainMs(backlog.queuedWorkMs + query.workMs, backlog.capacity * left);
+    return std::min(own, all);
 }
 
 } // namespace
@@ -60,7 +66,7 @@
         return Refusal{Schema::Reason::DeadlinePassed, "the deadline has passed", 0};
     }
     if (backlog.callerTasks + query.tasks > limits.maxQueuedTasksPerCaller) {
-        const double wait = drainMs(backlog.callerWorkMs, backlog.capacity * backlog.share);
+        const double wait = drainMs(backlog.callerWorkMs, backlog.capacity * backlog.fairShare);
         return refusal(Schema::Reason::CallerLimit, "too many tasks of this caller are queued",
                        wait / 2, query);
     }
--- a/Source/Core/Dispatch/Admission.h
+++ b/Source/Core/Dispatch/Admission.h
@@ -42,8 +42,10 @@
     double capacity = 0;
     /// Free places for the job, now.
     std::int64_t freePlaces = 0;
-    /// Part of the capacity that the caller gets: its fair share, or what others leave.
-    double share = 1;
+    /// Part of the capacity that the caller gets at least, and part that the others, by what they
+    /// sent lately, leave.
+    double fairShare = 1;
+    double leftByOthers = 1;
     /// Most tasks of the team in flight from here; 0 is no limit.
     std::int64_t teamQuota = 0;
 };
--- a/Source/Core/Dispatch/BackendPool.cpp
+++ b/Source/Core/Dispatch/BackendPool.cpp
@@ -54,12 +54,6 @@
     pool.backends[index].freePosition[id] = NotFree;
 }
 
-bool hasPlace(const BackendRecord &backend, const Requirement &requirement)
-{
-    return backend.inFlight < placesOf(backend)
-           && fits(backend.server.resources, backend.used, requirement.resources);
-}
-
 void refreshMembership(BackendPool &pool, BackendIndex index, RequirementId id, bool out)
 {
     const BackendRecord &backend = pool.backends[index];
@@ -221,6 +215,12 @@
     return healthLimit(backend.health, window);
 }
 
+bool hasPlace(const BackendRecord &backend, const Requirement &requirement)
+{
+    return backend.inFlight < placesOf(backend)
+           && fits(backend.server.resources, backend.used, requirement.resources);
+}
+
 RequirementId useRequirement(BackendPool &pool, const std::string &service,
                              const Schema::Resources &resources, std::int64_t nowMs)
 {
--- a/Source/Core/Dispatch/BackendPool.h
+++ b/Source/Core/Dispatch/BackendPool.h
@@ -122,6 +122,8 @@
 /// Tasks that may be in flight there, counted from here.
 std::int64_t placesOf(const BackendRecord &backend);
 
+bool hasPlace(const BackendRecord &backend, const Requirement &requirement);
+
 RequirementId useRequirement(BackendPool &pool, const std::string &service,
                              const Schema::Resources &resources, std::int64_t nowMs);
 void releaseRequirement(BackendPool &pool, RequirementId id);
--- a/Source/Core/Dispatch/Estimates.cpp
+++ b/Source/Core/Dispatch/Estimates.cpp
@@ -100,18 +100,24 @@
 
 bool isGuess(const Estimates &estimates, ProfileId profile)
 {
-    return estimates.profiles[profile].samples < GuessSamples;
+    return !estimates.trustDeclared && estimates.profiles[profile].samples < GuessSamples;
 }
 
 double meanRunMs(const Estimates &estimates, ProfileId profile)
 {
     const RunProfile &known = estimates.profiles[profile];
+    if (estimates.trustDeclared) {
+        return known.priorMs;
+    }
     return blendWithPrior(known, known.priorMs, known.meanMs);
 }
 
 double runQuantileMs(const Estimates &estimates, ProfileId profile, double quantile)
 {
     const RunProfile &known = estimates.profiles[profile];
+    if (estimates.trustDeclared) {
+        return known.priorMs;
+    }
     const double prior = known.priorMs * std::pow(PriorSpread, 2 * quantile - 1);
     if (known.samples == 0) {
         return prior;
--- a/Source/Core/Dispatch/Estimates.h
+++ b/Source/Core/Dispatch/Estimates.h
@@ -45,6 +45,8 @@
 
 struct Estimates
 {
+    /// Baseline for tests: the declaration is the truth and nothing is learned.
+    bool trustDeclared = false;
     std::vector<RunProfile> profiles;
     std::unordered_map<std::string, ProfileId> byKey;
 };
--- a/Source/Core/Dispatch/FairQueue.cpp
+++ b/Source/Core/Dispatch/FairQueue.cpp
@@ -20,7 +20,7 @@
 void activateTeam(FairQueue &queue, TeamId id)
 {
     TeamQueue &team = queue.teams[id];
-    team.virtualTime = std::max(team.virtualTime, queue.virtualTime);
+    team.virtualTime = std::max(team.virtualTime, queue.virtualTime - queue.burstCredit);
     queue.activeTeams.emplace(team.virtualTime, id);
     queue.activeWeight += team.weight;
 }
@@ -32,7 +32,7 @@
     if (team.activeCallers.empty()) {
         activateTeam(queue, caller.team);
     }
-    caller.virtualTime = std::max(caller.virtualTime, team.callersVirtualTime);
+    caller.virtualTime = std::max(caller.virtualTime, team.callersVirtualTime - queue.burstCredit);
     team.activeCallers.emplace(caller.virtualTime, id);
 }
 
@@ -73,12 +73,12 @@
     queue.lastVirtualTime = std::max(queue.lastVirtualTime, teamTime);
 }
 
-bool isBlocked(const BlockedLanes &blocked, LaneId lane)
+bool isBlocked(const Blocked &blocked, LaneId lane)
 {
-    return lane < blocked.size() && blocked[lane];
+    return lane < blocked.lanes.size() && blocked.lanes[lane];
 }
 
-std::optional<JobNumber> nextOfCaller(const CallerQueue &caller, const BlockedLanes &blocked)
+std::optional<JobNumber> nextOfCaller(const CallerQueue &caller, const Blocked &blocked)
 {
     const std::pair<double, JobNumber> *first = nullptr;
     for (const auto &lane : caller.lanes) {
@@ -94,12 +94,15 @@
 }
 
 std::optional<JobNumber> nextOfTeam(const FairQueue &queue, const TeamQueue &team,
-                                    const BlockedLanes &blocked)
+                                    const Blocked &blocked)
 {
     if (team.quota > 0 && team.inFlight >= team.quota) {
         return std::nullopt;
     }
     for (const auto &active : team.activeCallers) {
+        if (blocked.callers.count(active.second) > 0) {
+            continue;
+        }
         if (const auto job = nextOfCaller(queue.callers[active.second], blocked)) {
             return job;
         }
@@ -107,7 +110,7 @@
     return std::nullopt;
 }
 
-std::optional<QueuedJob> firstArrived(const FairQueue &queue, const BlockedLanes &blocked)
+std::optional<QueuedJob> firstArrived(const FairQueue &queue, const Blocked &blocked)
 {
     if (queue.jobs.empty()) {
         return std::nullopt;
@@ -115,7 +118,8 @@
     const QueuedJob &first = queue.jobs.begin()->second;
     const TeamQueue &team = queue.teams[first.team];
     const bool atQuota = team.quota > 0 && team.inFlight >= team.quota;
-    if (atQuota || isBlocked(blocked, first.lane)) {
+    const bool waits = blocked.callers.count(first.caller) > 0;
+    if (atQuota || waits || isBlocked(blocked, first.lane)) {
         return std::nullopt;
     }
     return first;
@@ -208,7 +212,7 @@
     return queue.jobs.count(job) > 0;
 }
 
-std::optional<QueuedJob> nextJob(const FairQueue &queue, const BlockedLanes &blocked)
+std::optional<QueuedJob> nextJob(const FairQueue &queue, const Blocked &blocked)
 {
     if (queue.order == QueueOrder::Arrival) {
         return firstArrived(queue, blocked);
--- a/Source/Core/Dispatch/FairQueue.h
+++ b/Source/Core/Dispatch/FairQueue.h
@@ -86,6 +86,10 @@
 struct FairQueue
 {
     QueueOrder order = QueueOrder::Fair;
+    /// Work that a caller or team which got less than its share may have ahead of those that did
+    /// not. Without it, two tasks that come close together wait for a hot caller's tasks in
+    /// between.
+    double burstCredit = 0;
     std::vector<TeamQueue> teams;
     std::unordered_map<std::string, TeamId> teamsByName;
     std::vector<CallerQueue> callers;
@@ -99,8 +103,16 @@
     std::vector<std::size_t> laneJobs;
 };
 
-/// Lanes that have no place for a task at the moment.
-using BlockedLanes = std::vector<bool>;
+/// What is passed over at the moment.
+struct Blocked
+{
+    /// Without a free place.
+    std::vector<bool> lanes;
+    /// Better off waiting for a faster place; others may use what is free.
+    std::set<CallerId> callers;
+    /// Tasks of those callers.
+    std::int64_t callersTasks = 0;
+};
 
 TeamId findTeam(FairQueue &queue, const std::string &name);
 void setTeam(FairQueue &queue, TeamId team, double weight, std::int64_t quota);
@@ -112,7 +124,7 @@
 bool isQueued(const FairQueue &queue, JobNumber job);
 
 /// The job whose task is next, outside the blocked lanes and the teams at their quota.
-std::optional<QueuedJob> nextJob(const FairQueue &queue, const BlockedLanes &blocked);
+std::optional<QueuedJob> nextJob(const FairQueue &queue, const Blocked &blocked);
 
 /// A task of \a caller has started and is expected to take \a workMs of a slot.
 void chargeStart(FairQueue &queue, CallerId caller, double workMs);
--- a/Source/Core/Dispatch/JobBook.cpp
+++ b/Source/Core/Dispatch/JobBook.cpp
@@ -133,10 +133,28 @@
     return index;
 }
 
-void delayTask(SchedulerState &state, ScheduledJob &job, int index, std::int64_t readyMs)
+void holdDelayed(SchedulerState &state, ScheduledJob &job)
 {
     job.delayed += 1;
     countTasks(state, job, 1);
+}
+
+void takeDelayed(SchedulerState &state, ScheduledJob &job)
+{
+    job.delayed -= 1;
+    countTasks(state, job, -1);
+}
+
+void offerAgain(SchedulerState &state, ScheduledJob &job, int index)
+{
+    job.delayed -= 1;
+    job.queued.push_back(index);
+    offerTasks(state, job);
+}
+
+void delayTask(SchedulerState &state, ScheduledJob &job, int index, std::int64_t readyMs)
+{
+    holdDelayed(state, job);
     state.delayed.insert({readyMs, {job.number, index}});
 }
 
@@ -146,13 +164,9 @@
         const auto [number, index] = state.delayed.begin()->second;
         state.delayed.erase(state.delayed.begin());
         const auto found = state.jobs.find(number);
-        if (found == state.jobs.end()) {
-            continue;
+        if (found != state.jobs.end()) {
+            offerAgain(state, found->second, index);
         }
-        ScheduledJob &job = found->second;
-        job.delayed -= 1;
-        job.queued.push_back(index);
-        offerTasks(state, job);
     }
 }
 
--- a/Source/Core/Dispatch/JobBook.h
+++ b/Source/Core/Dispatch/JobBook.h
@@ -29,6 +29,12 @@
 
 /// Puts a task back that had been taken, at the front of its job, once \a readyMs has come.
 void delayTask(SchedulerState &state, ScheduledJob &job, int index, std::int64_t readyMs);
+/// Counts a task that was taken as waiting elsewhere than in its job's queue.
+void holdDelayed(SchedulerState &state, ScheduledJob &job);
+/// Undoes holdDelayed().
+void takeDelayed(SchedulerState &state, ScheduledJob &job);
+/// Undoes holdDelayed() and puts the task back at the front of its job.
+void offerAgain(SchedulerState &state, ScheduledJob &job, int index);
 void releaseDelayed(SchedulerState &state, std::int64_t nowMs);
 
 /// Takes the job out with all its waiting tasks.
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -15,7 +15,7 @@
 /// Breaks ties between equals differently at each gateway.
 constexpr double ScoreJitter = 0.02;
 /// The wait for a faster place is an estimate: a sure place now is worth this much of it.
-constexpr double WaitCaution = 1.5;
+constexpr double WaitCaution = 4;
 /// Ones this close in speed are not worth waiting for.
 constexpr double NoticeablyFaster = 0.9;
 constexpr double TrialPreferred = 0.5;
@@ -26,11 +26,6 @@
     return static_cast<double>(random() >> 11U) * 0x1.0p-53;
 }
 
-BackendIndex drawFree(const Requirement &requirement, Common::Random &random)
-{
-    return requirement.free[random() % requirement.free.size()];
-}
-
 /// The trial of an ejected backend server may fail a job: one that can be submitted again is
 /// preferred for it, another takes it only where little else is free.
 double trialFactor(const BackendRecord &backend, bool idempotent)
@@ -86,8 +81,7 @@
     }
     const SpeedStep &faster = *(above - 1);
     const double meanInFlightMs = pool.inFlightWorkMs / static_cast<double>(pool.inFlight);
-    const auto queued = static_cast<double>(pool.requirements[query.requirement].queuedTasks);
-    const double waitMs = (queued + 1) * meanInFlightMs / faster.capacity;
+    const double waitMs = query.tasksAhead * meanInFlightMs / faster.capacity;
     const double savedMs = query.runMs * (factor - faster.slots / faster.capacity);
     return waitMs * WaitCaution < savedMs;
 }
@@ -98,49 +92,60 @@
     return static_cast<double>(backend.reportedRunning) / slots;
 }
 
-BackendIndex leastLoaded(const BackendPool &pool, const Requirement &requirement)
-{
-    return *std::min_element(requirement.free.begin(), requirement.free.end(),
-                             [&pool](BackendIndex left, BackendIndex right) {
-                                 return reportedLoad(pool.backends[left])
-                                        < reportedLoad(pool.backends[right]);
-                             });
-}
-
-BackendIndex betterOfTwo(const BackendPool &pool, const Requirement &requirement,
-                         Common::Random &random)
+BackendIndex leastLoaded(const BackendPool &pool, const std::vector<BackendIndex> &able)
 {
-    const BackendIndex first = drawFree(requirement, random);
-    const BackendIndex second = drawFree(requirement, random);
-    return reportedLoad(pool.backends[second]) < reportedLoad(pool.backends[first]) ? second
-                                                                                    : first;
+    return *std::min_element(
+            able.begin(), able.end(), [&pool](BackendIndex left, BackendIndex right) {
+                return reportedLoad(pool.backends[left]) < reportedLoad(pool.backends[right]);
+            });
 }
 
 } // namespace
 
-std::optional<BackendIndex> placeTask(BackendPool &pool, Schema::PlacementPolicy policy,
-                                      const PlacementQuery &query, std::int64_t nowMs,
-                                      Common::Random &random)
+Placement placeTask(BackendPool &pool, const PlacementQuery &query, std::int64_t nowMs,
+                    Common::Random &random)
 {
     const Requirement &requirement = pool.requirements[query.requirement];
     if (requirement.free.empty()) {
-        return std::nullopt;
-    }
-    switch (policy) {
-    case Schema::PlacementPolicy::Random:
-        return drawFree(requirement, random);
-    case Schema::PlacementPolicy::TwoChoices:
-        return betterOfTwo(pool, requirement, random);
-    case Schema::PlacementPolicy::LeastLoaded:
-        return leastLoaded(pool, requirement);
-    case Schema::PlacementPolicy::WeightedWindow:
-        break;
+        return {PlacementKind::Full, 0};
     }
     const BackendIndex best = fastestOfSample(pool, requirement, query.idempotent, random);
-    if (betterToWait(pool, query, best, nowMs)) {
+    const bool wait = betterToWait(pool, query, best, nowMs);
+    return {wait ? PlacementKind::Wait : PlacementKind::Found, best};
+}
+
+bool bindsEarly(Schema::PlacementPolicy policy)
+{
+    return policy != Schema::PlacementPolicy::WeightedWindow;
+}
+
+std::optional<BackendIndex> bindTask(const BackendPool &pool, Schema::PlacementPolicy policy,
+                                     RequirementId requirement, std::int64_t nowMs,
+                                     Common::Random &random)
+{
+    std::vector<BackendIndex> able;
+    for (BackendIndex index = 0; index < pool.backends.size(); ++index) {
+        const BackendRecord &backend = pool.backends[index];
+        const bool isAble = requirement < backend.freePosition.size()
+                            && backend.freePosition[requirement] != NotAble;
+        if (isAble && !isOut(pool, backend, nowMs) && placesOf(backend) > 0) {
+            able.push_back(index);
+        }
+    }
+    if (able.empty()) {
         return std::nullopt;
     }
-    return best;
+    if (policy == Schema::PlacementPolicy::LeastLoaded) {
+        return leastLoaded(pool, able);
+    }
+    const BackendIndex first = able[random() % able.size()];
+    if (policy != Schema::PlacementPolicy::TwoChoices) {
+        return first;
+    }
+    const BackendIndex second = able[random() % able.size()];
+    const bool secondIdler =
+            reportedLoad(pool.backends[second]) < reportedLoad(pool.backends[first]);
+    return secondIdler ? second : first;
 }
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -23,14 +23,33 @@
     RequirementId requirement = 0;
     /// Expected run time at factor 1.
     double runMs = 0;
+    /// Tasks that wait for the next faster places, this one included.
+    double tasksAhead = 0;
     /// Its caller may safely submit the job again.
     bool idempotent = false;
 };
 
-/// A backend server with a free place, or nothing: none is free, or the wait for a faster one is
-/// shorter than the time it saves.
-std::optional<BackendIndex> placeTask(BackendPool &pool, Schema::PlacementPolicy policy,
-                                      const PlacementQuery &query, std::int64_t nowMs,
-                                      Common::Random &random);
+enum class PlacementKind {
+    Found,
+    /// Nothing is free.
+    Full,
+    /// The wait for a faster backend server is shorter than the time that it saves.
+    Wait
+};
+
+struct Placement
+{
+    PlacementKind kind = PlacementKind::Full;
+    BackendIndex backend = 0;
+};
+
+Placement placeTask(BackendPool &pool, const PlacementQuery &query, std::int64_t nowMs,
+                    Common::Random &random);
+
+/// The baselines choose by what the agents last reported, whether a place is free or not.
+bool bindsEarly(Schema::PlacementPolicy policy);
+std::optional<BackendIndex> bindTask(const BackendPool &pool, Schema::PlacementPolicy policy,
+                                     RequirementId requirement, std::int64_t nowMs,
+                                     Common::Random &random);
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -85,13 +85,13 @@
     return places;
 }
 
-/// What the caller gets of the capacity: its fair share, or more where the others offer less.
-double shareOf(const SchedulerState &state, const CallerQueue &caller, CallerId id,
-               std::int64_t nowMs)
+double leftByOthers(const SchedulerState &state, const CallerQueue &caller, std::int64_t nowMs)
 {
+    if (state.pool.whole.capacity <= 0) {
+        return 1;
+    }
     const double others = workPerMs(state.admitted, nowMs) - workPerMs(caller.admitted, nowMs);
-    const double left = state.pool.whole.capacity > 0 ? 1 - others / state.pool.whole.capacity : 1;
-    return std::max(fairShare(state.queue, id), left);
+    return 1 - others / state.pool.whole.capacity;
 }
 
 Backlog backlogFor(SchedulerState &state, const ScheduledJob &job, Common::Moment now)
@@ -107,10 +107,11 @@
     backlog.capacity = wholeCapacity(state.pool, job.requirement, now.steadyMs).capacity;
     backlog.freePlaces = freePlaces(state.pool, job.requirement, job.demand.taskCount);
     backlog.teamQuota = team.quota;
-    backlog.share = shareOf(state, caller, job.caller, now.steadyMs);
+    backlog.fairShare = fairShare(state.queue, job.caller);
+    backlog.leftByOthers = leftByOthers(state, caller, now.steadyMs);
     if (state.queue.order == QueueOrder::Arrival) {
         backlog.callerWorkMs = backlog.queuedWorkMs;
-        backlog.share = 1;
+        backlog.fairShare = 1;
     }
     return backlog;
 }
--- a/Source/Core/Dispatch/SchedulerState.h
+++ b/Source/Core/Dispatch/SchedulerState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -69,6 +70,9 @@
     std::int64_t sinceMs = 0;
 };
 
+/// Job and index of tasks bound to one backend server.
+using BoundTasks = std::deque<std::pair<JobNumber, int>>;
+
 struct ServiceSettings
 {
     Schema::Resources resources;
@@ -80,8 +84,8 @@
 {
     bool ejection = true;
     bool slotReserve = true;
+    /// With the pauses after refused starts.
     bool retryBudget = true;
-    bool learning = true;
 };
 
 /// Everything the scheduler knows. Reached through Scheduler.h only.
@@ -110,6 +114,8 @@
     std::unordered_map<TaskKey, TaskInFlight, TaskKeyHash> inFlight;
     /// Steady time at which a task's back-off ends.
     std::set<std::pair<std::int64_t, std::pair<JobNumber, int>>> delayed;
+    /// Only with a baseline for placement.
+    std::map<BackendIndex, BoundTasks> bound;
     /// Jobs by the wall-clock time after which they cannot make their deadline.
     std::set<std::pair<std::int64_t, JobNumber>> byLastStart;
     std::int64_t queuedTasks = 0;
--- a/Source/Core/Dispatch/SchedulerTasks.cpp
+++ b/Source/Core/Dispatch/SchedulerTasks.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include "Dispatch/EarlyBinding.h"
+#include "Dispatch/Flight.h"
 #include "Dispatch/JobBook.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/Scheduler.h"
@@ -13,6 +15,8 @@
 /// A task this much over the time that 95 of 100 stay under hangs, more likely than not.
 constexpr double OverdueTimes = 3;
 constexpr double OverdueQuantile = 0.95;
+/// A caller's credit delays the others by no more than this: the shortest common task.
+constexpr double BurstCreditMs = 50;
 constexpr std::int64_t StalledPeriodMs = 100;
 constexpr std::int64_t ForgetCallersPeriodMs = 10000;
 
@@ -58,67 +62,74 @@
 }
 
 /// Blocks the lanes for which nothing is free. False where no lane with jobs is left.
-bool blockFullLanes(const SchedulerState &state, BlockedLanes &blocked)
+bool blockFullLanes(const SchedulerState &state, Blocked &blocked)
 {
     const std::vector<std::size_t> &laneJobs = state.queue.laneJobs;
-    blocked.assign(laneJobs.size(), false);
+    blocked.lanes.assign(laneJobs.size(), false);
     bool open = false;
     for (LaneId lane = 0; lane < laneJobs.size(); ++lane) {
-        blocked[lane] = laneJobs[lane] == 0 || state.pool.requirements[lane / 2].free.empty();
-        open = open || !blocked[lane];
+        const Requirement &requirement = state.pool.requirements[lane / 2];
+        const bool full =
+                bindsEarly(state.placement) ? requirement.ableCount == 0 : requirement.free.empty();
+        blocked.lanes[lane] = laneJobs[lane] == 0 || full;
+        open = open || !blocked.lanes[lane];
     }
     return open;
 }
 
-std::optional<BackendIndex> placeFor(SchedulerState &state, const ScheduledJob &job,
-                                     Common::Moment now, Common::Random &random)
+/// Tasks for which the next faster places are wanted too: the caller's own, and those of the
+/// callers before it that wait for one already.
+double tasksAhead(const SchedulerState &state, const ScheduledJob &job, const Blocked &blocked)
 {
-    const bool reserved = state.switches.slotReserve && state.queue.order == QueueOrder::Fair
-                          && longTasksBlocked(state.reserve, state.pool.whole.slots, now.steadyMs);
-    if (job.isLong && reserved) {
-        return std::nullopt;
+    if (state.queue.order == QueueOrder::Arrival) {
+        return static_cast<double>(state.pool.requirements[job.requirement].queuedTasks);
     }
-    const PlacementQuery query{job.requirement, meanRunMs(state.estimates, job.profile),
-                               job.demand.idempotent};
-    return placeTask(state.pool, state.placement, query, now.steadyMs, random);
+    const CallerQueue &caller = state.queue.callers[job.caller];
+    return static_cast<double>(caller.queuedTasks + blocked.callersTasks);
 }
 
-void flyTask(SchedulerState &state, ScheduledJob &job, int index, BackendIndex backend,
-             Common::Moment now)
+bool reservedForShort(const SchedulerState &state, const ScheduledJob &job, Common::Moment now)
 {
-    const Requirement &requirement = state.pool.requirements[job.requirement];
-    const double runMs = meanRunMs(state.estimates, job.profile);
-    TaskInFlight task;
-    task.backend = backend;
-    task.agent = state.pool.backends[backend].instance;
-    task.profile = job.profile;
-    task.service = job.demand.service;
-    task.resources = requirement.resources;
-    task.caller = job.caller;
-    task.isLong = job.isLong;
-    task.workMs = runMs;
-    task.chargedMs = runMs * speedFactor(state.pool.backends[backend].speed);
-    task.sinceMs = now.steadyMs;
-    occupy(state.pool, backend, requirement, task.workMs, now.steadyMs);
-    chargeStart(state.queue, job.caller, task.chargedMs);
-    reserveStarted(state.reserve, job.isLong, now.steadyMs);
-    job.started += 1;
-    state.inFlight.emplace(TaskKey{job.demand.id, index}, std::move(task));
+    return job.isLong && state.switches.slotReserve && state.queue.order == QueueOrder::Fair
+           && longTasksBlocked(state.reserve, state.pool.whole.slots, now.steadyMs);
 }
 
-Assignment startTask(SchedulerState &state, ScheduledJob &job, BackendIndex backend,
-                     Common::Moment now)
+/// Starts the job's next task, or blocks what cannot be placed now.
+void placeNext(SchedulerState &state, const QueuedJob &next, Blocked &blocked, Common::Moment now,
+               Common::Random &random, std::vector<Assignment> &assignments)
 {
-    const int index = takeTask(state, job);
-    flyTask(state, job, index, backend, now);
-    startCounted(state.retries);
-    return {{job.demand.id, index}, state.pool.backends[backend].instance};
+    ScheduledJob &job = state.jobs.at(next.job);
+    if (now.wallMs >= job.demand.deadlineMs) {
+        dequeue(state.queue, job.number);
+        return;
+    }
+    if (reservedForShort(state, job, now)) {
+        blocked.lanes[next.lane] = true;
+        return;
+    }
+    if (bindsEarly(state.placement)) {
+        blocked.lanes[next.lane] = !bindNext(state, job, now, random, assignments);
+        return;
+    }
+    const PlacementQuery query{job.requirement, meanRunMs(state.estimates, job.profile),
+                               tasksAhead(state, job, blocked), job.demand.idempotent};
+    const Placement placement = placeTask(state.pool, query, now.steadyMs, random);
+    if (placement.kind == PlacementKind::Full) {
+        blocked.lanes[next.lane] = true;
+    } else if (placement.kind == PlacementKind::Wait) {
+        blocked.callers.insert(next.caller);
+        blocked.callersTasks += state.queue.callers[next.caller].queuedTasks;
+    } else {
+        const int index = takeTask(state, job);
+        assignments.push_back(startTask(state, job, index, placement.backend, now));
+    }
 }
 
 void prepareAssignment(SchedulerState &state, Common::Moment now)
 {
     state.pool.silenceMs = state.agentSilenceMs;
     sweepBackends(state.pool, now.steadyMs);
+    state.queue.burstCredit = BurstCreditMs * state.pool.whole.capacity;
     checkStalled(state, now.steadyMs);
     releaseDelayed(state, now.steadyMs);
     if (now.steadyMs - state.callersForgottenMs >= ForgetCallersPeriodMs) {
@@ -127,21 +138,6 @@
     }
 }
 
-/// Removes the task from those in flight, where it is at \a agent.
-std::optional<TaskInFlight> landTask(SchedulerState &state, const TaskKey &key,
-                                     const std::string &agent, Common::Moment now)
-{
-    const auto found = state.inFlight.find(key);
-    if (found == state.inFlight.end() || found->second.agent != agent) {
-        return std::nullopt;
-    }
-    TaskInFlight task = std::move(found->second);
-    state.inFlight.erase(found);
-    vacate(state.pool, task.backend, task.resources, task.workMs, now.steadyMs);
-    reserveEnded(state.reserve, task.isLong);
-    return task;
-}
-
 void judgeBackend(SchedulerState &state, const TaskInFlight &task, bool succeeded, double runMs,
                   Common::Moment now)
 {
@@ -167,7 +163,8 @@
 {
     prepareAssignment(state, now);
     std::vector<Assignment> assignments;
-    BlockedLanes blocked;
+    startBound(state, now, assignments);
+    Blocked blocked;
     if (state.runnableTasks == 0 || !blockFullLanes(state, blocked)) {
         return assignments;
     }
@@ -176,17 +173,7 @@
         if (!next) {
             break;
         }
-        ScheduledJob &job = state.jobs.at(next->job);
-        if (now.wallMs >= job.demand.deadlineMs) {
-            dequeue(state.queue, job.number);
-            continue;
-        }
-        const std::optional<BackendIndex> backend = placeFor(state, job, now, random);
-        if (!backend) {
-            blocked[next->lane] = true;
-            continue;
-        }
-        assignments.push_back(startTask(state, job, *backend, now));
+        placeNext(state, *next, blocked, now, random, assignments);
     }
     return assignments;
 }
@@ -200,7 +187,7 @@
         || state.inFlight.count(task) > 0) {
         return;
     }
-    flyTask(state, *job, task.index, backend->second, now);
+    enterFlight(state, *job, task.index, backend->second, now);
     // restoreJob() has counted it as started.
     job->started -= 1;
 }
@@ -208,7 +195,7 @@
 bool taskEnded(SchedulerState &state, const TaskKey &key, const std::string &agent, bool succeeded,
                double runMs, Common::Moment now)
 {
-    const std::optional<TaskInFlight> task = landTask(state, key, agent, now);
+    const std::optional<TaskInFlight> task = leaveFlight(state, key, agent, now);
     if (!task) {
         return false;
     }
@@ -221,7 +208,7 @@
     if (succeeded) {
         backend.refusalsInRow = 0;
     }
-    if (succeeded && runMs > 0 && state.switches.learning) {
+    if (succeeded && runMs > 0) {
         learnRun(state.estimates, task->profile, backend.speed, runMs);
     }
     judgeBackend(state, *task, succeeded, runMs, now);
@@ -231,7 +218,7 @@
 bool taskAbandoned(SchedulerState &state, const TaskKey &key, const std::string &agent,
                    Common::Moment now)
 {
-    const std::optional<TaskInFlight> task = landTask(state, key, agent, now);
+    const std::optional<TaskInFlight> task = leaveFlight(state, key, agent, now);
     if (!task) {
         return false;
     }
@@ -242,12 +229,13 @@
 RetryDecision taskNotStarted(SchedulerState &state, const TaskKey &key, const std::string &agent,
                              Schema::Reason reason, Common::Moment now, Common::Random &random)
 {
-    const std::optional<TaskInFlight> task = landTask(state, key, agent, now);
+    const std::optional<TaskInFlight> task = leaveFlight(state, key, agent, now);
     if (!task) {
         return RetryDecision::Ignored;
     }
     chargeEnd(state.queue, task->caller, -task->chargedMs);
-    if (state.pool.backends[task->backend].instance == agent) {
+    const bool known = state.pool.backends[task->backend].instance == agent;
+    if (known && state.switches.retryBudget) {
         startRefused(state.pool, task->backend, reason, now.steadyMs);
     }
     ScheduledJob *job = findJob(state, key.job);
--- /dev/null
+++ b/Source/UnitTests/Dispatch/SchedulerTest.cpp
@@ -0,0 +1,389 @@
+#include <doctest/doctest.h>
+#include <map>
+#include <set>
+
+#include "Dispatch/Scheduler.h"
+
+using Dispatch::Assignment;
+using Dispatch::JobDemand;
+using Dispatch::RetryDecision;
+using Dispatch::SchedulerState;
+using Schema::Reason;
+
+namespace {
+
+constexpr std::int64_t WallMs = 5000000;
+
+Common::Moment at(std::int64_t ms)
+{
+    return {ms, WallMs + ms};
+}
+
+Schema::Configuration configuration()
+{
+    Schema::Configuration configuration;
+    configuration.teams = {Schema::Team{"roads", {}, {}}};
+    Schema::Service dispatch;
+    dispatch.name = "crew-dispatch";
+    Schema::Service parts;
+    parts.name = "parts-check";
+    configuration.services = {dispatch, parts};
+    return configuration;
+}
+
+Schema::AgentHello hello(const std::string &instance, std::int64_t window = 8)
+{
+    Schema::AgentHello hello;
+    hello.instance = instance;
+    hello.backend.name = instance;
+    hello.backend.failureDomain = "tunis";
+    hello.backend.slots = 8;
+    hello.backend.connections = 64;
+    hello.backend.resources = Schema::Resources{2, 1024, 16};
+    hello.window = window;
+    hello.healthy = true;
+    return hello;
+}
+
+JobDemand demand(const std::string &id, int tasks = 1)
+{
+    JobDemand demand;
+    demand.id = id;
+    demand.team = "roads";
+    demand.caller = "patrol";
+    demand.service = "crew-dispatch";
+    demand.taskCount = tasks;
+    demand.deadlineMs = WallMs + 30000;
+    return demand;
+}
+
+SchedulerState configuredState()
+{
+    SchedulerState state;
+    Dispatch::schedulerConfigured(state, configuration(), at(0));
+    return state;
+}
+
+/// Admits and releases the job; returns what was assigned at once.
+std::vector<Assignment> submit(SchedulerState &state, const JobDemand &demand, std::int64_t nowMs,
+                               Common::Random &random)
+{
+    const auto refused = Dispatch::admitJob(state, demand, at(nowMs));
+    REQUIRE(!refused);
+    Dispatch::jobRunnable(state, demand.id, at(nowMs));
+    return Dispatch::assignTasks(state, at(nowMs), random);
+}
+
+/// Outcomes that teach the scheduler a run time for crew-dispatch.
+void teach(SchedulerState &state, double runMs, Common::Random &random)
+{
+    constexpr int Outcomes = 40;
+    for (int index = 0; index < Outcomes; ++index) {
+        const std::string id = "lesson-" + std::to_string(index);
+        for (const Assignment &assignment : submit(state, demand(id), 0, random)) {
+            Dispatch::taskEnded(state, assignment.task, assignment.agent, true, runMs, at(0));
+        }
+        Dispatch::dropJob(state, id);
+    }
+}
+
+} // namespace
+
+TEST_CASE("Only a backend server that may take a task gets it, and no more than its window")
+{
+    struct Row
+    {
+        const char *name;
+        void (*change)(Schema::AgentHello &, JobDemand &);
+        std::int64_t nowMs;
+        std::size_t assigned;
+    };
+    const Row rows[] = {
+            {"healthy", [](Schema::AgentHello &, JobDemand &) {}, 100, 8},
+            {"small window", [](Schema::AgentHello &hello, JobDemand &) { hello.window = 3; }, 100,
+             3},
+            {"no window", [](Schema::AgentHello &hello, JobDemand &) { hello.window = 0; }, 100, 0},
+            {"few connections",
+             [](Schema::AgentHello &hello, JobDemand &) { hello.backend.connections = 2; }, 100, 2},
+            {"draining", [](Schema::AgentHello &hello, JobDemand &) { hello.draining = true; }, 100,
+             0},
+            {"unhealthy", [](Schema::AgentHello &hello, JobDemand &) { hello.healthy = false; },
+             100, 0},
+            {"silent", [](Schema::AgentHello &, JobDemand &) {}, 2600, 0},
+            {"other service",
+             [](Schema::AgentHello &hello, JobDemand &) {
+                 hello.backend.services = {"parts-check"};
+             },
+             100, 0},
+            {"too big",
+             [](Schema::AgentHello &, JobDemand &demand) {
+                 demand.resources = Schema::Resources{0, 2048, 1};
+             },
+             100, 0},
+            {"two accelerators",
+             [](Schema::AgentHello &, JobDemand &demand) {
+                 demand.resources = Schema::Resources{1, 100, 1};
+             },
+             100, 2},
+            {"drained by an operator",
+             [](Schema::AgentHello &hello, JobDemand &) { hello.backend.name = "drained"; }, 100,
+             0},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.name));
+        Common::Random random(1);
+        SchedulerState state = configuredState();
+        Schema::Configuration drained = configuration();
+        drained.drains = {Schema::Drain{"drained"}};
+        Dispatch::schedulerConfigured(state, drained, at(0));
+        Schema::AgentHello announced = hello("agent-1");
+        JobDemand job = demand("job", 20);
+        row.change(announced, job);
+        Dispatch::agentHeard(state, announced, at(0));
+        CHECK(submit(state, job, row.nowMs, random).size() == row.assigned);
+        CHECK(Dispatch::totalDemand(state) == 20 - static_cast<std::int64_t>(row.assigned));
+    }
+}
+
+TEST_CASE("A job is refused whole, with its reason and a time to come again")
+{
+    struct Row
+    {
+        Reason reason;
+        bool retries;
+        void (*change)(SchedulerState &, JobDemand &);
+    };
+    const Row rows[] = {
+            {Reason::UnknownTeam, false,
+             [](SchedulerState &, JobDemand &demand) { demand.team = "nobody"; }},
+            {Reason::UnknownService, false,
+             [](SchedulerState &, JobDemand &demand) { demand.service = "nothing"; }},
+            {Reason::DeadlinePassed, false,
+             [](SchedulerState &, JobDemand &demand) { demand.deadlineMs = WallMs; }},
+            {Reason::CallerLimit, true,
+             [](SchedulerState &state, JobDemand &) { state.limits.maxQueuedTasksPerCaller = 50; }},
+            {Reason::QueueFull, true,
+             [](SchedulerState &state, JobDemand &) { state.limits.maxQueuedTasks = 50; }},
+            {Reason::DeadlineUnreachable, true,
+             [](SchedulerState &, JobDemand &demand) { demand.deadlineMs = WallMs + 1500; }},
+            {Reason::QuotaExceeded, true,
+             [](SchedulerState &state, JobDemand &demand) {
+                 Schema::Configuration quota = configuration();
+                 quota.teams.front().quota = 1;
+                 Dispatch::schedulerConfigured(state, quota, at(100));
+                 demand.deadlineMs = WallMs + 10000;
+             }},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(Schema::enumName(row.reason));
+        Common::Random random(1);
+        SchedulerState state = configuredState();
+        Dispatch::agentHeard(state, hello("agent-1"), at(0));
+        teach(state, 300, random);
+        submit(state, demand("before", 40), 0, random);
+        JobDemand job = demand("job", 40);
+        row.change(state, job);
+        const auto refused = Dispatch::admitJob(state, job, at(100));
+        REQUIRE(refused);
+        CHECK(refused->reason == row.reason);
+        CHECK((refused->retryAfterMs > 0) == row.retries);
+        CHECK(!refused->detail.empty());
+        const std::int64_t waiting = Dispatch::totalDemand(state);
+        Dispatch::jobRunnable(state, "job", at(100));
+        CHECK(Dispatch::totalDemand(state) == waiting);
+    }
+}
+
+TEST_CASE("The time to come again grows with the backlog")
+{
+    std::int64_t before = 0;
+    for (const int queued : {100, 200, 360}) {
+        Common::Random random(1);
+        SchedulerState state = configuredState();
+        Dispatch::agentHeard(state, hello("agent-1"), at(0));
+        teach(state, 300, random);
+        submit(state, demand("before", queued), 0, random);
+        JobDemand job = demand("job");
+        job.deadlineMs = WallMs + 1000;
+        const auto refused = Dispatch::admitJob(state, job, at(0));
+        REQUIRE(refused);
+        CHECK(refused->retryAfterMs > before);
+        before = refused->retryAfterMs;
+    }
+}
+
+TEST_CASE("A quota holds for the region: each gateway keeps its part")
+{
+    Common::Random random(1);
+    SchedulerState state = configuredState();
+    Schema::Configuration quota = configuration();
+    quota.teams.front().quota = 6;
+    Dispatch::schedulerConfigured(state, quota, at(0));
+    Dispatch::gatewaysCounted(state, 3);
+    Dispatch::agentHeard(state, hello("agent-1"), at(0));
+    const auto started = submit(state, demand("job", 5), 0, random);
+    CHECK(started.size() == 2);
+    Dispatch::taskEnded(state, started[0].task, started[0].agent, true, 100, at(100));
+    CHECK(Dispatch::assignTasks(state, at(100), random).size() == 1);
+}
+
+TEST_CASE("A refused start waits out its back-off and is given up after its attempts")
+{
+    // The backend server of the only agent is down: each start is refused, nothing ever runs. The
+    // task is offered again, later each time, and not for ever.
+    Common::Random random(1);
+    SchedulerState state = configuredState();
+    Dispatch::agentHeard(state, hello("agent-1"), at(0));
+    std::vector<Assignment> started = submit(state, demand("job"), 0, random);
+    int attempts = 0;
+    std::int64_t nowMs = 0;
+    RetryDecision decision = RetryDecision::Requeued;
+    while (decision == RetryDecision::Requeued && nowMs < 60000) {
+        if (!started.empty()) {
+            attempts += 1;
+            decision = Dispatch::taskNotStarted(state, started[0].task, "agent-1",
+                                                Reason::BackendUnreachable, at(nowMs), random);
+            CHECK(Dispatch::assignTasks(state, at(nowMs), random).empty());
+        }
+        nowMs += 5;
+        Dispatch::agentHeard(state, hello("agent-1"), at(nowMs));
+        started = Dispatch::assignTasks(state, at(nowMs), random);
+    }
+    CHECK(decision == RetryDecision::GivenUp);
+    CHECK(attempts == Dispatch::MaxStartAttempts);
+    CHECK(nowMs > 1000);
+    CHECK(Dispatch::totalDemand(state) == 0);
+    CHECK(Dispatch::taskNotStarted(state, {"job", 0}, "agent-1", Reason::NoSlot, at(nowMs), random)
+          == RetryDecision::Ignored);
+}
+
+TEST_CASE("A job nothing of which has started ends when its deadline cannot be met")
+{
+    // No backend server is free until the deadline. The caller is told that nothing ran, as soon as
+    // too little time is left and not after it.
+    Common::Random random(1);
+    SchedulerState state = configuredState();
+    Dispatch::agentHeard(state, hello("agent-1", 1), at(0));
+    teach(state, 400, random);
+    Dispatch::agentHeard(state, hello("agent-1", 1), at(0));
+    const auto first = submit(state, demand("first"), 0, random);
+    REQUIRE(first.size() == 1);
+    JobDemand late = demand("late");
+    late.deadlineMs = WallMs + 1200;
+    submit(state, late, 0, random);
+    CHECK(Dispatch::expiredJobs(state, at(600)).empty());
+    const auto expired = Dispatch::expiredJobs(state, at(1000));
+    REQUIRE(expired.size() == 1);
+    CHECK(expired[0].job == "late");
+    CHECK(expired[0].refusal.reason == Reason::DeadlineUnreachable);
+    CHECK(Dispatch::expiredJobs(state, at(40000)).empty());
+    CHECK(Dispatch::totalDemand(state) == 0);
+}
+
+TEST_CASE("Tasks of another owner count in the window of their agent")
+{
+    Common::Random random(1);
+    SchedulerState state = configuredState();
+    Dispatch::agentHeard(state, hello("agent-1"), at(0));
+    Dispatch::restoreJob(state, demand("job", 10), {4, 5, 6, 7, 8, 9}, at(0));
+    for (const int index : {0, 1, 2, 3}) {
+        Dispatch::taskAdopted(state, {"job", index}, "agent-1", at(0));
+    }
+    Dispatch::jobRunnable(state, "job", at(0));
+    const auto started = Dispatch::assignTasks(state, at(0), random);
+    REQUIRE(started.size() == 4);
+    CHECK(started[0].task.index == 4);
+    CHECK(Dispatch::taskEnded(state, {"job", 1}, "agent-1", true, 50, at(50)));
+    CHECK(!Dispatch::taskEnded(state, {"job", 1}, "agent-1", true, 50, at(50)));
+    CHECK(Dispatch::assignTasks(state, at(50), random).size() == 1);
+}
+
+TEST_CASE("Random lives of jobs and agents keep every promise of the scheduler")
+{
+    constexpr int Steps = 30000;
+    Common::Random random(11);
+    SchedulerState state = configuredState();
+    std::map<std::string, std::int64_t> windows;
+    std::map<std::string, std::int64_t> held;
+    std::vector<Assignment> inFlight;
+    std::set<std::pair<std::string, int>> started;
+    std::vector<std::string> jobs;
+    std::int64_t nowMs = 0;
+    const auto end = [&](std::size_t index) {
+        const Assignment ended = inFlight[index];
+        inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(index));
+        held[ended.agent] -= 1;
+        return ended;
+    };
+    for (int step = 0; step < Steps; ++step) {
+        nowMs += static_cast<std::int64_t>(random() % 30);
+        const std::string agent = "agent-" + std::to_string(random() % 6);
+        switch (random() % 8) {
+        case 0:
+        case 1: {
+            JobDemand job =
+                    demand("job-" + std::to_string(step), 1 + static_cast<int>(random() % 9));
+            job.caller = "caller-" + std::to_string(random() % 5);
+            job.deadlineMs = WallMs + nowMs + static_cast<std::int64_t>(random() % 8000);
+            if (!Dispatch::admitJob(state, job, at(nowMs))) {
+                Dispatch::jobRunnable(state, job.id, at(nowMs));
+                jobs.push_back(job.id);
+            }
+            break;
+        }
+        case 2:
+            windows[agent] = static_cast<std::int64_t>(random() % 9);
+            Dispatch::agentHeard(state, hello(agent, windows[agent]), at(nowMs));
+            break;
+        case 3:
+            if (random() % 10 == 0) {
+                Dispatch::agentLost(state, agent, at(nowMs));
+                windows[agent] = 0;
+            }
+            break;
+        case 4:
+            if (!jobs.empty() && random() % 4 == 0) {
+                Dispatch::dropJob(state, jobs[random() % jobs.size()]);
+            }
+            break;
+        case 5:
+            if (!inFlight.empty()) {
+                const Assignment ended = end(random() % inFlight.size());
+                if (Dispatch::taskNotStarted(state, ended.task, ended.agent, Reason::NoSlot,
+                                             at(nowMs), random)
+                    == RetryDecision::Requeued) {
+                    started.erase({ended.task.job, ended.task.index});
+                }
+            }
+            break;
+        default:
+            if (!inFlight.empty()) {
+                const Assignment ended = end(random() % inFlight.size());
+                CHECK(Dispatch::taskEnded(state, ended.task, ended.agent, random() % 9 != 0,
+                                          static_cast<double>(random() % 500), at(nowMs)));
+            }
+        }
+        Dispatch::expiredJobs(state, at(nowMs));
+        for (const Assignment &assignment : Dispatch::assignTasks(state, at(nowMs), random)) {
+            REQUIRE(started.insert({assignment.task.job, assignment.task.index}).second);
+            held[assignment.agent] += 1;
+            REQUIRE(held[assignment.agent] <= windows[assignment.agent]);
+            inFlight.push_back(assignment);
+        }
+        REQUIRE(Dispatch::totalDemand(state) >= 0);
+    }
+    while (!inFlight.empty()) {
+        const Assignment ended = end(0);
+        CHECK(Dispatch::taskEnded(state, ended.task, ended.agent, true, 10, at(nowMs)));
+    }
+    for (const std::string &job : jobs) {
+        Dispatch::dropJob(state, job);
+    }
+    CHECK(started.size() > 1000);
+    CHECK(Dispatch::totalDemand(state) == 0);
+    CHECK(state.queuedTasks == 0);
+    CHECK(state.jobs.empty());
+    CHECK(state.inFlight.empty());
+    CHECK(state.queue.activeTeams.empty());
+    CHECK(state.pool.inFlight == 0);
+}
