Dispatch: first job through the whole path

Cause: a gateway crashed on its first forwarded request: taking a request by the id stored inside it left the set of held requests with a dangling name (std::out_of_range in heldRequests, found with gdb). Two gateways that dialled each other gave up each other's link as silent every 2.5 s, since each sent on its own. A refused id could not be submitted again. Change: ids are taken by value; of two links both ends use the one the lesser instance dialled; a refusal before any start may be submitted again, a cancelled job may not.

--- a/Source/Core/Dispatch/Ledger.cpp
+++ b/Source/Core/Dispatch/Ledger.cpp
@@ -193,7 +193,11 @@
         return SubmitVerdict::Conflict;
     }
     if (job->answer) {
-        return SubmitVerdict::Ended;
+        // A cancelled job stays cancelled: a resubmission that crossed the cancellation would
+        // otherwise revive it.
+        const bool mayTryAgain = job->answer->outcome == JobOutcome::Refused
+                                 && job->answer->reason != Reason::Cancelled;
+        return mayTryAgain ? SubmitVerdict::Refused : SubmitVerdict::Ended;
     }
     return job->submit ? SubmitVerdict::Pending : SubmitVerdict::Recovered;
 }
--- a/Source/Core/Dispatch/Ledger.h
+++ b/Source/Core/Dispatch/Ledger.h
@@ -85,14 +85,22 @@
 std::int64_t shardOf(const LedgerState &state, const std::string &job);
 
 /// What the ledger says to a submission.
-enum class SubmitVerdict { New, Pending, Ended, Conflict, Recovered };
+enum class SubmitVerdict {
+    New,
+    Pending,
+    Ended,
+    Conflict,
+    /// Known only from the journal or from reports; adoptSubmission() may give it its content.
+    Recovered,
+    /// Refused before any start, and not by its caller's own wish: it may be submitted again.
+    Refused
+};
 
 /// Refuses submissions that lie outside the dedup window or past their deadline.
 Common::Outcome<void> checkTimes(const LedgerState &state, const Schema::SubmitJob &submit,
                                  Common::Moment now);
 
-/// Looks the id up. Recovered: known only from the journal or from reports; adoptSubmission() may
-/// give it its content. Conflict: the same id was submitted with other content.
+/// Looks the id up.
 SubmitVerdict lookUp(const LedgerState &state, const Schema::SubmitJob &submit);
 
 /// Hash of what makes a submission the same submission: all but the deadline.
--- a/Source/Core/Dispatch/Owner.cpp
+++ b/Source/Core/Dispatch/Owner.cpp
@@ -294,13 +294,17 @@
                    [&](const Common::Failure &failure) { wrongTime = failure; });
     JobEntry *job = findJob(state.ledger, *submit.id);
     const SubmitVerdict verdict = lookUp(state.ledger, submit);
+    const bool isNew = verdict == SubmitVerdict::New || verdict == SubmitVerdict::Refused;
     // A deadline that has passed does not take back the answer of a job that has ended.
-    if (wrongTime && verdict == SubmitVerdict::New) {
+    if (wrongTime && isNew) {
         return refuseRequest(state, requestId, wrongTime->reason, wrongTime->detail);
     }
     switch (verdict) {
     case SubmitVerdict::New:
         return submitUnseen(state, requestId, submit, now);
+    case SubmitVerdict::Refused:
+        removeJob(state.ledger, *submit.id);
+        return acceptJob(state, requestId, submit, now);
     case SubmitVerdict::Ended:
         return answerRequest(state, requestId, *job->answer);
     case SubmitVerdict::Conflict:
--- a/Source/Core/Dispatch/Requests.cpp
+++ b/Source/Core/Dispatch/Requests.cpp
@@ -25,7 +25,8 @@
     return found == table.requests.end() ? nullptr : &found->second;
 }
 
-std::optional<Request> takeRequest(RequestTable &table, const std::string &id)
+// By value: the id handed in is often the one inside the request that goes away here.
+std::optional<Request> takeRequest(RequestTable &table, std::string id)
 {
     const auto found = table.requests.find(id);
     if (found == table.requests.end()) {
--- a/Source/Core/Dispatch/Requests.h
+++ b/Source/Core/Dispatch/Requests.h
@@ -59,7 +59,7 @@
 Request &addRequest(RequestTable &table, Request request);
 Request *findRequest(RequestTable &table, const std::string &id);
 /// Ends the request; empty where it was answered before.
-std::optional<Request> takeRequest(RequestTable &table, const std::string &id);
+std::optional<Request> takeRequest(RequestTable &table, std::string id);
 
 void holdRequest(RequestTable &table, Request &request, std::int64_t retryAtMs = 0);
 void markForwarded(RequestTable &table, Request &request, const std::string &instance);
--- a/Source/Core/Dispatch/Router.cpp
+++ b/Source/Core/Dispatch/Router.cpp
@@ -11,15 +11,16 @@
 constexpr const char *RetriedCounter = "auburntrail_forward_retries_total";
 constexpr std::int64_t NotOwnerRetryMs = 50;
 
-Effects askOwnLedger(GatewayState &state, const Request &request, Common::Moment now)
+Effects askOwnLedger(GatewayState &state, const std::string &requestId, ForwardKind kind,
+                     Common::Moment now)
 {
-    switch (request.kind) {
+    switch (kind) {
     case ForwardKind::Submit:
-        return ownerSubmit(state, request.id, now);
+        return ownerSubmit(state, requestId, now);
     case ForwardKind::Cancel:
-        return ownerCancel(state, request.id);
+        return ownerCancel(state, requestId);
     default:
-        return ownerGet(state, request.id);
+        return ownerGet(state, requestId);
     }
 }
 
@@ -60,7 +61,7 @@
     if (shardPhase(state.site.ownership, shard) != ShardPhase::Serving) {
         return {};
     }
-    return askOwnLedger(state, *request, now);
+    return askOwnLedger(state, requestId, request->kind, now);
 }
 
 Effects routeHeld(GatewayState &state, Common::Moment now)
--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -121,6 +121,7 @@
 
     PlatformLog::LogClientSettings logSettings;
     logSettings.url = settings.logUrl;
+    logSettings.metrics = &this->metrics;
     this->log = std::make_unique<PlatformLog::LogClient>(logSettings);
 
     this->http = Net::HttpServerBuilder()
@@ -138,6 +139,7 @@
     self.httpPort = this->http->port();
     self.peerPort = this->peerPort;
     self.failureDomain = settings.failureDomain;
+    this->links.self = self.instance;
     this->state = Dispatch::makeGateway(settings, self, this->now);
     this->follow(LogStream::Control);
     this->follow(LogStream::Journal);
@@ -435,8 +437,12 @@
 
 void GatewayDaemon::Implementation::dialMembers()
 {
-    for (const Schema::Member &member : this->state.site.ownership.table.roster) {
-        if (member.instance == this->state.self.instance
+    const Dispatch::ControlTable &table = this->state.site.ownership.table;
+    // Members do not know of a gateway that has not joined: it dials them all.
+    const bool isMember = Dispatch::onRoster(table, this->state.self.instance);
+    for (const Schema::Member &member : table.roster) {
+        const bool isOurs = !isMember || dials(this->links, member.instance);
+        if (member.instance == this->state.self.instance || !isOurs
             || this->links.outboundTo.count(member.instance) != 0) {
             continue;
         }
--- a/Source/Core/Gateway/Links.cpp
+++ b/Source/Core/Gateway/Links.cpp
@@ -17,11 +17,19 @@
 Net::LinkId linkTo(const LinkTable &table, const std::string &instance)
 {
     const auto outbound = table.outboundTo.find(instance);
-    if (outbound != table.outboundTo.end() && table.links.at(outbound->second).isOpen) {
+    const bool hasOutbound =
+            outbound != table.outboundTo.end() && table.links.at(outbound->second).isOpen;
+    const auto inbound = table.inboundFrom.find(instance);
+    const bool hasInbound = inbound != table.inboundFrom.end();
+    if (hasOutbound && (dials(table, instance) || !hasInbound)) {
         return outbound->second;
     }
-    const auto inbound = table.inboundFrom.find(instance);
-    return inbound == table.inboundFrom.end() ? 0 : inbound->second;
+    return hasInbound ? inbound->second : 0;
+}
+
+bool dials(const LinkTable &table, const std::string &instance)
+{
+    return table.self < instance;
 }
 
 void linkOpened(LinkTable &table, Net::LinkId id, Common::Moment now)
--- a/Source/Core/Gateway/Links.h
+++ b/Source/Core/Gateway/Links.h
@@ -29,15 +29,20 @@
 
 struct LinkTable
 {
+    std::string self;
     std::unordered_map<Net::LinkId, Link> links;
-    /// Outbound links come first: a gateway's own connection is the one whose silence it judges.
     std::map<std::string, Net::LinkId> outboundTo;
     std::map<std::string, Net::LinkId> inboundFrom;
 };
 
-/// The link by which \a instance can be reached; 0 for none.
+/// The link by which \a instance can be reached; 0 for none. Of two links between two gateways,
+/// both take the one that the lesser instance dialled: each would otherwise send on its own, hear
+/// nothing on it and give it up as silent.
 Net::LinkId linkTo(const LinkTable &table, const std::string &instance);
 
+/// Whether this gateway is the one of the two to dial \a instance.
+bool dials(const LinkTable &table, const std::string &instance);
+
 void linkOpened(LinkTable &table, Net::LinkId id, Common::Moment now);
 void linkDialled(LinkTable &table, Net::LinkId id, const std::string &instance, Common::Moment now);
 /// The sender of a frame named itself. Returns the link it replaces, or 0.
