--- a/Source/Core/Dispatch/ControlAppend.cpp
+++ b/Source/Core/Dispatch/ControlAppend.cpp
@@ -35,16 +35,6 @@
            || !state.settings.safeguards.rosterOneAtATime;
 }
 
-const Schema::Member *memberAtOurAddress(const OwnershipState &state)
-{
-    for (const Schema::Member &member : state.table.roster) {
-        if (member.host == state.self.host && member.peerPort == state.self.peerPort) {
-            return &member;
-        }
-    }
-    return nullptr;
-}
-
 /// Whether enough members told us what they know that no declaration can have been missed.
 bool informed(const OwnershipState &state)
 {
@@ -76,7 +66,7 @@
 
 Wanted wantJoin(OwnershipState &state, Common::Moment now)
 {
-    if (const Schema::Member *replaced = memberAtOurAddress(state)) {
+    if (const Schema::Member *replaced = memberAtAddress(state.table, state.self)) {
         return wantSeatAtOurAddress(state, *replaced, now);
     }
     if (!rosterMayChange(state)) {
@@ -85,7 +75,7 @@
     Schema::LogRecord record = rosterRecord(state, Schema::RecordKind::Join);
     record.member = state.self;
     for (const std::string &instance : rosterInstances(state.table)) {
-        if (peerSilent(state, instance, now)) {
+        if (peerLost(state, instance, now)) {
             record.replaces = instance;
             return record;
         }
@@ -102,9 +92,12 @@
                        [](const ShardRole &role) { return role.phase == ShardPhase::NotOurs; });
 }
 
-Wanted wantLeave(const OwnershipState &state)
+/// While another member is silent, this one's acknowledgements are needed to replace it.
+Wanted wantLeave(const OwnershipState &state, Common::Moment now)
 {
-    if (!rosterMayChange(state) || !(ownsNothing(state) || state.nothingLeftToDo)) {
+    const bool allLive = liveMembers(state, now).size() == state.table.roster.size();
+    const bool done = ownsNothing(state) || state.nothingLeftToDo;
+    if (!rosterMayChange(state) || !allLive || !done) {
         return std::nullopt;
     }
     Schema::LogRecord record = rosterRecord(state, Schema::RecordKind::Leave);
@@ -138,7 +131,7 @@
         return role.phase == ShardPhase::AwaitingHandover
                && now.steadyMs - role.phaseSinceMs >= OrphanSilences * state.settings.peerSilenceMs;
     }
-    return !onRoster(state.table, claim.owner) || peerSilent(state, claim.owner, now);
+    return !onRoster(state.table, claim.owner) || peerLost(state, claim.owner, now);
 }
 
 /// A first owner waits two heartbeats, so that gateways that start together share the shards at
@@ -164,18 +157,27 @@
     return shards;
 }
 
+bool epochOwnerIsUs(const OwnershipState &state, std::int64_t shard)
+{
+    return state.table.shards[static_cast<std::size_t>(shard)].owner == state.self.instance;
+}
+
 /// All gateways spread the orphans over the same live members in the same way, so that each claims
 /// its part; where their views differ, the log decides.
 Wanted wantClaim(OwnershipState &state, Common::Moment now)
 {
     const std::vector<std::int64_t> orphans = orphanedShards(state, now);
     const std::vector<std::string> claimants = takers(state, now);
-    if (orphans.empty() || claimants.empty()) {
-        return std::nullopt;
-    }
     std::map<std::string, std::int64_t> owned = ownedShards(state, claimants);
     std::vector<Schema::ShardOwner> ours;
     for (const std::int64_t shard : orphans) {
+        if (epochOwnerIsUs(state, shard)) {
+            ours.push_back(shardOwner(state, shard));
+            continue;
+        }
+        if (state.leaving || owned.empty()) {
+            continue;
+        }
         const auto least = std::min_element(
                 owned.begin(), owned.end(),
                 [](const auto &left, const auto &right) { return left.second < right.second; });
@@ -214,6 +216,17 @@
     return record;
 }
 
+Wanted wantSettled(const OwnershipState &state, Common::Moment now)
+{
+    if (!state.rosterSettled || state.table.previousRoster.empty() || !isFirstLive(state, now)) {
+        return std::nullopt;
+    }
+    Schema::LogRecord record;
+    record.kind = Schema::RecordKind::RosterSettled;
+    record.basedOn = state.table.rosterOffset * EpochStep;
+    return record;
+}
+
 /// Retention drops the first claims some day; a fresh gateway then starts from this.
 Wanted wantSnapshot(const OwnershipState &state, Common::Moment now)
 {
@@ -238,11 +251,17 @@
     }
     Wanted wanted = wantHandedOver(state);
     if (!wanted) {
-        wanted = state.leaving ? wantLeave(state) : wantClaim(state, now);
+        wanted = wantClaim(state, now);
+    }
+    if (!wanted && state.leaving) {
+        wanted = wantLeave(state, now);
     }
     if (!wanted) {
         wanted = wantRemoval(state, now);
     }
+    if (!wanted) {
+        wanted = wantSettled(state, now);
+    }
     return wanted ? wanted : wantSnapshot(state, now);
 }
 
--- a/Source/Core/Dispatch/ControlTable.cpp
+++ b/Source/Core/Dispatch/ControlTable.cpp
@@ -11,12 +11,28 @@
     return left.host == right.host && left.peerPort == right.peerPort;
 }
 
-const Schema::Member *findMember(const ControlTable &table, const std::string &instance)
+const Schema::Member *findIn(const std::vector<Schema::Member> &members,
+                             const std::string &instance)
 {
     const auto found =
-            std::find_if(table.roster.begin(), table.roster.end(),
+            std::find_if(members.begin(), members.end(),
                          [&](const Schema::Member &member) { return member.instance == instance; });
-    return found == table.roster.end() ? nullptr : &*found;
+    return found == members.end() ? nullptr : &*found;
+}
+
+const Schema::Member *findMember(const ControlTable &table, const std::string &instance)
+{
+    return findIn(table.roster, instance);
+}
+
+std::vector<std::string> instancesOf(const std::vector<Schema::Member> &members)
+{
+    std::vector<std::string> instances;
+    instances.reserve(members.size());
+    for (const Schema::Member &member : members) {
+        instances.push_back(member.instance);
+    }
+    return instances;
 }
 
 void removeMember(ControlTable &table, const std::string &instance)
@@ -30,7 +46,7 @@
 
 void beginRosterChange(ControlTable &table, std::int64_t offset)
 {
-    table.previousRoster = rosterInstances(table);
+    table.previousRoster = table.roster;
     table.rosterOffset = offset + 1;
 }
 
@@ -41,19 +57,31 @@
            && record.basedOn.value_or(0) / EpochStep < table.rosterOffset;
 }
 
-/// A gateway that listens at the address of a member proves that the member's process is gone: it
-/// takes the seat as it is, and the number of seats and their majorities stay the same.
-void takeSeat(ControlTable &table, const std::string &replaced, const Schema::Member &member)
+void replaceIn(std::vector<Schema::Member> &members, const std::string &replaced,
+               const Schema::Member &member)
 {
-    std::replace(table.previousRoster.begin(), table.previousRoster.end(), replaced,
-                 member.instance);
-    for (Schema::Member &seat : table.roster) {
+    for (Schema::Member &seat : members) {
         if (seat.instance == replaced) {
             seat = member;
         }
     }
 }
 
+/// A gateway that listens at the address of a member proves that the member's process is gone: it
+/// takes the seat as it is, and the number of seats and their majorities stay the same. That holds
+/// as well for a seat of the roster before, whose acknowledgement may still be needed.
+bool takeSeat(ControlTable &table, const std::string &replaced, const Schema::Member &member)
+{
+    const Schema::Member *seat = findMember(table, replaced);
+    seat = seat == nullptr ? findIn(table.previousRoster, replaced) : seat;
+    if (seat == nullptr || !sameAddress(*seat, member)) {
+        return false;
+    }
+    replaceIn(table.previousRoster, replaced, member);
+    replaceIn(table.roster, replaced, member);
+    return true;
+}
+
 bool applyJoin(ControlTable &table, const Schema::LogEntry &entry, const Safeguards &safeguards)
 {
     const Schema::LogRecord &record = entry.record;
@@ -68,15 +96,11 @@
         table.roster.push_back(*record.member);
         return true;
     }
-    const Schema::Member *replaced = findMember(table, *record.replaces);
-    if (replaced == nullptr) {
-        return false;
-    }
-    if (sameAddress(*replaced, *record.member)) {
-        takeSeat(table, *record.replaces, *record.member);
+    if (takeSeat(table, *record.replaces, *record.member)) {
         return true;
     }
-    if (rosterChangedSince(table, record, safeguards)) {
+    if (findMember(table, *record.replaces) == nullptr
+        || rosterChangedSince(table, record, safeguards)) {
         return false;
     }
     beginRosterChange(table, entry.offset);
@@ -145,6 +169,16 @@
     return valid;
 }
 
+/// What the gateways that saw the acknowledgements know would go with them.
+bool applySettled(ControlTable &table, const Schema::LogRecord &record)
+{
+    if (record.basedOn.value_or(0) / EpochStep != table.rosterOffset) {
+        return false;
+    }
+    table.previousRoster.clear();
+    return true;
+}
+
 bool applyByKind(ControlTable &table, const Schema::LogEntry &entry, const Safeguards &safeguards)
 {
     switch (entry.record.kind) {
@@ -156,6 +190,8 @@
         return applyClaim(table, entry, safeguards);
     case Schema::RecordKind::HandedOver:
         return applyHandedOver(table, entry);
+    case Schema::RecordKind::RosterSettled:
+        return applySettled(table, entry.record);
     default:
         return false;
     }
@@ -243,12 +279,24 @@
 
 std::vector<std::string> rosterInstances(const ControlTable &table)
 {
-    std::vector<std::string> instances;
-    instances.reserve(table.roster.size());
-    for (const Schema::Member &member : table.roster) {
-        instances.push_back(member.instance);
+    return instancesOf(table.roster);
+}
+
+std::vector<std::string> previousInstances(const ControlTable &table)
+{
+    return instancesOf(table.previousRoster);
+}
+
+const Schema::Member *memberAtAddress(const ControlTable &table, const Schema::Member &member)
+{
+    for (const std::vector<Schema::Member> *members : {&table.roster, &table.previousRoster}) {
+        for (const Schema::Member &seat : *members) {
+            if (sameAddress(seat, member) && seat.instance != member.instance) {
+                return &seat;
+            }
+        }
     }
-    return instances;
+    return nullptr;
 }
 
 bool neverOwned(const ControlTable &table)
--- a/Source/Core/Dispatch/ControlTable.h
+++ b/Source/Core/Dispatch/ControlTable.h
@@ -30,7 +30,8 @@
     /// Offset after the last record that changed the roster.
     std::int64_t rosterOffset = 0;
     std::vector<Schema::Member> roster;
-    std::vector<std::string> previousRoster;
+    /// Before that change; empty once the log shows it settled.
+    std::vector<Schema::Member> previousRoster;
     std::vector<ShardClaim> shards;
 };
 
@@ -53,6 +54,9 @@
 
 bool onRoster(const ControlTable &table, const std::string &instance);
 std::vector<std::string> rosterInstances(const ControlTable &table);
+std::vector<std::string> previousInstances(const ControlTable &table);
+/// A member of either roster that listened where \a member does: its process is gone.
+const Schema::Member *memberAtAddress(const ControlTable &table, const Schema::Member &member);
 /// True while no shard has ever had an owner: no agent can have accepted a start.
 bool neverOwned(const ControlTable &table);
 std::int64_t epochBase(std::int64_t epoch);
--- a/Source/Core/Dispatch/Handover.cpp
+++ b/Source/Core/Dispatch/Handover.cpp
@@ -47,7 +47,10 @@
             });
 }
 
-bool takeShard(OwnershipState &state, const Schema::ShardOwner &given, Common::Moment now)
+/// \a informed: this gateway has read as much of the journal as the sender, or must do so first:
+/// an intent it lacks would let a job start again.
+bool takeShard(OwnershipState &state, const Schema::ShardOwner &given, bool informed,
+               Common::Moment now)
 {
     ShardClaim &claim = state.table.shards[static_cast<std::size_t>(given.shard)];
     ShardRole &role = roleOf(state, given.shard);
@@ -59,7 +62,7 @@
     }
     claim = ShardClaim{given.owner, given.epoch};
     role = ShardRole{};
-    role.phase = ShardPhase::Serving;
+    role.phase = informed ? ShardPhase::Serving : ShardPhase::NeedsJournal;
     role.epoch = given.epoch;
     role.phaseSinceMs = now.steadyMs;
     return true;
@@ -87,7 +90,11 @@
 {
     std::vector<std::string> receivers = takers(state, now);
     const auto members = static_cast<std::int64_t>(receivers.size());
-    receivers.erase(std::remove(receivers.begin(), receivers.end(), state.self.instance),
+    receivers.erase(std::remove_if(receivers.begin(), receivers.end(),
+                                   [&](const std::string &instance) {
+                                       return instance == state.self.instance
+                                              || !readsJournal(state, instance);
+                                   }),
                     receivers.end());
     std::vector<std::int64_t> shards = shardsIn(state, ShardPhase::Serving);
     if (receivers.empty() || shards.empty()) {
@@ -114,6 +121,7 @@
     Schema::Handover handover;
     handover.requestId = Common::randomId(random);
     handover.from = state.self.instance;
+    handover.journalOffset = state.journalOffset;
     std::vector<Schema::UnloggedWindow> windows;
     for (const std::int64_t shard : shards) {
         ShardRole &role = roleOf(state, shard);
@@ -160,8 +168,9 @@
         return taken;
     }
     taken.accepted = true;
+    const bool informed = state.journalOffset >= handover.journalOffset;
     for (const Schema::ShardOwner &given : handover.shards) {
-        if (knownShard(state, given.shard) && takeShard(state, given, now)) {
+        if (knownShard(state, given.shard) && takeShard(state, given, informed, now)) {
             taken.shards.push_back(given.shard);
         }
     }
--- a/Source/Core/Dispatch/Heartbeats.cpp
+++ b/Source/Core/Dispatch/Heartbeats.cpp
@@ -43,6 +43,8 @@
     ping.sequence = ++state.sequence;
     ping.reply = reply;
     ping.leaving = state.leaving;
+    ping.live = liveMembers(state, now);
+    ping.journalOffset = state.journalOffset;
     ping.tableVersion = tableVersion(state.table);
     ping.configVersion = state.configVersion;
     ping.unloggedSinceMs = state.unloggedSinceMs;
@@ -127,15 +129,24 @@
     }
 }
 
+void sampleJournalOffset(OwnershipState &state, Common::Moment now)
+{
+    if (now.steadyMs - state.journalSampledMs < 2 * state.settings.heartbeatMs) {
+        return;
+    }
+    state.journalSampledMs = now.steadyMs;
+    state.journalOffsetDue = state.journalOffsetNext;
+    state.journalOffsetNext = state.journalOffset;
+}
+
 void forgetStrangers(OwnershipState &state, Common::Moment now)
 {
+    const std::vector<std::string> previous = previousInstances(state.table);
     for (auto peer = state.peers.begin(); peer != state.peers.end();) {
         const std::int64_t seen = std::max(peer->second.lastHeardMs, peer->second.firstWatchedMs);
-        const bool gone = !onRoster(state.table, peer->first)
-                          && std::count(state.table.previousRoster.begin(),
-                                        state.table.previousRoster.end(), peer->first)
-                                     == 0
-                          && now.steadyMs - seen >= state.settings.peerSilenceMs;
+        const bool needed = onRoster(state.table, peer->first)
+                            || std::count(previous.begin(), previous.end(), peer->first) != 0;
+        const bool gone = !needed && now.steadyMs - seen >= state.settings.peerSilenceMs;
         peer = gone ? state.peers.erase(peer) : std::next(peer);
     }
 }
@@ -145,6 +156,7 @@
 Effects sendHeartbeats(OwnershipState &state, Common::Moment now)
 {
     watchRoster(state, now);
+    sampleJournalOffset(state, now);
     forgetStrangers(state, now);
     Effects effects;
     for (auto &[instance, peer] : state.peers) {
@@ -172,6 +184,8 @@
     peer.lastHeardMs = now.steadyMs;
     peer.sequence = ping.sequence;
     peer.leaving = ping.leaving;
+    peer.live = ping.live;
+    peer.journalOffset = ping.journalOffset;
     if (ping.table) {
         mergeTable(state.table, importTable(*ping.table, state.settings.shardCount));
         closeGapFromPeers(state, now);
@@ -201,6 +215,30 @@
     return now.steadyMs - seen >= state.settings.peerSilenceMs;
 }
 
+/// Two gateways that lose each other, but not the others, go on side by side. Without the word of a
+/// third, and of the log, each would claim the other's shards again and again.
+bool peerLost(const OwnershipState &state, const std::string &instance, Common::Moment now)
+{
+    if (!peerSilent(state, instance, now)) {
+        return false;
+    }
+    const std::int64_t recordMs = state.peers.at(instance).lastRecordMs;
+    if (recordMs != 0 && now.steadyMs - recordMs < state.settings.peerSilenceMs) {
+        return false;
+    }
+    return std::none_of(state.peers.begin(), state.peers.end(), [&](const auto &other) {
+        const std::vector<std::string> &live = other.second.live;
+        return peerLive(state, other.first, now)
+               && std::count(live.begin(), live.end(), instance) != 0;
+    });
+}
+
+bool readsJournal(const OwnershipState &state, const std::string &instance)
+{
+    const auto peer = state.peers.find(instance);
+    return peer != state.peers.end() && peer->second.journalOffset >= state.journalOffsetDue;
+}
+
 bool peerLive(const OwnershipState &state, const std::string &instance, Common::Moment now)
 {
     if (instance == state.self.instance) {
--- a/Source/Core/Dispatch/Ownership.cpp
+++ b/Source/Core/Dispatch/Ownership.cpp
@@ -84,6 +84,10 @@
     if (state.neededSinceWallMs == 0) {
         state.neededSinceWallMs = entry.record.wallMs;
     }
+    const auto writer = state.peers.find(entry.record.instance);
+    if (writer != state.peers.end() && state.readToEnd) {
+        writer->second.lastRecordMs = now.steadyMs;
+    }
     if (state.gap) {
         state.sinceGap.push_back(entry);
         return;
@@ -342,7 +346,8 @@
 
 bool hasLeft(const OwnershipState &state)
 {
-    return state.leaving && !onRoster(state.table, state.self.instance);
+    return state.leaving && !onRoster(state.table, state.self.instance)
+           && state.table.previousRoster.empty();
 }
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Ownership.h
+++ b/Source/Core/Dispatch/Ownership.h
@@ -69,6 +69,10 @@
     std::int64_t lastHeardMs = 0;
     std::int64_t sequence = 0;
     bool leaving = false;
+    std::vector<std::string> live;
+    /// When the log last showed a record of it.
+    std::int64_t lastRecordMs = 0;
+    std::int64_t journalOffset = 0;
     std::int64_t configVersion = 0;
     std::int64_t reportedVersion = 0;
     /// Of reports that came when our table was not behind the sender's.
@@ -138,6 +142,12 @@
     /// What heartbeats carry for other modules.
     std::int64_t configVersion = 0;
     std::int64_t unloggedSinceMs = 0;
+    std::int64_t journalOffset = 0;
+    /// Our journalOffset of some heartbeats ago: a successor that has not read that far is cut off
+    /// from the log.
+    std::int64_t journalOffsetDue = 0;
+    std::int64_t journalOffsetNext = 0;
+    std::int64_t journalSampledMs = 0;
 };
 
 OwnershipState makeOwnership(OwnershipSettings settings, Schema::Member self, Common::Moment now);
@@ -184,7 +194,8 @@
 bool handoverStands(const OwnershipState &state, const Schema::Handover &handover);
 /// The successor has the shards. Ends HandingOver.
 void handoverDone(OwnershipState &state, const Schema::Handover &handover);
-/// Shards taken over, which are served at once; the jobs of the others must be left alone. The
+/// Shards taken over; the jobs of the others must be left alone. They are served at once, or first
+/// go through NeedsJournal where this gateway has read less of the journal than the sender. The
 /// caller accepts the handover also when this is empty because it was a repetition.
 struct HandoverTaken
 {
@@ -197,9 +208,11 @@
 /// From now on no shard is claimed, and wantedHandovers() empties this gateway.
 void leave(OwnershipState &state);
 /// Nothing is left to do here: the gateway leaves the roster even where its shards found no
-/// successor. It must start no task and answer no agent from then on.
+/// successor. It must start no task from then on. A gateway that can't leave in time, since the log
+/// is away or another member is silent, may just stop: its seat is then replaced like a lost one.
 void finishLeaving(OwnershipState &state);
-/// True once the log shows that it left.
+/// True once the log shows that it left, and that enough others know: a gateway that went before
+/// would be missed where another one dies at the same time.
 bool hasLeft(const OwnershipState &state);
 /// True on one live gateway of the roster.
 bool isFirstLive(const OwnershipState &state, Common::Moment now);
--- a/Source/Core/Dispatch/OwnershipParts.h
+++ b/Source/Core/Dispatch/OwnershipParts.h
@@ -42,6 +42,10 @@
 bool peerSilent(const OwnershipState &state, const std::string &instance, Common::Moment now);
 /// Live members that take shards: the leaving ones are left out.
 std::vector<std::string> takers(const OwnershipState &state, Common::Moment now);
+/// Silent to us, and no live gateway hears it.
+bool peerLost(const OwnershipState &state, const std::string &instance, Common::Moment now);
+/// Whether \a instance has read the journal about as far as we have.
+bool readsJournal(const OwnershipState &state, const std::string &instance);
 Schema::ShardOwner shardOwner(const OwnershipState &state, std::int64_t shard);
 /// Members of the roster, this gateway among them, that are live; sorted.
 std::vector<std::string> liveMembers(const OwnershipState &state, Common::Moment now);
--- a/Source/Core/Dispatch/Quorum.cpp
+++ b/Source/Core/Dispatch/Quorum.cpp
@@ -35,7 +35,7 @@
 bool rosterChangeAcknowledged(const OwnershipState &state)
 {
     const std::int64_t version = state.table.rosterOffset * EpochStep;
-    return blocksMajorities(state.table.previousRoster,
+    return blocksMajorities(previousInstances(state.table),
                             [&](const std::string &instance) {
                                 return acknowledged(state, instance, version);
                             })
@@ -132,7 +132,7 @@
 bool fenced(const OwnershipState &state, const InstanceTest &holds)
 {
     return blocksMajorities(rosterInstances(state.table), holds)
-           && (state.rosterSettled || blocksMajorities(state.table.previousRoster, holds));
+           && (state.rosterSettled || blocksMajorities(previousInstances(state.table), holds));
 }
 
 bool acknowledged(const OwnershipState &state, const std::string &instance, std::int64_t version)
@@ -146,6 +146,11 @@
 
 void settleRoster(OwnershipState &state, Common::Moment now)
 {
+    if (state.table.previousRoster.empty()) {
+        state.rosterAckedOffset = state.table.rosterOffset;
+        state.rosterSettled = true;
+        return;
+    }
     if (state.rosterAckedOffset != state.table.rosterOffset) {
         state.rosterSettled = false;
         if (!rosterChangeAcknowledged(state)) {
--- a/Source/Core/Dispatch/Site.cpp
+++ b/Source/Core/Dispatch/Site.cpp
@@ -112,6 +112,7 @@
         return controlRead(site.ownership, read, now);
     case LogStream::Journal: {
         Effects effects = journalRead(site.journal, read, now);
+        site.ownership.journalOffset = site.journal.readOffset;
         passMarks(site, now);
         return effects;
     }
@@ -174,6 +175,7 @@
 
 HandoverTaken takeHandover(SiteState &site, const Schema::Handover &handover, Common::Moment now)
 {
+    site.ownership.journalOffset = site.journal.readOffset;
     HandoverTaken taken = handoverIn(site.ownership, handover, now);
     if (!taken.shards.empty()) {
         redeclare(site.journal);
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -329,9 +329,9 @@
      */
     struct OwnershipTable {
         /**
-         * Instances on the roster before that change; empty once it is settled.
+         * The roster before that change; empty once it is settled.
          */
-        std::vector<std::string> previousRoster{};
+        std::vector<Member> previousRoster{};
         std::vector<Member> roster{};
         /**
          * Offset after the last record that changed the roster, times 65536.
@@ -1222,7 +1222,7 @@
     }
 
     inline void from_json(const json & j, OwnershipTable& x) {
-        x.previousRoster = j.at("previousRoster").get<std::vector<std::string>>();
+        x.previousRoster = j.at("previousRoster").get<std::vector<Member>>();
         x.roster = j.at("roster").get<std::vector<Member>>();
         x.rosterVersion = j.at("rosterVersion").get<int64_t>();
         x.shards = j.at("shards").get<std::vector<ShardOwner>>();
