--- a/Source/Core/Dispatch/BackendPool.cpp
+++ b/Source/Core/Dispatch/BackendPool.cpp
@@ -196,8 +196,9 @@
 
 bool isAble(const BackendRecord &backend, const Requirement &requirement)
 {
+    // An idle requirement is judged too: its next job finds it as it is then.
     return !backend.instance.empty() && !backend.lost && !backend.draining
-           && !backend.drainedByOperator && requirement.users > 0
+           && !backend.drainedByOperator && !requirement.key.empty()
            && runsService(backend.server, requirement.service)
            && fits(backend.server.resources, {}, requirement.resources);
 }
--- a/Source/UnitTests/Dispatch/LoadPatternTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadPatternTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <doctest/doctest.h>
 
 #include "LoadModel.h"
@@ -7,7 +8,6 @@
 using LoadModel::Outcome;
 using LoadModel::Result;
 using LoadModel::RunTimes;
-using LoadModel::Selection;
 using LoadModel::Stream;
 
 namespace {
@@ -54,11 +54,6 @@
     return stream;
 }
 
-double capacity(const Experiment &experiment)
-{
-    return LoadModel::capacityOf(experiment.backends);
-}
-
 void useFifo(Experiment &experiment)
 {
     experiment.policy.queueing = Schema::QueueingPolicy::Fifo;
--- a/Source/UnitTests/Dispatch/SchedulerTest.cpp
+++ b/Source/UnitTests/Dispatch/SchedulerTest.cpp
@@ -310,7 +310,7 @@
     std::vector<std::string> jobs;
     std::int64_t nowMs = 0;
     const auto end = [&](std::size_t index) {
-        const Assignment ended = inFlight[index];
+        Assignment ended = inFlight[index];
         inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(index));
         held[ended.agent] -= 1;
         return ended;
