--- a/Source/AuburntrailTool/BenchCommand.cpp
+++ b/Source/AuburntrailTool/BenchCommand.cpp
@@ -106,11 +106,13 @@
             ->check(CLI::ExistingFile);
     command->add_option("--out", options->out, "write the result there as JSON");
     command->add_option("--agents", options->agents, "addresses of the agents' metrics, host:port")
-            ->delimiter(',');
+            ->delimiter(',')
+            ->allow_extra_args(false);
     command->add_option("--backends", options->backends,
                         "addresses of stand-in backend servers, host:port, in the file's order; "
                         "they are set to its slots and speeds")
-            ->delimiter(',');
+            ->delimiter(',')
+            ->allow_extra_args(false);
     command->add_option("--load", options->load, "overrules the file's load");
     command->add_option("--seconds", options->seconds, "overrules the file's length");
     command->callback([&context, options] { context.exitCode = run(context, *options); });
--- a/Source/AuburntrailTool/Main.cpp
+++ b/Source/AuburntrailTool/Main.cpp
@@ -6,6 +6,7 @@
     Tool::Context context;
     app.add_option("--gateways", context.gateways, "HTTP addresses of gateways, host:port")
             ->delimiter(',')
+            ->allow_extra_args(false)
             ->envname("AUBURNTRAIL_GATEWAYS")
             ->capture_default_str();
     app.add_option("--timeout-ms", context.timeoutMs, "how long to wait for an answer")
