--- a/Source/Core/Dispatch/Handover.cpp
+++ b/Source/Core/Dispatch/Handover.cpp
@@ -47,10 +47,7 @@
             });
 }
 
-/// \a informed: this gateway has read as much of the journal as the sender, or must do so first:
-/// an intent it lacks would let a job start again.
-bool takeShard(OwnershipState &state, const Schema::ShardOwner &given, bool informed,
-               Common::Moment now)
+bool takeShard(OwnershipState &state, const Schema::ShardOwner &given, Common::Moment now)
 {
     ShardClaim &claim = state.table.shards[static_cast<std::size_t>(given.shard)];
     ShardRole &role = roleOf(state, given.shard);
@@ -62,7 +59,7 @@
     }
     claim = ShardClaim{given.owner, given.epoch};
     role = ShardRole{};
-    role.phase = informed ? ShardPhase::Serving : ShardPhase::NeedsJournal;
+    role.phase = ShardPhase::Serving;
     role.epoch = given.epoch;
     role.phaseSinceMs = now.steadyMs;
     return true;
@@ -163,14 +160,15 @@
                          Common::Moment now)
 {
     HandoverTaken taken;
-    // Ahead of us: the sender repeats it, and its heartbeat brings the table it stands on.
-    if (!onRoster(state.table, state.self.instance) || handoverAhead(state, handover)) {
+    // Ahead of us: the sender repeats it until our table and our journal have caught up. An intent
+    // that we lack would let a job of its start again.
+    if (!onRoster(state.table, state.self.instance) || handoverAhead(state, handover)
+        || state.journalOffset < handover.journalOffset) {
         return taken;
     }
     taken.accepted = true;
-    const bool informed = state.journalOffset >= handover.journalOffset;
     for (const Schema::ShardOwner &given : handover.shards) {
-        if (knownShard(state, given.shard) && takeShard(state, given, informed, now)) {
+        if (knownShard(state, given.shard) && takeShard(state, given, now)) {
             taken.shards.push_back(given.shard);
         }
     }
--- a/Source/Core/Dispatch/Ownership.h
+++ b/Source/Core/Dispatch/Ownership.h
@@ -194,9 +194,9 @@
 bool handoverStands(const OwnershipState &state, const Schema::Handover &handover);
 /// The successor has the shards. Ends HandingOver.
 void handoverDone(OwnershipState &state, const Schema::Handover &handover);
-/// Shards taken over; the jobs of the others must be left alone. They are served at once, or first
-/// go through NeedsJournal where this gateway has read less of the journal than the sender. The
-/// caller accepts the handover also when this is empty because it was a repetition.
+/// Shards taken over, which are served at once; the jobs of the others must be left alone. Not
+/// accepted while this gateway knows less of the log than the sender: the sender repeats it. The
+/// caller answers an accepted one also where no shard is taken, as for a repetition.
 struct HandoverTaken
 {
     bool accepted = false;
--- a/Source/UnitTests/Dispatch/OwnershipTest.cpp
+++ b/Source/UnitTests/Dispatch/OwnershipTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <doctest/doctest.h>
 
 #include "SiteChaos.h"
@@ -50,3 +51,145 @@
         CHECK(world.oracle.accepted > 0);
     }
 }
+
+namespace {
+
+const std::string &nameOf(const World &world, std::size_t gateway)
+{
+    return world.gateways[gateway]->member.instance;
+}
+
+/// Callers send new jobs, and every job again, to all gateways that take them.
+void submitEverywhere(World &world, std::int64_t ms)
+{
+    for (std::int64_t past = 0; past < ms && world.oracle.violation.empty(); past += 20) {
+        const std::string job = newJob(world);
+        for (std::size_t gateway = 0; gateway < world.gateways.size(); ++gateway) {
+            submit(world, gateway, job, moment(world).wallMs);
+        }
+        run(world, 20);
+    }
+}
+
+std::int64_t shardsOwned(const World &world, std::size_t by, std::size_t owner)
+{
+    const auto &shards = world.gateways[by]->site.ownership.table.shards;
+    return std::count_if(shards.begin(), shards.end(), [&](const Dispatch::ShardClaim &claim) {
+        return claim.owner == nameOf(world, owner);
+    });
+}
+
+/// Gateways 0 and 1 with one agent lose the log and what the third gateway says. It hears them
+/// again after it has claimed their shards, but they don't know of the claim.
+void minorityTakesOver(World &world)
+{
+    for (const std::size_t gateway : {0U, 1U}) {
+        world.gateways[gateway]->cutFromLog = true;
+        cut(world, nameOf(world, gateway), nameOf(world, 2), true);
+        world.lostOneWay.insert({nameOf(world, 2), nameOf(world, gateway)});
+    }
+    cut(world, world.agents[0].name, nameOf(world, 2), true);
+    run(world, 1000);
+    for (const std::size_t gateway : {0U, 1U}) {
+        cut(world, nameOf(world, gateway), nameOf(world, 2), false);
+    }
+    submitEverywhere(world, 3000);
+}
+
+/// Gateway 0 is heard by one agent only. It hears gateway 1 until the moment it is taken over from:
+/// for a lease it goes on believing that it may start, and so does the agent.
+void ownerLosesItsWord(World &world)
+{
+    world.gateways[0]->cutFromLog = true;
+    submitEverywhere(world, 1000);
+    world.lostOneWay.insert({nameOf(world, 0), nameOf(world, 1)});
+    cut(world, nameOf(world, 0), nameOf(world, 2), true);
+    cut(world, world.agents[0].name, nameOf(world, 2), true);
+    const std::int64_t owned = shardsOwned(world, 1, 0);
+    while (shardsOwned(world, 1, 0) == owned && world.nowMs < 20000) {
+        run(world, 5);
+    }
+    cut(world, nameOf(world, 0), nameOf(world, 1), true);
+    cut(world, world.agents[0].name, nameOf(world, 1), true);
+    // The successors take jobs of before the declaration: those were surely not started.
+    for (int count = 0; count < 80 && world.oracle.violation.empty(); ++count) {
+        for (const std::size_t gateway : {1U, 2U}) {
+            submit(world, gateway, newJob(world), WallOffsetMs + 1500);
+        }
+        submit(world, 0, newJob(world), moment(world).wallMs);
+        run(world, 5);
+    }
+}
+
+/// Gateway 0 starts jobs and dies; the two others have not read their intents when they take over,
+/// and the callers resubmit.
+void journalLagsBehind(World &world)
+{
+    world.gateways[1]->journalHeldUp = true;
+    world.gateways[2]->journalHeldUp = true;
+    for (int count = 0; count < 20; ++count) {
+        submit(world, 0, newJob(world), moment(world).wallMs);
+        run(world, 20);
+    }
+    kill(world, 0);
+    run(world, 3000);
+    for (int job = 0; job < world.nextJob; ++job) {
+        submit(world, 1, "job-" + std::to_string(job), moment(world).wallMs - 3000);
+        submit(world, 2, "job-" + std::to_string(job), moment(world).wallMs - 3000);
+    }
+    run(world, 500);
+}
+
+/// The first gateway is cut off with an agent whose roster is that one alone. Two more join: a
+/// majority of three needs neither of those who know.
+void twoJoinsInARow(World &world)
+{
+    world.gateways[0]->cutFromLog = true;
+    cut(world, nameOf(world, 0), world.agents[1].name, true);
+    for (const std::size_t joined : {addGateway(world), addGateway(world)}) {
+        cut(world, nameOf(world, 0), nameOf(world, joined), true);
+        cut(world, world.agents[0].name, nameOf(world, joined), true);
+    }
+    submitEverywhere(world, 5000);
+}
+
+} // namespace
+
+TEST_CASE("Each safeguard that is switched off lets two owners start tasks of a shard")
+{
+    // An owner is cut off, its successor serves, and an agent that has not heard of it goes on
+    // taking the old owner's starts: a task of one shard starts under an old epoch after one of a
+    // newer, or the same job starts twice. With the safeguard on nothing of that happens.
+    struct Row
+    {
+        std::string name;
+        bool Dispatch::Safeguards::*safeguard;
+        int gateways;
+        void (*schedule)(World &);
+    };
+    const Row rows[] = {
+            {"fence majority", &Dispatch::Safeguards::fenceMajority, 3, minorityTakesOver},
+            {"lease wait", &Dispatch::Safeguards::leaseWait, 3, ownerLosesItsWord},
+            {"journal re-read", &Dispatch::Safeguards::journalReread, 3, journalLagsBehind},
+            {"roster one at a time", &Dispatch::Safeguards::rosterOneAtATime, 1, twoJoinsInARow},
+    };
+    for (const Row &row : rows) {
+        for (const bool on : {true, false}) {
+            CAPTURE(row.name);
+            CAPTURE(on);
+            Dispatch::Safeguards safeguards;
+            safeguards.*row.safeguard = on;
+            int violations = 0;
+            for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+                World world = makeWorld(seed, 2, safeguards);
+                for (int count = 0; count < row.gateways; ++count) {
+                    addGateway(world);
+                }
+                run(world, FirstServing);
+                row.schedule(world);
+                violations += world.oracle.violation.empty() ? 0 : 1;
+            }
+            CHECK((violations > 0) == !on);
+        }
+    }
+}
--- a/Source/UnitTests/Dispatch/SiteWorld.cpp
+++ b/Source/UnitTests/Dispatch/SiteWorld.cpp
@@ -117,7 +117,9 @@
 
 void follow(World &world, Gateway &gateway, std::size_t stream)
 {
-    if (gateway.reading[stream] || !world.faults.available || gateway.cutFromLog) {
+    const bool heldUp = gateway.journalHeldUp
+                        && stream == static_cast<std::size_t>(Dispatch::LogStream::Journal);
+    if (gateway.reading[stream] || !world.faults.available || gateway.cutFromLog || heldUp) {
         return;
     }
     gateway.reading[stream] = true;
@@ -236,7 +238,8 @@
 {
     later(world, delay(world), [&world, from, instance, work = std::move(work)] {
         Gateway *gateway = find(world, instance);
-        if (gateway != nullptr && reaches(world, from, instance)) {
+        const bool lost = world.lostOneWay.count({from, instance}) != 0;
+        if (gateway != nullptr && !lost && reaches(world, from, instance)) {
             deliver(*gateway, [gateway, work] { work(*gateway); });
         }
     });
--- a/Source/UnitTests/Dispatch/SiteWorld.h
+++ b/Source/UnitTests/Dispatch/SiteWorld.h
@@ -37,6 +37,8 @@
     bool alive = true;
     bool paused = false;
     bool cutFromLog = false;
+    /// What it reads of the journal is held up.
+    bool journalHeldUp = false;
     std::vector<std::function<void()>> inbox;
     std::map<std::string, JobState> jobs;
     /// Epoch under which each job was taken.
@@ -78,6 +80,8 @@
     std::vector<AgentModel> agents;
     /// Pairs of names that don't reach each other.
     std::set<std::pair<std::string, std::string>> cuts;
+    /// From, to: what the first sends to the second is lost.
+    std::set<std::pair<std::string, std::string>> lostOneWay;
     std::multimap<std::int64_t, std::function<void()>> events;
     Oracle oracle;
     int nextPort = 1;
