UnitTests: drive whole sites in virtual time against an oracle

Cause: the promises hold only in the composition of gateways, agents, log and callers. Change: a world of fakes around the daemons' own state machines (log with outages and lost answers, links that go silent, processes killed, paused, replaced, backend servers that fail), an oracle that knows only starts and answers, 14 stories and a rapidcheck property of random commands.

--- /dev/null
+++ b/Source/UnitTests/Whole/PropertyTest.cpp
@@ -0,0 +1,277 @@
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <sstream>
+
+#include "World.h"
+
+namespace {
+
+enum class CommandKind {
+    Submit,
+    Resubmit,
+    Cancel,
+    KillGateway,
+    ReplaceGateway,
+    StopGateway,
+    PauseGateway,
+    KillAgent,
+    PauseAgent,
+    SilenceAgent,
+    Partition,
+    Heal,
+    CutFromLog,
+    LogOut,
+    LogBack,
+    LoseAnswers,
+    FailBackend,
+    Configure,
+    Wait,
+};
+
+constexpr Common::NameTable<CommandKind, 19> CommandNames{{
+        {CommandKind::Submit, "submit"},
+        {CommandKind::Resubmit, "resubmit"},
+        {CommandKind::Cancel, "cancel"},
+        {CommandKind::KillGateway, "kill_gateway"},
+        {CommandKind::ReplaceGateway, "replace_gateway"},
+        {CommandKind::StopGateway, "stop_gateway"},
+        {CommandKind::PauseGateway, "pause_gateway"},
+        {CommandKind::KillAgent, "kill_agent"},
+        {CommandKind::PauseAgent, "pause_agent"},
+        {CommandKind::SilenceAgent, "silence_agent"},
+        {CommandKind::Partition, "partition"},
+        {CommandKind::Heal, "heal"},
+        {CommandKind::CutFromLog, "cut_from_log"},
+        {CommandKind::LogOut, "log_out"},
+        {CommandKind::LogBack, "log_back"},
+        {CommandKind::LoseAnswers, "lose_answers"},
+        {CommandKind::FailBackend, "fail_backend"},
+        {CommandKind::Configure, "configure"},
+        {CommandKind::Wait, "wait"},
+}};
+
+struct Command
+{
+    CommandKind kind = CommandKind::Wait;
+    unsigned first = 0;
+    unsigned second = 0;
+};
+
+std::ostream &operator<<(std::ostream &stream, const Command &command)
+{
+    return stream << Common::nameOf(CommandNames, command.kind) << '(' << command.first << ','
+                  << command.second << ')';
+}
+
+/// Faults are rarer than work, or nothing would ever be served.
+rc::Gen<Command> anyCommand()
+{
+    using rc::gen::element;
+    const auto kind = rc::gen::weightedElement<CommandKind>({
+            {12, CommandKind::Submit},        {6, CommandKind::Resubmit},
+            {2, CommandKind::Cancel},         {2, CommandKind::KillGateway},
+            {2, CommandKind::ReplaceGateway}, {1, CommandKind::StopGateway},
+            {2, CommandKind::PauseGateway},   {1, CommandKind::KillAgent},
+            {2, CommandKind::PauseAgent},     {2, CommandKind::SilenceAgent},
+            {1, CommandKind::Partition},      {2, CommandKind::Heal},
+            {1, CommandKind::CutFromLog},     {1, CommandKind::LogOut},
+            {2, CommandKind::LogBack},        {2, CommandKind::LoseAnswers},
+            {1, CommandKind::FailBackend},    {2, CommandKind::Configure},
+            {12, CommandKind::Wait},
+    });
+    constexpr unsigned Range = 1'000;
+    return rc::gen::build<Command>(rc::gen::set(&Command::kind, kind),
+                                   rc::gen::set(&Command::first, rc::gen::inRange(0U, Range)),
+                                   rc::gen::set(&Command::second, rc::gen::inRange(0U, Range)));
+}
+
+struct Run
+{
+    std::unique_ptr<Whole::World> world;
+    std::vector<Whole::JobRequest> jobs;
+};
+
+int pick(const std::vector<int> &choices, unsigned number)
+{
+    return choices.empty() ? -1 : choices[number % choices.size()];
+}
+
+void submitSomewhere(Run &run, const Whole::JobRequest &job, unsigned number)
+{
+    const int gateway = pick(Whole::liveGateways(*run.world), number);
+    if (gateway >= 0) {
+        Whole::submit(*run.world, gateway, job);
+    }
+}
+
+void keepThreeGateways(Run &run)
+{
+    constexpr std::size_t Gateways = 3;
+    if (Whole::liveGateways(*run.world).size() < Gateways) {
+        Whole::addGateway(*run.world);
+    }
+}
+
+void faultGateway(Run &run, const Command &command)
+{
+    Whole::World &world = *run.world;
+    const int gateway = pick(Whole::liveGateways(world), command.first);
+    if (gateway < 0) {
+        return;
+    }
+    constexpr std::size_t FewestLeft = 2;
+    const bool mayGo = Whole::liveGateways(world).size() > FewestLeft;
+    if (command.kind == CommandKind::KillGateway && mayGo) {
+        Whole::killGateway(world, gateway);
+    } else if (command.kind == CommandKind::StopGateway && mayGo) {
+        Whole::stopGateway(world, gateway);
+    } else if (command.kind == CommandKind::PauseGateway) {
+        Whole::pauseGateway(world, gateway, static_cast<std::int64_t>(command.second) * 8);
+    } else if (command.kind == CommandKind::CutFromLog) {
+        world.cutFromLog.insert(gateway);
+    } else if (command.kind == CommandKind::Configure) {
+        Whole::setTeamQuota(world, gateway, command.second, 2);
+    }
+}
+
+void faultAgent(Run &run, const Command &command)
+{
+    Whole::World &world = *run.world;
+    const int agent = pick(Whole::liveAgents(world), command.first);
+    if (agent < 0) {
+        return;
+    }
+    if (command.kind == CommandKind::KillAgent) {
+        const int backend = world.agents[static_cast<std::size_t>(agent)]->backend;
+        Whole::killAgent(world, agent);
+        Whole::addAgent(world, backend);
+    } else if (command.kind == CommandKind::PauseAgent) {
+        Whole::pauseAgent(world, agent, static_cast<std::int64_t>(command.second) * 8);
+    } else {
+        Whole::silenceLinks(world, agent);
+    }
+}
+
+void execute(Run &run, const Command &command)
+{
+    Whole::World &world = *run.world;
+    switch (command.kind) {
+    case CommandKind::Submit:
+        run.jobs.push_back(Whole::newJob(world, 1 + static_cast<int>(command.second % 6),
+                                         10 + command.second * 2));
+        submitSomewhere(run, run.jobs.back(), command.first);
+        break;
+    case CommandKind::Resubmit:
+        if (!run.jobs.empty()) {
+            submitSomewhere(run, run.jobs[command.second % run.jobs.size()], command.first);
+        }
+        break;
+    case CommandKind::Cancel:
+        if (!run.jobs.empty() && !Whole::liveGateways(world).empty()) {
+            Whole::cancel(world, pick(Whole::liveGateways(world), command.first),
+                          run.jobs[command.second % run.jobs.size()].id);
+        }
+        break;
+    case CommandKind::ReplaceGateway:
+        keepThreeGateways(run);
+        break;
+    case CommandKind::KillAgent:
+    case CommandKind::PauseAgent:
+    case CommandKind::SilenceAgent:
+        faultAgent(run, command);
+        break;
+    case CommandKind::Partition:
+        Whole::partition(world, pick(Whole::liveGateways(world), command.first),
+                         pick(Whole::liveGateways(world), command.second), true);
+        break;
+    case CommandKind::Heal:
+        world.partitions.clear();
+        world.cutFromLog.clear();
+        break;
+    case CommandKind::LogOut:
+    case CommandKind::LogBack:
+        world.log.isOut = command.kind == CommandKind::LogOut;
+        break;
+    case CommandKind::LoseAnswers:
+        world.log.answersToLose += static_cast<int>(command.first % 3);
+        break;
+    case CommandKind::FailBackend:
+        world.backends[command.first % world.backends.size()].failsAll = command.second % 2 == 0;
+        break;
+    case CommandKind::Wait:
+        Whole::runFor(world, static_cast<std::int64_t>(command.first) * 4);
+        break;
+    default:
+        faultGateway(run, command);
+    }
+    Whole::runFor(world, 5 + command.second % 50);
+}
+
+/// After the faults: everything works again, and every caller whose gateway lives gets an answer.
+void healAndFinish(Run &run)
+{
+    Whole::World &world = *run.world;
+    world.partitions.clear();
+    world.cutFromLog.clear();
+    world.log.isOut = false;
+    keepThreeGateways(run);
+    constexpr std::int64_t LongestDeadlineMs = 60'000;
+    Whole::runFor(world, LongestDeadlineMs);
+}
+
+std::string promisesBroken(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    constexpr std::int64_t StartUpMs = 12'000;
+    Run run;
+    run.world = Whole::makeWorld(seed, 3, 4);
+    run.world->maxRunDelayMs = 4'000;
+    Whole::runFor(*run.world, StartUpMs);
+    for (const Command &command : commands) {
+        execute(run, command);
+    }
+    healAndFinish(run);
+    Whole::judgeEnd(run.world->oracle);
+    std::string broken;
+    for (const std::string &promise : run.world->oracle.broken) {
+        broken += promise + "; ";
+    }
+    return broken;
+}
+
+/// Runs and their length can be raised for a long search: AUBURNTRAIL_PROPERTY_RUNS.
+int propertyRuns()
+{
+    constexpr int DefaultRuns = 40;
+    const char *runs = std::getenv("AUBURNTRAIL_PROPERTY_RUNS");
+    return runs == nullptr ? DefaultRuns : std::atoi(runs);
+}
+
+std::uint64_t propertySeed()
+{
+    const char *seed = std::getenv("AUBURNTRAIL_PROPERTY_SEED");
+    return seed == nullptr ? 1 : std::strtoull(seed, nullptr, 10);
+}
+
+} // namespace
+
+TEST_CASE("Random commands break no promise")
+{
+    rc::detail::TestParams parameters;
+    parameters.seed = propertySeed();
+    parameters.maxSuccess = propertyRuns();
+    parameters.maxSize = 80;
+    const auto property = [] {
+        const auto commands = *rc::gen::container<std::vector<Command>>(60, anyCommand());
+        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const std::string broken = promisesBroken(commands, seed);
+        RC_LOG(broken);
+        RC_ASSERT(broken.empty());
+    };
+    const rc::detail::TestMetadata metadata{"random commands", "Random commands break no promise"};
+    const rc::detail::TestResult result = rc::detail::checkTestable(property, metadata, parameters);
+    std::ostringstream report;
+    rc::detail::printResultMessage(result, report);
+    INFO(report.str());
+    CHECK(result.template is<rc::detail::SuccessResult>());
+}
--- /dev/null
+++ b/Source/UnitTests/Whole/StoryTest.cpp
@@ -0,0 +1,354 @@
+#include <doctest/doctest.h>
+
+#include "World.h"
+
+using Schema::JobOutcome;
+using Schema::Reason;
+using Whole::World;
+
+namespace {
+
+constexpr std::int64_t StartUpMs = 15'000;
+
+std::unique_ptr<World> readySite(std::uint64_t seed, int gateways = 3, int agents = 4)
+{
+    auto world = Whole::makeWorld(seed, gateways, agents);
+    Whole::runFor(*world, StartUpMs);
+    return world;
+}
+
+int otherGateway(const World &world, int gateway)
+{
+    for (const int index : Whole::liveGateways(world)) {
+        if (index != gateway) {
+            return index;
+        }
+    }
+    return -1;
+}
+
+void checkPromises(World &world)
+{
+    Whole::judgeEnd(world.oracle);
+    for (const std::string &promise : world.oracle.broken) {
+        FAIL_CHECK(promise);
+    }
+}
+
+const Whole::Submission &submissionOf(const World &world, std::size_t number)
+{
+    return world.oracle.submissions[number];
+}
+
+int startsOf(const World &world, const std::string &job)
+{
+    int starts = 0;
+    for (const auto &[task, count] : world.oracle.starts) {
+        starts += task.first == job ? count : 0;
+    }
+    return starts;
+}
+
+} // namespace
+
+TEST_CASE("Every gateway answers for a job, and a resubmission starts nothing")
+{
+    // A clerk submits, loses patience, and submits the same order at another counter while it runs
+    // and again when it has ended. All three answers are the same and the steel is cut once.
+    auto world = readySite(1);
+    const Whole::JobRequest job = Whole::newJob(*world, 3, 500);
+    const std::size_t first = Whole::submit(*world, 0, job);
+    Whole::runFor(*world, 200);
+    const std::size_t second = Whole::submit(*world, 1, job);
+    Whole::runFor(*world, 2'000);
+    const std::size_t third = Whole::submit(*world, 2, job);
+    Whole::runFor(*world, 500);
+    for (const std::size_t number : {first, second, third}) {
+        REQUIRE(submissionOf(*world, number).isAnswered);
+        CHECK(submissionOf(*world, number).answer.outcome == JobOutcome::Completed);
+    }
+    CHECK(startsOf(*world, job.id) == 3);
+    checkPromises(*world);
+}
+
+TEST_CASE("The owner dies with tasks running")
+{
+    // The job's owner is killed while its tasks run. The caller's gateway asks the successor, which
+    // claims the shard, waits out the agents' lease, learns from the agents what runs, and answers
+    // with all results. Nothing is started again.
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U}) {
+        CAPTURE(seed);
+        auto world = readySite(seed);
+        const Whole::JobRequest job = Whole::newJob(*world, 4, 3'000);
+        const int owner = Whole::ownerOfJob(*world, job.id);
+        REQUIRE(owner >= 0);
+        const std::size_t asked = Whole::submit(*world, otherGateway(*world, owner), job);
+        Whole::runFor(*world, 500);
+        CHECK(startsOf(*world, job.id) == 4);
+        Whole::killGateway(*world, owner);
+        Whole::runFor(*world, 15'000);
+        REQUIRE(submissionOf(*world, asked).isAnswered);
+        CHECK(submissionOf(*world, asked).answer.outcome == JobOutcome::Completed);
+        CHECK(startsOf(*world, job.id) == 4);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("The owner dies with tasks still in its queue")
+{
+    // Two dozen long tasks wait behind 16 slots when the owner dies. The successor proves from a
+    // majority of gateways and from every agent that the waiting ones never started, and runs them.
+    auto world = readySite(5);
+    const Whole::JobRequest job = Whole::newJob(*world, 24, 2'000, 60'000);
+    const int owner = Whole::ownerOfJob(*world, job.id);
+    const std::size_t asked = Whole::submit(*world, otherGateway(*world, owner), job);
+    Whole::runFor(*world, 500);
+    CHECK(startsOf(*world, job.id) < 24);
+    Whole::killGateway(*world, owner);
+    Whole::runFor(*world, 30'000);
+    REQUIRE(submissionOf(*world, asked).isAnswered);
+    CHECK(submissionOf(*world, asked).answer.outcome == JobOutcome::Completed);
+    CHECK(startsOf(*world, job.id) == 24);
+    checkPromises(*world);
+}
+
+TEST_CASE("A failure domain goes: the owner and an agent at once")
+{
+    // The owner dies together with an agent that ran some of the tasks. Nobody can know how those
+    // ended, so that the caller hears "unknown", never "not run", and nothing is started again.
+    auto world = readySite(6);
+    const Whole::JobRequest job = Whole::newJob(*world, 16, 4'000, 40'000);
+    const int owner = Whole::ownerOfJob(*world, job.id);
+    const std::size_t asked = Whole::submit(*world, otherGateway(*world, owner), job);
+    Whole::runFor(*world, 500);
+    Whole::killGateway(*world, owner);
+    Whole::killAgent(*world, 0);
+    Whole::runFor(*world, 60'000);
+    REQUIRE(submissionOf(*world, asked).isAnswered);
+    CHECK(submissionOf(*world, asked).answer.outcome == JobOutcome::Unknown);
+    CHECK(!submissionOf(*world, asked).answer.notRun);
+    CHECK(startsOf(*world, job.id) == 16);
+    checkPromises(*world);
+}
+
+TEST_CASE("The owner is paused past its lease and woken")
+{
+    // The owner freezes, another gateway takes its shards and runs a resubmission; then the old
+    // owner wakes with the first submission's tasks still in its queue. The agents know the new
+    // epoch and refuse its starts.
+    for (const std::uint64_t seed : {7U, 8U, 9U}) {
+        CAPTURE(seed);
+        auto world = readySite(seed);
+        const Whole::JobRequest job = Whole::newJob(*world, 20, 300, 60'000);
+        const int owner = Whole::ownerOfJob(*world, job.id);
+        Whole::submit(*world, owner, job);
+        Whole::runFor(*world, 20);
+        Whole::pauseGateway(*world, owner, 9'000);
+        Whole::runFor(*world, 1'000);
+        const std::size_t again = Whole::submit(*world, otherGateway(*world, owner), job);
+        Whole::runFor(*world, 40'000);
+        CHECK(submissionOf(*world, again).isAnswered);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("An agent is paused between its check and the start")
+{
+    // The agent accepts a start and is stopped before its request reaches the backend server; the
+    // lease runs out and the shard changes hands meanwhile. The start carries the time after which
+    // the backend server must refuse it, so that the task does not start under a fence.
+    for (const std::uint64_t seed : {10U, 11U, 12U}) {
+        CAPTURE(seed);
+        auto world = readySite(seed);
+        world->maxRunDelayMs = 8'000;
+        const Whole::JobRequest job = Whole::newJob(*world, 16, 200, 60'000);
+        const int owner = Whole::ownerOfJob(*world, job.id);
+        const std::size_t asked = Whole::submit(*world, otherGateway(*world, owner), job);
+        Whole::runFor(*world, 30);
+        Whole::killGateway(*world, owner);
+        Whole::runFor(*world, 70'000);
+        CHECK(submissionOf(*world, asked).isAnswered);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("The log loses answers after the write")
+{
+    // The answers to the next appends are lost though the records were written. The owner sends the
+    // same record again under the same id; callers wait a little longer and each task starts once.
+    auto world = readySite(13);
+    world->log.answersToLose = 3;
+    std::vector<std::size_t> asked;
+    for (int count = 0; count < 6; ++count) {
+        asked.push_back(Whole::submit(*world, count % 3, Whole::newJob(*world, 2, 100)));
+        Whole::runFor(*world, 50);
+    }
+    Whole::runFor(*world, 10'000);
+    for (const std::size_t number : asked) {
+        REQUIRE(submissionOf(*world, number).isAnswered);
+        CHECK(submissionOf(*world, number).answer.outcome == JobOutcome::Completed);
+    }
+    checkPromises(*world);
+}
+
+TEST_CASE("Work goes on while the log is out")
+{
+    // The log goes away for a minute. The first jobs wait until their owners have declared that
+    // they work unlogged; later ones start at once. When the log is back the intents are written.
+    auto world = readySite(14);
+    world->log.isOut = true;
+    Whole::runFor(*world, 6'000);
+    std::vector<std::size_t> asked;
+    for (int count = 0; count < 9; ++count) {
+        asked.push_back(Whole::submit(*world, count % 3, Whole::newJob(*world, 2, 100)));
+        Whole::runFor(*world, 1'000);
+    }
+    Whole::runFor(*world, 10'000);
+    for (const std::size_t number : asked) {
+        REQUIRE(submissionOf(*world, number).isAnswered);
+        CHECK(submissionOf(*world, number).answer.outcome == JobOutcome::Completed);
+    }
+    world->log.isOut = false;
+    Whole::runFor(*world, 5'000);
+    std::size_t intents = 0;
+    for (const Schema::LogEntry &entry : world->log.streams[Dispatch::LogStream::Journal]) {
+        intents += entry.record.intents ? entry.record.intents->size() : 0;
+    }
+    CHECK(intents >= 9);
+    checkPromises(*world);
+}
+
+TEST_CASE("The owner dies while the log is out, and its id is resubmitted")
+{
+    // The owner cannot write the job's intent, declares itself unlogged after two seconds, runs the
+    // job and dies. The log comes back and a successor takes over. The agents still hold the
+    // outcomes, so that the resubmission is answered without a second start.
+    auto world = readySite(15);
+    world->log.isOut = true;
+    Whole::runFor(*world, 6'000);
+    const Whole::JobRequest job = Whole::newJob(*world, 3, 500, 90'000);
+    const int owner = Whole::ownerOfJob(*world, job.id);
+    Whole::submit(*world, owner, job);
+    Whole::runFor(*world, 4'000);
+    CHECK(startsOf(*world, job.id) == 3);
+    Whole::killGateway(*world, owner);
+    Whole::runFor(*world, 8'000);
+    const std::size_t again = Whole::submit(*world, otherGateway(*world, owner), job);
+    Whole::runFor(*world, 5'000);
+    CHECK(!submissionOf(*world, again).isAnswered);
+    world->log.isOut = false;
+    Whole::runFor(*world, 30'000);
+    REQUIRE(submissionOf(*world, again).isAnswered);
+    CHECK(!submissionOf(*world, again).answer.notRun);
+    CHECK(startsOf(*world, job.id) == 3);
+    checkPromises(*world);
+}
+
+TEST_CASE("Connections go silent while new ones work")
+{
+    // Every connection of one agent stops carrying anything while both ends think it open. The
+    // agent dials anew, the owner asks what arrived before it sends anything again.
+    for (const std::uint64_t seed : {16U, 17U, 18U}) {
+        CAPTURE(seed);
+        auto world = readySite(seed, 3, 1);
+        const std::size_t asked = Whole::submit(*world, 0, Whole::newJob(*world, 4, 300, 60'000));
+        Whole::runFor(*world, 8 + static_cast<std::int64_t>(seed) % 3);
+        Whole::silenceLinks(*world, 0);
+        Whole::runFor(*world, 30'000);
+        REQUIRE(submissionOf(*world, asked).isAnswered);
+        CHECK(submissionOf(*world, asked).answer.outcome == JobOutcome::Completed);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("A gateway stops gracefully under load")
+{
+    // One gateway is told to stop while its jobs run. It hands its shards over with them; every
+    // caller, also its own, gets the whole answer, and the gateway ends.
+    auto world = readySite(19);
+    std::vector<std::size_t> asked;
+    for (int count = 0; count < 12; ++count) {
+        asked.push_back(Whole::submit(*world, count % 3, Whole::newJob(*world, 3, 1'500, 60'000)));
+    }
+    Whole::runFor(*world, 300);
+    Whole::stopGateway(*world, 1);
+    Whole::runFor(*world, 30'000);
+    for (const std::size_t number : asked) {
+        REQUIRE(submissionOf(*world, number).isAnswered);
+        CHECK(submissionOf(*world, number).answer.outcome == JobOutcome::Completed);
+    }
+    CHECK(!world->gateways[1]->isAlive);
+    checkPromises(*world);
+}
+
+TEST_CASE("Every gateway is replaced, one by one")
+{
+    // Each gateway in turn is stopped after a new one has come up. Jobs submitted all the while are
+    // answered whole, and ids of the first gateways' time are still known at the end.
+    auto world = readySite(20);
+    const Whole::JobRequest early = Whole::newJob(*world, 2, 100, 200'000);
+    Whole::submit(*world, 0, early);
+    Whole::runFor(*world, 1'000);
+    std::vector<std::size_t> asked;
+    for (int old = 0; old < 3; ++old) {
+        Whole::addGateway(*world);
+        Whole::runFor(*world, 20'000);
+        asked.push_back(
+                Whole::submit(*world, otherGateway(*world, old), Whole::newJob(*world, 2, 400)));
+        Whole::stopGateway(*world, old);
+        Whole::runFor(*world, 20'000);
+        CHECK(!world->gateways[static_cast<std::size_t>(old)]->isAlive);
+    }
+    const std::size_t again = Whole::submit(*world, Whole::liveGateways(*world).front(), early);
+    Whole::runFor(*world, 5'000);
+    for (const std::size_t number : asked) {
+        REQUIRE(submissionOf(*world, number).isAnswered);
+        CHECK(submissionOf(*world, number).answer.outcome == JobOutcome::Completed);
+    }
+    REQUIRE(submissionOf(*world, again).isAnswered);
+    CHECK(submissionOf(*world, again).answer.outcome == JobOutcome::Completed);
+    CHECK(startsOf(*world, early.id) == 2);
+    checkPromises(*world);
+}
+
+TEST_CASE("A cancelled job stays cancelled")
+{
+    // A caller cancels a job of long tasks; what has started runs on, what has not never starts,
+    // and a resubmission that crosses the cancellation does not revive it.
+    auto world = readySite(21);
+    const Whole::JobRequest job = Whole::newJob(*world, 40, 2'000, 60'000);
+    const std::size_t asked = Whole::submit(*world, 0, job);
+    Whole::runFor(*world, 100);
+    Whole::cancel(*world, 1, job.id);
+    Whole::runFor(*world, 100);
+    const std::size_t again = Whole::submit(*world, 2, job);
+    Whole::runFor(*world, 20'000);
+    for (const std::size_t number : {asked, again}) {
+        REQUIRE(submissionOf(*world, number).isAnswered);
+        CHECK(submissionOf(*world, number).answer.reason == Reason::Cancelled);
+        CHECK(!submissionOf(*world, number).answer.notRun);
+    }
+    CHECK(startsOf(*world, job.id) < 40);
+    checkPromises(*world);
+}
+
+TEST_CASE("A backend server that fails everything ends jobs truthfully")
+{
+    // One of four backend servers fails every task at once. Jobs that meet it end as failed, with
+    // nothing started twice; the others complete.
+    auto world = readySite(22);
+    world->backends[0].failsAll = true;
+    for (int count = 0; count < 40; ++count) {
+        Whole::submit(*world, count % 3, Whole::newJob(*world, 1, 200, 30'000));
+        Whole::runFor(*world, 100);
+    }
+    Whole::runFor(*world, 10'000);
+    int failed = 0;
+    for (const Whole::Submission &submission : world->oracle.submissions) {
+        REQUIRE(submission.isAnswered);
+        failed += submission.answer.outcome == JobOutcome::Failed ? 1 : 0;
+    }
+    CHECK(failed > 0);
+    CHECK(failed < 20);
+    checkPromises(*world);
+}
