Dispatch: split the backend servers' pool by job

Change: capacity by speed and the judging of backend servers are modules of their own; no behaviour changes. Conclusion: each file has one job.

--- /dev/null
+++ b/Source/Core/Dispatch/BackendCare.cpp
@@ -0,0 +1,117 @@
+#include "Dispatch/BackendCare.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+namespace {
+
+/// Below this part of the expected time, a failure says more of the backend server than of the
+/// task.
+constexpr double FastFailurePart = 0.25;
+/// A task this much over the time that 95 of 100 stay under hangs, more likely than not.
+constexpr double OverdueTimes = 3;
+constexpr double OverdueQuantile = 0.95;
+constexpr std::int64_t StalledPeriodMs = 100;
+constexpr std::int64_t NoSlotPauseMs = 20;
+/// One task of a lost backend server's is refused, then one for each pause, up to 6.4 s.
+constexpr std::int64_t FirstRefusalPauseMs = 100;
+constexpr int MaxRefusalDoublings = 6;
+/// Backend servers that are known and not leaving, and those of them that are ejected.
+std::pair<std::size_t, std::size_t> countEjected(const BackendPool &pool)
+{
+    std::size_t known = 0;
+    std::size_t ejected = 0;
+    for (const BackendRecord &backend : pool.backends) {
+        if (backend.instance.empty() || backend.lost || backend.draining) {
+            continue;
+        }
+        known += 1;
+        const HealthPhase phase = backend.health.phase;
+        ejected += phase == HealthPhase::Ejected || phase == HealthPhase::Trial ? 1 : 0;
+    }
+    return {known, ejected};
+}
+
+std::size_t outOfWork(const BackendPool &pool)
+{
+    const auto stalled =
+            std::count_if(pool.backends.begin(), pool.backends.end(),
+                          [](const BackendRecord &backend) { return backend.stalled; });
+    return countEjected(pool).second + static_cast<std::size_t>(stalled);
+}
+
+bool mayTakeOut(const BackendPool &pool)
+{
+    return outOfWork(pool) < mostEjected(countEjected(pool).first);
+}
+
+bool isOverdue(const SchedulerState &state, const TaskInFlight &task, std::int64_t nowMs)
+{
+    const double factor = speedFactor(state.pool.backends[task.backend].speed);
+    const double highMs = runQuantileMs(state.estimates, task.profile, OverdueQuantile) * factor;
+    return static_cast<double>(nowMs - task.sinceMs) > OverdueTimes * highMs;
+}
+
+} // namespace
+
+void checkStalled(SchedulerState &state, std::int64_t nowMs)
+{
+    if (!state.switches.ejection || nowMs - state.stalledCheckedMs < StalledPeriodMs) {
+        return;
+    }
+    state.stalledCheckedMs = nowMs;
+    std::vector<std::int64_t> overdue(state.pool.backends.size());
+    for (const auto &entry : state.inFlight) {
+        overdue[entry.second.backend] += isOverdue(state, entry.second, nowMs) ? 1 : 0;
+    }
+    for (BackendIndex index = 0; index < state.pool.backends.size(); ++index) {
+        BackendRecord &backend = state.pool.backends[index];
+        const bool stalled = overdue[index] * 2 > backend.inFlight;
+        if (stalled != backend.stalled && (!stalled || mayTakeOut(state.pool))) {
+            backend.stalled = stalled;
+            refreshBackend(state.pool, index, nowMs);
+        }
+    }
+}
+
+void judgeBackend(SchedulerState &state, const TaskInFlight &task, bool succeeded, double runMs,
+                  Common::Moment now)
+{
+    ServiceOutcomes &service = state.outcomes[task.service];
+    noteServiceOutcome(service, task.backend, succeeded);
+    if (!succeeded && serviceToBlame(service)) {
+        return;
+    }
+    HealthRecord &health = state.pool.backends[task.backend].health;
+    const bool fast = runMs < task.chargedMs * FastFailurePart;
+    const bool bad = outcomeObserved(health, {succeeded, fast});
+    const bool counted = health.phase == HealthPhase::Trial || (bad && mayTakeOut(state.pool));
+    if (bad && counted && state.switches.ejection) {
+        eject(health, now.steadyMs);
+    }
+    refreshBackend(state.pool, task.backend, now.steadyMs);
+}
+
+void startRefused(BackendPool &pool, BackendIndex index, Schema::Reason reason, std::int64_t nowMs)
+{
+    BackendRecord &backend = pool.backends[index];
+    switch (reason) {
+    case Schema::Reason::NoSlot:
+        // Crossing messages overfilled it; its next message brings a window that is true.
+        backend.window = std::min(backend.window, backend.inFlight);
+        backend.pausedUntilMs = nowMs + NoSlotPauseMs;
+        break;
+    case Schema::Reason::AgentDraining:
+        backendDrains(pool, index, nowMs);
+        break;
+    case Schema::Reason::NotAfterPassed:
+        break;
+    default:
+        backend.refusalsInRow = std::min(backend.refusalsInRow + 1, MaxRefusalDoublings);
+        backend.pausedUntilMs = nowMs + (FirstRefusalPauseMs << backend.refusalsInRow);
+        break;
+    }
+    refreshBackend(pool, index, nowMs);
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/BackendPool.cpp
+++ b/Source/Core/Dispatch/BackendPool.cpp
@@ -6,11 +6,6 @@
 namespace {
 
 constexpr std::int64_t SweepPeriodMs = 25;
-constexpr std::int64_t NoSlotPauseMs = 20;
-/// One task of a lost backend server's is refused, then one for each pause, up to 6.4 s.
-constexpr std::int64_t FirstRefusalPauseMs = 100;
-constexpr int MaxRefusalDoublings = 6;
-constexpr std::int64_t StepsPeriodMs = 100;
 constexpr std::int64_t MaxForgivenessStepMs = 1000;
 /// More than the services a site has; each costs an entry for every backend server.
 constexpr std::size_t MaxIdleRequirements = 64;
@@ -370,27 +365,10 @@
     refreshBackend(pool, index, nowMs);
 }
 
-void startRefused(BackendPool &pool, BackendIndex index, Schema::Reason reason, std::int64_t nowMs)
+void backendDrains(BackendPool &pool, BackendIndex index, std::int64_t nowMs)
 {
-    BackendRecord &backend = pool.backends[index];
-    switch (reason) {
-    case Schema::Reason::NoSlot:
-        // Crossing messages overfilled it; its next message brings a window that is true.
-        backend.window = std::min(backend.window, backend.inFlight);
-        backend.pausedUntilMs = nowMs + NoSlotPauseMs;
-        break;
-    case Schema::Reason::AgentDraining:
-        backend.draining = true;
-        judgeAbilities(pool, index, nowMs);
-        break;
-    case Schema::Reason::NotAfterPassed:
-        break;
-    default:
-        backend.refusalsInRow = std::min(backend.refusalsInRow + 1, MaxRefusalDoublings);
-        backend.pausedUntilMs = nowMs + (FirstRefusalPauseMs << backend.refusalsInRow);
-        break;
-    }
-    refreshBackend(pool, index, nowMs);
+    pool.backends[index].draining = true;
+    judgeAbilities(pool, index, nowMs);
 }
 
 void sweepBackends(BackendPool &pool, std::int64_t nowMs)
@@ -419,56 +397,4 @@
     }
 }
 
-const std::vector<SpeedStep> &speedSteps(BackendPool &pool, RequirementId id, std::int64_t nowMs)
-{
-    Requirement &requirement = pool.requirements[id];
-    if (!requirement.stepsStale && nowMs - requirement.stepsAtMs < StepsPeriodMs) {
-        return requirement.steps;
-    }
-    requirement.stepsStale = false;
-    requirement.stepsAtMs = nowMs;
-    requirement.steps.clear();
-    for (const BackendRecord &backend : pool.backends) {
-        const bool able = id < backend.freePosition.size() && backend.freePosition[id] != NotAble;
-        const auto slots = static_cast<double>(placesOf(backend));
-        if (able && slots > 0 && !isOut(pool, backend, nowMs)) {
-            const double factor = speedFactor(backend.speed);
-            requirement.steps.push_back({factor, slots, slots / factor});
-        }
-    }
-    std::sort(requirement.steps.begin(), requirement.steps.end(),
-              [](const SpeedStep &left, const SpeedStep &right) {
-                  return left.factor < right.factor;
-              });
-    SpeedStep sum{1, 0, 0};
-    for (SpeedStep &step : requirement.steps) {
-        sum.slots += step.slots;
-        sum.capacity += step.capacity;
-        step.slots = sum.slots;
-        step.capacity = sum.capacity;
-    }
-    return requirement.steps;
-}
-
-SpeedStep wholeCapacity(BackendPool &pool, RequirementId id, std::int64_t nowMs)
-{
-    const std::vector<SpeedStep> &steps = speedSteps(pool, id, nowMs);
-    return steps.empty() ? SpeedStep{1, 0, 0} : steps.back();
-}
-
-std::pair<std::size_t, std::size_t> countEjected(const BackendPool &pool)
-{
-    std::size_t known = 0;
-    std::size_t ejected = 0;
-    for (const BackendRecord &backend : pool.backends) {
-        if (backend.instance.empty() || backend.lost || backend.draining) {
-            continue;
-        }
-        known += 1;
-        const HealthPhase phase = backend.health.phase;
-        ejected += phase == HealthPhase::Ejected || phase == HealthPhase::Trial ? 1 : 0;
-    }
-    return {known, ejected};
-}
-
 } // namespace Dispatch
--- a/Source/Core/Dispatch/BackendPool.h
+++ b/Source/Core/Dispatch/BackendPool.h
@@ -142,20 +142,11 @@
 void vacate(BackendPool &pool, BackendIndex index, const Schema::Resources &resources,
             double workMs, std::int64_t nowMs);
 
-/// The agent refused a start for \a reason, which is proof that nothing started.
-void startRefused(BackendPool &pool, BackendIndex index, Schema::Reason reason, std::int64_t nowMs);
+/// The agent leaves: no new work, without waiting for its next hello.
+void backendDrains(BackendPool &pool, BackendIndex index, std::int64_t nowMs);
 
 /// Looks after what changes by time alone: silence, pauses that end, trials. Cheap when called
 /// often.
 void sweepBackends(BackendPool &pool, std::int64_t nowMs);
 
-/// Capacity by speed for a requirement; worked out anew at most every 100 ms.
-const std::vector<SpeedStep> &speedSteps(BackendPool &pool, RequirementId id, std::int64_t nowMs);
-
-/// Capacity of all steps, 0 where nothing is usable.
-SpeedStep wholeCapacity(BackendPool &pool, RequirementId id, std::int64_t nowMs);
-
-/// Backend servers that are known and not leaving, and those of them that are ejected.
-std::pair<std::size_t, std::size_t> countEjected(const BackendPool &pool);
-
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/Capacity.h"
+
 namespace Dispatch {
 namespace {
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 
+#include "Dispatch/Capacity.h"
 #include "Dispatch/JobBook.h"
 
 namespace Dispatch {
--- a/Source/Core/Dispatch/SchedulerTasks.cpp
+++ b/Source/Core/Dispatch/SchedulerTasks.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Dispatch/BackendCare.h"
 #include "Dispatch/EarlyBinding.h"
 #include "Dispatch/Flight.h"
 #include "Dispatch/JobBook.h"
@@ -9,58 +10,10 @@
 namespace Dispatch {
 namespace {
 
-/// Below this part of the expected time, a failure says more of the backend server than of the
-/// task.
-constexpr double FastFailurePart = 0.25;
-/// A task this much over the time that 95 of 100 stay under hangs, more likely than not.
-constexpr double OverdueTimes = 3;
-constexpr double OverdueQuantile = 0.95;
 /// A caller's credit delays the others by no more than this: the shortest common task.
 constexpr double BurstCreditMs = 50;
-constexpr std::int64_t StalledPeriodMs = 100;
 constexpr std::int64_t ForgetCallersPeriodMs = 10000;
 
-std::size_t outOfWork(const BackendPool &pool)
-{
-    const auto stalled =
-            std::count_if(pool.backends.begin(), pool.backends.end(),
-                          [](const BackendRecord &backend) { return backend.stalled; });
-    return countEjected(pool).second + static_cast<std::size_t>(stalled);
-}
-
-bool mayTakeOut(const BackendPool &pool)
-{
-    return outOfWork(pool) < mostEjected(countEjected(pool).first);
-}
-
-bool isOverdue(const SchedulerState &state, const TaskInFlight &task, std::int64_t nowMs)
-{
-    const double factor = speedFactor(state.pool.backends[task.backend].speed);
-    const double highMs = runQuantileMs(state.estimates, task.profile, OverdueQuantile) * factor;
-    return static_cast<double>(nowMs - task.sinceMs) > OverdueTimes * highMs;
-}
-
-/// A backend server that hangs reports no outcome to learn from; its age in flight gives it away.
-void checkStalled(SchedulerState &state, std::int64_t nowMs)
-{
-    if (!state.switches.ejection || nowMs - state.stalledCheckedMs < StalledPeriodMs) {
-        return;
-    }
-    state.stalledCheckedMs = nowMs;
-    std::vector<std::int64_t> overdue(state.pool.backends.size());
-    for (const auto &entry : state.inFlight) {
-        overdue[entry.second.backend] += isOverdue(state, entry.second, nowMs) ? 1 : 0;
-    }
-    for (BackendIndex index = 0; index < state.pool.backends.size(); ++index) {
-        BackendRecord &backend = state.pool.backends[index];
-        const bool stalled = overdue[index] * 2 > backend.inFlight;
-        if (stalled != backend.stalled && (!stalled || mayTakeOut(state.pool))) {
-            backend.stalled = stalled;
-            refreshBackend(state.pool, index, nowMs);
-        }
-    }
-}
-
 /// Blocks the lanes for which nothing is free. False where no lane with jobs is left.
 bool blockFullLanes(const SchedulerState &state, Blocked &blocked)
 {
@@ -138,24 +91,6 @@
     }
 }
 
-void judgeBackend(SchedulerState &state, const TaskInFlight &task, bool succeeded, double runMs,
-                  Common::Moment now)
-{
-    ServiceOutcomes &service = state.outcomes[task.service];
-    noteServiceOutcome(service, task.backend, succeeded);
-    if (!succeeded && serviceToBlame(service)) {
-        return;
-    }
-    HealthRecord &health = state.pool.backends[task.backend].health;
-    const bool fast = runMs < task.chargedMs * FastFailurePart;
-    const bool bad = outcomeObserved(health, {succeeded, fast});
-    const bool counted = health.phase == HealthPhase::Trial || (bad && mayTakeOut(state.pool));
-    if (bad && counted && state.switches.ejection) {
-        eject(health, now.steadyMs);
-    }
-    refreshBackend(state.pool, task.backend, now.steadyMs);
-}
-
 } // namespace
 
 std::vector<Assignment> assignTasks(SchedulerState &state, Common::Moment now,
