--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -105,6 +105,11 @@
         std::optional<int64_t> neverRunnableGraceMs{};
         std::optional<PlacementPolicy> placement{};
         std::optional<QueueingPolicy> queueing{};
+        /**
+         * Shortest time between two rounds of starts; the starts of a round to one agent share a
+         * message.
+         */
+        std::optional<int64_t> startBatchMs{};
     };
 
     struct Resources {
@@ -843,6 +848,7 @@
         x.neverRunnableGraceMs = get_stack_optional<int64_t>(j, "neverRunnableGraceMs");
         x.placement = get_stack_optional<PlacementPolicy>(j, "placement");
         x.queueing = get_stack_optional<QueueingPolicy>(j, "queueing");
+        x.startBatchMs = get_stack_optional<int64_t>(j, "startBatchMs");
     }
 
     inline void to_json(json & j, const Policy & x) {
@@ -862,6 +868,9 @@
         if (x.queueing) {
             j["queueing"] = x.queueing;
         }
+        if (x.startBatchMs) {
+            j["startBatchMs"] = x.startBatchMs;
+        }
     }
 
     inline void from_json(const json & j, Resources& x) {
