Dispatch: answer operators' questions for the whole site

Cause: operators ask what is running and what failed, at any gateway. Change: a small grammar with faults that point at the column, tables of jobs, tasks, backend servers, gateways, shards, services and teams; each gateway filters its rows, the one asked merges them and names the silent ones.

--- a/Source/Core/Dispatch/Dispatch.h
+++ b/Source/Core/Dispatch/Dispatch.h
@@ -7,6 +7,7 @@
 #include "Dispatch/Requests.h"
 #include "Dispatch/Scheduler.h"
 #include "Dispatch/Site.h"
+#include "Dispatch/SiteQuery.h"
 
 /// Public header of the dispatch library: every decision of a gateway as free functions over plain
 /// structs, without network, clock or thread.
--- a/Source/Core/Dispatch/Effects.h
+++ b/Source/Core/Dispatch/Effects.h
@@ -51,6 +51,12 @@
     std::int64_t version = 0;
 };
 
+struct AnswerQuery
+{
+    std::string requestId;
+    Schema::QueryAnswer answer;
+};
+
 /// Adds one to a counter that is labelled with a reason.
 struct CountReason
 {
@@ -66,7 +72,7 @@
 };
 
 using Effect = std::variant<SendToGateway, SendToAgent, AppendToLog, AnswerRequest, AnswerConfigure,
-                            CountReason, Note>;
+                            AnswerQuery, CountReason, Note>;
 using Effects = std::vector<Effect>;
 
 /// Adds \a more at the end of \a effects.
--- a/Source/Core/Dispatch/GatewayCore.cpp
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -5,6 +5,7 @@
 #include "Dispatch/Owner.h"
 #include "Dispatch/Recovery.h"
 #include "Dispatch/Router.h"
+#include "Dispatch/SiteQuery.h"
 #include "Dispatch/Transfer.h"
 
 namespace Dispatch {
@@ -210,8 +211,14 @@
     case FrameType::PeerPing:
         return pingHeard(state.site, *frame.peerPing, now);
     case FrameType::Forward:
+        if (frame.forward->kind == Schema::ForwardKind::Query) {
+            return queryPartAsked(state, gateway, *frame.forward, now);
+        }
         return forwardHeard(state, gateway, *frame.forward, now);
     case FrameType::ForwardAnswer:
+        if (frame.forwardAnswer->query) {
+            return queryPartHeard(state, gateway, *frame.forwardAnswer);
+        }
         return forwardAnswered(state, *frame.forwardAnswer, now);
     case FrameType::Handover:
         return handoverHeard(state, *frame.handover, now);
@@ -264,6 +271,7 @@
     append(effects, releaseJournaled(state, now));
     append(effects, endOverdueJobs(state, now));
     append(effects, routeHeld(state, now));
+    append(effects, queryTick(state, now));
     append(effects, startTasks(state, now, random));
     return effects;
 }
--- a/Source/Core/Dispatch/GatewayState.h
+++ b/Source/Core/Dispatch/GatewayState.h
@@ -10,6 +10,7 @@
 #include "Dispatch/AgentTable.h"
 #include "Dispatch/Effects.h"
 #include "Dispatch/Ledger.h"
+#include "Dispatch/QueryLanguage.h"
 #include "Dispatch/Requests.h"
 #include "Dispatch/Scheduler.h"
 #include "Dispatch/Site.h"
@@ -49,6 +50,17 @@
     std::int64_t lastSentMs = 0;
 };
 
+/// An operator's question that waits for other gateways' rows.
+struct PendingQuery
+{
+    std::string token;
+    std::string requestId;
+    Query query;
+    QueryRows rows;
+    std::set<std::string> waitingFor;
+    std::int64_t endsAtMs = 0;
+};
+
 struct GatewayState
 {
     Schema::GatewaySettings settings;
@@ -61,6 +73,7 @@
     AgentTable agents;
     RecoveryState recovery;
     std::vector<OfferedHandover> offers;
+    std::vector<PendingQuery> queries;
     /// Jobs that wait for their intent.
     std::set<std::string> awaitingIntent;
     std::int64_t schedulerConfigVersion = -1;
--- a/Source/Core/Dispatch/Ledger.cpp
+++ b/Source/Core/Dispatch/Ledger.cpp
@@ -60,6 +60,14 @@
     return counts;
 }
 
+void takeContent(JobEntry &job, const Schema::SubmitJob &submit)
+{
+    job.submit = submit;
+    job.team = submit.team;
+    job.caller = submit.caller;
+    job.service = submit.service;
+}
+
 bool isOpen(TaskStage stage)
 {
     return stage == TaskStage::Waiting || stage == TaskStage::Sent;
@@ -207,7 +215,7 @@
     JobEntry job;
     job.id = submit.id.value_or("");
     job.digest = submissionDigest(submit);
-    job.submit = submit;
+    takeContent(job, submit);
     job.shard = shardOf(state, job.id);
     job.firstSubmittedMs = submit.firstSubmittedMs.value_or(0);
     job.deadlineMs = deadlineOf(state, submit);
@@ -238,7 +246,7 @@
 void adoptSubmission(LedgerState &state, JobEntry &job, const Schema::SubmitJob &submit)
 {
     eraseFrom(state.deadlines, job.deadlineMs, job.id);
-    job.submit = submit;
+    takeContent(job, submit);
     job.digest = submissionDigest(submit);
     job.deadlineMs = deadlineOf(state, submit);
     state.deadlines.emplace(job.deadlineMs, job.id);
@@ -484,7 +492,9 @@
     JobEntry job;
     job.id = snapshot.id;
     job.digest = snapshot.digest;
-    job.submit = snapshot.submit;
+    if (snapshot.submit) {
+        takeContent(job, *snapshot.submit);
+    }
     job.shard = shardOf(state, job.id);
     job.firstSubmittedMs = snapshot.answer.firstSubmittedMs.value_or(0);
     job.deadlineMs = job.submit ? deadlineOf(state, *job.submit)
--- a/Source/Core/Dispatch/Ledger.h
+++ b/Source/Core/Dispatch/Ledger.h
@@ -48,6 +48,10 @@
     std::string digest;
     /// Absent while the job is known only from the journal or from agents' reports.
     std::optional<Schema::SubmitJob> submit;
+    /// Kept for operators' questions when the content is gone.
+    std::string team;
+    std::string caller;
+    std::string service;
     std::int64_t shard = 0;
     std::int64_t firstSubmittedMs = 0;
     std::int64_t deadlineMs = 0;
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduler.cpp
@@ -67,6 +67,7 @@
             policy.maxQueuedTasksPerCaller.value_or(defaults.maxQueuedTasksPerCaller);
     state.limits.neverRunnableGraceMs =
             policy.neverRunnableGraceMs.value_or(defaults.neverRunnableGraceMs);
+    state.startBatchMs = policy.startBatchMs.value_or(0);
     state.placement = policy.placement.value_or(Schema::PlacementPolicy::WeightedWindow);
     const Schema::QueueingPolicy queueing = policy.queueing.value_or(Schema::QueueingPolicy::Fair);
     setOrder(state,
@@ -295,6 +296,10 @@
     if (state.queuedTasks > 0) {
         wakeMs = now.steadyMs + BusyWakeMs;
     }
+    if (state.startBatchMs > 0 && state.runnableTasks > 0) {
+        const std::int64_t roundMs = state.lastRoundMs + state.startBatchMs;
+        wakeMs = roundMs > now.steadyMs ? std::min(wakeMs, roundMs) : wakeMs;
+    }
     if (!state.delayed.empty()) {
         wakeMs = std::min(wakeMs, state.delayed.begin()->first);
     }
--- a/Source/Core/Dispatch/SchedulerState.h
+++ b/Source/Core/Dispatch/SchedulerState.h
@@ -95,6 +95,9 @@
     std::int64_t agentSilenceMs = 2500;
     SchedulerSwitches switches;
     AdmissionLimits limits;
+    /// Shortest time between two rounds of starts: those of a round to one agent share a message.
+    std::int64_t startBatchMs = 0;
+    std::int64_t lastRoundMs = 0;
     Schema::PlacementPolicy placement = Schema::PlacementPolicy::WeightedWindow;
     std::unordered_map<std::string, ServiceSettings> services;
     std::unordered_map<std::string, Schema::Team> teams;
--- a/Source/Core/Dispatch/SchedulerTasks.cpp
+++ b/Source/Core/Dispatch/SchedulerTasks.cpp
@@ -98,6 +98,9 @@
 {
     prepareAssignment(state, now);
     std::vector<Assignment> assignments;
+    if (now.steadyMs < state.lastRoundMs + state.startBatchMs) {
+        return assignments;
+    }
     startBound(state, now, assignments);
     Blocked blocked;
     if (state.runnableTasks == 0 || !blockFullLanes(state, blocked)) {
@@ -110,6 +113,9 @@
         }
         placeNext(state, *next, blocked, now, random, assignments);
     }
+    if (!assignments.empty()) {
+        state.lastRoundMs = now.steadyMs;
+    }
     return assignments;
 }
 
--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -74,6 +74,7 @@
     void carryOut(Dispatch::AppendToLog &append);
     void carryOut(Dispatch::AnswerRequest &answer);
     void carryOut(Dispatch::AnswerConfigure &answer);
+    void carryOut(Dispatch::AnswerQuery &answer);
     void carryOut(Dispatch::CountReason &count);
     void carryOut(Dispatch::Note &note);
 
@@ -245,6 +246,11 @@
                                                 called.request.basedOn, this->now, this->random));
         return;
     }
+    case ApiCall::Query: {
+        const std::string token = this->keepReply(called.reply);
+        this->carryOut(Dispatch::queryAsked(this->state, token, called.request.text, this->now));
+        return;
+    }
     default:
         this->askDispatch(called);
     }
@@ -425,6 +431,18 @@
     this->replies.erase(reply);
 }
 
+void GatewayDaemon::Implementation::carryOut(Dispatch::AnswerQuery &answer)
+{
+    const auto reply = this->replies.find(answer.requestId);
+    if (reply == this->replies.end()) {
+        return;
+    }
+    constexpr int BadRequest = 400;
+    const nlohmann::json body = answer.answer;
+    reply->second.send({answer.answer.ok ? 200 : BadRequest, body.dump(), "application/json", 0});
+    this->replies.erase(reply);
+}
+
 void GatewayDaemon::Implementation::carryOut(Dispatch::CountReason &count)
 {
     this->metrics.count(count.counter, {{"reason", Schema::enumName(count.reason)}});
