--- a/Source/UnitTests/Dispatch/LoadPatternTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadPatternTest.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 
+#include "Dispatch/PolicyPresets.h"
 #include "LoadModel.h"
 
 using LoadModel::Backend;
@@ -406,3 +407,25 @@
         CHECK(with.overfilled <= 0);
     }
 }
+
+TEST_CASE("Each preset is better at what its user weighs more")
+{
+    for (const double load : {0.3, 0.7}) {
+        Experiment experiment = steadySite(2, load);
+        const auto runPreset = [&experiment](Dispatch::PolicyPreset preset) {
+            experiment.policy = Dispatch::presetPolicy(preset);
+            return LoadModel::run(experiment);
+        };
+        const Result fast = runPreset(Dispatch::PolicyPreset::ResponseTime);
+        const Result frugal = runPreset(Dispatch::PolicyPreset::FewMessages);
+        const auto messages = [](const Result &result) {
+            return static_cast<double>(result.startMessages) / static_cast<double>(result.starts);
+        };
+        MESSAGE("load " << load << ", p50 over ideal " << steadyP50(fast) << " and "
+                        << steadyP50(frugal) << ", start messages per start " << messages(fast)
+                        << " and " << messages(frugal));
+        CHECK(steadyP50(fast) < steadyP50(frugal));
+        CHECK(messages(frugal) < 0.8 * messages(fast));
+        CHECK(steadyP50(frugal) < 1.1 * steadyP50(fast));
+    }
+}
