--- a/Source/UnitTests/Agent/AgentBench.cpp
+++ b/Source/UnitTests/Agent/AgentBench.cpp
@@ -185,13 +185,16 @@
     pong.type = Schema::FrameType::GatewayPong;
     pong.gatewayPong = Schema::GatewayPong();
     pong.gatewayPong->instance = "gateway-1-0123456789abcdef";
+    const std::size_t backendBytes =
+            nlohmann::json::to_cbor(nlohmann::json(hello.agentHello->backend)).size();
     const std::size_t pongBytes = Net::encodeFrame(pong).size();
     pong.gatewayPong->table = site.table;
     std::printf("gateways=%d shards=%d tick_and_hello_us_per_heartbeat=%.1f "
-                "hellos_per_heartbeat=%.2f hello_bytes=%zu pong_bytes=%zu table_bytes=%zu\n",
+                "hellos_per_heartbeat=%.2f hello_bytes=%zu backend_bytes=%zu pong_bytes=%zu "
+                "table_bytes=%zu\n",
                 gateways, shards, micros / Beats,
                 static_cast<double>(site.hellos.size() - hellosBefore) / Beats,
-                Net::encodeFrame(hello).size(), pongBytes,
+                Net::encodeFrame(hello).size(), backendBytes, pongBytes,
                 Net::encodeFrame(pong).size() - pongBytes);
 }
 
