Dispatch: pause an agent only for refusals that tell of it

Cause: found in review: tasks given back after a cancellation or a takeover counted as refusals of their agent, eight in one message paused it for 6.4 s, so a cancel wave idled the site; and eight attempts could be used up within a second, before a lapsed lease is noticed. Change: cancelled, fenced and late starts pause nobody, starts refused together count as one refusal, the back-off grows threefold. Conclusion: the agent gets work at once after a cancel wave.

--- a/Source/Core/Dispatch/BackendCare.cpp
+++ b/Source/Core/Dispatch/BackendCare.cpp
@@ -13,8 +13,8 @@
 constexpr double OverdueQuantile = 0.95;
 constexpr std::int64_t StalledPeriodMs = 100;
 constexpr std::int64_t NoSlotPauseMs = 20;
-/// One task of a lost backend server's is refused, then one for each pause, up to 6.4 s.
-constexpr std::int64_t FirstRefusalPauseMs = 100;
+/// One task of a lost backend server's is refused, then one for each pause, up to 3.2 s.
+constexpr std::int64_t FirstRefusalPauseMs = 50;
 constexpr int MaxRefusalDoublings = 6;
 /// Backend servers that are known and not leaving, and those of them that are ejected.
 std::pair<std::size_t, std::size_t> countEjected(const BackendPool &pool)
@@ -105,8 +105,16 @@
         backendDrains(pool, index, nowMs);
         break;
     case Schema::Reason::NotAfterPassed:
+    case Schema::Reason::Cancelled:
+    case Schema::Reason::EpochFenced:
+        // The task's or the shard's doing. Pausing for it would idle whole sites after a cancel
+        // wave.
         break;
     default:
+        // Starts that were under way together are refused together: one pause for all of them.
+        if (nowMs < backend.pausedUntilMs) {
+            break;
+        }
         backend.refusalsInRow = std::min(backend.refusalsInRow + 1, MaxRefusalDoublings);
         backend.pausedUntilMs = nowMs + (FirstRefusalPauseMs << backend.refusalsInRow);
         break;
--- a/Source/Core/Dispatch/RetryBudget.cpp
+++ b/Source/Core/Dispatch/RetryBudget.cpp
@@ -7,6 +7,7 @@
 
 /// The first retry goes elsewhere soon: at most a tenth of the shortest common task.
 constexpr std::int64_t FirstBackoffMs = 5;
+constexpr std::int64_t BackoffGrowth = 3;
 constexpr std::int64_t MaxBackoffMs = 2000;
 constexpr std::int64_t OverBudgetMs = 500;
 
@@ -19,8 +20,10 @@
 
 std::int64_t spendRetry(RetryBudget &budget, int attempt, Common::Random &random)
 {
-    const int doublings = std::clamp(attempt - 1, 0, MaxStartAttempts);
-    const std::int64_t bound = std::min(FirstBackoffMs << doublings, MaxBackoffMs);
+    std::int64_t bound = FirstBackoffMs;
+    for (int step = 1; step < attempt && bound < MaxBackoffMs; ++step) {
+        bound = std::min(bound * BackoffGrowth, MaxBackoffMs);
+    }
     const auto jitter = static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(bound + 1));
     if (budget.tokens < 1) {
         return OverBudgetMs + jitter;
--- a/Source/Core/Dispatch/RetryBudget.h
+++ b/Source/Core/Dispatch/RetryBudget.h
@@ -23,15 +23,15 @@
 /// elsewhere at once.
 constexpr double RetryTokensPerStart = 0.1;
 constexpr double MaxRetryTokens = 256;
-/// With back-off, eight attempts span about 5 s: longer than an agent's silence or drain takes to
-/// be noticed.
+/// The back-offs between eight attempts add up to 2 s on average and 4 s at most: about what a
+/// lapsed lease or a silent agent takes to be noticed.
 constexpr int MaxStartAttempts = 8;
 
 void startCounted(RetryBudget &budget);
 
 /// How long the task waits before it is offered again, after its \a attempt th start was refused.
-/// Random between nothing and a bound that doubles. Without a token left, it also waits out the
-/// time in which tokens come back.
+/// Random between nothing and a bound that grows threefold. Without a token left, it also waits out
+/// the time in which tokens come back.
 std::int64_t spendRetry(RetryBudget &budget, int attempt, Common::Random &random);
 
 } // namespace Dispatch
--- a/Source/UnitTests/Dispatch/SchedulerTest.cpp
+++ b/Source/UnitTests/Dispatch/SchedulerTest.cpp
@@ -257,6 +257,38 @@
           == RetryDecision::Ignored);
 }
 
+TEST_CASE("Refused starts pause their agent only where they tell of it, and once for all together")
+{
+    // An agent gives back its eight tasks in one message. After a cancel wave or a takeover it is
+    // as able as before and must get work at once; with its backend server down it must not.
+    struct Row
+    {
+        Reason reason;
+        std::size_t atOnce;
+        std::size_t after150Ms;
+    };
+    const Row rows[] = {
+            {Reason::Cancelled, 8, 0},      {Reason::EpochFenced, 8, 0},
+            {Reason::NotAfterPassed, 8, 0}, {Reason::BackendUnreachable, 0, 8},
+            {Reason::LeaseLapsed, 0, 8},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(Schema::enumName(row.reason));
+        Common::Random random(1);
+        SchedulerState state = configuredState();
+        Dispatch::agentHeard(state, hello("agent-1"), at(0));
+        const auto started = submit(state, demand("first", 8), 0, random);
+        REQUIRE(started.size() == 8);
+        Dispatch::dropJob(state, "first");
+        for (const Assignment &refused : started) {
+            Dispatch::taskNotStarted(state, refused.task, refused.agent, row.reason, at(10),
+                                     random);
+        }
+        CHECK(submit(state, demand("second", 8), 10, random).size() == row.atOnce);
+        CHECK(Dispatch::assignTasks(state, at(160), random).size() == row.after150Ms);
+    }
+}
+
 TEST_CASE("A job nothing of which has started ends when its deadline cannot be met")
 {
     // No backend server is free until the deadline. The caller is told that nothing ran, as soon as
