Gateway: keep frames that overtake the first heartbeat on a link

Change: frames on a link whose sender is unknown are kept, up to a bound, and taken after the frame that names it.

--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -292,12 +292,19 @@
     }
     Link &link = this->links.links.at(arrived.link);
     link.lastHeardMs = this->now.steadyMs;
-    if (link.kind == PeerKind::Agent) {
-        this->carryOut(Dispatch::agentFrameHeard(this->state, link.instance, arrived.frame,
-                                                 this->now, this->random));
-    } else if (link.kind == PeerKind::Gateway) {
-        this->carryOut(
-                Dispatch::gatewayFrameHeard(this->state, link.instance, arrived.frame, this->now));
+    const PeerKind kind = link.kind;
+    const std::string instance = link.instance;
+    if (kind == PeerKind::Unidentified) {
+        holdEarly(link, std::move(arrived.frame));
+        return;
+    }
+    for (const Schema::Frame &frame : releaseEarly(link, std::move(arrived.frame))) {
+        if (kind == PeerKind::Agent) {
+            this->carryOut(Dispatch::agentFrameHeard(this->state, instance, frame, this->now,
+                                                     this->random));
+        } else {
+            this->carryOut(Dispatch::gatewayFrameHeard(this->state, instance, frame, this->now));
+        }
     }
 }
 
--- a/Source/Core/Gateway/Links.cpp
+++ b/Source/Core/Gateway/Links.cpp
@@ -1,9 +1,14 @@
 #include "Gateway/Links.h"
 
+#include <utility>
+
 namespace Gateway {
 
 namespace {
 
+/// What a gateway sends within a heartbeat is far less.
+constexpr std::size_t MaxEarlyFrames = 1024;
+
 void eraseIfSame(std::map<std::string, Net::LinkId> &index, const Link &link)
 {
     const auto found = index.find(link.instance);
@@ -68,6 +73,20 @@
     return replaced;
 }
 
+void holdEarly(Link &link, Schema::Frame frame)
+{
+    if (link.early.size() < MaxEarlyFrames) {
+        link.early.push_back(std::move(frame));
+    }
+}
+
+std::vector<Schema::Frame> releaseEarly(Link &link, Schema::Frame frame)
+{
+    std::vector<Schema::Frame> frames = std::exchange(link.early, {});
+    frames.insert(frames.begin(), std::move(frame));
+    return frames;
+}
+
 Link linkClosed(LinkTable &table, Net::LinkId id)
 {
     const auto found = table.links.find(id);
--- a/Source/Core/Gateway/Links.h
+++ b/Source/Core/Gateway/Links.h
@@ -25,6 +25,8 @@
     bool isOutbound = false;
     bool isOpen = false;
     std::int64_t lastHeardMs = 0;
+    /// Frames that came before the one that names the sender.
+    std::vector<Schema::Frame> early;
 };
 
 struct LinkTable
@@ -48,6 +50,14 @@
 /// The sender of a frame named itself. Returns the link it replaces, or 0.
 Net::LinkId linkIdentified(LinkTable &table, Net::LinkId id, PeerKind kind,
                            const std::string &instance, Common::Moment now);
+/// Keeps a frame until the link's sender is known. A gateway may use a link that it has just
+/// dialled before its first heartbeat on it; dropped, such a request would wait until some link to
+/// that gateway went silent. A sender that stays unknown is not kept for: past a bound frames are
+/// dropped.
+void holdEarly(Link &link, Schema::Frame frame);
+/// Frames that have become readable with \a frame, in the order in which they count: the heartbeat
+/// first, since it says what the sender knows.
+std::vector<Schema::Frame> releaseEarly(Link &link, Schema::Frame frame);
 /// Forgets the link and returns what it was.
 Link linkClosed(LinkTable &table, Net::LinkId id);
 /// Links not heard from for \a silenceMs.
--- /dev/null
+++ b/Source/UnitTests/Gateway/LinksTest.cpp
@@ -0,0 +1,38 @@
+#include <doctest/doctest.h>
+
+#include "Gateway/Links.h"
+
+TEST_CASE("A request that overtakes the first heartbeat on a new link is not lost")
+{
+    // A caller's job stood still for over four seconds just after a gateway had joined. The gateway
+    // forwarded it on a link that it had only just dialled; the owner did not yet know whose link
+    // that was and dropped the frame, and nothing was tried again until another link went silent.
+    Gateway::LinkTable table;
+    table.self = "gateway-2";
+    const Net::LinkId id = 7;
+    Gateway::linkOpened(table, id, {});
+    Schema::Frame forward;
+    forward.type = Schema::FrameType::Forward;
+    CHECK(Gateway::senderOf(forward).kind == Gateway::PeerKind::Unidentified);
+    Gateway::holdEarly(table.links.at(id), forward);
+
+    Schema::Frame ping;
+    ping.type = Schema::FrameType::PeerPing;
+    ping.peerPing.emplace().instance = "gateway-1";
+    Gateway::linkIdentified(table, id, Gateway::PeerKind::Gateway, "gateway-1", {});
+    const auto frames = Gateway::releaseEarly(table.links.at(id), ping);
+    REQUIRE(frames.size() == 2);
+    CHECK(frames.at(0).type == Schema::FrameType::PeerPing);
+    CHECK(frames.at(1).type == Schema::FrameType::Forward);
+    CHECK(Gateway::releaseEarly(table.links.at(id), ping).size() == 1);
+}
+
+TEST_CASE("A sender that never names itself fills no memory")
+{
+    Gateway::Link link;
+    constexpr int Flood = 100000;
+    for (int count = 0; count < Flood; ++count) {
+        Gateway::holdEarly(link, {});
+    }
+    CHECK(link.early.size() < 2000);
+}
