Tool: count goodput by the time of the answer

Cause: at twice its capacity a site of 11 agents seemed to reach 1.30 of capacity: jobs were counted by arrival, and their backlog was worked off after the run. Change: only answers within the counted time count.

--- a/Source/AuburntrailTool/Bench/BenchReport.cpp
+++ b/Source/AuburntrailTool/Bench/BenchReport.cpp
@@ -35,24 +35,26 @@
     std::vector<double> responseMs;
     std::map<std::string, int> outcomes;
     std::map<std::string, int> reasons;
-    double completedWorkMs = 0;
     double offeredWorkMs = 0;
     int wrong = 0;
     double mostLateMs = 0;
 };
 
+double workOf(const PlannedJob &job)
+{
+    return std::accumulate(job.runMs.begin(), job.runMs.end(), 0.0);
+}
+
 void addJob(Tally &tally, const PlannedJob &job, const JobRecord &record)
 {
-    const double workMs = std::accumulate(job.runMs.begin(), job.runMs.end(), 0.0);
     ++tally.outcomes[record.outcome];
-    tally.offeredWorkMs += workMs;
+    tally.offeredWorkMs += workOf(job);
     tally.mostLateMs = std::max(tally.mostLateMs, record.lateMs);
     tally.wrong += record.isWrong ? 1 : 0;
     if (record.outcome != "completed") {
         ++tally.reasons[record.reason.empty() ? record.outcome : record.reason];
         return;
     }
-    tally.completedWorkMs += workMs;
     tally.ratios.push_back(record.responseMs / job.idealMs);
     tally.addedMs.push_back(record.responseMs - job.idealMs);
     tally.responseMs.push_back(record.responseMs);
@@ -80,15 +82,25 @@
     return tally;
 }
 
-/// Work completed for jobs that arrived in the counted time, over what the site could have done.
+/// Work of the jobs that were answered as completed in the counted time, over what the site could
+/// have done in it. By time of answer: a backlog that is worked off after the last arrival would
+/// otherwise count as goodput of the run, and come out above the site's capacity.
 Json goodputJson(const BenchResult &result, const Tally &tally)
 {
-    const double seconds = result.file.seconds - result.file.warmupSeconds;
-    const double capacityMs = capacityMsPerSecond(result.file.backends) * seconds;
-    return {{"ofCapacity", tally.completedWorkMs / capacityMs},
-            {"offeredOfCapacity", tally.offeredWorkMs / capacityMs},
-            {"ofOffered",
-             tally.offeredWorkMs > 0 ? tally.completedWorkMs / tally.offeredWorkMs : 0}};
+    const double startMs = result.file.warmupSeconds * MsPerSecond;
+    const double endMs = result.file.seconds * MsPerSecond;
+    double completedMs = 0;
+    for (std::size_t number = 0; number < result.jobs.size(); ++number) {
+        const JobRecord &record = result.records[number];
+        const double answeredMs = result.jobs[number].atMs + record.responseMs;
+        if (record.outcome == "completed" && answeredMs >= startMs && answeredMs < endMs) {
+            completedMs += workOf(result.jobs[number]);
+        }
+    }
+    const double capacityMs =
+            capacityMsPerSecond(result.file.backends) * (endMs - startMs) / MsPerSecond;
+    return {{"ofCapacity", completedMs / capacityMs},
+            {"offeredOfCapacity", tally.offeredWorkMs / capacityMs}};
 }
 
 Json startsJson(const BenchResult &result)
--- a/Source/UnitTests/Tool/BenchTest.cpp
+++ b/Source/UnitTests/Tool/BenchTest.cpp
@@ -166,11 +166,23 @@
     CHECK(report.at("mostLateMs") == 2);
     CHECK(report.at("outcomes") == Json{{"completed", 2}, {"refused", 2}, {"timed_out", 1}});
     CHECK(report.at("notCompletedByReason") == Json{{"queue_full", 2}, {"timed_out", 1}});
-    CHECK(report.at("goodput").at("ofOffered") == doctest::Approx(0.4));
     const std::string table = Tool::reportTable(report);
     CHECK(table.find("queue_full=2") != std::string::npos);
 }
 
+TEST_CASE("Goodput counts what was answered within the run")
+{
+    // Half of the jobs wait in a backlog and are answered after the last arrival. Counted by
+    // arrival, an overloaded site came out at 1.3 times its capacity.
+    Tool::BenchResult result = resultOf({{30, 0, "completed", "none", false, false},
+                                         {9500, 0, "completed", "none", false, false},
+                                         {30, 0, "refused", "queue_full", true, false}});
+    const double capacityMs = Tool::capacityMsPerSecond(result.file.backends) * 9;
+    const Json goodput = Tool::reportJson(result).at("goodput");
+    CHECK(goodput.at("ofCapacity") == doctest::Approx(40 / capacityMs));
+    CHECK(goodput.at("offeredOfCapacity") == doctest::Approx(120 / capacityMs));
+}
+
 TEST_CASE("Jobs of the warm-up are not counted")
 {
     Tool::BenchResult result = resultOf({{30, 0, "completed", "none", false, false},
