--- a/Source/Core/Gateway/Links.cpp
+++ b/Source/Core/Gateway/Links.cpp
@@ -93,7 +93,7 @@
     if (found == table.links.end()) {
         return {};
     }
-    const Link link = found->second;
+    Link link = std::move(found->second);
     table.links.erase(found);
     eraseIfSame(table.outboundTo, link);
     eraseIfSame(table.inboundFrom, link);
