--- a/Source/AuburntrailTool/Bench/BenchPlan.cpp
+++ b/Source/AuburntrailTool/Bench/BenchPlan.cpp
@@ -21,7 +21,8 @@
 {
     std::vector<Slot> slots;
     for (const BackendGroup &group : backends) {
-        slots.insert(slots.end(), static_cast<std::size_t>(group.count * group.slots),
+        slots.insert(slots.end(),
+                     static_cast<std::size_t>(group.count) * static_cast<std::size_t>(group.slots),
                      Slot{0, group.speed});
     }
     return slots;
