--- a/Source/UnitTests/Agent/AgentFixture.cpp
+++ b/Source/UnitTests/Agent/AgentFixture.cpp
@@ -40,7 +40,7 @@
     this->table.shards.push_back({1, "g1", Shard});
 }
 
-void AgentFixture::carryOut(Agent::Effects effects)
+void AgentFixture::carryOut(const Agent::Effects &effects)
 {
     for (const Agent::Effect &effect : effects) {
         this->carryOutOne(effect);
--- a/Source/UnitTests/Agent/AgentFixture.h
+++ b/Source/UnitTests/Agent/AgentFixture.h
@@ -31,7 +31,7 @@
                 Net::HttpTransport transport = Net::HttpTransport::Answered);
     /// All gateways pass on that \a owner has the test's shard under \a epoch.
     void moveShard(const std::string &owner, std::int64_t epoch);
-    void carryOut(Agent::Effects effects);
+    void carryOut(const Agent::Effects &effects);
     void flush();
 
     /// The last state of the job's task that \a gateway was sent; phase name and reason name.
