Dispatch: end a graceful stop also where no successor is left

Cause: the last of several gateways that stop together waited for a successor until its time ran out (30 s in scripts/site down, then killed); finishLeaving() was never called, and takeovers and handovers bypassed the site's wrappers that renew an unlogged declaration. A job started unlogged and then handed over never got a durable intent. Change: a gateway that owes nothing leaves at once where its shards have a successor, after one peer silence where none is left; wrappers used; missing intents are written on handover; an exception of a control thread is logged before the process stops; log appends counted once.

--- a/Source/AuburntrailGateway/Main.cpp
+++ b/Source/AuburntrailGateway/Main.cpp
@@ -65,7 +65,13 @@
         sigwait(&signals, &signal);
         daemon->requestStop();
     });
-    const bool stoppedInTime = daemon->run();
+    bool stoppedInTime = false;
+    try {
+        stoppedInTime = daemon->run();
+    } catch (const std::exception &error) {
+        // Without this the process ends in the waiter's destructor, and the log has no cause.
+        Common::invariant(false, "the control thread throws nothing", error.what());
+    }
     waiter.join();
     Common::logEvent(Common::LogLevel::Info, "gateway_stopped",
                      {{"complete", stoppedInTime ? "true" : "false"}});
--- a/Source/Core/Dispatch/GatewayCore.cpp
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -135,6 +135,42 @@
     });
 }
 
+bool owesNothing(const GatewayState &state, Common::Moment now)
+{
+    const bool hasOffers = std::any_of(
+            state.offers.begin(), state.offers.end(), [&](const OfferedHandover &offer) {
+                return peerLive(state.site.ownership, offer.successor, now);
+            });
+    return state.requests.requests.empty() && state.ledger.deadlines.empty() && !hasOffers;
+}
+
+/// Leaves once nothing is owed: at once where the shards have a successor, else after none has
+/// shown up for a peer's silence (the last gateway of a site that is stopped as a whole).
+void stopTick(GatewayState &state, Common::Moment now)
+{
+    if (!state.stopping || state.isStopComplete) {
+        return;
+    }
+    if (!owesNothing(state, now)) {
+        state.idleSinceMs = 0;
+        return;
+    }
+    state.idleSinceMs = state.idleSinceMs == 0 ? now.steadyMs : state.idleSinceMs;
+    const bool hasNoSuccessor = now.steadyMs >= state.idleSinceMs + state.settings.peerSilenceMs;
+    if (state.finishingSinceMs == 0 && (ownsNothing(state) || hasNoSuccessor)) {
+        state.finishingSinceMs = now.steadyMs;
+        finishLeaving(state.site.ownership);
+    }
+    if (state.finishingSinceMs == 0) {
+        return;
+    }
+    // Without the log, or with another member silent, leaving cannot be settled: the seat is then
+    // replaced like a lost one.
+    const bool waitedEnough =
+            now.steadyMs >= state.finishingSinceMs + 2 * state.settings.peerSilenceMs;
+    state.isStopComplete = hasLeft(state.site.ownership) || waitedEnough;
+}
+
 } // namespace
 
 GatewayState makeGateway(const Schema::GatewaySettings &settings, const Schema::Member &self,
@@ -272,7 +308,10 @@
     append(effects, endOverdueJobs(state, now));
     append(effects, routeHeld(state, now));
     append(effects, queryTick(state, now));
-    append(effects, startTasks(state, now, random));
+    if (state.finishingSinceMs == 0) {
+        append(effects, startTasks(state, now, random));
+    }
+    stopTick(state, now);
     return effects;
 }
 
@@ -293,8 +332,7 @@
 
 bool isStopped(const GatewayState &state)
 {
-    return state.stopping && ownsNothing(state) && state.offers.empty()
-           && state.requests.requests.empty();
+    return state.isStopComplete;
 }
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/GatewayState.h
+++ b/Source/Core/Dispatch/GatewayState.h
@@ -82,6 +82,10 @@
     std::uint64_t lastQuestion = 0;
     std::int64_t lastSweepMs = 0;
     bool stopping = false;
+    /// Steady times during a stop: since when nothing is owed, and when leaving was begun for good.
+    std::int64_t idleSinceMs = 0;
+    std::int64_t finishingSinceMs = 0;
+    bool isStopComplete = false;
 };
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Owner.cpp
+++ b/Source/Core/Dispatch/Owner.cpp
@@ -63,9 +63,10 @@
     Schema::Intent intent;
     intent.job = job.id;
     intent.digest = job.digest;
-    intent.tasks = static_cast<std::int64_t>(job.tasks.size());
+    // A job that had ended before it was handed over has an answer in place of its tasks.
+    intent.tasks = job.answer ? job.answer->taskCount : static_cast<std::int64_t>(job.tasks.size());
     intent.firstSubmittedMs = job.firstSubmittedMs;
-    intent.team = job.submit->team;
+    intent.team = job.team;
     return intent;
 }
 
@@ -129,16 +130,17 @@
         return refuseRequest(state, requestId, Reason::IdConflict,
                              "this id was submitted before with other content");
     }
-    if (intent) {
+    const JobHistory history = jobHistory(state.site, *submit.id, firstMs);
+    if (history == JobHistory::Journaled) {
         const auto proven = state.recovery.provenSinceMs.find(shard);
-        const bool isProvedNotStarted = proven != state.recovery.provenSinceMs.end()
+        const bool isProvedNotStarted = proven != state.recovery.provenSinceMs.end() && intent
                                         && intent->firstSubmittedMs >= proven->second;
         if (!isProvedNotStarted) {
             return answerUnknowable(state, requestId, submit, Reason::TaskLost);
         }
         return acceptJob(state, requestId, submit, now);
     }
-    if (predecessorUnlogged(state.site.ownership, shard, firstMs)) {
+    if (history == JobHistory::Unknown) {
         return answerUnknowable(state, requestId, submit, Reason::PredecessorUnlogged);
     }
     const Schema::Configuration &config = configuration(state.site.config);
@@ -384,7 +386,7 @@
     Effects effects;
     for (auto id = state.awaitingIntent.begin(); id != state.awaitingIntent.end();) {
         JobEntry *job = findJob(state.ledger, *id);
-        const IntentState intent = intentState(state.site.journal, *id);
+        const IntentState intent = startAllowed(state.site, *id, now);
         if (job != nullptr && intent == IntentState::Waiting) {
             ++id;
             continue;
@@ -402,6 +404,13 @@
     return effects;
 }
 
+void journalIfMissing(GatewayState &state, const JobEntry &job, Common::Moment now)
+{
+    if (!job.digest.empty() && !findIntent(state.site.journal, job.id)) {
+        addIntent(state.site.journal, intentOf(job), now);
+    }
+}
+
 void scheduleJob(GatewayState &state, JobEntry &job, Common::Moment now)
 {
     std::vector<int> queued;
@@ -423,7 +432,7 @@
         jobRunnable(state.scheduler, job.id, now);
         return;
     }
-    addIntent(state.site.journal, intentOf(job), now);
+    journalIfMissing(state, job, now);
     state.awaitingIntent.insert(job.id);
 }
 
--- a/Source/Core/Dispatch/Recovery.cpp
+++ b/Source/Core/Dispatch/Recovery.cpp
@@ -174,7 +174,7 @@
         }
         state.recovery.provenSinceMs[shard] = provenSinceMs;
         append(effects, settleTraces(state, shard, provenSinceMs));
-        shardServing(state.site.ownership, shard, now);
+        serveShard(state.site, shard, now);
     }
     return effects;
 }
--- a/Source/Core/Dispatch/Transfer.cpp
+++ b/Source/Core/Dispatch/Transfer.cpp
@@ -110,7 +110,7 @@
 
 Effects handoverHeard(GatewayState &state, const Schema::Handover &handover, Common::Moment now)
 {
-    const HandoverTaken taken = handoverIn(state.site.ownership, handover, now);
+    const HandoverTaken taken = takeHandover(state.site, handover, now);
     Effects effects;
     std::set<std::string> agents;
     for (const Schema::JobSnapshot &snapshot : handover.jobs) {
@@ -119,7 +119,11 @@
             continue;
         }
         JobEntry *job = importJob(state.ledger, snapshot);
-        if (job == nullptr || job->answer || !job->submit) {
+        if (job == nullptr) {
+            continue;
+        }
+        journalIfMissing(state, *job, now);
+        if (job->answer || !job->submit) {
             continue;
         }
         scheduleJob(state, *job, now);
--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -402,8 +402,6 @@
 {
     const LogStream stream = append.stream;
     const std::uint64_t batch = append.batch;
-    this->metrics.count("auburntrail_log_appends_total",
-                        {{"stream", PlatformLog::streamName(streamOf(stream))}});
     this->log->append(streamOf(stream), std::move(append.records),
                       [this, stream, batch](PlatformLog::AppendResult result) {
                           this->mailbox.post(LogAppended{stream, batch, result});
--- a/Source/UnitTests/Whole/StoryTest.cpp
+++ b/Source/UnitTests/Whole/StoryTest.cpp
@@ -281,6 +281,51 @@
     checkPromises(*world);
 }
 
+TEST_CASE("A whole site stops at once")
+{
+    // All gateways are told to stop together while jobs run. Each takes what the others hand over,
+    // every caller gets the whole answer, and the last one, whose shards nobody is left to take,
+    // ends too.
+    auto world = readySite(23);
+    std::vector<std::size_t> asked;
+    for (int count = 0; count < 6; ++count) {
+        asked.push_back(Whole::submit(*world, count % 3, Whole::newJob(*world, 2, 800, 60'000)));
+    }
+    Whole::runFor(*world, 200);
+    for (int gateway = 0; gateway < 3; ++gateway) {
+        Whole::stopGateway(*world, gateway);
+    }
+    Whole::runFor(*world, 20'000);
+    for (const std::size_t number : asked) {
+        REQUIRE(submissionOf(*world, number).isAnswered);
+        CHECK(submissionOf(*world, number).answer.outcome == JobOutcome::Completed);
+    }
+    CHECK(Whole::liveGateways(*world).empty());
+    checkPromises(*world);
+}
+
+TEST_CASE("A refused job may be submitted again")
+{
+    // No backend server is there when the job comes: it is refused as never runnable and not run.
+    // Once one has announced itself the same id is submitted again and runs.
+    auto world = readySite(24, 3, 0);
+    const Whole::JobRequest job = Whole::newJob(*world, 2, 100, 60'000);
+    const std::size_t refused = Whole::submit(*world, 0, job);
+    Whole::runFor(*world, 12'000);
+    REQUIRE(submissionOf(*world, refused).isAnswered);
+    CHECK(submissionOf(*world, refused).answer.outcome == JobOutcome::Refused);
+    CHECK(submissionOf(*world, refused).answer.notRun);
+    world->backends.emplace_back();
+    Whole::addAgent(*world, 0);
+    Whole::runFor(*world, 5'000);
+    const std::size_t again = Whole::submit(*world, 1, job);
+    Whole::runFor(*world, 5'000);
+    REQUIRE(submissionOf(*world, again).isAnswered);
+    CHECK(submissionOf(*world, again).answer.outcome == JobOutcome::Completed);
+    CHECK(startsOf(*world, job.id) == 2);
+    checkPromises(*world);
+}
+
 TEST_CASE("Every gateway is replaced, one by one")
 {
     // Each gateway in turn is stopped after a new one has come up. Jobs submitted all the while are
