--- a/Source/Core/Dispatch/Owner.cpp
+++ b/Source/Core/Dispatch/Owner.cpp
@@ -21,6 +21,14 @@
     return frame;
 }
 
+/// Refusals that start nothing and yet cannot say that the id has not run: with other content, or
+/// longer ago than anybody remembers.
+bool mayHaveRunBefore(Reason reason)
+{
+    return reason == Reason::IdConflict || reason == Reason::SubmissionTooOld
+           || reason == Reason::UnknownJob;
+}
+
 Effects answerAll(GatewayState &state, const std::vector<std::string> &requests,
                   const Schema::JobAnswer &answer)
 {
@@ -281,8 +289,7 @@
     }
     const std::size_t taskCount = request->submit ? request->submit->tasks.size() : 0;
     Schema::JobAnswer answer = refusal(request->job, taskCount, reason, detail, retryAfterMs);
-    // The other content of the id may well have run.
-    answer.notRun = reason != Reason::IdConflict;
+    answer.notRun = !mayHaveRunBefore(reason);
     Effects effects{CountReason{RefusedCounter, reason}};
     append(effects, answerRequest(state, requestId, answer));
     return effects;
@@ -299,6 +306,13 @@
     const bool isNew = verdict == SubmitVerdict::New || verdict == SubmitVerdict::Refused;
     // A deadline that has passed does not take back the answer of a job that has ended.
     if (wrongTime && isNew) {
+        const bool mayHaveRun =
+                wrongTime->reason == Reason::DeadlinePassed && verdict == SubmitVerdict::New
+                && jobHistory(state.site, *submit.id, submit.firstSubmittedMs.value_or(0))
+                           != JobHistory::NeverStarted;
+        if (mayHaveRun) {
+            return answerUnknowable(state, requestId, submit, Reason::TaskLost);
+        }
         return refuseRequest(state, requestId, wrongTime->reason, wrongTime->detail);
     }
     switch (verdict) {
--- a/Source/UnitTests/Whole/StoryTest.cpp
+++ b/Source/UnitTests/Whole/StoryTest.cpp
@@ -304,6 +304,46 @@
     checkPromises(*world);
 }
 
+TEST_CASE("A resubmission later than ids are remembered is not told \"not run\"")
+{
+    // An order ran eleven minutes ago and its id has been forgotten. The clerk submits it again: it
+    // is refused as too old, nothing is started, and the answer does not claim that it never ran.
+    auto world = readySite(25);
+    const Whole::JobRequest job = Whole::newJob(*world, 1, 100);
+    Whole::submit(*world, 0, job);
+    Whole::runFor(*world, 660'000);
+    const std::size_t again = Whole::submit(*world, 1, job);
+    Whole::runFor(*world, 1'000);
+    REQUIRE(submissionOf(*world, again).isAnswered);
+    CHECK(submissionOf(*world, again).answer.reason == Reason::SubmissionTooOld);
+    CHECK(!submissionOf(*world, again).answer.notRun);
+    CHECK(startsOf(*world, job.id) == 1);
+    checkPromises(*world);
+}
+
+TEST_CASE("A late resubmission after owner and agents are gone is not told \"not run\"")
+{
+    // A job runs, then its owner and every agent are lost. The caller comes back after the
+    // deadline: only the journal still knows the id, and the answer is "unknown", not "not run".
+    auto world = readySite(26);
+    const Whole::JobRequest job = Whole::newJob(*world, 4, 200, 3'000);
+    const int owner = Whole::ownerOfJob(*world, job.id);
+    Whole::submit(*world, owner, job);
+    Whole::runFor(*world, 1'000);
+    CHECK(startsOf(*world, job.id) == 4);
+    Whole::killGateway(*world, owner);
+    for (const int agent : Whole::liveAgents(*world)) {
+        Whole::killAgent(*world, agent);
+    }
+    Whole::runFor(*world, 30'000);
+    const std::size_t again = Whole::submit(*world, otherGateway(*world, owner), job);
+    Whole::runFor(*world, 5'000);
+    REQUIRE(submissionOf(*world, again).isAnswered);
+    CHECK(submissionOf(*world, again).answer.outcome == JobOutcome::Unknown);
+    CHECK(!submissionOf(*world, again).answer.notRun);
+    checkPromises(*world);
+}
+
 TEST_CASE("A refused job may be submitted again")
 {
     // No backend server is there when the job comes: it is refused as never runnable and not run.
