--- a/Source/Core/Dispatch/QueryLanguage.cpp
+++ b/Source/Core/Dispatch/QueryLanguage.cpp
@@ -85,7 +85,7 @@
 
     Token take()
     {
-        const Token token = this->peek();
+        Token token = this->peek();
         this->next += token.kind == TokenKind::End ? 0 : 1;
         return token;
     }
--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -219,7 +219,7 @@
 
 std::string GatewayDaemon::Implementation::keepReply(Net::HttpReply reply)
 {
-    const std::string token = "h" + std::to_string(++this->lastToken);
+    std::string token = "h" + std::to_string(++this->lastToken);
     this->replies.emplace(token, std::move(reply));
     return token;
 }
@@ -402,7 +402,7 @@
 {
     const LogStream stream = append.stream;
     const std::uint64_t batch = append.batch;
-    this->log->append(streamOf(stream), std::move(append.records),
+    this->log->append(streamOf(stream), append.records,
                       [this, stream, batch](PlatformLog::AppendResult result) {
                           this->mailbox.post(LogAppended{stream, batch, result});
                       });
--- a/Source/Core/PlatformLog/LogClient.cpp
+++ b/Source/Core/PlatformLog/LogClient.cpp
@@ -298,8 +298,8 @@
     this->stop();
 }
 
-void LogClient::append(Stream stream, std::vector<Schema::LogRecord> records,
-                       std::function<void(AppendResult)> done)
+void LogClient::append(Stream stream, const std::vector<Schema::LogRecord> &records,
+                       const std::function<void(AppendResult)> &done)
 {
     this->implementation->append(stream, records, done);
 }
--- a/Source/Core/PlatformLog/LogClient.h
+++ b/Source/Core/PlatformLog/LogClient.h
@@ -68,8 +68,8 @@
 
     /// Appends \a records in one request, in order. \a done runs on a thread of the client, or at
     /// once after stop().
-    void append(Stream stream, std::vector<Schema::LogRecord> records,
-                std::function<void(AppendResult)> done);
+    void append(Stream stream, const std::vector<Schema::LogRecord> &records,
+                const std::function<void(AppendResult)> &done);
     /// Reads \a stream from \a offset on, for as long as the client lives. \a deliver gets every
     /// answer of the service on a thread of the client, also an empty one, which shows that the
     /// stream had no more at the time; and one result that is not available at the start of each
--- a/Source/Core/StandIn/FakeBackendServer.cpp
+++ b/Source/Core/StandIn/FakeBackendServer.cpp
@@ -196,7 +196,7 @@
         this->withheld.push_back({reply, std::move(response)});
         return;
     }
-    reply.send(std::move(response));
+    reply.send(response);
 }
 
 void FakeBackendServer::Implementation::changeControl(const FakeBackendControl &control)
@@ -210,7 +210,7 @@
     }
     if (!control.silent) {
         for (WithheldAnswer &late : this->withheld) {
-            late.reply.send(std::move(late.response));
+            late.reply.send(late.response);
         }
         this->withheld.clear();
     }
--- a/Source/Core/StandIn/FakeLogServer.cpp
+++ b/Source/Core/StandIn/FakeLogServer.cpp
@@ -300,7 +300,7 @@
 {
     const std::int64_t delayMs = this->log.control.delayMs;
     if (delayMs == 0) {
-        reply.send(std::move(response));
+        reply.send(response);
         return;
     }
     this->timers.after(milliseconds(delayMs),
--- a/Source/UnitTests/Tool/CommandTest.cpp
+++ b/Source/UnitTests/Tool/CommandTest.cpp
@@ -18,7 +18,7 @@
 class FakeGateway
 {
 public:
-    FakeGateway(int status, std::string body)
+    FakeGateway(int status, const std::string &body)
         : server(Net::HttpServerBuilder()
                          .handler([this, status, body](const Net::HttpRequest &request,
                                                        const Net::HttpReply &reply) {
--- a/Source/UnitTests/Whole/StoryTest.cpp
+++ b/Source/UnitTests/Whole/StoryTest.cpp
@@ -40,6 +40,17 @@
     return world.oracle.submissions[number];
 }
 
+/// Submits jobs to the gateways in turn; returns their submissions.
+std::vector<std::size_t> submitJobs(World &world, int count, int tasks, std::int64_t runMs)
+{
+    std::vector<std::size_t> asked(static_cast<std::size_t>(count));
+    for (int job = 0; job < count; ++job) {
+        asked[static_cast<std::size_t>(job)] =
+                Whole::submit(world, job % 3, Whole::newJob(world, tasks, runMs, 60'000));
+    }
+    return asked;
+}
+
 int startsOf(const World &world, const std::string &job)
 {
     int starts = 0;
@@ -266,10 +277,7 @@
     // One gateway is told to stop while its jobs run. It hands its shards over with them; every
     // caller, also its own, gets the whole answer, and the gateway ends.
     auto world = readySite(19);
-    std::vector<std::size_t> asked;
-    for (int count = 0; count < 12; ++count) {
-        asked.push_back(Whole::submit(*world, count % 3, Whole::newJob(*world, 3, 1'500, 60'000)));
-    }
+    const std::vector<std::size_t> asked = submitJobs(*world, 12, 3, 1'500);
     Whole::runFor(*world, 300);
     Whole::stopGateway(*world, 1);
     Whole::runFor(*world, 30'000);
@@ -287,10 +295,7 @@
     // every caller gets the whole answer, and the last one, whose shards nobody is left to take,
     // ends too.
     auto world = readySite(23);
-    std::vector<std::size_t> asked;
-    for (int count = 0; count < 6; ++count) {
-        asked.push_back(Whole::submit(*world, count % 3, Whole::newJob(*world, 2, 800, 60'000)));
-    }
+    const std::vector<std::size_t> asked = submitJobs(*world, 6, 2, 800);
     Whole::runFor(*world, 200);
     for (int gateway = 0; gateway < 3; ++gateway) {
         Whole::stopGateway(*world, gateway);
--- a/Source/UnitTests/Whole/World.cpp
+++ b/Source/UnitTests/Whole/World.cpp
@@ -58,8 +58,8 @@
     return world.partitions.count(std::minmax(one, other)) != 0;
 }
 
-void carryOut(World &world, int gateway, Dispatch::Effects effects);
-void carryOut(World &world, int agent, Agent::Effects effects);
+void carryOut(World &world, int gateway, const Dispatch::Effects &effects);
+void carryOut(World &world, int agent, const Agent::Effects &effects);
 
 void closeLink(World &world, int index)
 {
@@ -434,14 +434,14 @@
     {}
 };
 
-void carryOut(World &world, int gateway, Dispatch::Effects effects)
+void carryOut(World &world, int gateway, const Dispatch::Effects &effects)
 {
     for (const Dispatch::Effect &effect : effects) {
         std::visit(GatewayEffects{world, gateway}, effect);
     }
 }
 
-void carryOut(World &world, int agent, Agent::Effects effects)
+void carryOut(World &world, int agent, const Agent::Effects &effects)
 {
     for (const Agent::Effect &effect : effects) {
         std::visit(AgentEffects{world, agent}, effect);
