StandIn: give the backend server memory and accelerators

Cause: the stand-in had slots and speed only, so that resource fit could not be seen on a real site. Change: tasks take memoryMb and accelerators from their payload, share what the server has and give it back; a task that does not fit is refused (503 no_resources, nothing started).

--- a/Source/AuburntrailFakeBackend/Main.cpp
+++ b/Source/AuburntrailFakeBackend/Main.cpp
@@ -21,6 +21,12 @@
     app.add_option("--speed", options.control.speed, "a task of 100 ms takes 50 ms at speed 2")
             ->check(CLI::PositiveNumber)
             ->capture_default_str();
+    app.add_option("--memory-mb", options.control.memoryMb, "memory that tasks share")
+            ->check(CLI::NonNegativeNumber)
+            ->capture_default_str();
+    app.add_option("--accelerators", options.control.accelerators, "accelerators that tasks share")
+            ->check(CLI::NonNegativeNumber)
+            ->capture_default_str();
 }
 
 void run(const Options &options)
--- a/Source/Core/StandIn/FakeBackendServer.cpp
+++ b/Source/Core/StandIn/FakeBackendServer.cpp
@@ -41,6 +41,8 @@
         return reasonResponse(HttpStatus::PreconditionFailed, "not_after_passed");
     case RunVerdict::NoSlot:
         return reasonResponse(HttpStatus::Unavailable, "no_slot");
+    case RunVerdict::NoResources:
+        return reasonResponse(HttpStatus::Unavailable, "no_resources");
     default:
         return reasonResponse(HttpStatus::Unavailable, "backend_refused");
     }
@@ -120,8 +122,8 @@
     Common::handle(
             [&]() -> Common::Outcome<void> {
                 BOOST_LEAF_AUTO(run, parseRun(request.body));
-                const RunVerdict verdict =
-                        startTask(this->backend, run.task, Common::currentMoment().wallMs);
+                const RunVerdict verdict = startTask(this->backend, run.task, run.fake,
+                                                     Common::currentMoment().wallMs);
                 if (verdict == RunVerdict::Started) {
                     this->begin(run.fake, reply);
                 } else {
@@ -181,7 +183,7 @@
 void FakeBackendServer::Implementation::end(const FakeTask &task, bool hasFailed,
                                             const Net::HttpReply &reply)
 {
-    endTask(this->backend, hasFailed);
+    endTask(this->backend, task, hasFailed);
     if (hasFailed) {
         this->answer(reply, reasonResponse(HttpStatus::InternalError, "task_failed", task.result));
         return;
--- a/Source/Core/StandIn/FakeBackendState.cpp
+++ b/Source/Core/StandIn/FakeBackendState.cpp
@@ -44,6 +44,7 @@
 Json controlJson(const FakeBackendControl &control)
 {
     return {{"speed", control.speed},         {"slots", control.slots},
+            {"memoryMb", control.memoryMb},   {"accelerators", control.accelerators},
             {"failAll", control.failAll},     {"hang", control.hang},
             {"refuseAll", control.refuseAll}, {"silent", control.silent},
             {"unhealthy", control.unhealthy}};
@@ -56,6 +57,8 @@
     FakeBackendControl changed;
     changed.speed = json.at("speed").get<double>();
     changed.slots = json.at("slots").get<std::int64_t>();
+    changed.memoryMb = json.at("memoryMb").get<std::int64_t>();
+    changed.accelerators = json.at("accelerators").get<std::int64_t>();
     changed.failAll = json.at("failAll").get<bool>();
     changed.hang = json.at("hang").get<bool>();
     changed.refuseAll = json.at("refuseAll").get<bool>();
@@ -78,13 +81,16 @@
         task.runMs = std::max(0.0, json.value("runMs", 0.0));
         task.result = json.value("result", std::string());
         task.fail = json.value("fail", false);
+        task.memoryMb = std::max<std::int64_t>(0, json.value("memoryMb", std::int64_t{0}));
+        task.accelerators = std::max<std::int64_t>(0, json.value("accelerators", std::int64_t{0}));
         return task;
     } catch (const Json::exception &error) {
         return Common::failure(Schema::Reason::Malformed, error.what());
     }
 }
 
-RunVerdict startTask(FakeBackend &backend, const Schema::RunTask &task, std::int64_t wallMs)
+RunVerdict startTask(FakeBackend &backend, const Schema::RunTask &task, const FakeTask &fake,
+                     std::int64_t wallMs)
 {
     if (backend.control.refuseAll) {
         ++backend.refusedAll;
@@ -100,13 +106,24 @@
         ++backend.refusedNoSlot;
         return RunVerdict::NoSlot;
     }
+    const bool fits =
+            backend.usedMemoryMb + fake.memoryMb <= backend.control.memoryMb
+            && backend.usedAccelerators + fake.accelerators <= backend.control.accelerators;
+    if (!fits) {
+        ++backend.refusedNoResources;
+        return RunVerdict::NoResources;
+    }
+    backend.usedMemoryMb += fake.memoryMb;
+    backend.usedAccelerators += fake.accelerators;
     recordStart(backend, task, wallMs);
     return RunVerdict::Started;
 }
 
-void endTask(FakeBackend &backend, bool hasFailed)
+void endTask(FakeBackend &backend, const FakeTask &fake, bool hasFailed)
 {
     --backend.running;
+    backend.usedMemoryMb -= fake.memoryMb;
+    backend.usedAccelerators -= fake.accelerators;
     if (hasFailed) {
         ++backend.failed;
     } else {
@@ -140,6 +157,7 @@
             {"refused",
              {{"no_slot", backend.refusedNoSlot},
               {"not_after_passed", backend.refusedNotAfter},
+              {"no_resources", backend.refusedNoResources},
               {"backend_refused", backend.refusedAll}}},
             {"control", controlJson(backend.control)}};
 }
--- a/Source/Core/StandIn/FakeBackendState.h
+++ b/Source/Core/StandIn/FakeBackendState.h
@@ -17,6 +17,8 @@
     /// A task of 100 ms takes 50 ms at speed 2.
     double speed = 1;
     std::int64_t slots = 8;
+    std::int64_t memoryMb = 262'144;
+    std::int64_t accelerators = 0;
     /// Every task starts and fails at once.
     bool failAll = false;
     /// Tasks start, but do not end until this is switched off again.
@@ -40,12 +42,15 @@
     double runMs = 0;
     std::string result;
     bool fail = false;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
 };
 
-/// Reads a payload {"runMs":N,"result":"...","fail":bool}; every member may be absent.
+/// Reads a payload {"runMs":N,"result":"...","fail":bool,"memoryMb":N,"accelerators":N}; every
+/// member may be absent.
 Common::Outcome<FakeTask> parsePayload(const std::string &payload);
 
-enum class RunVerdict { Started, NoSlot, NotAfterPassed, Refused };
+enum class RunVerdict { Started, NoSlot, NotAfterPassed, Refused, NoResources };
 
 /// All starts of one task: more than one breaks the promise the project is built on.
 struct TaskStarts
@@ -63,6 +68,8 @@
     /// By job and index.
     std::unordered_map<std::string, TaskStarts> tasks;
     std::int64_t running = 0;
+    std::int64_t usedMemoryMb = 0;
+    std::int64_t usedAccelerators = 0;
     std::int64_t mostRunning = 0;
     std::int64_t starts = 0;
     std::int64_t succeeded = 0;
@@ -70,11 +77,13 @@
     std::int64_t refusedNoSlot = 0;
     std::int64_t refusedNotAfter = 0;
     std::int64_t refusedAll = 0;
+    std::int64_t refusedNoResources = 0;
 };
 
 /// Starts the task and records the start, or refuses with nothing started.
-RunVerdict startTask(FakeBackend &backend, const Schema::RunTask &task, std::int64_t wallMs);
-void endTask(FakeBackend &backend, bool hasFailed);
+RunVerdict startTask(FakeBackend &backend, const Schema::RunTask &task, const FakeTask &fake,
+                     std::int64_t wallMs);
+void endTask(FakeBackend &backend, const FakeTask &fake, bool hasFailed);
 /// How long the task takes on this server.
 double runTimeMs(const FakeBackendControl &control, const FakeTask &task);
 nlohmann::json backendStats(const FakeBackend &backend);
--- a/Source/UnitTests/StandIn/FakeBackendTest.cpp
+++ b/Source/UnitTests/StandIn/FakeBackendTest.cpp
@@ -54,6 +54,37 @@
 
 } // namespace
 
+TEST_CASE("Tasks share memory and accelerators, and give them back")
+{
+    struct Row
+    {
+        const char *payload;
+        StandIn::RunVerdict verdict;
+    };
+    StandIn::FakeBackend backend;
+    backend.control.memoryMb = 1'000;
+    backend.control.accelerators = 2;
+    const Row rows[] = {
+            {R"({"memoryMb":600,"accelerators":1})", StandIn::RunVerdict::Started},
+            {R"({"memoryMb":500})", StandIn::RunVerdict::NoResources},
+            {R"({"accelerators":2})", StandIn::RunVerdict::NoResources},
+            {R"({"memoryMb":400,"accelerators":1})", StandIn::RunVerdict::Started},
+            {R"({})", StandIn::RunVerdict::Started},
+            {R"({"accelerators":3})", StandIn::RunVerdict::NoResources},
+    };
+    int index = 0;
+    for (const Row &row : rows) {
+        CAPTURE(row.payload);
+        const StandIn::FakeTask fake = StandIn::parsePayload(row.payload).value();
+        const auto task = makeTask("r" + std::to_string(++index));
+        CHECK(StandIn::startTask(backend, task, fake, 100) == row.verdict);
+    }
+    StandIn::endTask(backend, StandIn::parsePayload(rows[0].payload).value(), false);
+    CHECK(backend.usedMemoryMb == 400);
+    CHECK(backend.usedAccelerators == 1);
+    CHECK(backend.starts == 3);
+}
+
 TEST_CASE("A refused task has not started")
 {
     struct Row
@@ -75,7 +106,7 @@
         StandIn::FakeBackend backend;
         backend.control.slots = row.slots;
         backend.control.refuseAll = row.refuseAll;
-        CHECK(StandIn::startTask(backend, makeTask("j", row.notAfterMs), 100) == row.verdict);
+        CHECK(StandIn::startTask(backend, makeTask("j", row.notAfterMs), {}, 100) == row.verdict);
         const bool hasStarted = row.verdict == StandIn::RunVerdict::Started;
         CHECK(backend.starts == (hasStarted ? 1 : 0));
         CHECK(backend.tasks.size() == (hasStarted ? 1 : 0));
@@ -86,10 +117,10 @@
 TEST_CASE("A second start of a task is seen")
 {
     StandIn::FakeBackend backend;
-    StandIn::startTask(backend, makeTask("j"), 100);
-    StandIn::startTask(backend, makeTask("k"), 100);
+    StandIn::startTask(backend, makeTask("j"), {}, 100);
+    StandIn::startTask(backend, makeTask("k"), {}, 100);
     CHECK(StandIn::backendStats(backend).at("doubles").empty());
-    StandIn::startTask(backend, makeTask("j"), 250);
+    StandIn::startTask(backend, makeTask("j"), {}, 250);
     const nlohmann::json doubles = StandIn::backendStats(backend).at("doubles");
     REQUIRE(doubles.size() == 1);
     CHECK(doubles.at(0).at("job") == "j");
