Net: count requests that are refused before the handler

Cause: a body over the limit was refused by the server itself, without a counter for its reason. Change: the server tells a listener the reason; the gateway counts it under auburntrail_requests_refused_total.

--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+/// Requests refused before they reach a decision.
+constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
 /// Longest wait for an event: bounds how late a timer of the decisions can fire.
 constexpr std::chrono::milliseconds TickMs{5};
 /// After the last answer a caller's connection gets this long to take it.
@@ -129,6 +131,10 @@
                          .listenOn(settings.host, static_cast<std::uint16_t>(settings.httpPort))
                          .threads(static_cast<int>(settings.httpThreads))
                          .maxBodyBytes(static_cast<std::size_t>(settings.maxBodyBytes))
+                         .refused([this](Schema::Reason reason) {
+                             this->metrics.count(RefusedRequests,
+                                                 {{"reason", Schema::enumName(reason)}});
+                         })
                          .handler([this](const Net::HttpRequest &request, Net::HttpReply reply) {
                              this->answerHttp(request, std::move(reply));
                          })
@@ -174,8 +180,7 @@
         return {};
     };
     Common::handle(accept, [&](const Common::Failure &failure) {
-        this->metrics.count("auburntrail_requests_refused_total",
-                            {{"reason", Schema::enumName(failure.reason)}});
+        this->metrics.count(RefusedRequests, {{"reason", Schema::enumName(failure.reason)}});
         reply.send(failureResponse(failure));
     });
 }
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -200,8 +200,10 @@
 public:
     HTTP_PROTOTYPE(RequestHandler)
 
-    RequestHandler(HttpHandler handler, std::size_t bodyLimit, std::shared_ptr<Gate> gate)
+    RequestHandler(HttpHandler handler, HttpRefused refused, std::size_t bodyLimit,
+                   std::shared_ptr<Gate> gate)
         : handler(std::move(handler))
+        , refused(std::move(refused))
         , bodyLimit(bodyLimit)
         , gate(std::move(gate))
     {}
@@ -236,13 +238,13 @@
         Http::RequestParser &parser = *getParser(peer);
         try {
             if (!parser.feed(bytes, length)) {
-                this->refuse(peer, bodyTooLarge(this->bodyLimit));
+                this->refuse(peer, Schema::Reason::BodyTooLarge, bodyTooLarge(this->bodyLimit));
                 return;
             }
             const bool isWhole = parser.parse() == Http::Private::State::Done;
             const bool isBodyNext = parser.step()->id() == Http::Private::BodyStep::Id;
             if (isBodyNext && this->isTooLong(parser.request)) {
-                this->refuse(peer, bodyTooLarge(this->bodyLimit));
+                this->refuse(peer, Schema::Reason::BodyTooLarge, bodyTooLarge(this->bodyLimit));
             } else if (isWhole) {
                 this->onRequest(parser.request, this->writerFor(peer));
                 stateOf(peer).isContinued = false;
@@ -252,11 +254,11 @@
             }
         } catch (const std::bad_alloc &) {
             // The library reserves whatever length a request announces.
-            this->refuse(peer, bodyTooLarge(this->bodyLimit));
+            this->refuse(peer, Schema::Reason::BodyTooLarge, bodyTooLarge(this->bodyLimit));
         } catch (const std::length_error &) {
-            this->refuse(peer, bodyTooLarge(this->bodyLimit));
+            this->refuse(peer, Schema::Reason::BodyTooLarge, bodyTooLarge(this->bodyLimit));
         } catch (const std::exception &error) {
-            this->refuse(peer, malformedRequest(error.what()));
+            this->refuse(peer, Schema::Reason::Malformed, malformedRequest(error.what()));
         }
     }
 
@@ -278,8 +280,9 @@
     }
 
     /// Answers and closes: what else arrives belongs to the refused request.
-    void refuse(const Peer &peer, const HttpResponse &response)
+    void refuse(const Peer &peer, Schema::Reason reason, const HttpResponse &response)
     {
+        this->refused(reason);
         stateOf(peer).isRefused = true;
         Http::ResponseWriter writer = this->writerFor(peer);
         writer.headers().add<Http::Header::Connection>(Http::ConnectionControl::Close);
@@ -304,6 +307,7 @@
     }
 
     HttpHandler handler;
+    HttpRefused refused;
     std::size_t bodyLimit;
     std::shared_ptr<Gate> gate;
 };
@@ -374,6 +378,12 @@
     return *this;
 }
 
+HttpServerBuilder &HttpServerBuilder::refused(HttpRefused refused)
+{
+    this->refusalListener = std::move(refused);
+    return *this;
+}
+
 std::unique_ptr<HttpServer> HttpServerBuilder::build()
 {
     using Pistache::Tcp::Options;
@@ -388,7 +398,7 @@
                     .bodyTimeout(IdleTimeout)
                     .keepaliveTimeout(IdleTimeout));
     implementation->endpoint.setHandler(std::make_shared<RequestHandler>(
-            this->requestHandler, this->bodyLimit, implementation->gate));
+            this->requestHandler, this->refusalListener, this->bodyLimit, implementation->gate));
     implementation->endpoint.serveThreaded();
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
 }
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "Schema/Schema.h"
+
 namespace Net {
 
 struct HttpRequest
@@ -43,6 +45,9 @@
 /// Called on one of the server's threads; must not block.
 using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
 
+/// Called on one of the server's threads for each request that is refused before the handler.
+using HttpRefused = std::function<void(Schema::Reason)>;
+
 /// Serves HTTP on threads of its own from construction to destruction.
 class HttpServer
 {
@@ -72,6 +77,7 @@
     /// A longer body is answered with status 413 and Reason body_too_large.
     HttpServerBuilder &maxBodyBytes(std::size_t bytes);
     HttpServerBuilder &handler(HttpHandler handler);
+    HttpServerBuilder &refused(HttpRefused refused);
     /// Listens and serves. Throws std::runtime_error where the address cannot be had.
     std::unique_ptr<HttpServer> build();
 
@@ -81,6 +87,7 @@
     int threadCount = 1;
     std::size_t bodyLimit = 1U << 20U;
     HttpHandler requestHandler;
+    HttpRefused refusalListener = [](Schema::Reason) {};
 };
 
 } // namespace Net
--- a/Source/UnitTests/Net/HttpTest.cpp
+++ b/Source/UnitTests/Net/HttpTest.cpp
@@ -139,6 +139,24 @@
     }
 }
 
+TEST_CASE("A body refused before the handler is counted by its reason")
+{
+    std::atomic<int> tooLarge{0};
+    const auto server = Net::HttpServerBuilder()
+                                .maxBodyBytes(BodyLimit)
+                                .refused([&tooLarge](Schema::Reason reason) {
+                                    tooLarge += reason == Schema::Reason::BodyTooLarge ? 1 : 0;
+                                })
+                                .handler([](const Net::HttpRequest &, const Net::HttpReply &reply) {
+                                    reply.send({});
+                                })
+                                .build();
+    Net::HttpClient client(4);
+    CHECK(client.perform(post(server->port(), std::string(BodyLimit + 1, 'b'))).status == 413);
+    CHECK(client.perform(post(server->port(), "b")).status == 200);
+    CHECK(tooLarge == 1);
+}
+
 TEST_CASE("What a raw client sends is answered as HTTP asks")
 {
     const auto server = serve([](const Net::HttpRequest &request, const Net::HttpReply &reply) {
