--- a/Source/AuburntrailGateway/Main.cpp
+++ b/Source/AuburntrailGateway/Main.cpp
@@ -1,100 +1,28 @@
-#include <CLI/CLI.hpp>
-#include <csignal>
-#include <cstdlib>
-#include <exception>
-#include <fstream>
-#include <iostream>
-#include <memory>
-#include <pthread.h>
-#include <thread>
-
-#include "Common/Common.h"
+#include "Daemon/Daemon.h"
 #include "Gateway/Gateway.h"
 
 namespace {
 
-struct Options
-{
-    std::string settingsFile;
-    std::string portFile;
-    bool check = false;
-    bool printSettings = false;
-};
-
-constexpr int SettingsError = 2;
-constexpr int AddressError = 3;
-constexpr int StopTimedOut = 4;
-
-sigset_t stopSignals()
+int serveJournaled(const Daemon::Options &options, const nlohmann::json &json)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-void writePorts(const std::string &path, const Gateway::GatewayDaemon &daemon)
-{
-    if (path.empty()) {
-        return;
-    }
-    // Renamed into place, so that a reader never sees half of it.
-    const std::string temporary = path + ".new";
-    std::ofstream(temporary) << "http=" << daemon.httpPort() << "\npeer=" << daemon.peerPort()
-                             << '\n';
-    std::rename(temporary.c_str(), path.c_str());
-}
-
-int serve(const Options &options, const Schema::GatewaySettings &settings)
-{
-    Common::startLogging(settings.name, Schema::enumName(settings.logLevel));
-    // Every thread made from here on leaves the stop signals to the one that waits for them.
-    const sigset_t signals = stopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::unique_ptr<Gateway::GatewayDaemon> daemon;
-    try {
-        daemon = Gateway::GatewayDaemonBuilder().settings(settings).build();
-    } catch (const std::exception &error) {
-        std::cerr << "auburntrail-gateway: " << error.what() << '\n';
-        return AddressError;
-    }
-    writePorts(options.portFile, *daemon);
-    std::thread waiter([&signals, &daemon] {
-        int signal = 0;
-        sigwait(&signals, &signal);
-        daemon->requestStop();
-    });
-    bool stoppedInTime = false;
-    try {
-        stoppedInTime = daemon->run();
-    } catch (const std::exception &error) {
-        // Without this the process ends in the waiter's destructor, and the log has no cause.
-        Common::invariant(false, "the control thread throws nothing", error.what());
-    }
-    waiter.join();
-    Common::logEvent(Common::LogLevel::Info, "gateway_stopped",
-                     {{"complete", stoppedInTime ? "true" : "false"}});
-    return stoppedInTime ? EXIT_SUCCESS : StopTimedOut;
+    const auto settings = json.get<Schema::GatewaySettings>();
+    return Daemon::serve(
+            settings.name, Schema::enumName(settings.logLevel), options,
+            [&settings] { return Gateway::GatewayDaemonBuilder().settings(settings).build(); },
+            [](const Gateway::GatewayDaemon &daemon) {
+                return Daemon::Ports{{"http", daemon.httpPort()}, {"peer", daemon.peerPort()}};
+            });
 }
 
-int runWith(const Options &options)
+int serveTransient(const Daemon::Options &options, const nlohmann::json &json)
 {
-    return Common::handle(
-            [&]() -> Common::Outcome<int> {
-                BOOST_LEAF_AUTO(json,
-                                Common::loadSettingsJson(options.settingsFile, "GatewaySettings"));
-                if (options.printSettings) {
-                    std::cout << Common::settingsYaml(json);
-                }
-                if (options.check || options.printSettings) {
-                    return EXIT_SUCCESS;
-                }
-                return serve(options, json.get<Schema::GatewaySettings>());
-            },
-            [](const Common::Failure &failure) {
-                std::cerr << "auburntrail-gateway: " << failure.detail << '\n';
-                return SettingsError;
+    const auto settings = json.get<Schema::TransientGatewaySettings>();
+    return Daemon::serve(
+            settings.name, Schema::enumName(settings.logLevel), options,
+            [&settings] { return Gateway::TransientDaemonBuilder().settings(settings).build(); },
+            [](const Gateway::TransientDaemon &daemon) {
+                return Daemon::Ports{{"caller", daemon.callerPort()},
+                                     {"metrics", daemon.metricsPort()}};
             });
 }
 
@@ -102,17 +30,10 @@
 
 int main(int argc, char **argv)
 {
-    Options options;
-    CLI::App app{
-            "Gateway of auburntrail: takes jobs from callers and sees that each task runs once.\n"
-            "Exit codes: 0 stopped, 1 wrong arguments, 2 wrong settings, 3 address not to be had, "
-            "4 graceful stop timed out.",
-            "auburntrail-gateway"};
-    app.add_option("--settings", options.settingsFile, "Settings file (YAML); defaults without it");
-    app.add_option("--port-file", options.portFile, "Writes the ports it listens on to this file");
-    app.add_flag("--check", options.check, "Only checks the settings");
-    app.add_flag("--print-settings", options.printSettings,
-                 "Prints the settings in force and ends");
-    CLI11_PARSE(app, argc, argv);
-    return runWith(options);
+    return Daemon::runProgram(
+            argc, argv,
+            {"auburntrail-gateway",
+             "Gateway of auburntrail: takes jobs from callers and sees that each task runs once.",
+             {"GatewaySettings", serveJournaled},
+             {"TransientGatewaySettings", serveTransient}});
 }
--- /dev/null
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -0,0 +1,94 @@
+#include "Daemon/Daemon.h"
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <fstream>
+#include <pthread.h>
+
+namespace Daemon {
+
+namespace {
+
+sigset_t awaitedSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+int runMode(const Program &program, const Options &options)
+{
+    const Mode &mode = options.transient ? program.transient : program.journaled;
+    return Common::handle(
+            [&]() -> Common::Outcome<int> {
+                BOOST_LEAF_AUTO(json,
+                                Common::loadSettingsJson(options.settingsFile, mode.definition));
+                if (options.printSettings) {
+                    std::cout << Common::settingsYaml(json);
+                }
+                if (options.check || options.printSettings) {
+                    return EXIT_SUCCESS;
+                }
+                return mode.serve(options, json);
+            },
+            [&program](const Common::Failure &failure) {
+                std::cerr << program.name << ": " << failure.detail << '\n';
+                return SettingsError;
+            });
+}
+
+} // namespace
+
+void blockSignals()
+{
+    const sigset_t signals = awaitedSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that has gone is seen by the error of the write.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int waitForSignal()
+{
+    const sigset_t signals = awaitedSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+    return received;
+}
+
+void writePorts(const std::string &path, const Ports &ports)
+{
+    if (path.empty()) {
+        return;
+    }
+    // Renamed into place, so that a reader never sees half of it.
+    const std::string temporary = path + ".new";
+    std::ofstream file(temporary);
+    for (const auto &[name, port] : ports) {
+        file << name << '=' << port << '\n';
+    }
+    file.close();
+    std::rename(temporary.c_str(), path.c_str());
+}
+
+int runProgram(int argc, char **argv, const Program &program)
+{
+    Options options;
+    CLI::App app{program.description
+                         + "\nExit codes: 0 stopped, 1 wrong arguments, 2 wrong settings, 3 "
+                           "address not to be had, 4 graceful stop timed out.",
+                 program.name};
+    app.add_option("--settings", options.settingsFile, "Settings file (YAML); defaults without it");
+    app.add_option("--port-file", options.portFile, "Writes the ports it listens on to this file");
+    app.add_flag("--check", options.check, "Only checks the settings");
+    app.add_flag("--print-settings", options.printSettings,
+                 "Prints the settings in force and ends");
+    app.add_flag("--transient", options.transient,
+                 "Serves transient jobs: answered when they end, and kept nowhere");
+    CLI11_PARSE(app, argc, argv);
+    return runMode(program, options);
+}
+
+} // namespace Daemon
--- a/Source/Core/Net/Codec.cpp
+++ b/Source/Core/Net/Codec.cpp
@@ -15,7 +15,7 @@
 using Json = nlohmann::json;
 using Schema::FrameType;
 
-constexpr std::size_t FrameTypeCount = 14;
+constexpr std::size_t FrameTypeCount = 20;
 constexpr Common::NameTable<FrameType, FrameTypeCount> FrameMembers{{
         {FrameType::AgentHello, "agentHello"},
         {FrameType::GatewayPong, "gatewayPong"},
@@ -31,6 +31,12 @@
         {FrameType::HandoverAccepted, "handoverAccepted"},
         {FrameType::AskAgents, "askAgents"},
         {FrameType::KnownAgents, "knownAgents"},
+        {FrameType::AgentAnnouncement, "agentAnnouncement"},
+        {FrameType::AgentReport, "agentReport"},
+        {FrameType::TaskOrders, "taskOrders"},
+        {FrameType::WithdrawTasks, "withdrawTasks"},
+        {FrameType::GatewayAnnouncement, "gatewayAnnouncement"},
+        {FrameType::QueueTable, "queueTable"},
 }};
 
 /// Deeper than any message of the schema.
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -36,12 +36,19 @@
     HeaderList(const HeaderList &) = delete;
     HeaderList &operator=(const HeaderList &) = delete;
 
+    void add(const std::string &line)
+    {
+        this->headers = curl_slist_append(this->headers, line.c_str());
+    }
+
     curl_slist *headers = nullptr;
 };
 
 struct Transfer
 {
     HttpCall call;
+    /// Only for a call with headers of its own.
+    std::unique_ptr<HeaderList> headerList;
     HttpDone done;
     HttpResult result;
     /// Times that curl was about to write the request to a connection.
@@ -112,6 +119,15 @@
     return result;
 }
 
+std::string percentEncoded(const std::string &text)
+{
+    char *encoded = curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+    Common::invariant(encoded != nullptr, "a URL can be encoded");
+    std::string result(encoded);
+    curl_free(encoded);
+    return result;
+}
+
 struct HttpClient::Implementation
 {
     explicit Implementation(int maxConnections)
@@ -188,7 +204,14 @@
         curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
         curl_easy_setopt(handle, CURLOPT_PROXY, "");
         curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, this->headerList.headers);
+        if (!call.headers.empty()) {
+            transfer.headerList = std::make_unique<HeaderList>();
+            for (const std::string &line : call.headers) {
+                transfer.headerList->add(line);
+            }
+        }
+        const HeaderList &headers = transfer.headerList ? *transfer.headerList : this->headerList;
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.headers);
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                          static_cast<long>(call.connectTimeoutMs));
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeoutMs));
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -5,17 +5,21 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Net {
 
 /// \a text with its %XX escapes resolved.
 std::string percentDecoded(std::string_view text);
+std::string percentEncoded(const std::string &text);
 
 struct HttpCall
 {
     std::string method = "GET";
     std::string url;
     std::string body;
+    /// Further header lines, each "Name: value".
+    std::vector<std::string> headers;
     std::int64_t connectTimeoutMs = 1000;
     std::int64_t timeoutMs = 10000;
 };
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Net/HttpServer.h"
 
 #include <atomic>
+#include <cctype>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -56,6 +57,7 @@
     std::mutex unwrittenMutex;
     std::condition_variable allWritten;
     int unwritten = 0;
+    std::atomic<int> connections = 0;
 
     void addUnwritten(int change)
     {
@@ -112,12 +114,34 @@
     ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
 }
 
+std::string lowerCased(std::string text)
+{
+    for (char &letter : text) {
+        letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    }
+    return text;
+}
+
+std::map<std::string, std::string> headersOf(const Http::Request &source)
+{
+    std::map<std::string, std::string> headers;
+    for (const auto &[name, raw] : source.headers().rawList()) {
+        headers[lowerCased(raw.name())] = raw.value();
+    }
+    const auto host = source.headers().tryGet<Http::Header::Host>();
+    if (host) {
+        headers["host"] = host->host();
+    }
+    return headers;
+}
+
 HttpRequest convert(const Http::Request &source)
 {
     HttpRequest request;
     request.method = Http::methodString(source.method());
     request.path = percentDecoded(source.resource());
     request.body = source.body();
+    request.headers = headersOf(source);
     const Http::Uri::Query &query = source.query();
     for (auto entry = query.parameters_begin(); entry != query.parameters_end(); ++entry) {
         request.query[percentDecoded(entry->first)] = percentDecoded(entry->second);
@@ -157,8 +181,19 @@
         if (response.retryAfterSeconds > 0) {
             this->writer.headers().add<RetryAfter>(response.retryAfterSeconds);
         }
+        const std::shared_ptr<Pistache::Tcp::Peer> peer =
+                response.closesConnection ? this->livePeer() : nullptr;
+        if (peer) {
+            this->writer.headers().add<Http::Header::Connection>(Http::ConnectionControl::Close);
+        }
         this->gate->addUnwritten(1);
-        const auto written = [gate = this->gate] { gate->addUnwritten(-1); };
+        const auto written = [gate = this->gate, peer] {
+            // The transport closes the connection when the caller has closed its side too.
+            if (peer) {
+                ::shutdown(peer->fd(), SHUT_WR);
+            }
+            gate->addUnwritten(-1);
+        };
         this->writer
                 .send(static_cast<Http::Code>(response.status), response.body,
                       Http::Mime::MediaType::fromString(response.contentType))
@@ -166,6 +201,16 @@
                       [written](const std::exception_ptr &) { written(); });
     }
 
+    std::shared_ptr<Pistache::Tcp::Peer> livePeer() const
+    {
+        try {
+            return this->writer.getPeer();
+        } catch (const std::exception &) {
+            // The library throws where the caller has gone: there is nothing left to close.
+            return nullptr;
+        }
+    }
+
     Http::ResponseWriter writer;
     std::shared_ptr<Gate> gate;
     std::atomic<bool> isAnswered = false;
@@ -185,6 +230,7 @@
 /// What the handler keeps of a connection, in its Pistache::Tcp::Peer.
 struct ConnectionState
 {
+    std::uint64_t number = 0;
     bool isRefused = false;
     /// Whether "100 Continue" was sent for the request being read.
     bool isContinued = false;
@@ -200,16 +246,18 @@
 public:
     HTTP_PROTOTYPE(RequestHandler)
 
-    RequestHandler(HttpHandler handler, HttpRefused refused, std::size_t bodyLimit,
-                   std::shared_ptr<Gate> gate)
+    RequestHandler(HttpHandler handler, HttpRefused refused, HttpDisconnected disconnected,
+                   std::size_t bodyLimit, std::shared_ptr<Gate> gate)
         : handler(std::move(handler))
         , refused(std::move(refused))
+        , disconnected(std::move(disconnected))
         , bodyLimit(bodyLimit)
         , gate(std::move(gate))
     {}
 
     void onRequest(const Http::Request &request, Http::ResponseWriter writer) override
     {
+        const std::uint64_t connectionNumber = stateOf(writer.getPeer()).number;
         const auto connection = request.headers().tryGet<Http::Header::Connection>();
         const bool isClosing = connection ? connection->control() == Http::ConnectionControl::Close
                                           : request.version() == Http::Version::Http10;
@@ -217,7 +265,9 @@
                 isClosing ? Http::ConnectionControl::Close : Http::ConnectionControl::KeepAlive);
         const HttpReply reply(
                 std::make_shared<HttpReply::Implementation>(std::move(writer), this->gate));
-        this->handler(convert(request), reply);
+        HttpRequest converted = convert(request);
+        converted.connection = connectionNumber;
+        this->handler(std::move(converted), reply);
     }
 
 private:
@@ -227,7 +277,23 @@
     {
         watchForSilence(peer->fd());
         peer->putData(ParserData, std::make_shared<Http::RequestParser>(this->getMaxRequestSize()));
-        peer->putData(ConnectionStateName, std::make_shared<ConnectionState>());
+        const auto state = std::make_shared<ConnectionState>();
+        state->number = ++lastConnection();
+        ++this->gate->connections;
+        peer->putData(ConnectionStateName, state);
+    }
+
+    void onDisconnection(const Peer &peer) override
+    {
+        --this->gate->connections;
+        this->disconnected(stateOf(peer).number);
+    }
+
+    /// Shared by the copies of the handler that the library makes, one a thread.
+    static std::atomic<std::uint64_t> &lastConnection()
+    {
+        static std::atomic<std::uint64_t> last = 0;
+        return last;
     }
 
     void onInput(const char *bytes, std::size_t length, const Peer &peer) override
@@ -308,6 +374,7 @@
 
     HttpHandler handler;
     HttpRefused refused;
+    HttpDisconnected disconnected;
     std::size_t bodyLimit;
     std::shared_ptr<Gate> gate;
 };
@@ -339,6 +406,11 @@
     return this->implementation->endpoint.getPort();
 }
 
+int HttpServer::openConnections() const
+{
+    return this->implementation->gate->connections;
+}
+
 void HttpServer::stop()
 {
     if (this->implementation->isStopped.exchange(true)) {
@@ -384,6 +456,12 @@
     return *this;
 }
 
+HttpServerBuilder &HttpServerBuilder::disconnected(HttpDisconnected disconnected)
+{
+    this->disconnectionListener = std::move(disconnected);
+    return *this;
+}
+
 std::unique_ptr<HttpServer> HttpServerBuilder::build()
 {
     using Pistache::Tcp::Options;
@@ -398,7 +476,8 @@
                     .bodyTimeout(IdleTimeout)
                     .keepaliveTimeout(IdleTimeout));
     implementation->endpoint.setHandler(std::make_shared<RequestHandler>(
-            this->requestHandler, this->refusalListener, this->bodyLimit, implementation->gate));
+            this->requestHandler, this->refusalListener, this->disconnectionListener,
+            this->bodyLimit, implementation->gate));
     implementation->endpoint.serveThreaded();
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
 }
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -16,7 +16,11 @@
     std::string method;
     std::string path;
     std::map<std::string, std::string> query;
+    /// By name in lower case; where a name came twice, the last value.
+    std::map<std::string, std::string> headers;
     std::string body;
+    /// Of the connection it came on, never reused within a server.
+    std::uint64_t connection = 0;
 };
 
 struct HttpResponse
@@ -26,6 +30,8 @@
     std::string contentType = "application/json";
     /// Seconds for a Retry-After header; 0 sends none.
     int retryAfterSeconds = 0;
+    /// Ends the connection after this answer, and says so.
+    bool closesConnection = false;
 };
 
 /// The right to answer one request, once, from any thread and at any later time. A reply that is
@@ -48,6 +54,9 @@
 /// Called on one of the server's threads for each request that is refused before the handler.
 using HttpRefused = std::function<void(Schema::Reason)>;
 
+/// Called on one of the server's threads when a connection has ended, with its number.
+using HttpDisconnected = std::function<void(std::uint64_t)>;
+
 /// Serves HTTP on threads of its own from construction to destruction.
 class HttpServer
 {
@@ -59,6 +68,9 @@
     /// The port it listens on, also where 0 was asked for.
     std::uint16_t port() const;
 
+    /// Connections of callers that are open now.
+    int openConnections() const;
+
     /// Stops listening and closes all connections. Answers still owed must have been sent.
     void stop();
 
@@ -78,6 +90,7 @@
     HttpServerBuilder &maxBodyBytes(std::size_t bytes);
     HttpServerBuilder &handler(HttpHandler handler);
     HttpServerBuilder &refused(HttpRefused refused);
+    HttpServerBuilder &disconnected(HttpDisconnected disconnected);
     /// Listens and serves. Throws std::runtime_error where the address cannot be had.
     std::unique_ptr<HttpServer> build();
 
@@ -88,6 +101,7 @@
     std::size_t bodyLimit = 1U << 20U;
     HttpHandler requestHandler;
     HttpRefused refusalListener = [](Schema::Reason) {};
+    HttpDisconnected disconnectionListener = [](std::uint64_t) {};
 };
 
 } // namespace Net
--- /dev/null
+++ b/Source/Core/Runner/Load.cpp
@@ -0,0 +1,111 @@
+#include "Runner/Load.h"
+
+#include <algorithm>
+
+namespace Runner {
+
+namespace {
+
+/// Progress below this says too little of a run's length.
+constexpr int TellingPercent = 20;
+constexpr int WholePercent = 100;
+constexpr std::int64_t ShortestLeftMs = 5;
+
+bool isThere(const Run &run)
+{
+    return run.phase != RunPhase::Queued;
+}
+
+} // namespace
+
+Schema::Resources occupied(const RunnerState &state)
+{
+    Schema::Resources sum{};
+    for (const auto &[id, run] : state.runs) {
+        if (isThere(run)) {
+            sum.processors += run.resources.processors;
+            sum.memoryMb += run.resources.memoryMb;
+            sum.accelerators += run.resources.accelerators;
+        }
+    }
+    return sum;
+}
+
+bool hasRoom(const RunnerState &state, const Schema::Resources &needed)
+{
+    if (!state.backend) {
+        return false;
+    }
+    // Sums of fractions: a millionth of a processor is no more than rounding.
+    constexpr double Rounding = 1e-6;
+    const Schema::Resources used = occupied(state);
+    const Schema::Resources &has = state.backend->resources;
+    return used.processors + needed.processors <= has.processors + Rounding
+           && used.memoryMb + needed.memoryMb <= has.memoryMb
+           && used.accelerators + needed.accelerators <= has.accelerators;
+}
+
+std::int64_t timeLeftMs(const Run &run, Common::Moment now)
+{
+    if (run.phase != RunPhase::Running) {
+        return std::max(run.expectedMs, ShortestLeftMs);
+    }
+    const std::int64_t soFarMs = now.steadyMs - run.startedMs;
+    if (run.percent >= TellingPercent) {
+        return std::max(soFarMs * (WholePercent - run.percent) / run.percent, ShortestLeftMs);
+    }
+    return std::max(run.expectedMs - soFarMs, ShortestLeftMs);
+}
+
+Schema::AgentLoad loadFor(const RunnerState &state, const std::string &gateway, Common::Moment now)
+{
+    Schema::AgentLoad load;
+    load.sentMs = now.steadyMs;
+    double processorMs = 0;
+    for (const auto &[id, run] : state.runs) {
+        load.committedProcessors += run.resources.processors;
+        processorMs += run.resources.processors * static_cast<double>(timeLeftMs(run, now));
+    }
+    if (load.committedProcessors > 0) {
+        load.meanLeftMs = processorMs / load.committedProcessors;
+    }
+    const auto order = state.lastOrders.find(gateway);
+    load.lastOrder = order == state.lastOrders.end() ? 0 : order->second;
+    return load;
+}
+
+bool isAccepting(const RunnerState &state)
+{
+    return state.backend && !state.backend->leaving && state.isClean && state.isAlive
+           && !state.isStopping;
+}
+
+Schema::AgentAnnouncement announcementFor(const RunnerState &state, const std::string &gateway,
+                                          Common::Moment now)
+{
+    Schema::AgentAnnouncement announcement;
+    announcement.instance = state.instance;
+    announcement.name = state.name;
+    announcement.failureDomain = state.failureDomain;
+    announcement.service = state.backend ? state.backend->service : state.service;
+    if (state.backend) {
+        announcement.labels = state.backend->labels;
+        announcement.resources = state.backend->resources;
+    }
+    announcement.accepting = isAccepting(state);
+    for (const auto &[id, run] : state.runs) {
+        if (run.gateway == gateway) {
+            announcement.held.push_back({run.attempt, run.task});
+        }
+    }
+    const auto recent = state.recent.find(gateway);
+    if (recent != state.recent.end()) {
+        for (const RecentEnd &end : recent->second) {
+            announcement.held.push_back({end.state.attempt, end.state.task});
+        }
+    }
+    announcement.load = loadFor(state, gateway, now);
+    return announcement;
+}
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/Load.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Runner/RunnerState.h"
+
+/// How full the backend server is.
+namespace Runner {
+
+/// What the runs that occupy the backend server hold of it: those being stopped count until they
+/// are proven over, those whose start was not answered too.
+Schema::Resources occupied(const RunnerState &state);
+
+bool hasRoom(const RunnerState &state, const Schema::Resources &needed);
+
+/// Time that a run still takes, as far as its progress and the estimate tell.
+std::int64_t timeLeftMs(const Run &run, Common::Moment now);
+
+Schema::AgentLoad loadFor(const RunnerState &state, const std::string &gateway, Common::Moment now);
+
+/// Takes tasks from gateways at present.
+bool isAccepting(const RunnerState &state);
+
+Schema::AgentAnnouncement announcementFor(const RunnerState &state, const std::string &gateway,
+                                          Common::Moment now);
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/RunQueue.cpp
@@ -0,0 +1,56 @@
+#include "Runner/RunQueue.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "Runner/Load.h"
+
+namespace Runner {
+
+namespace {
+
+auto rankOf(const RunnerState &state, RunId id)
+{
+    const Run &run = state.runs.at(id);
+    return std::make_tuple(run.priority, run.targetMs - run.expectedMs, id);
+}
+
+bool hasOtherRun(const RunnerState &state, RunId id)
+{
+    const std::string &task = state.runs.at(id).task;
+    return std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
+        return entry.first != id && entry.second.phase != RunPhase::Queued
+               && entry.second.task == task;
+    });
+}
+
+} // namespace
+
+void enqueue(RunnerState &state, RunId id)
+{
+    const auto rank = rankOf(state, id);
+    const auto place = std::find_if(state.queue.begin(), state.queue.end(),
+                                    [&](RunId other) { return rank < rankOf(state, other); });
+    state.queue.insert(place, id);
+}
+
+void dequeue(RunnerState &state, RunId id)
+{
+    state.queue.erase(std::remove(state.queue.begin(), state.queue.end(), id), state.queue.end());
+}
+
+std::vector<RunId> startable(const RunnerState &state, Common::Moment now)
+{
+    std::vector<RunId> ready;
+    for (const RunId id : state.queue) {
+        const Run &run = state.runs.at(id);
+        const auto grant = state.grants.find(run.gateway);
+        const bool isGranted = grant != state.grants.end() && now.steadyMs < grant->second;
+        if (isGranted && now.steadyMs >= run.notBeforeMs && !hasOtherRun(state, id)) {
+            ready.push_back(id);
+        }
+    }
+    return ready;
+}
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/Runner.cpp
@@ -0,0 +1,287 @@
+#include "Runner/Runner.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "Runner/RunQueue.h"
+#include "Runner/Watch.h"
+
+namespace Runner {
+
+namespace {
+
+using Schema::AttemptPhase;
+using Schema::Reason;
+
+/// Orders that went unanswered have been carried out up to 12 s later: numbers are remembered for
+/// longer than that.
+constexpr std::int64_t NumberMemoryMs = 30'000;
+/// A link that was lost is back, or its gateway counts as lost, well before.
+constexpr std::int64_t RecentMemoryMs = 3000;
+constexpr std::int64_t ForgetEveryMs = 5000;
+
+void append(Effects &effects, Effects more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(effects));
+}
+
+Run makeRun(const std::string &gateway, const Schema::TaskOrders &orders,
+            const Schema::TaskAttempt &attempt, Common::Moment now)
+{
+    Run run;
+    run.gateway = gateway;
+    run.task = attempt.task;
+    run.attempt = attempt.attempt;
+    run.payload = orders.payload;
+    run.resources = orders.resources;
+    run.priority = orders.priority;
+    run.expectedMs = orders.expectedRunMs;
+    run.targetMs = now.steadyMs + orders.targetInMs;
+    run.deadlineMs = now.steadyMs + orders.deadlineInMs;
+    run.orderedMs = now.steadyMs;
+    return run;
+}
+
+void giveBack(Effects &effects, const std::string &gateway, const Schema::TaskAttempt &attempt,
+              AttemptPhase phase, Reason reason)
+{
+    Schema::AttemptState state;
+    state.task = attempt.task;
+    state.attempt = attempt.attempt;
+    state.phase = phase;
+    state.reason = reason;
+    effects.emplace_back(Transient::Note{"order_given_back",
+                                         {{"task", attempt.task},
+                                          {"attempt", std::to_string(attempt.attempt)},
+                                          {"gateway", gateway},
+                                          {"reason", Schema::enumName(reason)}}});
+    effects.emplace_back(ReportAttempt{gateway, state});
+}
+
+void giveBackQueued(RunnerState &state, Effects &effects, Reason reason, Common::Moment now)
+{
+    const std::vector<RunId> queued = state.queue;
+    for (const RunId id : queued) {
+        finishRun(state, effects, id, AttemptPhase::NotStarted, reason, now);
+    }
+}
+
+bool isLate(const RunnerState &state, const Transient::BackendAnnouncement &announcement)
+{
+    return state.backend && state.backend->id == announcement.id
+           && state.backend->startedAtMs == announcement.startedAtMs
+           && announcement.sequence <= state.backend->sequence;
+}
+
+void forgetRecent(RunnerState &state, Common::Moment now)
+{
+    for (auto &[gateway, ends] : state.recent) {
+        while (!ends.empty() && now.steadyMs > ends.front().endedMs + RecentMemoryMs) {
+            ends.pop_front();
+        }
+    }
+}
+
+void forgetNumbers(RunnerState &state, Common::Moment now)
+{
+    if (now.steadyMs < state.forgotNumbersMs + ForgetEveryMs) {
+        return;
+    }
+    state.forgotNumbersMs = now.steadyMs;
+    for (auto entry = state.numbers.begin(); entry != state.numbers.end();) {
+        const bool isOld = now.steadyMs > entry->second.usedMs + NumberMemoryMs;
+        entry = isOld ? state.numbers.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace
+
+Effects backendAnnounced(RunnerState &state, const Transient::BackendAnnouncement &announcement,
+                         Common::Moment now)
+{
+    Effects effects;
+    if (isLate(state, announcement)) {
+        return effects;
+    }
+    const std::optional<Transient::BackendAnnouncement> before = state.backend;
+    const bool wasAccepting = isAccepting(state);
+    state.backend = announcement;
+    const bool isOtherLife = before
+                             && (before->id != announcement.id
+                                 || (announcement.startedAtMs != 0 && before->startedAtMs != 0
+                                     && before->startedAtMs != announcement.startedAtMs));
+    if (isOtherLife || !before) {
+        effects.emplace_back(
+                Transient::Note{"backend_announced",
+                                {{"id", announcement.id},
+                                 {"address", announcement.address},
+                                 {"started_at_ms", std::to_string(announcement.startedAtMs)},
+                                 {"processors", std::to_string(announcement.resources.processors)},
+                                 {"sequence", std::to_string(announcement.sequence)}}});
+    }
+    if (isOtherLife) {
+        state.lastEnd = 0;
+        state.acknowledgedEnd = 0;
+        state.clockOffsetMs.reset();
+        state.isClean = false;
+        state.isAlive = true;
+        loseAll(state, effects, Reason::BackendLost, now);
+    }
+    if (announcement.leaving && (!before || !before->leaving)) {
+        effects.emplace_back(Transient::Note{
+                "backend_leaving",
+                {{"id", announcement.id}, {"queued", std::to_string(state.queue.size())}}});
+        giveBackQueued(state, effects, Reason::AgentDraining, now);
+    }
+    if (isOtherLife || !before || wasAccepting != isAccepting(state)) {
+        effects.emplace_back(Announce{});
+    }
+    return effects;
+}
+
+Effects backendLeft(RunnerState &state, const std::string &id, Common::Moment now)
+{
+    Effects effects;
+    if (!state.backend || state.backend->id != id) {
+        return effects;
+    }
+    effects.emplace_back(Transient::Note{"backend_left", {{"id", id}}});
+    state.backend->leaving = true;
+    giveBackQueued(state, effects, Reason::AgentDraining, now);
+    loseAll(state, effects, Reason::BackendLost, now);
+    effects.emplace_back(Announce{});
+    return effects;
+}
+
+void grantReceived(RunnerState &state, const std::string &gateway, std::int64_t echoMs)
+{
+    if (echoMs == 0) {
+        return;
+    }
+    std::int64_t &until = state.grants[gateway];
+    until = std::max(until, echoMs + state.times.grantMs);
+}
+
+Effects ordersReceived(RunnerState &state, const std::string &gateway,
+                       const Schema::TaskOrders &orders, Common::Moment now)
+{
+    Effects effects;
+    grantReceived(state, gateway, orders.echoMs);
+    state.lastOrders[gateway] = orders.sequence;
+    for (const Schema::TaskAttempt &attempt : orders.tasks) {
+        if (!isAccepting(state)) {
+            giveBack(effects, gateway, attempt, AttemptPhase::NotStarted, Reason::AgentDraining);
+            continue;
+        }
+        const RunId id = ++state.lastRun;
+        state.runs.emplace(id, makeRun(gateway, orders, attempt, now));
+        enqueue(state, id);
+    }
+    return effects;
+}
+
+Effects withdrawReceived(RunnerState &state, const std::string &gateway,
+                         const Schema::WithdrawTasks &withdraw, Common::Moment now)
+{
+    Effects effects;
+    for (const Schema::TaskAttempt &attempt : withdraw.tasks) {
+        const auto found =
+                std::find_if(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
+                    const Run &run = entry.second;
+                    return run.task == attempt.task && run.attempt == attempt.attempt
+                           && run.gateway == gateway;
+                });
+        if (found == state.runs.end()) {
+            // Its end is on the way to the gateway, or was lost with a link.
+            giveBack(effects, gateway, attempt, AttemptPhase::Stopped, Reason::Withdrawn);
+            continue;
+        }
+        const RunId id = found->first;
+        stopRun(state, effects, id, Reason::Withdrawn, now);
+    }
+    return effects;
+}
+
+Effects gatewayLost(RunnerState &state, const std::string &gateway, Common::Moment now)
+{
+    Effects effects;
+    std::vector<RunId> orphaned;
+    for (const auto &[id, run] : state.runs) {
+        if (run.gateway == gateway) {
+            orphaned.push_back(id);
+        }
+    }
+    effects.emplace_back(Transient::Note{
+            "gateway_lost", {{"gateway", gateway}, {"runs", std::to_string(orphaned.size())}}});
+    for (const RunId id : orphaned) {
+        stopRun(state, effects, id, Reason::GatewayLost, now);
+    }
+    state.lastOrders.erase(gateway);
+    state.recent.erase(gateway);
+    state.grants.erase(gateway);
+    return effects;
+}
+
+Effects beginStop(RunnerState &state, Common::Moment now)
+{
+    Effects effects;
+    state.isStopping = true;
+    giveBackQueued(state, effects, Reason::AgentDraining, now);
+    effects.emplace_back(Announce{});
+    return effects;
+}
+
+bool isStopped(const RunnerState &state)
+{
+    return state.runs.empty() && state.acknowledgedEnd >= state.lastEnd;
+}
+
+Effects tick(RunnerState &state, Common::Moment now)
+{
+    Effects effects;
+    std::vector<std::string> lapsed;
+    for (const auto &[gateway, untilMs] : state.grants) {
+        if (now.steadyMs >= untilMs) {
+            lapsed.push_back(gateway);
+        }
+    }
+    for (const std::string &gateway : lapsed) {
+        append(effects, gatewayLost(state, gateway, now));
+    }
+    append(effects, driveStops(state, now));
+    append(effects, startRuns(state, now));
+    append(effects, observeMore(state, now));
+    forgetNumbers(state, now);
+    forgetRecent(state, now);
+    return effects;
+}
+
+std::int64_t nextWakeMs(const RunnerState &state, Common::Moment now)
+{
+    constexpr std::int64_t Idle = 250;
+    std::int64_t next = now.steadyMs + Idle;
+    for (const auto &[id, run] : state.runs) {
+        if (run.phase != RunPhase::Stopping) {
+            next = std::min(next, run.deadlineMs);
+        } else if (run.stopTakenMs == 0 && !run.stopInFlight) {
+            next = std::min(next, run.nextStopMs);
+        }
+        if (run.phase == RunPhase::Queued && run.notBeforeMs > now.steadyMs) {
+            next = std::min(next, run.notBeforeMs);
+        }
+    }
+    for (const auto &[gateway, untilMs] : state.grants) {
+        next = std::min(next, untilMs);
+    }
+    for (const auto &[id, watch] : state.watches) {
+        if (!watch.isOverdue) {
+            next = std::min(next, watch.sentMs + watch.waitMs + state.times.watchGraceMs + 1);
+        }
+    }
+    if (state.nextWatchMs > now.steadyMs) {
+        next = std::min(next, state.nextWatchMs);
+    }
+    return next;
+}
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -0,0 +1,634 @@
+#include "Runner/RunnerDaemon.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <map>
+#include <utility>
+#include <variant>
+
+#include "Common/Common.h"
+#include "Net/Net.h"
+#include "platform/Platform.h"
+#include "Runner/Runner.h"
+#include "Runner/Watch.h"
+#include "StoreClient/StoreClient.h"
+
+namespace Runner {
+
+namespace {
+
+using Common::LogLevel;
+using Common::Moment;
+
+/// A start that has no answer by then is settled by a stop: answers take 3 ms, at times 20.
+constexpr std::int64_t StartTimeoutMs = 150;
+constexpr std::int64_t StopTimeoutMs = 120;
+/// Beyond the wait that an observation asks for.
+constexpr std::int64_t ObserveTimeoutMs = 150;
+constexpr int BackendConnections = 48;
+/// A link that is lost may be back at once, with its gateway alive: what it ordered goes on for so
+/// long. Far below the time after which callers submit again.
+constexpr std::int64_t RelinkMs = 300;
+/// A change of the load by this part of the capacity is told at once, but not more often than the
+/// pause allows.
+constexpr double TellingLoadShare = 0.1;
+constexpr std::int64_t LoadPauseMs = 25;
+/// Without any gateway, the store is asked for their addresses so often.
+constexpr std::int64_t AskStoreMs = 2000;
+
+struct LinkUp
+{
+    Net::LinkId link = 0;
+};
+
+struct LinkDown
+{
+    Net::LinkId link = 0;
+};
+
+struct FrameArrived
+{
+    Net::LinkId link = 0;
+    Schema::Frame frame;
+};
+
+struct BackendSpoke
+{
+    Platform::Registration registration;
+};
+
+struct StartEnded
+{
+    RunId run = 0;
+    std::int64_t number = 0;
+    Transient::StartAnswer answer;
+};
+
+struct StopEnded
+{
+    std::string task;
+    std::int64_t number = 0;
+    bool taken = false;
+};
+
+struct ObserveEnded
+{
+    std::uint64_t watch = 0;
+    Transient::ObserveAnswer answer;
+};
+
+struct GatewaysRead
+{
+    std::vector<Schema::Member> gateways;
+};
+
+struct StopRequested
+{};
+
+using ControlMessage = std::variant<LinkUp, LinkDown, FrameArrived, BackendSpoke, StartEnded,
+                                    StopEnded, ObserveEnded, GatewaysRead, StopRequested>;
+
+/// A link to a gateway, from the dial on.
+struct GatewayLink
+{
+    std::string address;
+    /// Empty until the gateway has announced itself.
+    std::string instance;
+    std::int64_t heardMs = 0;
+    std::int64_t sentMs = 0;
+    double toldProcessors = 0;
+    std::vector<Schema::AttemptState> unsent;
+};
+
+} // namespace
+
+struct RunnerDaemon::Implementation
+{
+    explicit Implementation(Schema::TransientAgentSettings chosen);
+
+    void start();
+    bool run();
+
+    void on(const LinkUp &event);
+    void on(const LinkDown &event);
+    void on(const FrameArrived &event);
+    void on(const BackendSpoke &event);
+    void on(const StartEnded &event);
+    void on(const StopEnded &event);
+    void on(const ObserveEnded &event);
+    void on(const GatewaysRead &event);
+    void on(const StopRequested &event);
+
+    void carryOut(const Effects &effects);
+    void carryOut(const CallStart &effect);
+    void carryOut(const CallStop &effect);
+    void carryOut(const CallObserve &effect);
+    void carryOut(const ReportAttempt &effect);
+    void carryOut(const Announce &effect);
+    void carryOut(const Transient::CountReason &effect);
+    void carryOut(const Transient::Note &effect);
+
+    void gatewayAnnounced(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
+    void announceTo(Net::LinkId id, GatewayLink &link);
+    void passTime();
+    void dialGateways();
+    void dropSilent();
+    void askStore();
+    void sendReports();
+    bool isReportDue(const GatewayLink &link) const;
+    void sendTo(Net::LinkId id, GatewayLink &link, Schema::Frame frame);
+    Net::HttpResponse answerBackend(const Net::HttpRequest &request);
+    Platform::BackendTarget target() const;
+    std::int64_t nextWake() const;
+
+    Schema::TransientAgentSettings settings;
+    RunnerState state;
+    Transient::Discovery discovery;
+    Common::Metrics metrics;
+    Common::Mailbox<ControlMessage> mailbox;
+    Moment now;
+    std::map<Net::LinkId, GatewayLink> links;
+    /// Gateways whose link is gone, and since when.
+    std::map<std::string, std::int64_t> unlinked;
+    /// The process that last announced itself at an address.
+    std::map<std::string, std::string> instanceAt;
+    std::int64_t stopDeadlineMs = 0;
+    std::int64_t askedStoreMs = 0;
+
+    // Last, so that their threads end before what they post to.
+    std::unique_ptr<Net::PeerHub> hub;
+    std::unique_ptr<Net::HttpClient> backend;
+    std::unique_ptr<StoreClient::Client> store;
+    std::unique_ptr<Net::HttpServer> registration;
+    std::unique_ptr<Net::HttpServer> operators;
+};
+
+RunnerDaemon::Implementation::Implementation(Schema::TransientAgentSettings chosen)
+    : settings(std::move(chosen))
+    , discovery(Transient::makeDiscovery({}, this->settings.seeds))
+    , now(Common::currentMoment())
+{
+    Common::Random random = Common::makeRandom();
+    this->state.name = this->settings.name;
+    this->state.instance = this->settings.name + '-' + Common::randomId(random);
+    this->state.failureDomain = this->settings.failureDomain;
+    this->state.service = this->settings.service;
+    this->state.times.leaseMs = this->settings.leaseMs;
+    this->state.times.grantMs = this->settings.silenceMs;
+    // Seconds since the epoch: a later process has a higher fence, so that orders of the former one
+    // that are still on their way do nothing.
+    constexpr std::int64_t MsPerSecond = 1000;
+    this->state.fence = this->now.wallMs / MsPerSecond;
+    this->state.answeredMs = this->now.steadyMs;
+}
+
+void RunnerDaemon::Implementation::start()
+{
+    Net::PeerHubEvents events;
+    events.opened = [this](Net::LinkId link) { this->mailbox.post(LinkUp{link}); };
+    events.closed = [this](Net::LinkId link) { this->mailbox.post(LinkDown{link}); };
+    events.received = [this](Net::LinkId link, Schema::Frame frame) {
+        this->mailbox.post(FrameArrived{link, std::move(frame)});
+    };
+    this->hub = std::make_unique<Net::PeerHub>(std::move(events));
+    this->backend = std::make_unique<Net::HttpClient>(BackendConnections);
+    StoreClient::StoreSettings storeSettings;
+    storeSettings.address = this->settings.storeAddress;
+    storeSettings.metrics = &this->metrics;
+    this->store = std::make_unique<StoreClient::Client>(storeSettings);
+    const Net::Address address = Net::parseAddress(this->settings.registrationAddress);
+    this->registration =
+            Net::HttpServerBuilder()
+                    .listenOn(address.host, address.port)
+                    .handler([this](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        reply.send(this->answerBackend(request));
+                    })
+                    .build();
+    this->operators = Net::serveMetrics(this->settings.host,
+                                        static_cast<std::uint16_t>(this->settings.metricsPort),
+                                        this->metrics);
+}
+
+/// Runs on the HTTP thread. An announcement is acknowledged at once: what follows from it is
+/// decided within milliseconds, and the backend server may call again any time.
+Net::HttpResponse RunnerDaemon::Implementation::answerBackend(const Net::HttpRequest &request)
+{
+    return Common::handle(
+            [&]() -> Common::Outcome<Net::HttpResponse> {
+                BOOST_LEAF_AUTO(registration, Platform::decodeRegistration(request));
+                this->mailbox.post(BackendSpoke{std::move(registration)});
+                return Net::HttpResponse{200, "{}", "application/json", 0, false};
+            },
+            [&](const Common::Failure &failure) {
+                constexpr int BadRequest = 400;
+                this->metrics.count("auburntrail_requests_refused_total",
+                                    {{"reason", Schema::enumName(failure.reason)}});
+                Common::logEvent(LogLevel::Warning, "registration_refused",
+                                 {{"path", request.path}, {"detail", failure.detail}});
+                return Platform::encodeRefusal(BadRequest, failure.detail);
+            });
+}
+
+bool RunnerDaemon::Implementation::run()
+{
+    Common::logEvent(LogLevel::Info, "agent_started",
+                     {{"instance", this->state.instance},
+                      {"service", this->settings.service},
+                      {"seeds", this->settings.seeds.size()},
+                      {"fence", this->state.fence}});
+    while (true) {
+        const std::int64_t waitMs = this->nextWake() - Common::currentMoment().steadyMs;
+        auto messages =
+                this->mailbox.take(std::chrono::milliseconds(std::max<std::int64_t>(waitMs, 0)));
+        this->now = Common::currentMoment();
+        for (const ControlMessage &message : messages) {
+            std::visit([this](const auto &event) { this->on(event); }, message);
+        }
+        this->passTime();
+        if (!this->state.isStopping) {
+            continue;
+        }
+        const bool isDone = isStopped(this->state);
+        if (isDone || this->now.steadyMs >= this->stopDeadlineMs) {
+            return isDone;
+        }
+    }
+}
+
+std::int64_t RunnerDaemon::Implementation::nextWake() const
+{
+    std::int64_t next = nextWakeMs(this->state, this->now);
+    for (const auto &[id, link] : this->links) {
+        if (!link.instance.empty()) {
+            next = std::min(next, link.sentMs + this->settings.heartbeatMs);
+        }
+    }
+    for (const auto &[instance, sinceMs] : this->unlinked) {
+        next = std::min(next, sinceMs + RelinkMs);
+    }
+    return std::min(next, Transient::nextDialMs(this->discovery));
+}
+
+void RunnerDaemon::Implementation::on(const LinkUp &event)
+{
+    const auto found = this->links.find(event.link);
+    if (found != this->links.end()) {
+        found->second.heardMs = this->now.steadyMs;
+    }
+}
+
+void RunnerDaemon::Implementation::on(const LinkDown &event)
+{
+    const auto found = this->links.find(event.link);
+    if (found == this->links.end()) {
+        return;
+    }
+    Transient::dialEnded(this->discovery, found->second.address, this->now);
+    if (!found->second.instance.empty()) {
+        Common::logEvent(LogLevel::Info, "gateway_unlinked", {{"gateway", found->second.instance}});
+        this->unlinked[found->second.instance] = this->now.steadyMs;
+    }
+    this->links.erase(found);
+}
+
+void RunnerDaemon::Implementation::on(const FrameArrived &event)
+{
+    const auto found = this->links.find(event.link);
+    if (found == this->links.end()) {
+        return;
+    }
+    GatewayLink &link = found->second;
+    link.heardMs = this->now.steadyMs;
+    const Schema::Frame &frame = event.frame;
+    if (frame.gatewayAnnouncement) {
+        this->gatewayAnnounced(event.link, *frame.gatewayAnnouncement);
+    } else if (link.instance.empty()) {
+        Common::logEvent(LogLevel::Warning, "frame_unexpected",
+                         {{"type", Schema::enumName(frame.type)}});
+    } else if (frame.taskOrders) {
+        this->carryOut(ordersReceived(this->state, link.instance, *frame.taskOrders, this->now));
+    } else if (frame.withdrawTasks) {
+        this->carryOut(
+                withdrawReceived(this->state, link.instance, *frame.withdrawTasks, this->now));
+    }
+}
+
+void RunnerDaemon::Implementation::gatewayAnnounced(Net::LinkId id,
+                                                    const Schema::GatewayAnnouncement &announcement)
+{
+    for (const Schema::Member &other : announcement.others) {
+        Transient::gatewayTold(this->discovery, Transient::addressOf(other), this->now);
+    }
+    GatewayLink &link = this->links.at(id);
+    if (!link.instance.empty()) {
+        grantReceived(this->state, link.instance, announcement.echoMs);
+        return;
+    }
+    link.instance = announcement.gateway.instance;
+    Transient::gatewayLinked(this->discovery, link.address, this->now);
+    std::string &lastHere = this->instanceAt[link.address];
+    if (!lastHere.empty() && lastHere != link.instance) {
+        this->unlinked.erase(lastHere);
+        this->carryOut(gatewayLost(this->state, lastHere, this->now));
+    }
+    lastHere = link.instance;
+    this->unlinked.erase(link.instance);
+    Common::logEvent(LogLevel::Info, "gateway_linked",
+                     {{"gateway", link.instance}, {"address", link.address}});
+    this->announceTo(id, link);
+    const auto recent = this->state.recent.find(link.instance);
+    if (recent != this->state.recent.end()) {
+        for (const RecentEnd &end : recent->second) {
+            link.unsent.push_back(end.state);
+        }
+    }
+}
+
+void RunnerDaemon::Implementation::announceTo(Net::LinkId id, GatewayLink &link)
+{
+    Schema::Frame frame;
+    frame.type = Schema::FrameType::AgentAnnouncement;
+    frame.agentAnnouncement = announcementFor(this->state, link.instance, this->now);
+    link.toldProcessors = frame.agentAnnouncement->load.committedProcessors;
+    this->sendTo(id, link, std::move(frame));
+}
+
+void RunnerDaemon::Implementation::sendTo(Net::LinkId id, GatewayLink &link, Schema::Frame frame)
+{
+    link.sentMs = this->now.steadyMs;
+    if (!this->hub->send(id, frame)) {
+        // What the frame said is told again on the next link.
+        this->metrics.count("auburntrail_frames_undeliverable_total", {{"to", "gateway"}});
+        this->hub->close(id);
+    }
+}
+
+void RunnerDaemon::Implementation::on(const BackendSpoke &event)
+{
+    const Platform::Registration &registration = event.registration;
+    if (registration.kind == Platform::RegistrationKind::Leave) {
+        this->carryOut(backendLeft(this->state, registration.id, this->now));
+        return;
+    }
+    this->carryOut(backendAnnounced(this->state, registration.announcement, this->now));
+}
+
+void RunnerDaemon::Implementation::on(const StartEnded &event)
+{
+    this->carryOut(startAnswered(this->state, event.run, event.number, event.answer, this->now));
+}
+
+void RunnerDaemon::Implementation::on(const StopEnded &event)
+{
+    this->carryOut(stopAnswered(this->state, event.task, event.number, event.taken, this->now));
+}
+
+void RunnerDaemon::Implementation::on(const ObserveEnded &event)
+{
+    this->carryOut(observed(this->state, event.watch, event.answer, this->now));
+}
+
+void RunnerDaemon::Implementation::on(const GatewaysRead &event)
+{
+    for (const Schema::Member &gateway : event.gateways) {
+        Transient::gatewayTold(this->discovery, Transient::addressOf(gateway), this->now);
+    }
+}
+
+void RunnerDaemon::Implementation::on(const StopRequested & /*event*/)
+{
+    if (this->state.isStopping) {
+        return;
+    }
+    Common::logEvent(LogLevel::Info, "stop_requested",
+                     {{"runs", this->state.runs.size()}, {"queued", this->state.queue.size()}});
+    this->stopDeadlineMs = this->now.steadyMs + this->settings.stopTimeoutMs;
+    this->carryOut(beginStop(this->state, this->now));
+}
+
+void RunnerDaemon::Implementation::carryOut(const Effects &effects)
+{
+    for (const Effect &effect : effects) {
+        std::visit([this](const auto &one) { this->carryOut(one); }, effect);
+    }
+}
+
+Platform::BackendTarget RunnerDaemon::Implementation::target() const
+{
+    Platform::BackendTarget target;
+    target.address = this->settings.backendAddress;
+    if (this->state.backend) {
+        target.address = this->state.backend->address;
+        target.id = this->state.backend->id;
+    }
+    return target;
+}
+
+void RunnerDaemon::Implementation::carryOut(const CallStart &effect)
+{
+    Net::HttpCall call = Platform::startCall(this->target(), effect.start);
+    call.timeoutMs = StartTimeoutMs;
+    call.connectTimeoutMs = StartTimeoutMs;
+    this->backend->send(std::move(call), [this, run = effect.run, number = effect.start.number](
+                                                 const Net::HttpResult &result) {
+        this->mailbox.post(StartEnded{run, number, Platform::decodeStart(result)});
+    });
+}
+
+void RunnerDaemon::Implementation::carryOut(const CallStop &effect)
+{
+    Net::HttpCall call =
+            Platform::stopCall(this->target(), effect.task, effect.number, this->state.fence);
+    call.timeoutMs = StopTimeoutMs;
+    call.connectTimeoutMs = StopTimeoutMs;
+    this->backend->send(std::move(call), [this, task = effect.task,
+                                          number = effect.number](const Net::HttpResult &result) {
+        this->mailbox.post(StopEnded{task, number, Platform::decodeStop(result)});
+    });
+}
+
+void RunnerDaemon::Implementation::carryOut(const CallObserve &effect)
+{
+    Platform::ObserveRequest request;
+    request.fence = this->state.fence;
+    request.lastEnd = effect.lastEnd;
+    request.leaseUntilMs = effect.leaseUntilMs;
+    request.waitMs = effect.waitMs;
+    Net::HttpCall call = Platform::observeCall(this->target(), request);
+    call.timeoutMs = effect.waitMs + ObserveTimeoutMs;
+    call.connectTimeoutMs = ObserveTimeoutMs;
+    this->backend->send(
+            std::move(call), [this, watch = effect.watch](const Net::HttpResult &result) {
+                this->mailbox.post(ObserveEnded{watch, Platform::decodeObservation(result)});
+            });
+}
+
+void RunnerDaemon::Implementation::carryOut(const ReportAttempt &effect)
+{
+    this->metrics.count("auburntrail_runner_attempts_total",
+                        {{"phase", Schema::enumName(effect.state.phase)},
+                         {"reason", Schema::enumName(effect.state.reason)}});
+    for (auto &[id, link] : this->links) {
+        if (link.instance == effect.gateway) {
+            link.unsent.push_back(effect.state);
+            return;
+        }
+    }
+}
+
+void RunnerDaemon::Implementation::carryOut(const Announce & /*effect*/)
+{
+    for (auto &[id, link] : this->links) {
+        if (!link.instance.empty()) {
+            this->announceTo(id, link);
+        }
+    }
+}
+
+void RunnerDaemon::Implementation::carryOut(const Transient::CountReason &effect)
+{
+    this->metrics.count(effect.counter, {{"reason", Schema::enumName(effect.reason)}});
+}
+
+void RunnerDaemon::Implementation::carryOut(const Transient::Note &effect)
+{
+    Common::logEvent(LogLevel::Info, effect.event, effect.fields);
+}
+
+void RunnerDaemon::Implementation::passTime()
+{
+    this->carryOut(tick(this->state, this->now));
+    this->dropSilent();
+    this->dialGateways();
+    this->askStore();
+    this->sendReports();
+}
+
+void RunnerDaemon::Implementation::dialGateways()
+{
+    for (const std::string &address : Transient::gatewaysToDial(this->discovery, this->now)) {
+        const Net::Address target = Net::parseAddress(address);
+        const Net::LinkId id =
+                this->hub->connect(target.host, target.port, this->settings.silenceMs);
+        GatewayLink link;
+        link.address = address;
+        link.heardMs = this->now.steadyMs;
+        this->links.emplace(id, std::move(link));
+    }
+}
+
+void RunnerDaemon::Implementation::dropSilent()
+{
+    for (const auto &[id, link] : this->links) {
+        if (this->now.steadyMs > link.heardMs + this->settings.silenceMs) {
+            // Gateways beat three times as often: the connection or the gateway is dead.
+            this->hub->close(id);
+        }
+    }
+    for (auto entry = this->unlinked.begin(); entry != this->unlinked.end();) {
+        if (this->now.steadyMs < entry->second + RelinkMs) {
+            ++entry;
+            continue;
+        }
+        this->carryOut(gatewayLost(this->state, entry->first, this->now));
+        entry = this->unlinked.erase(entry);
+    }
+}
+
+void RunnerDaemon::Implementation::askStore()
+{
+    const bool hasGateway =
+            std::any_of(this->links.begin(), this->links.end(),
+                        [](const auto &entry) { return !entry.second.instance.empty(); });
+    if (hasGateway || this->now.steadyMs < this->askedStoreMs + AskStoreMs) {
+        return;
+    }
+    this->askedStoreMs = this->now.steadyMs;
+    this->store->readOnce(Platform::StoreTopic::Gateways,
+                          [this](const StoreClient::StoreNews &news) {
+                              GatewaysRead read;
+                              for (const Platform::StoreRecord &record : news.records) {
+                                  const auto member = Platform::decodeMember(record.value);
+                                  if (member) {
+                                      read.gateways.push_back(*member);
+                                  }
+                              }
+                              this->mailbox.post(std::move(read));
+                          });
+}
+
+bool RunnerDaemon::Implementation::isReportDue(const GatewayLink &link) const
+{
+    if (!link.unsent.empty() || this->now.steadyMs >= link.sentMs + this->settings.heartbeatMs) {
+        return true;
+    }
+    if (!this->state.backend || this->now.steadyMs < link.sentMs + LoadPauseMs) {
+        return false;
+    }
+    double processors = 0;
+    for (const auto &[id, run] : this->state.runs) {
+        processors += run.resources.processors;
+    }
+    const double change = std::abs(processors - link.toldProcessors);
+    return change > this->state.backend->resources.processors * TellingLoadShare;
+}
+
+void RunnerDaemon::Implementation::sendReports()
+{
+    for (auto &[id, link] : this->links) {
+        if (link.instance.empty() || !this->isReportDue(link)) {
+            continue;
+        }
+        Schema::Frame frame;
+        frame.type = Schema::FrameType::AgentReport;
+        frame.agentReport = Schema::AgentReport{};
+        frame.agentReport->load = loadFor(this->state, link.instance, this->now);
+        frame.agentReport->states = std::move(link.unsent);
+        link.unsent.clear();
+        link.toldProcessors = frame.agentReport->load.committedProcessors;
+        this->sendTo(id, link, std::move(frame));
+    }
+}
+
+RunnerDaemon::RunnerDaemon(std::unique_ptr<Implementation> implementation)
+    : implementation(std::move(implementation))
+{}
+
+RunnerDaemon::~RunnerDaemon()
+{
+    this->implementation->registration->stop();
+    this->implementation->operators->stop();
+    this->implementation->store->stop();
+    this->implementation->hub->stop();
+}
+
+std::uint16_t RunnerDaemon::metricsPort() const
+{
+    return this->implementation->operators->port();
+}
+
+void RunnerDaemon::requestStop()
+{
+    this->implementation->mailbox.post(StopRequested{});
+}
+
+bool RunnerDaemon::run()
+{
+    return this->implementation->run();
+}
+
+RunnerDaemonBuilder &RunnerDaemonBuilder::settings(Schema::TransientAgentSettings settings)
+{
+    this->chosen = std::move(settings);
+    return *this;
+}
+
+std::unique_ptr<RunnerDaemon> RunnerDaemonBuilder::build()
+{
+    auto implementation = std::make_unique<RunnerDaemon::Implementation>(this->chosen);
+    implementation->start();
+    return std::unique_ptr<RunnerDaemon>(new RunnerDaemon(std::move(implementation)));
+}
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/RunnerState.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "Common/Common.h"
+#include "Schema/Schema.h"
+#include "Transient/Transient.h"
+
+/// An agent of transient jobs: the one arbiter of its backend server. It alone starts, stops and
+/// renews, knows the room to the millisecond and holds the queue before it, in which the tasks of
+/// all gateways stand by their urgency.
+namespace Runner {
+
+using RunId = std::uint64_t;
+
+enum class RunPhase {
+    Queued,
+    /// The start was sent and not answered.
+    Starting,
+    Running,
+    /// Not wanted any more, or its start was not answered: being stopped until proven over.
+    Stopping
+};
+
+constexpr Common::NameTable<RunPhase, 4> RunPhaseNames{{{RunPhase::Queued, "queued"},
+                                                        {RunPhase::Starting, "starting"},
+                                                        {RunPhase::Running, "running"},
+                                                        {RunPhase::Stopping, "stopping"}}};
+
+/// One attempt at a task, from the order to its end.
+struct Run
+{
+    /// Instance of the gateway that ordered it.
+    std::string gateway;
+    std::string task;
+    std::int64_t attempt = 0;
+    std::string payload;
+    Schema::Resources resources;
+    std::int64_t priority = 0;
+    std::int64_t expectedMs = 0;
+    /// Steady clock.
+    std::int64_t targetMs = 0;
+    std::int64_t deadlineMs = 0;
+    std::int64_t orderedMs = 0;
+    std::int64_t notBeforeMs = 0;
+
+    RunPhase phase = RunPhase::Queued;
+    /// Of the run at the backend server.
+    std::int64_t number = 0;
+    std::int64_t startSentMs = 0;
+    std::int64_t startedMs = 0;
+    int startTries = 0;
+    int percent = 0;
+    /// Observations sent after its start that did not show it.
+    int missed = 0;
+
+    Schema::Reason stopReason = Schema::Reason::None;
+    bool stopInFlight = false;
+    std::int64_t nextStopMs = 0;
+    /// When the backend server had taken the stop in; 0 before.
+    std::int64_t stopTakenMs = 0;
+};
+
+/// Call the backend server; each comes back through the function of its name.
+struct CallStart
+{
+    RunId run = 0;
+    Transient::RunStart start;
+};
+
+struct CallStop
+{
+    std::string task;
+    std::int64_t number = 0;
+};
+
+struct CallObserve
+{
+    std::uint64_t watch = 0;
+    std::int64_t lastEnd = 0;
+    std::int64_t leaseUntilMs = 0;
+    std::int64_t waitMs = 0;
+};
+
+struct ReportAttempt
+{
+    std::string gateway;
+    Schema::AttemptState state;
+};
+
+/// Every gateway has to be told anew what this agent is.
+struct Announce
+{};
+
+using Effect = std::variant<CallStart, CallStop, CallObserve, ReportAttempt, Announce,
+                            Transient::CountReason, Transient::Note>;
+using Effects = std::vector<Effect>;
+
+/// One observation that was asked for.
+struct Watch
+{
+    std::int64_t sentMs = 0;
+    std::int64_t waitMs = 0;
+    /// That it acknowledges.
+    std::int64_t lastEnd = 0;
+    bool isOverdue = false;
+};
+
+struct RunnerTimes
+{
+    /// That each renewal grants.
+    std::int64_t leaseMs = 700;
+    /// How long an observation waits for an end: a third of the lease, since it renews as well.
+    std::int64_t watchMs = 200;
+    /// An observation that has not come back so long after its wait is followed by another one on
+    /// another connection: answers that were lost would otherwise hide every end meanwhile.
+    std::int64_t watchGraceMs = 40;
+    std::int64_t stopRetryMs = 120;
+    /// How long a gateway's grant lasts.
+    std::int64_t grantMs = 800;
+};
+
+struct KnownNumber
+{
+    std::int64_t number = 0;
+    std::int64_t usedMs = 0;
+};
+
+struct RecentEnd
+{
+    Schema::AttemptState state;
+    std::int64_t endedMs = 0;
+};
+
+struct RunnerState
+{
+    std::string name;
+    std::string instance;
+    std::string failureDomain;
+    std::string service;
+    RunnerTimes times;
+
+    /// What the backend server said of itself last.
+    std::optional<Transient::BackendAnnouncement> backend;
+    /// Its clock minus ours, as the last answer showed.
+    std::optional<std::int64_t> clockOffsetMs;
+    std::int64_t fence = 0;
+    /// What ran when this process started is over.
+    bool isClean = false;
+    bool isStopping = false;
+    /// The backend server answers.
+    bool isAlive = true;
+    std::int64_t answeredMs = 0;
+
+    RunId lastRun = 0;
+    std::map<RunId, Run> runs;
+    /// Runs in the order they should start.
+    std::vector<RunId> queue;
+    /// Highest run number used of each task: a task may come back, also through another gateway.
+    std::unordered_map<std::string, KnownNumber> numbers;
+
+    std::uint64_t lastWatch = 0;
+    std::map<std::uint64_t, Watch> watches;
+    std::int64_t lastEnd = 0;
+    std::int64_t acknowledgedEnd = 0;
+    /// Observations are made more often for a while after one was lost.
+    std::int64_t lossyUntilMs = 0;
+    std::int64_t nextWatchMs = 0;
+    /// Runs that the backend server shows and nobody here wants: next time to stop them.
+    std::map<std::pair<std::string, std::int64_t>, std::int64_t> strays;
+    std::int64_t forgotNumbersMs = 0;
+
+    /// By the gateway's instance: until when this agent may act for it. A gateway repeats the time
+    /// at which the agent wrote what it heard last; from that time on the grant counts. So an agent
+    /// that was frozen, and finds old orders in its sockets, starts none of them.
+    std::map<std::string, std::int64_t> grants;
+    /// By the gateway's instance: sequence of the last order that came.
+    std::map<std::string, std::int64_t> lastOrders;
+    /// By the gateway's instance: ends that it was told of lately. They are told again on a new
+    /// link, since the frame may have been lost with the old one.
+    std::map<std::string, std::deque<RecentEnd>> recent;
+};
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/Runs.cpp
@@ -0,0 +1,282 @@
+#include "Runner/Runs.h"
+
+#include <algorithm>
+
+#include "Runner/Load.h"
+#include "Runner/RunQueue.h"
+
+namespace Runner {
+
+namespace {
+
+using Schema::AttemptPhase;
+using Schema::Reason;
+using Transient::StartOutcome;
+
+constexpr const char *StartCounter = "auburntrail_runner_starts_total";
+/// Tries at finding a run number that the backend server takes: each skips twice as many, so that
+/// these pass any number that a day of resubmissions can have used.
+constexpr int MostStartTries = 10;
+/// The backend server's room is not what it seems here, or a stop is still under way: 50 ms is the
+/// longest that one takes.
+constexpr std::int64_t RoomPauseMs = 50;
+/// A fence that was too low is raised by an hour of seconds: more than clocks are ever wrong by.
+constexpr std::int64_t FenceStep = 3600;
+
+Transient::Note runNote(const char *event, const Run &run, Common::Moment now,
+                        std::vector<std::pair<std::string, std::string>> more)
+{
+    Transient::Note note{event,
+                         {{"task", run.task},
+                          {"attempt", std::to_string(run.attempt)},
+                          {"run", std::to_string(run.number)},
+                          {"gateway", run.gateway},
+                          {"waited_ms", std::to_string(now.steadyMs - run.orderedMs)}}};
+    note.fields.insert(note.fields.end(), more.begin(), more.end());
+    return note;
+}
+
+void requeue(RunnerState &state, RunId id, std::int64_t notBeforeMs)
+{
+    Run &run = state.runs.at(id);
+    run.phase = RunPhase::Queued;
+    run.notBeforeMs = notBeforeMs;
+    enqueue(state, id);
+}
+
+std::int64_t nextNumber(const RunnerState &state, const Run &run)
+{
+    const auto known = state.numbers.find(run.task);
+    const std::int64_t above = known == state.numbers.end() ? 0 : known->second.number;
+    return std::max(above + 1, run.attempt);
+}
+
+CallStart beginStart(RunnerState &state, RunId id, Common::Moment now)
+{
+    Run &run = state.runs.at(id);
+    run.phase = RunPhase::Starting;
+    run.number = nextNumber(state, run);
+    run.startSentMs = now.steadyMs;
+    run.missed = 0;
+    ++run.startTries;
+    state.numbers[run.task] = {run.number, now.steadyMs};
+    CallStart call;
+    call.run = id;
+    call.start.task = run.task;
+    call.start.number = run.number;
+    call.start.payload = run.payload;
+    call.start.leaseUntilMs = leaseUntilMs(state, now);
+    call.start.fence = state.fence;
+    return call;
+}
+
+void skipNumbers(RunnerState &state, const Run &run, Common::Moment now)
+{
+    KnownNumber &known = state.numbers[run.task];
+    known.number = std::max(known.number, run.number) + (std::int64_t{1} << run.startTries);
+    known.usedMs = now.steadyMs;
+}
+
+void startedNow(RunnerState &state, Effects &effects, RunId id, Common::Moment now)
+{
+    Run &run = state.runs.at(id);
+    run.phase = RunPhase::Running;
+    run.startedMs = run.startSentMs;
+    effects.emplace_back(runNote("run_started", run, now,
+                                 {{"tries", std::to_string(run.startTries)},
+                                  {"answer_ms", std::to_string(now.steadyMs - run.startSentMs)}}));
+}
+
+/// The backend server has said that it did nothing.
+void startDenied(RunnerState &state, Effects &effects, RunId id, StartOutcome outcome,
+                 Common::Moment now)
+{
+    Run &run = state.runs.at(id);
+    effects.emplace_back(
+            runNote("start_denied", run, now,
+                    {{"why", std::string(Common::nameOf(Transient::StartOutcomeNames, outcome))}}));
+    const bool triesLeft = run.startTries < MostStartTries;
+    switch (outcome) {
+    case StartOutcome::NumberUsed:
+        skipNumbers(state, run, now);
+        break;
+    case StartOutcome::Fenced:
+        state.fence += FenceStep;
+        break;
+    case StartOutcome::NoRoom:
+        if (triesLeft) {
+            requeue(state, id, now.steadyMs + RoomPauseMs);
+            return;
+        }
+        break;
+    case StartOutcome::LeaseTooShort:
+        break;
+    default:
+        finishRun(state, effects, id, AttemptPhase::NotStarted, Reason::BackendRefused, now);
+        return;
+    }
+    if (triesLeft) {
+        requeue(state, id, now.steadyMs);
+        return;
+    }
+    finishRun(state, effects, id, AttemptPhase::NotStarted,
+              outcome == StartOutcome::NoRoom ? Reason::NoRoom : Reason::BackendRefused, now);
+}
+
+} // namespace
+
+void clockSeen(RunnerState &state, std::int64_t clockMs, Common::Moment now)
+{
+    state.clockOffsetMs = clockMs - now.steadyMs;
+    state.answeredMs = now.steadyMs;
+}
+
+std::int64_t leaseUntilMs(const RunnerState &state, Common::Moment now)
+{
+    return state.clockOffsetMs ? now.steadyMs + *state.clockOffsetMs + state.times.leaseMs : 0;
+}
+
+void finishRun(RunnerState &state, Effects &effects, RunId id, AttemptPhase phase, Reason reason,
+               Common::Moment now)
+{
+    const Run run = state.runs.at(id);
+    Schema::AttemptState ended;
+    ended.task = run.task;
+    ended.attempt = run.attempt;
+    ended.phase = phase;
+    ended.reason = reason;
+    ended.runMs = run.startedMs == 0 ? 0 : now.steadyMs - run.startedMs;
+    effects.emplace_back(runNote("run_ended", run, now,
+                                 {{"phase", Schema::enumName(phase)},
+                                  {"reason", Schema::enumName(reason)},
+                                  {"run_ms", std::to_string(ended.runMs)}}));
+    effects.emplace_back(ReportAttempt{run.gateway, ended});
+    state.recent[run.gateway].push_back({ended, now.steadyMs});
+    dequeue(state, id);
+    state.runs.erase(id);
+}
+
+Effects startRuns(RunnerState &state, Common::Moment now)
+{
+    Effects effects;
+    if (!state.isClean || state.isStopping || !state.isAlive || !state.clockOffsetMs) {
+        return effects;
+    }
+    for (const RunId id : startable(state, now)) {
+        const Run &run = state.runs.at(id);
+        if (!hasRoom(state, run.resources)) {
+            // Nothing overtakes: a wide task would otherwise wait for as long as narrow ones come.
+            break;
+        }
+        dequeue(state, id);
+        effects.emplace_back(beginStart(state, id, now));
+    }
+    return effects;
+}
+
+Effects startAnswered(RunnerState &state, RunId id, std::int64_t number,
+                      const Transient::StartAnswer &answer, Common::Moment now)
+{
+    Effects effects;
+    if (answer.clockMs) {
+        clockSeen(state, *answer.clockMs, now);
+    }
+    const auto found = state.runs.find(id);
+    if (found == state.runs.end() || found->second.number != number) {
+        return effects;
+    }
+    Run &run = found->second;
+    effects.emplace_back(Transient::CountReason{
+            StartCounter + std::string("_")
+                    + std::string(Common::nameOf(Transient::StartOutcomeNames, answer.outcome)),
+            Reason::None});
+    if (run.phase != RunPhase::Starting) {
+        return effects;
+    }
+    switch (answer.outcome) {
+    case StartOutcome::Started:
+        startedNow(state, effects, id, now);
+        break;
+    case StartOutcome::Unanswered:
+        stopRun(state, effects, id, Reason::StartUnanswered, now);
+        break;
+    default:
+        startDenied(state, effects, id, answer.outcome, now);
+    }
+    return effects;
+}
+
+void stopRun(RunnerState &state, Effects &effects, RunId id, Reason reason, Common::Moment now)
+{
+    Run &run = state.runs.at(id);
+    if (run.phase == RunPhase::Queued) {
+        finishRun(state, effects, id, AttemptPhase::NotStarted, reason, now);
+        return;
+    }
+    if (run.phase == RunPhase::Stopping) {
+        return;
+    }
+    effects.emplace_back(runNote("run_stopping", run, now,
+                                 {{"reason", Schema::enumName(reason)},
+                                  {"phase", std::string(Common::nameOf(RunPhaseNames, run.phase))},
+                                  {"percent", std::to_string(run.percent)}}));
+    run.phase = RunPhase::Stopping;
+    run.stopReason = reason;
+    run.nextStopMs = now.steadyMs;
+}
+
+Effects stopAnswered(RunnerState &state, const std::string &task, std::int64_t number, bool taken,
+                     Common::Moment now)
+{
+    for (auto &[id, run] : state.runs) {
+        if (run.task != task || run.number != number || run.phase != RunPhase::Stopping) {
+            continue;
+        }
+        run.stopInFlight = false;
+        if (taken && run.stopTakenMs == 0) {
+            run.stopTakenMs = now.steadyMs;
+            // The next observation proves whether anything of it is left.
+            state.nextWatchMs = now.steadyMs;
+        }
+        run.nextStopMs = now.steadyMs + state.times.stopRetryMs;
+    }
+    return {};
+}
+
+Effects driveStops(RunnerState &state, Common::Moment now)
+{
+    Effects effects;
+    std::vector<RunId> overdue;
+    for (const auto &[id, run] : state.runs) {
+        if (run.phase != RunPhase::Stopping && now.steadyMs >= run.deadlineMs) {
+            overdue.push_back(id);
+        }
+    }
+    for (const RunId id : overdue) {
+        stopRun(state, effects, id, Reason::DeadlinePassed, now);
+    }
+    for (auto &[id, run] : state.runs) {
+        const bool isDue = run.phase == RunPhase::Stopping && run.stopTakenMs == 0
+                           && !run.stopInFlight && now.steadyMs >= run.nextStopMs;
+        if (isDue) {
+            run.stopInFlight = true;
+            effects.emplace_back(CallStop{run.task, run.number});
+        }
+    }
+    return effects;
+}
+
+void loseAll(RunnerState &state, Effects &effects, Reason reason, Common::Moment now)
+{
+    std::vector<RunId> lost;
+    for (const auto &[id, run] : state.runs) {
+        if (run.phase != RunPhase::Queued) {
+            lost.push_back(id);
+        }
+    }
+    for (const RunId id : lost) {
+        finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
+    }
+}
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/Runs.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Runner/RunnerState.h"
+
+/// The life of one run at the backend server.
+namespace Runner {
+
+/// Starts what has room now.
+Effects startRuns(RunnerState &state, Common::Moment now);
+
+Effects startAnswered(RunnerState &state, RunId id, std::int64_t number,
+                      const Transient::StartAnswer &answer, Common::Moment now);
+Effects stopAnswered(RunnerState &state, const std::string &task, std::int64_t number, bool taken,
+                     Common::Moment now);
+
+/// Ends the run for good and tells its gateway.
+void finishRun(RunnerState &state, Effects &effects, RunId id, Schema::AttemptPhase phase,
+               Schema::Reason reason, Common::Moment now);
+
+/// The run is not wanted any more, or has to be settled.
+void stopRun(RunnerState &state, Effects &effects, RunId id, Schema::Reason reason,
+             Common::Moment now);
+
+/// Stops that are due, and runs past their deadline.
+Effects driveStops(RunnerState &state, Common::Moment now);
+
+/// Nothing that was started can be running any more.
+void loseAll(RunnerState &state, Effects &effects, Schema::Reason reason, Common::Moment now);
+
+/// On the backend server's clock; 0 while that is not known.
+std::int64_t leaseUntilMs(const RunnerState &state, Common::Moment now);
+void clockSeen(RunnerState &state, std::int64_t clockMs, Common::Moment now);
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/Watch.cpp
@@ -0,0 +1,289 @@
+#include "Runner/Watch.h"
+
+#include <algorithm>
+
+#include "Runner/Runs.h"
+
+namespace Runner {
+
+namespace {
+
+using Schema::AttemptPhase;
+using Schema::Reason;
+using Transient::ObserveOutcome;
+using Transient::RunEnd;
+
+/// Calls at a time: two that hang and one that works.
+constexpr std::size_t MostWatches = 3;
+/// After a lost answer: one more in twenty is likely lost, too, and each hides ends for as long.
+constexpr std::int64_t LossyMs = 3000;
+constexpr std::int64_t LossyWatchMs = 60;
+/// Runs missing from so many observations in a row that were asked for after they had started are
+/// gone.
+constexpr int MostMissed = 2;
+constexpr std::int64_t StrayRetryMs = 150;
+/// Between observations that failed at once.
+constexpr std::int64_t FailedPauseMs = 50;
+constexpr std::int64_t FenceStep = 3600;
+
+bool isWatchNeeded(const RunnerState &state)
+{
+    return !state.isClean || state.acknowledgedEnd < state.lastEnd
+           || std::any_of(state.runs.begin(), state.runs.end(),
+                          [](const auto &entry) { return entry.second.phase != RunPhase::Queued; });
+}
+
+Run *findRun(RunnerState &state, const std::string &task, std::int64_t number, RunId &id)
+{
+    for (auto &[key, run] : state.runs) {
+        if (run.phase != RunPhase::Queued && run.number == number && run.task == task) {
+            id = key;
+            return &run;
+        }
+    }
+    return nullptr;
+}
+
+void takeEnd(RunnerState &state, Effects &effects, const Transient::EndedRun &end,
+             Common::Moment now)
+{
+    if (end.position <= state.lastEnd) {
+        return;
+    }
+    state.lastEnd = end.position;
+    RunId id = 0;
+    const Run *run = findRun(state, end.task, end.number, id);
+    if (run == nullptr) {
+        return;
+    }
+    switch (end.end) {
+    case RunEnd::Succeeded:
+        finishRun(state, effects, id, AttemptPhase::Succeeded, Reason::None, now);
+        break;
+    case RunEnd::Failed:
+        finishRun(state, effects, id, AttemptPhase::Failed, Reason::TaskFailed, now);
+        break;
+    default: {
+        const Reason reason =
+                run->phase == RunPhase::Stopping ? run->stopReason : Reason::LeaseLapsed;
+        finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
+    }
+    }
+}
+
+void stopStray(RunnerState &state, Effects &effects, const Transient::ActiveRun &active,
+               Common::Moment now)
+{
+    std::int64_t &nextMs = state.strays[{active.task, active.number}];
+    if (now.steadyMs < nextMs) {
+        return;
+    }
+    nextMs = now.steadyMs + StrayRetryMs;
+    effects.emplace_back(Transient::Note{"stray_run_stopped",
+                                         {{"task", active.task},
+                                          {"run", std::to_string(active.number)},
+                                          {"percent", std::to_string(active.percent)}}});
+    effects.emplace_back(CallStop{active.task, active.number});
+}
+
+void takeActive(RunnerState &state, Effects &effects, const Transient::Observation &seen,
+                Common::Moment now)
+{
+    for (const Transient::ActiveRun &active : seen.active) {
+        RunId id = 0;
+        Run *run = findRun(state, active.task, active.number, id);
+        if (run == nullptr) {
+            stopStray(state, effects, active, now);
+            continue;
+        }
+        run->percent = active.percent;
+    }
+    // Late starts of an hour ago need not be remembered.
+    if (seen.active.empty()) {
+        state.strays.clear();
+    }
+}
+
+bool isActive(const Transient::Observation &seen, const Run &run)
+{
+    return std::any_of(seen.active.begin(), seen.active.end(),
+                       [&run](const Transient::ActiveRun &active) {
+                           return active.number == run.number && active.task == run.task;
+                       });
+}
+
+/// Runs that the backend server does not show any more, though it was asked after they had started
+/// or after it had taken their stop in.
+void settleMissing(RunnerState &state, Effects &effects, const Transient::Observation &seen,
+                   std::int64_t sentMs, Common::Moment now)
+{
+    std::vector<RunId> gone;
+    for (auto &[id, run] : state.runs) {
+        if (isActive(seen, run)) {
+            run.missed = 0;
+            continue;
+        }
+        const bool isStopped = run.phase == RunPhase::Stopping && run.stopTakenMs != 0
+                               && sentMs >= run.stopTakenMs;
+        const bool isMissing = run.phase == RunPhase::Running && sentMs > run.startedMs
+                               && ++run.missed >= MostMissed;
+        if (isStopped || isMissing) {
+            gone.push_back(id);
+        }
+    }
+    for (const RunId id : gone) {
+        const Run &run = state.runs.at(id);
+        const Reason reason =
+                run.phase == RunPhase::Stopping ? run.stopReason : Reason::BackendLost;
+        finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
+    }
+}
+
+/// Another life of the backend server: it knows nothing of what ran before.
+void beginLife(RunnerState &state, Effects &effects, std::int64_t startedAtMs, Common::Moment now)
+{
+    effects.emplace_back(
+            Transient::Note{"backend_restarted", {{"started_at_ms", std::to_string(startedAtMs)}}});
+    state.backend->startedAtMs = startedAtMs;
+    state.lastEnd = 0;
+    state.acknowledgedEnd = 0;
+    loseAll(state, effects, Reason::BackendLost, now);
+}
+
+void becomeClean(RunnerState &state, Effects &effects, const Transient::Observation &seen)
+{
+    if (state.isClean || !seen.active.empty()) {
+        return;
+    }
+    state.isClean = true;
+    effects.emplace_back(
+            Transient::Note{"backend_clean", {{"last_end", std::to_string(state.lastEnd)}}});
+    effects.emplace_back(Announce{});
+}
+
+void takeObservation(RunnerState &state, Effects &effects, const Transient::Observation &seen,
+                     const Watch &watch, Common::Moment now)
+{
+    clockSeen(state, seen.clockMs, now);
+    const bool isNewLife = seen.startedAtMs != 0 && state.backend && state.backend->startedAtMs != 0
+                           && seen.startedAtMs != state.backend->startedAtMs;
+    if (isNewLife) {
+        beginLife(state, effects, seen.startedAtMs, now);
+    }
+    if (!isNewLife) {
+        state.acknowledgedEnd = std::max(state.acknowledgedEnd, watch.lastEnd);
+    }
+    std::vector<Transient::EndedRun> ended = seen.ended;
+    std::sort(ended.begin(), ended.end(),
+              [](const auto &left, const auto &right) { return left.position < right.position; });
+    for (const Transient::EndedRun &end : ended) {
+        takeEnd(state, effects, end, now);
+    }
+    takeActive(state, effects, seen, now);
+    settleMissing(state, effects, seen, watch.sentMs, now);
+    becomeClean(state, effects, seen);
+    if (!state.isAlive) {
+        state.isAlive = true;
+        effects.emplace_back(Transient::Note{"backend_regained", {}});
+        effects.emplace_back(Announce{});
+    }
+}
+
+void takeFailure(RunnerState &state, Effects &effects, ObserveOutcome outcome, Common::Moment now)
+{
+    effects.emplace_back(Transient::CountReason{
+            "auburntrail_runner_watches_failed_"
+                    + std::string(Common::nameOf(Transient::ObserveOutcomeNames, outcome))
+                    + "_total",
+            Reason::None});
+    if (outcome == ObserveOutcome::Fenced) {
+        state.fence += FenceStep;
+    }
+    if (outcome == ObserveOutcome::Unanswered) {
+        state.lossyUntilMs = now.steadyMs + LossyMs;
+    } else {
+        state.nextWatchMs = now.steadyMs + FailedPauseMs;
+    }
+    // The clock of the backend server may be slow by a fiftieth.
+    const std::int64_t lapsedMs = state.times.leaseMs + state.times.leaseMs / 25;
+    const bool isGone =
+            outcome == ObserveOutcome::NotConnected || outcome == ObserveOutcome::OtherLife;
+    const bool isLapsed = now.steadyMs - state.answeredMs > lapsedMs;
+    if (!(isGone && isLapsed) && now.steadyMs - state.answeredMs <= 2 * lapsedMs) {
+        return;
+    }
+    if (state.isAlive) {
+        effects.emplace_back(Transient::Note{
+                "backend_lost",
+                {{"why", std::string(Common::nameOf(Transient::ObserveOutcomeNames, outcome))},
+                 {"answered_ms_ago", std::to_string(now.steadyMs - state.answeredMs)}}});
+        state.isAlive = false;
+        effects.emplace_back(Announce{});
+    }
+    loseAll(state, effects, Reason::BackendLost, now);
+}
+
+} // namespace
+
+Effects observeMore(RunnerState &state, Common::Moment now)
+{
+    Effects effects;
+    if (!state.backend || now.steadyMs < state.nextWatchMs) {
+        return effects;
+    }
+    std::size_t pending = 0;
+    for (auto &[id, watch] : state.watches) {
+        const bool isOverdue =
+                now.steadyMs > watch.sentMs + watch.waitMs + state.times.watchGraceMs;
+        if (isOverdue && !watch.isOverdue) {
+            watch.isOverdue = true;
+            state.lossyUntilMs = now.steadyMs + LossyMs;
+        }
+        pending += watch.isOverdue ? 0 : 1;
+    }
+    const bool isNeeded = isWatchNeeded(state) || !state.isAlive;
+    if (!isNeeded || pending > 0 || state.watches.size() >= MostWatches) {
+        return effects;
+    }
+    CallObserve call;
+    call.watch = ++state.lastWatch;
+    call.lastEnd = state.lastEnd;
+    call.leaseUntilMs = leaseUntilMs(state, now);
+    const bool isWaiting = state.isClean && state.isAlive;
+    const bool isLossy = now.steadyMs < state.lossyUntilMs;
+    call.waitMs = isWaiting ? (isLossy ? LossyWatchMs : state.times.watchMs) : 0;
+    const bool provesStops =
+            std::any_of(state.runs.begin(), state.runs.end(), [](const auto &entry) {
+                return entry.second.phase == RunPhase::Stopping && entry.second.stopTakenMs != 0;
+            });
+    if (provesStops || state.runs.empty()) {
+        call.waitMs = 0;
+    }
+    state.watches[call.watch] = {now.steadyMs, call.waitMs, call.lastEnd, false};
+    if (call.waitMs == 0) {
+        // Without a wait each answer would be followed by the next call at once.
+        state.nextWatchMs = now.steadyMs + FailedPauseMs / 2;
+    }
+    effects.emplace_back(call);
+    return effects;
+}
+
+Effects observed(RunnerState &state, std::uint64_t watch, const Transient::ObserveAnswer &answer,
+                 Common::Moment now)
+{
+    Effects effects;
+    const auto found = state.watches.find(watch);
+    if (found == state.watches.end()) {
+        return effects;
+    }
+    const Watch sent = found->second;
+    state.watches.erase(found);
+    if (answer.outcome == ObserveOutcome::Seen) {
+        takeObservation(state, effects, answer.seen, sent, now);
+    } else {
+        takeFailure(state, effects, answer.outcome, now);
+    }
+    return effects;
+}
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/Watch.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Runner/RunnerState.h"
+
+/// Sees what runs at the backend server, takes ends in and renews the lease, all in one call that
+/// waits for an end.
+///
+/// Failure: an answer is lost, or comes seconds late, and no end is seen until the call is given
+/// up. Therefore another one follows soon after the first should have come back, on a connection of
+/// its own; ends are numbered, so that two answers with the same ends do no harm.
+namespace Runner {
+
+Effects observeMore(RunnerState &state, Common::Moment now);
+
+Effects observed(RunnerState &state, std::uint64_t watch, const Transient::ObserveAnswer &answer,
+                 Common::Moment now);
+
+} // namespace Runner
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -160,6 +160,56 @@
         std::vector<TaskRef> tasks{};
     };
 
+    /**
+     * One try at running a task of a transient job. attempt rises with each order of the task
+     * by one gateway.
+     */
+    struct TaskAttempt {
+        int64_t attempt{};
+        std::string task{};
+    };
+
+    /**
+     * How full a backend server is, over all gateways. lastOrder is the sequence of the last
+     * task_orders frame that this link's gateway sent and that is counted in.
+     */
+    struct AgentLoad {
+        /**
+         * Processors of all tasks that run or wait.
+         */
+        double committedProcessors{};
+        int64_t lastOrder{};
+        /**
+         * Mean time that a task there still takes, as far as estimates tell.
+         */
+        double meanLeftMs{};
+        /**
+         * Steady clock of the agent when it wrote this; the gateway repeats it in what it sends.
+         */
+        int64_t sentMs{};
+    };
+
+    /**
+     * First frame of an agent on a link, and again when its backend server changes. held lists
+     * the attempts of this gateway that the agent knows, so that orders lost with an earlier
+     * link are found.
+     */
+    struct AgentAnnouncement {
+        /**
+         * False while the backend server leaves, is not known yet or does not answer, and while the
+         * agent stops.
+         */
+        bool accepting{};
+        std::string failureDomain{};
+        std::vector<TaskAttempt> held{};
+        std::string instance{};
+        std::vector<std::string> labels{};
+        AgentLoad load{};
+        std::string name{};
+        Resources resources{};
+        std::string service{};
+    };
+
     /**
      * What an agent announces of its backend server.
      */
@@ -199,6 +249,36 @@
         int64_t window{};
     };
 
+    /**
+     * not_started: it never ran and never will. stopped: it may have run for a while and is
+     * over now.
+     */
+    enum class AttemptPhase : int { Failed, NotStarted, Running, Stopped, Succeeded };
+
+    /**
+     * Why a job or task was refused, failed or retried. Each has its counter.
+     */
+    enum class Reason : int { AgentDraining, AgentLost, AttemptsExhausted, BackendLost, BackendRefused, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerGone, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, GatewayLost, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoBackend, NoConfiguration, NoRoom, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, StartUnanswered, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownQueue, UnknownService, UnknownTeam, UnsupportedJob, Withdrawn };
+
+    struct AttemptState {
+        int64_t attempt{};
+        AttemptPhase phase{};
+        Reason reason = Reason::None;
+        /**
+         * Time from the start to the end; 0 where nothing ran.
+         */
+        int64_t runMs{};
+        std::string task{};
+    };
+
+    /**
+     * What became of attempts, and the load. Also an agent's heartbeat.
+     */
+    struct AgentReport {
+        AgentLoad load{};
+        std::vector<AttemptState> states{};
+    };
+
     /**
      * A new owner asks the gateways which agents may hold tasks of its predecessor. An agent
      * accepts a start only when it has heard from a majority of the roster, so that the answers
@@ -269,11 +349,6 @@
 
     enum class JobOutcome : int { Completed, Failed, Pending, Refused, Unknown };
 
-    /**
-     * Why a job or task was refused, failed or retried. Each has its counter.
-     */
-    enum class Reason : int { AgentDraining, BackendRefused, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownService, UnknownTeam };
-
     /**
      * What a caller learns. results holds every task's result in task order when outcome is
      * completed, and is absent otherwise. notRun is true only when no task of the job was
@@ -329,6 +404,23 @@
         int64_t peerPort{};
     };
 
+    /**
+     * First frame of a gateway on a link, and its heartbeat to agents and gateways.
+     */
+    struct GatewayAnnouncement {
+        /**
+         * To an agent: sentMs of the last load heard from it. What it does for this gateway it may
+         * do for a lease from that time on; 0 grants nothing.
+         */
+        int64_t echoMs{};
+        Member gateway{};
+        /**
+         * Gateways that this one has heard from lately.
+         */
+        std::vector<Member> others{};
+        int64_t queuesVersion{};
+    };
+
     /**
      * control_snapshot: the table its writer had.
      */
@@ -481,6 +573,40 @@
         int64_t unloggedSinceMs{};
     };
 
+    /**
+     * Where transient jobs of one sort are handed in and which service runs them.
+     */
+    struct JobQueue {
+        /**
+         * A task that has failed this often fails its job.
+         */
+        int64_t attemptLimit{};
+        std::string host{};
+        double latencyFactor{};
+        std::string name{};
+        /**
+         * Paths that begin so belong to the queue; the longest wins.
+         */
+        std::string path{};
+        /**
+         * 0 goes first.
+         */
+        int64_t priority{};
+        std::string service{};
+        /**
+         * Time a job may take beyond latencyFactor times its longest chain of work.
+         */
+        int64_t targetLatencyMs{};
+    };
+
+    /**
+     * The operators' queues in full. A process never goes back to a lower version.
+     */
+    struct QueueTable {
+        std::vector<JobQueue> queues{};
+        int64_t version{};
+    };
+
     struct StartTask {
         /**
          * Grows with each start message that the owner sends for this task under one epoch; a
@@ -506,6 +632,36 @@
         std::vector<StartTask> tasks{};
     };
 
+    /**
+     * Tasks of one step of a transient job for one agent. Times are counted from the sending.
+     */
+    struct TaskOrders {
+        /**
+         * Nothing of the job may run later.
+         */
+        int64_t deadlineInMs{};
+        /**
+         * sentMs of the last load heard from this agent.
+         */
+        int64_t echoMs{};
+        /**
+         * On this backend server.
+         */
+        int64_t expectedRunMs{};
+        std::string payload{};
+        /**
+         * Of the queue; 0 goes first.
+         */
+        int64_t priority{};
+        Resources resources{};
+        int64_t sequence{};
+        /**
+         * The job should have ended by then.
+         */
+        int64_t targetInMs{};
+        std::vector<TaskAttempt> tasks{};
+    };
+
     struct TaskState {
         /**
          * Attempt of that start. not_started covers this epoch and attempt and all below: the owner
@@ -539,7 +695,14 @@
         int64_t window{};
     };
 
-    enum class FrameType : int { AcknowledgeTasks, AgentHello, AskAgents, AskTasks, CancelTasks, Forward, ForwardAnswer, GatewayPong, Handover, HandoverAccepted, KnownAgents, PeerPing, StartTasks, TaskStates };
+    enum class FrameType : int { AcknowledgeTasks, AgentAnnouncement, AgentHello, AgentReport, AskAgents, AskTasks, CancelTasks, Forward, ForwardAnswer, GatewayAnnouncement, GatewayPong, Handover, HandoverAccepted, KnownAgents, PeerPing, QueueTable, StartTasks, TaskOrders, TaskStates, WithdrawTasks };
+
+    /**
+     * Attempts that are not wanted any more. The agent drops or stops them and reports each.
+     */
+    struct WithdrawTasks {
+        std::vector<TaskAttempt> tasks{};
+    };
 
     /**
      * One CBOR message on a WebSocket between processes. Exactly the member named by type is
@@ -547,20 +710,26 @@
      */
     struct Frame {
         std::optional<TaskRefs> acknowledgeTasks{};
+        std::optional<AgentAnnouncement> agentAnnouncement{};
         std::optional<AgentHello> agentHello{};
+        std::optional<AgentReport> agentReport{};
         std::optional<AskAgents> askAgents{};
         std::optional<AskTasks> askTasks{};
         std::optional<TaskRefs> cancelTasks{};
         std::optional<Forward> forward{};
         std::optional<ForwardAnswer> forwardAnswer{};
+        std::optional<GatewayAnnouncement> gatewayAnnouncement{};
         std::optional<GatewayPong> gatewayPong{};
         std::optional<Handover> handover{};
         std::optional<HandoverAccepted> handoverAccepted{};
         std::optional<KnownAgents> knownAgents{};
         std::optional<PeerPing> peerPing{};
+        std::optional<QueueTable> queueTable{};
         std::optional<StartTasks> startTasks{};
+        std::optional<TaskOrders> taskOrders{};
         std::optional<TaskStates> taskStates{};
         FrameType type{};
+        std::optional<WithdrawTasks> withdrawTasks{};
     };
 
     enum class ConfigKind : int { Drain, Policy, Service, Team };
@@ -693,12 +862,27 @@
     void from_json(const json & j, TaskRefs & x);
     void to_json(json & j, const TaskRefs & x);
 
+    void from_json(const json & j, TaskAttempt & x);
+    void to_json(json & j, const TaskAttempt & x);
+
+    void from_json(const json & j, AgentLoad & x);
+    void to_json(json & j, const AgentLoad & x);
+
+    void from_json(const json & j, AgentAnnouncement & x);
+    void to_json(json & j, const AgentAnnouncement & x);
+
     void from_json(const json & j, BackendServer & x);
     void to_json(json & j, const BackendServer & x);
 
     void from_json(const json & j, AgentHello & x);
     void to_json(json & j, const AgentHello & x);
 
+    void from_json(const json & j, AttemptState & x);
+    void to_json(json & j, const AttemptState & x);
+
+    void from_json(const json & j, AgentReport & x);
+    void to_json(json & j, const AgentReport & x);
+
     void from_json(const json & j, AskAgents & x);
     void to_json(json & j, const AskAgents & x);
 
@@ -732,6 +916,9 @@
     void from_json(const json & j, Member & x);
     void to_json(json & j, const Member & x);
 
+    void from_json(const json & j, GatewayAnnouncement & x);
+    void to_json(json & j, const GatewayAnnouncement & x);
+
     void from_json(const json & j, OwnershipTable & x);
     void to_json(json & j, const OwnershipTable & x);
 
@@ -762,18 +949,30 @@
     void from_json(const json & j, PeerPing & x);
     void to_json(json & j, const PeerPing & x);
 
+    void from_json(const json & j, JobQueue & x);
+    void to_json(json & j, const JobQueue & x);
+
+    void from_json(const json & j, QueueTable & x);
+    void to_json(json & j, const QueueTable & x);
+
     void from_json(const json & j, StartTask & x);
     void to_json(json & j, const StartTask & x);
 
     void from_json(const json & j, StartTasks & x);
     void to_json(json & j, const StartTasks & x);
 
+    void from_json(const json & j, TaskOrders & x);
+    void to_json(json & j, const TaskOrders & x);
+
     void from_json(const json & j, TaskState & x);
     void to_json(json & j, const TaskState & x);
 
     void from_json(const json & j, TaskStates & x);
     void to_json(json & j, const TaskStates & x);
 
+    void from_json(const json & j, WithdrawTasks & x);
+    void to_json(json & j, const WithdrawTasks & x);
+
     void from_json(const json & j, Frame & x);
     void to_json(json & j, const Frame & x);
 
@@ -801,15 +1000,18 @@
     void from_json(const json & j, QueueingPolicy & x);
     void to_json(json & j, const QueueingPolicy & x);
 
+    void from_json(const json & j, AttemptPhase & x);
+    void to_json(json & j, const AttemptPhase & x);
+
+    void from_json(const json & j, Reason & x);
+    void to_json(json & j, const Reason & x);
+
     void from_json(const json & j, ForwardKind & x);
     void to_json(json & j, const ForwardKind & x);
 
     void from_json(const json & j, JobOutcome & x);
     void to_json(json & j, const JobOutcome & x);
 
-    void from_json(const json & j, Reason & x);
-    void to_json(json & j, const Reason & x);
-
     void from_json(const json & j, TaskPhase & x);
     void to_json(json & j, const TaskPhase & x);
 
@@ -963,6 +1165,57 @@
         j["tasks"] = x.tasks;
     }
 
+    inline void from_json(const json & j, TaskAttempt& x) {
+        x.attempt = j.at("attempt").get<int64_t>();
+        x.task = j.at("task").get<std::string>();
+    }
+
+    inline void to_json(json & j, const TaskAttempt & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["task"] = x.task;
+    }
+
+    inline void from_json(const json & j, AgentLoad& x) {
+        x.committedProcessors = j.at("committedProcessors").get<double>();
+        x.lastOrder = j.at("lastOrder").get<int64_t>();
+        x.meanLeftMs = j.at("meanLeftMs").get<double>();
+        x.sentMs = j.at("sentMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const AgentLoad & x) {
+        j = json::object();
+        j["committedProcessors"] = x.committedProcessors;
+        j["lastOrder"] = x.lastOrder;
+        j["meanLeftMs"] = x.meanLeftMs;
+        j["sentMs"] = x.sentMs;
+    }
+
+    inline void from_json(const json & j, AgentAnnouncement& x) {
+        x.accepting = j.at("accepting").get<bool>();
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.held = j.at("held").get<std::vector<TaskAttempt>>();
+        x.instance = j.at("instance").get<std::string>();
+        x.labels = j.at("labels").get<std::vector<std::string>>();
+        x.load = j.at("load").get<AgentLoad>();
+        x.name = j.at("name").get<std::string>();
+        x.resources = j.at("resources").get<Resources>();
+        x.service = j.at("service").get<std::string>();
+    }
+
+    inline void to_json(json & j, const AgentAnnouncement & x) {
+        j = json::object();
+        j["accepting"] = x.accepting;
+        j["failureDomain"] = x.failureDomain;
+        j["held"] = x.held;
+        j["instance"] = x.instance;
+        j["labels"] = x.labels;
+        j["load"] = x.load;
+        j["name"] = x.name;
+        j["resources"] = x.resources;
+        j["service"] = x.service;
+    }
+
     inline void from_json(const json & j, BackendServer& x) {
         x.connections = j.at("connections").get<int64_t>();
         x.failureDomain = j.at("failureDomain").get<std::string>();
@@ -1011,6 +1264,34 @@
         j["window"] = x.window;
     }
 
+    inline void from_json(const json & j, AttemptState& x) {
+        x.attempt = j.at("attempt").get<int64_t>();
+        x.phase = j.at("phase").get<AttemptPhase>();
+        x.reason = j.at("reason").get<Reason>();
+        x.runMs = j.at("runMs").get<int64_t>();
+        x.task = j.at("task").get<std::string>();
+    }
+
+    inline void to_json(json & j, const AttemptState & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["phase"] = x.phase;
+        j["reason"] = x.reason;
+        j["runMs"] = x.runMs;
+        j["task"] = x.task;
+    }
+
+    inline void from_json(const json & j, AgentReport& x) {
+        x.load = j.at("load").get<AgentLoad>();
+        x.states = j.at("states").get<std::vector<AttemptState>>();
+    }
+
+    inline void to_json(json & j, const AgentReport & x) {
+        j = json::object();
+        j["load"] = x.load;
+        j["states"] = x.states;
+    }
+
     inline void from_json(const json & j, AskAgents& x) {
         x.requestId = j.at("requestId").get<std::string>();
     }
@@ -1230,6 +1511,21 @@
         j["peerPort"] = x.peerPort;
     }
 
+    inline void from_json(const json & j, GatewayAnnouncement& x) {
+        x.echoMs = j.at("echoMs").get<int64_t>();
+        x.gateway = j.at("gateway").get<Member>();
+        x.others = j.at("others").get<std::vector<Member>>();
+        x.queuesVersion = j.at("queuesVersion").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const GatewayAnnouncement & x) {
+        j = json::object();
+        j["echoMs"] = x.echoMs;
+        j["gateway"] = x.gateway;
+        j["others"] = x.others;
+        j["queuesVersion"] = x.queuesVersion;
+    }
+
     inline void from_json(const json & j, OwnershipTable& x) {
         x.previousRoster = j.at("previousRoster").get<std::vector<Member>>();
         x.roster = j.at("roster").get<std::vector<Member>>();
@@ -1428,6 +1724,40 @@
         j["unloggedSinceMs"] = x.unloggedSinceMs;
     }
 
+    inline void from_json(const json & j, JobQueue& x) {
+        x.attemptLimit = j.at("attemptLimit").get<int64_t>();
+        x.host = j.at("host").get<std::string>();
+        x.latencyFactor = j.at("latencyFactor").get<double>();
+        x.name = j.at("name").get<std::string>();
+        x.path = j.at("path").get<std::string>();
+        x.priority = j.at("priority").get<int64_t>();
+        x.service = j.at("service").get<std::string>();
+        x.targetLatencyMs = j.at("targetLatencyMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const JobQueue & x) {
+        j = json::object();
+        j["attemptLimit"] = x.attemptLimit;
+        j["host"] = x.host;
+        j["latencyFactor"] = x.latencyFactor;
+        j["name"] = x.name;
+        j["path"] = x.path;
+        j["priority"] = x.priority;
+        j["service"] = x.service;
+        j["targetLatencyMs"] = x.targetLatencyMs;
+    }
+
+    inline void from_json(const json & j, QueueTable& x) {
+        x.queues = j.at("queues").get<std::vector<JobQueue>>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const QueueTable & x) {
+        j = json::object();
+        j["queues"] = x.queues;
+        j["version"] = x.version;
+    }
+
     inline void from_json(const json & j, StartTask& x) {
         x.attempt = j.at("attempt").get<int64_t>();
         x.epoch = j.at("epoch").get<int64_t>();
@@ -1466,6 +1796,31 @@
         j["tasks"] = x.tasks;
     }
 
+    inline void from_json(const json & j, TaskOrders& x) {
+        x.deadlineInMs = j.at("deadlineInMs").get<int64_t>();
+        x.echoMs = j.at("echoMs").get<int64_t>();
+        x.expectedRunMs = j.at("expectedRunMs").get<int64_t>();
+        x.payload = j.at("payload").get<std::string>();
+        x.priority = j.at("priority").get<int64_t>();
+        x.resources = j.at("resources").get<Resources>();
+        x.sequence = j.at("sequence").get<int64_t>();
+        x.targetInMs = j.at("targetInMs").get<int64_t>();
+        x.tasks = j.at("tasks").get<std::vector<TaskAttempt>>();
+    }
+
+    inline void to_json(json & j, const TaskOrders & x) {
+        j = json::object();
+        j["deadlineInMs"] = x.deadlineInMs;
+        j["echoMs"] = x.echoMs;
+        j["expectedRunMs"] = x.expectedRunMs;
+        j["payload"] = x.payload;
+        j["priority"] = x.priority;
+        j["resources"] = x.resources;
+        j["sequence"] = x.sequence;
+        j["targetInMs"] = x.targetInMs;
+        j["tasks"] = x.tasks;
+    }
+
     inline void from_json(const json & j, TaskState& x) {
         x.attempt = j.at("attempt").get<int64_t>();
         x.epoch = j.at("epoch").get<int64_t>();
@@ -1512,22 +1867,37 @@
         j["window"] = x.window;
     }
 
+    inline void from_json(const json & j, WithdrawTasks& x) {
+        x.tasks = j.at("tasks").get<std::vector<TaskAttempt>>();
+    }
+
+    inline void to_json(json & j, const WithdrawTasks & x) {
+        j = json::object();
+        j["tasks"] = x.tasks;
+    }
+
     inline void from_json(const json & j, Frame& x) {
         x.acknowledgeTasks = get_stack_optional<TaskRefs>(j, "acknowledgeTasks");
+        x.agentAnnouncement = get_stack_optional<AgentAnnouncement>(j, "agentAnnouncement");
         x.agentHello = get_stack_optional<AgentHello>(j, "agentHello");
+        x.agentReport = get_stack_optional<AgentReport>(j, "agentReport");
         x.askAgents = get_stack_optional<AskAgents>(j, "askAgents");
         x.askTasks = get_stack_optional<AskTasks>(j, "askTasks");
         x.cancelTasks = get_stack_optional<TaskRefs>(j, "cancelTasks");
         x.forward = get_stack_optional<Forward>(j, "forward");
         x.forwardAnswer = get_stack_optional<ForwardAnswer>(j, "forwardAnswer");
+        x.gatewayAnnouncement = get_stack_optional<GatewayAnnouncement>(j, "gatewayAnnouncement");
         x.gatewayPong = get_stack_optional<GatewayPong>(j, "gatewayPong");
         x.handover = get_stack_optional<Handover>(j, "handover");
         x.handoverAccepted = get_stack_optional<HandoverAccepted>(j, "handoverAccepted");
         x.knownAgents = get_stack_optional<KnownAgents>(j, "knownAgents");
         x.peerPing = get_stack_optional<PeerPing>(j, "peerPing");
+        x.queueTable = get_stack_optional<QueueTable>(j, "queueTable");
         x.startTasks = get_stack_optional<StartTasks>(j, "startTasks");
+        x.taskOrders = get_stack_optional<TaskOrders>(j, "taskOrders");
         x.taskStates = get_stack_optional<TaskStates>(j, "taskStates");
         x.type = j.at("type").get<FrameType>();
+        x.withdrawTasks = get_stack_optional<WithdrawTasks>(j, "withdrawTasks");
     }
 
     inline void to_json(json & j, const Frame & x) {
@@ -1535,9 +1905,15 @@
         if (x.acknowledgeTasks) {
             j["acknowledgeTasks"] = x.acknowledgeTasks;
         }
+        if (x.agentAnnouncement) {
+            j["agentAnnouncement"] = x.agentAnnouncement;
+        }
         if (x.agentHello) {
             j["agentHello"] = x.agentHello;
         }
+        if (x.agentReport) {
+            j["agentReport"] = x.agentReport;
+        }
         if (x.askAgents) {
             j["askAgents"] = x.askAgents;
         }
@@ -1553,6 +1929,9 @@
         if (x.forwardAnswer) {
             j["forwardAnswer"] = x.forwardAnswer;
         }
+        if (x.gatewayAnnouncement) {
+            j["gatewayAnnouncement"] = x.gatewayAnnouncement;
+        }
         if (x.gatewayPong) {
             j["gatewayPong"] = x.gatewayPong;
         }
@@ -1568,13 +1947,22 @@
         if (x.peerPing) {
             j["peerPing"] = x.peerPing;
         }
+        if (x.queueTable) {
+            j["queueTable"] = x.queueTable;
+        }
         if (x.startTasks) {
             j["startTasks"] = x.startTasks;
         }
+        if (x.taskOrders) {
+            j["taskOrders"] = x.taskOrders;
+        }
         if (x.taskStates) {
             j["taskStates"] = x.taskStates;
         }
         j["type"] = x.type;
+        if (x.withdrawTasks) {
+            j["withdrawTasks"] = x.withdrawTasks;
+        }
     }
 
     inline void from_json(const json & j, ConfigChange& x) {
@@ -1777,53 +2165,37 @@
         }
     }
 
-    inline void from_json(const json & j, ForwardKind & x) {
-        if (j == "cancel") x = ForwardKind::Cancel;
-        else if (j == "configure") x = ForwardKind::Configure;
-        else if (j == "get") x = ForwardKind::Get;
-        else if (j == "query") x = ForwardKind::Query;
-        else if (j == "submit") x = ForwardKind::Submit;
-        else { throw std::runtime_error("Cannot deserialize to enumeration \"ForwardKind\""); }
+    inline void from_json(const json & j, AttemptPhase & x) {
+        if (j == "failed") x = AttemptPhase::Failed;
+        else if (j == "not_started") x = AttemptPhase::NotStarted;
+        else if (j == "running") x = AttemptPhase::Running;
+        else if (j == "stopped") x = AttemptPhase::Stopped;
+        else if (j == "succeeded") x = AttemptPhase::Succeeded;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"AttemptPhase\""); }
     }
 
-    inline void to_json(json & j, const ForwardKind & x) {
+    inline void to_json(json & j, const AttemptPhase & x) {
         switch (x) {
-            case ForwardKind::Cancel: j = "cancel"; break;
-            case ForwardKind::Configure: j = "configure"; break;
-            case ForwardKind::Get: j = "get"; break;
-            case ForwardKind::Query: j = "query"; break;
-            case ForwardKind::Submit: j = "submit"; break;
-            default: throw std::runtime_error("Unexpected value in enumeration \"ForwardKind\": " + std::to_string(static_cast<int>(x)));
-        }
-    }
-
-    inline void from_json(const json & j, JobOutcome & x) {
-        if (j == "completed") x = JobOutcome::Completed;
-        else if (j == "failed") x = JobOutcome::Failed;
-        else if (j == "pending") x = JobOutcome::Pending;
-        else if (j == "refused") x = JobOutcome::Refused;
-        else if (j == "unknown") x = JobOutcome::Unknown;
-        else { throw std::runtime_error("Cannot deserialize to enumeration \"JobOutcome\""); }
-    }
-
-    inline void to_json(json & j, const JobOutcome & x) {
-        switch (x) {
-            case JobOutcome::Completed: j = "completed"; break;
-            case JobOutcome::Failed: j = "failed"; break;
-            case JobOutcome::Pending: j = "pending"; break;
-            case JobOutcome::Refused: j = "refused"; break;
-            case JobOutcome::Unknown: j = "unknown"; break;
-            default: throw std::runtime_error("Unexpected value in enumeration \"JobOutcome\": " + std::to_string(static_cast<int>(x)));
+            case AttemptPhase::Failed: j = "failed"; break;
+            case AttemptPhase::NotStarted: j = "not_started"; break;
+            case AttemptPhase::Running: j = "running"; break;
+            case AttemptPhase::Stopped: j = "stopped"; break;
+            case AttemptPhase::Succeeded: j = "succeeded"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"AttemptPhase\": " + std::to_string(static_cast<int>(x)));
         }
     }
 
     inline void from_json(const json & j, Reason & x) {
         static std::unordered_map<std::string, Reason> enumValues {
             {"agent_draining", Reason::AgentDraining},
+            {"agent_lost", Reason::AgentLost},
+            {"attempts_exhausted", Reason::AttemptsExhausted},
+            {"backend_lost", Reason::BackendLost},
             {"backend_refused", Reason::BackendRefused},
             {"backend_unreachable", Reason::BackendUnreachable},
             {"bad_task_count", Reason::BadTaskCount},
             {"body_too_large", Reason::BodyTooLarge},
+            {"caller_gone", Reason::CallerGone},
             {"caller_limit", Reason::CallerLimit},
             {"cancelled", Reason::Cancelled},
             {"config_conflict", Reason::ConfigConflict},
@@ -1832,11 +2204,15 @@
             {"deadline_passed", Reason::DeadlinePassed},
             {"deadline_unreachable", Reason::DeadlineUnreachable},
             {"epoch_fenced", Reason::EpochFenced},
+            {"gateway_lost", Reason::GatewayLost},
             {"id_conflict", Reason::IdConflict},
             {"lease_lapsed", Reason::LeaseLapsed},
             {"log_unavailable", Reason::LogUnavailable},
             {"malformed", Reason::Malformed},
             {"never_runnable", Reason::NeverRunnable},
+            {"no_backend", Reason::NoBackend},
+            {"no_configuration", Reason::NoConfiguration},
+            {"no_room", Reason::NoRoom},
             {"no_slot", Reason::NoSlot},
             {"none", Reason::None},
             {"not_after_passed", Reason::NotAfterPassed},
@@ -1846,14 +2222,18 @@
             {"queue_full", Reason::QueueFull},
             {"quota_exceeded", Reason::QuotaExceeded},
             {"start_unacknowledged", Reason::StartUnacknowledged},
+            {"start_unanswered", Reason::StartUnanswered},
             {"stopping", Reason::Stopping},
             {"submission_in_future", Reason::SubmissionInFuture},
             {"submission_too_old", Reason::SubmissionTooOld},
             {"task_failed", Reason::TaskFailed},
             {"task_lost", Reason::TaskLost},
             {"unknown_job", Reason::UnknownJob},
+            {"unknown_queue", Reason::UnknownQueue},
             {"unknown_service", Reason::UnknownService},
             {"unknown_team", Reason::UnknownTeam},
+            {"unsupported_job", Reason::UnsupportedJob},
+            {"withdrawn", Reason::Withdrawn},
         };
         auto iter = enumValues.find(j.get<std::string>());
         if (iter != enumValues.end()) {
@@ -1865,10 +2245,14 @@
     inline void to_json(json & j, const Reason & x) {
         switch (x) {
             case Reason::AgentDraining: j = "agent_draining"; break;
+            case Reason::AgentLost: j = "agent_lost"; break;
+            case Reason::AttemptsExhausted: j = "attempts_exhausted"; break;
+            case Reason::BackendLost: j = "backend_lost"; break;
             case Reason::BackendRefused: j = "backend_refused"; break;
             case Reason::BackendUnreachable: j = "backend_unreachable"; break;
             case Reason::BadTaskCount: j = "bad_task_count"; break;
             case Reason::BodyTooLarge: j = "body_too_large"; break;
+            case Reason::CallerGone: j = "caller_gone"; break;
             case Reason::CallerLimit: j = "caller_limit"; break;
             case Reason::Cancelled: j = "cancelled"; break;
             case Reason::ConfigConflict: j = "config_conflict"; break;
@@ -1877,11 +2261,15 @@
             case Reason::DeadlinePassed: j = "deadline_passed"; break;
             case Reason::DeadlineUnreachable: j = "deadline_unreachable"; break;
             case Reason::EpochFenced: j = "epoch_fenced"; break;
+            case Reason::GatewayLost: j = "gateway_lost"; break;
             case Reason::IdConflict: j = "id_conflict"; break;
             case Reason::LeaseLapsed: j = "lease_lapsed"; break;
             case Reason::LogUnavailable: j = "log_unavailable"; break;
             case Reason::Malformed: j = "malformed"; break;
             case Reason::NeverRunnable: j = "never_runnable"; break;
+            case Reason::NoBackend: j = "no_backend"; break;
+            case Reason::NoConfiguration: j = "no_configuration"; break;
+            case Reason::NoRoom: j = "no_room"; break;
             case Reason::NoSlot: j = "no_slot"; break;
             case Reason::None: j = "none"; break;
             case Reason::NotAfterPassed: j = "not_after_passed"; break;
@@ -1891,18 +2279,62 @@
             case Reason::QueueFull: j = "queue_full"; break;
             case Reason::QuotaExceeded: j = "quota_exceeded"; break;
             case Reason::StartUnacknowledged: j = "start_unacknowledged"; break;
+            case Reason::StartUnanswered: j = "start_unanswered"; break;
             case Reason::Stopping: j = "stopping"; break;
             case Reason::SubmissionInFuture: j = "submission_in_future"; break;
             case Reason::SubmissionTooOld: j = "submission_too_old"; break;
             case Reason::TaskFailed: j = "task_failed"; break;
             case Reason::TaskLost: j = "task_lost"; break;
             case Reason::UnknownJob: j = "unknown_job"; break;
+            case Reason::UnknownQueue: j = "unknown_queue"; break;
             case Reason::UnknownService: j = "unknown_service"; break;
             case Reason::UnknownTeam: j = "unknown_team"; break;
+            case Reason::UnsupportedJob: j = "unsupported_job"; break;
+            case Reason::Withdrawn: j = "withdrawn"; break;
             default: throw std::runtime_error("Unexpected value in enumeration \"Reason\": " + std::to_string(static_cast<int>(x)));
         }
     }
 
+    inline void from_json(const json & j, ForwardKind & x) {
+        if (j == "cancel") x = ForwardKind::Cancel;
+        else if (j == "configure") x = ForwardKind::Configure;
+        else if (j == "get") x = ForwardKind::Get;
+        else if (j == "query") x = ForwardKind::Query;
+        else if (j == "submit") x = ForwardKind::Submit;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"ForwardKind\""); }
+    }
+
+    inline void to_json(json & j, const ForwardKind & x) {
+        switch (x) {
+            case ForwardKind::Cancel: j = "cancel"; break;
+            case ForwardKind::Configure: j = "configure"; break;
+            case ForwardKind::Get: j = "get"; break;
+            case ForwardKind::Query: j = "query"; break;
+            case ForwardKind::Submit: j = "submit"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"ForwardKind\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, JobOutcome & x) {
+        if (j == "completed") x = JobOutcome::Completed;
+        else if (j == "failed") x = JobOutcome::Failed;
+        else if (j == "pending") x = JobOutcome::Pending;
+        else if (j == "refused") x = JobOutcome::Refused;
+        else if (j == "unknown") x = JobOutcome::Unknown;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"JobOutcome\""); }
+    }
+
+    inline void to_json(json & j, const JobOutcome & x) {
+        switch (x) {
+            case JobOutcome::Completed: j = "completed"; break;
+            case JobOutcome::Failed: j = "failed"; break;
+            case JobOutcome::Pending: j = "pending"; break;
+            case JobOutcome::Refused: j = "refused"; break;
+            case JobOutcome::Unknown: j = "unknown"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"JobOutcome\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
     inline void from_json(const json & j, TaskPhase & x) {
         if (j == "failed") x = TaskPhase::Failed;
         else if (j == "not_started") x = TaskPhase::NotStarted;
@@ -1924,39 +2356,57 @@
     }
 
     inline void from_json(const json & j, FrameType & x) {
-        if (j == "acknowledge_tasks") x = FrameType::AcknowledgeTasks;
-        else if (j == "agent_hello") x = FrameType::AgentHello;
-        else if (j == "ask_agents") x = FrameType::AskAgents;
-        else if (j == "ask_tasks") x = FrameType::AskTasks;
-        else if (j == "cancel_tasks") x = FrameType::CancelTasks;
-        else if (j == "forward") x = FrameType::Forward;
-        else if (j == "forward_answer") x = FrameType::ForwardAnswer;
-        else if (j == "gateway_pong") x = FrameType::GatewayPong;
-        else if (j == "handover") x = FrameType::Handover;
-        else if (j == "handover_accepted") x = FrameType::HandoverAccepted;
-        else if (j == "known_agents") x = FrameType::KnownAgents;
-        else if (j == "peer_ping") x = FrameType::PeerPing;
-        else if (j == "start_tasks") x = FrameType::StartTasks;
-        else if (j == "task_states") x = FrameType::TaskStates;
+        static std::unordered_map<std::string, FrameType> enumValues {
+            {"acknowledge_tasks", FrameType::AcknowledgeTasks},
+            {"agent_announcement", FrameType::AgentAnnouncement},
+            {"agent_hello", FrameType::AgentHello},
+            {"agent_report", FrameType::AgentReport},
+            {"ask_agents", FrameType::AskAgents},
+            {"ask_tasks", FrameType::AskTasks},
+            {"cancel_tasks", FrameType::CancelTasks},
+            {"forward", FrameType::Forward},
+            {"forward_answer", FrameType::ForwardAnswer},
+            {"gateway_announcement", FrameType::GatewayAnnouncement},
+            {"gateway_pong", FrameType::GatewayPong},
+            {"handover", FrameType::Handover},
+            {"handover_accepted", FrameType::HandoverAccepted},
+            {"known_agents", FrameType::KnownAgents},
+            {"peer_ping", FrameType::PeerPing},
+            {"queue_table", FrameType::QueueTable},
+            {"start_tasks", FrameType::StartTasks},
+            {"task_orders", FrameType::TaskOrders},
+            {"task_states", FrameType::TaskStates},
+            {"withdraw_tasks", FrameType::WithdrawTasks},
+        };
+        auto iter = enumValues.find(j.get<std::string>());
+        if (iter != enumValues.end()) {
+            x = iter->second;
+        }
         else { throw std::runtime_error("Cannot deserialize to enumeration \"FrameType\""); }
     }
 
     inline void to_json(json & j, const FrameType & x) {
         switch (x) {
             case FrameType::AcknowledgeTasks: j = "acknowledge_tasks"; break;
+            case FrameType::AgentAnnouncement: j = "agent_announcement"; break;
             case FrameType::AgentHello: j = "agent_hello"; break;
+            case FrameType::AgentReport: j = "agent_report"; break;
             case FrameType::AskAgents: j = "ask_agents"; break;
             case FrameType::AskTasks: j = "ask_tasks"; break;
             case FrameType::CancelTasks: j = "cancel_tasks"; break;
             case FrameType::Forward: j = "forward"; break;
             case FrameType::ForwardAnswer: j = "forward_answer"; break;
+            case FrameType::GatewayAnnouncement: j = "gateway_announcement"; break;
             case FrameType::GatewayPong: j = "gateway_pong"; break;
             case FrameType::Handover: j = "handover"; break;
             case FrameType::HandoverAccepted: j = "handover_accepted"; break;
             case FrameType::KnownAgents: j = "known_agents"; break;
             case FrameType::PeerPing: j = "peer_ping"; break;
+            case FrameType::QueueTable: j = "queue_table"; break;
             case FrameType::StartTasks: j = "start_tasks"; break;
+            case FrameType::TaskOrders: j = "task_orders"; break;
             case FrameType::TaskStates: j = "task_states"; break;
+            case FrameType::WithdrawTasks: j = "withdraw_tasks"; break;
             default: throw std::runtime_error("Unexpected value in enumeration \"FrameType\": " + std::to_string(static_cast<int>(x)));
         }
     }
--- a/Source/Core/Schema/Generated/Settings.h
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -199,6 +199,108 @@
         int64_t unloggedAfterMs{};
     };
 
+    struct TransientAgentSettings {
+        /**
+         * IP address and port of the backend server, until it announces another.
+         */
+        std::string backendAddress{};
+        std::string failureDomain{};
+        int64_t heartbeatMs{};
+        /**
+         * IP address the metrics are served at.
+         */
+        std::string host{};
+        /**
+         * Time that each renewal grants to what runs; at most what the backend server allows.
+         */
+        int64_t leaseMs{};
+        LogLevel logLevel{};
+        /**
+         * Port of /metrics; 0 takes a free one.
+         */
+        int64_t metricsPort{};
+        std::string name{};
+        std::string region{};
+        /**
+         * IP address and port where the backend server announces itself.
+         */
+        std::string registrationAddress{};
+        /**
+         * Peer addresses of some gateways; the rest are learned from them.
+         */
+        std::vector<std::string> seeds{};
+        std::string service{};
+        /**
+         * A gateway without a frame for this long counts as lost: what it asked for is stopped.
+         * Well under the time after which its callers submit again.
+         */
+        int64_t silenceMs{};
+        /**
+         * How long running tasks may go on after a stop was asked for.
+         */
+        int64_t stopTimeoutMs{};
+        /**
+         * The platform's store.
+         */
+        std::string storeAddress{};
+    };
+
+    struct TransientGatewaySettings {
+        /**
+         * IP address and port for callers.
+         */
+        std::string callerAddress{};
+        std::string failureDomain{};
+        /**
+         * Three beats fit into silenceMs, so that one lost or late beat means nothing.
+         */
+        int64_t heartbeatMs{};
+        /**
+         * IP address the metrics are served at.
+         */
+        std::string host{};
+        /**
+         * Longest time a task runs on after its agent has stopped renewing.
+         */
+        int64_t leaseMs{};
+        LogLevel logLevel{};
+        int64_t maxBodyBytes{};
+        /**
+         * Port of /metrics; 0 takes a free one.
+         */
+        int64_t metricsPort{};
+        std::string name{};
+        /**
+         * IP address and port for gateways and agents.
+         */
+        std::string peerAddress{};
+        /**
+         * IP address and port of the readiness probe.
+         */
+        std::string probeAddress{};
+        std::string region{};
+        /**
+         * Callers whose connection broke submit again after this time.
+         */
+        int64_t resubmitMs{};
+        /**
+         * Peer addresses of some gateways; the rest are learned from them and from the store.
+         */
+        std::vector<std::string> seeds{};
+        /**
+         * A link without a frame for this long is closed, and its peer counts as lost.
+         */
+        int64_t silenceMs{};
+        /**
+         * How long a graceful stop may take.
+         */
+        int64_t stopTimeoutMs{};
+        /**
+         * The platform's store.
+         */
+        std::string storeAddress{};
+    };
+
     /**
      * Settings files of the daemons, one object for each daemon. The defaults suit a site of
      * four failure domains and eleven workers.
@@ -206,6 +308,8 @@
     struct SettingsSet {
         std::optional<AgentSettings> agent{};
         std::optional<GatewaySettings> gateway{};
+        std::optional<TransientAgentSettings> transientAgent{};
+        std::optional<TransientGatewaySettings> transientGateway{};
     };
 }
 
@@ -216,6 +320,12 @@
     void from_json(const json & j, GatewaySettings & x);
     void to_json(json & j, const GatewaySettings & x);
 
+    void from_json(const json & j, TransientAgentSettings & x);
+    void to_json(json & j, const TransientAgentSettings & x);
+
+    void from_json(const json & j, TransientGatewaySettings & x);
+    void to_json(json & j, const TransientGatewaySettings & x);
+
     void from_json(const json & j, SettingsSet & x);
     void to_json(json & j, const SettingsSet & x);
 
@@ -322,9 +432,89 @@
         j["unloggedAfterMs"] = x.unloggedAfterMs;
     }
 
+    inline void from_json(const json & j, TransientAgentSettings& x) {
+        x.backendAddress = j.at("backendAddress").get<std::string>();
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
+        x.host = j.at("host").get<std::string>();
+        x.leaseMs = j.at("leaseMs").get<int64_t>();
+        x.logLevel = j.at("logLevel").get<LogLevel>();
+        x.metricsPort = j.at("metricsPort").get<int64_t>();
+        x.name = j.at("name").get<std::string>();
+        x.region = j.at("region").get<std::string>();
+        x.registrationAddress = j.at("registrationAddress").get<std::string>();
+        x.seeds = j.at("seeds").get<std::vector<std::string>>();
+        x.service = j.at("service").get<std::string>();
+        x.silenceMs = j.at("silenceMs").get<int64_t>();
+        x.stopTimeoutMs = j.at("stopTimeoutMs").get<int64_t>();
+        x.storeAddress = j.at("storeAddress").get<std::string>();
+    }
+
+    inline void to_json(json & j, const TransientAgentSettings & x) {
+        j = json::object();
+        j["backendAddress"] = x.backendAddress;
+        j["failureDomain"] = x.failureDomain;
+        j["heartbeatMs"] = x.heartbeatMs;
+        j["host"] = x.host;
+        j["leaseMs"] = x.leaseMs;
+        j["logLevel"] = x.logLevel;
+        j["metricsPort"] = x.metricsPort;
+        j["name"] = x.name;
+        j["region"] = x.region;
+        j["registrationAddress"] = x.registrationAddress;
+        j["seeds"] = x.seeds;
+        j["service"] = x.service;
+        j["silenceMs"] = x.silenceMs;
+        j["stopTimeoutMs"] = x.stopTimeoutMs;
+        j["storeAddress"] = x.storeAddress;
+    }
+
+    inline void from_json(const json & j, TransientGatewaySettings& x) {
+        x.callerAddress = j.at("callerAddress").get<std::string>();
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
+        x.host = j.at("host").get<std::string>();
+        x.leaseMs = j.at("leaseMs").get<int64_t>();
+        x.logLevel = j.at("logLevel").get<LogLevel>();
+        x.maxBodyBytes = j.at("maxBodyBytes").get<int64_t>();
+        x.metricsPort = j.at("metricsPort").get<int64_t>();
+        x.name = j.at("name").get<std::string>();
+        x.peerAddress = j.at("peerAddress").get<std::string>();
+        x.probeAddress = j.at("probeAddress").get<std::string>();
+        x.region = j.at("region").get<std::string>();
+        x.resubmitMs = j.at("resubmitMs").get<int64_t>();
+        x.seeds = j.at("seeds").get<std::vector<std::string>>();
+        x.silenceMs = j.at("silenceMs").get<int64_t>();
+        x.stopTimeoutMs = j.at("stopTimeoutMs").get<int64_t>();
+        x.storeAddress = j.at("storeAddress").get<std::string>();
+    }
+
+    inline void to_json(json & j, const TransientGatewaySettings & x) {
+        j = json::object();
+        j["callerAddress"] = x.callerAddress;
+        j["failureDomain"] = x.failureDomain;
+        j["heartbeatMs"] = x.heartbeatMs;
+        j["host"] = x.host;
+        j["leaseMs"] = x.leaseMs;
+        j["logLevel"] = x.logLevel;
+        j["maxBodyBytes"] = x.maxBodyBytes;
+        j["metricsPort"] = x.metricsPort;
+        j["name"] = x.name;
+        j["peerAddress"] = x.peerAddress;
+        j["probeAddress"] = x.probeAddress;
+        j["region"] = x.region;
+        j["resubmitMs"] = x.resubmitMs;
+        j["seeds"] = x.seeds;
+        j["silenceMs"] = x.silenceMs;
+        j["stopTimeoutMs"] = x.stopTimeoutMs;
+        j["storeAddress"] = x.storeAddress;
+    }
+
     inline void from_json(const json & j, SettingsSet& x) {
         x.agent = get_stack_optional<AgentSettings>(j, "agent");
         x.gateway = get_stack_optional<GatewaySettings>(j, "gateway");
+        x.transientAgent = get_stack_optional<TransientAgentSettings>(j, "transientAgent");
+        x.transientGateway = get_stack_optional<TransientGatewaySettings>(j, "transientGateway");
     }
 
     inline void to_json(json & j, const SettingsSet & x) {
@@ -335,6 +525,12 @@
         if (x.gateway) {
             j["gateway"] = x.gateway;
         }
+        if (x.transientAgent) {
+            j["transientAgent"] = x.transientAgent;
+        }
+        if (x.transientGateway) {
+            j["transientGateway"] = x.transientGateway;
+        }
     }
 
     inline void from_json(const json & j, LogLevel & x) {
--- /dev/null
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -0,0 +1,267 @@
+#include "StoreClient/StoreClient.h"
+
+#include <algorithm>
+#include <mutex>
+#include <random>
+#include <utility>
+
+namespace StoreClient {
+
+namespace {
+
+using Platform::StoreTopic;
+
+constexpr int MaxConnections = 8;
+constexpr std::int64_t MaxRetryFactor = 16;
+constexpr const char *CallCounter = "auburntrail_store_calls_total";
+
+/// One topic being read. Has a call in flight or a pause pending, never both, so that only one
+/// thread looks at it at a time.
+struct Follower
+{
+    StoreTopic topic = StoreTopic::Operators;
+    std::function<void(StoreNews)> deliver;
+    /// Reads the newest records of all keys, before and whenever the history has expired.
+    bool readsNewest = true;
+    std::string afterKey;
+    std::int64_t newestOffset = 0;
+    std::int64_t offset = 0;
+    bool isLost = false;
+    std::int64_t pauseMs = 0;
+};
+
+std::string topicName(StoreTopic topic)
+{
+    return std::string(Common::nameOf(Platform::StoreTopicNames, topic));
+}
+
+std::string describe(const Net::HttpResult &result)
+{
+    return result.transport == Net::HttpTransport::Answered
+                   ? "status " + std::to_string(result.status)
+                   : result.error;
+}
+
+} // namespace
+
+struct Client::Implementation
+{
+    explicit Implementation(StoreSettings settings)
+        : settings(std::move(settings))
+        , client(std::make_unique<Net::HttpClient>(MaxConnections))
+    {}
+
+    void send(Net::HttpCall call, std::int64_t waitMs, Net::HttpDone done);
+    void read(Follower &follower);
+    void takeNewest(Follower &follower, const Net::HttpResult &result);
+    void takeRead(Follower &follower, const Net::HttpResult &result);
+    void succeed(Follower &follower, std::vector<Platform::StoreRecord> records);
+    void retry(Follower &follower, const Net::HttpResult &result);
+    void write(StoreTopic topic, const Platform::StoreRecord &record, std::int64_t pauseMs);
+    void count(const char *call, const Net::HttpResult &result) const;
+    std::int64_t longerPause(std::int64_t pauseMs) const;
+    std::chrono::milliseconds jittered(std::int64_t pauseMs);
+    void stop();
+
+    StoreSettings settings;
+    std::mutex mutex;
+    std::vector<std::unique_ptr<Follower>> followers;
+    Common::Random random = Common::makeRandom();
+    std::unique_ptr<Net::HttpClient> client;
+    Common::TimerThread timers;
+};
+
+void Client::Implementation::send(Net::HttpCall call, std::int64_t waitMs, Net::HttpDone done)
+{
+    call.timeoutMs = waitMs + this->settings.answerTimeoutMs;
+    call.connectTimeoutMs = this->settings.answerTimeoutMs;
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->client) {
+        this->client->send(std::move(call), std::move(done));
+    }
+}
+
+void Client::Implementation::read(Follower &follower)
+{
+    if (follower.readsNewest) {
+        this->send(Platform::newestCall(this->settings.address, follower.topic, follower.afterKey),
+                   0, [this, &follower](const Net::HttpResult &result) {
+                       this->count("newest", result);
+                       this->takeNewest(follower, result);
+                   });
+        return;
+    }
+    // After a failure a short read shows whether the store answers again.
+    const std::int64_t waitMs = follower.isLost ? 0 : this->settings.longPollMs;
+    this->send(Platform::readCall(this->settings.address, follower.topic, follower.offset, waitMs),
+               waitMs, [this, &follower](const Net::HttpResult &result) {
+                   this->count("read", result);
+                   this->takeRead(follower, result);
+               });
+}
+
+void Client::Implementation::takeNewest(Follower &follower, const Net::HttpResult &result)
+{
+    std::optional<Platform::NewestRecords> newest = Platform::decodeNewest(result);
+    if (!newest) {
+        this->retry(follower, result);
+        return;
+    }
+    // Pages are no snapshot: reading goes on from the end as it was at the first page.
+    if (follower.afterKey.empty()) {
+        follower.newestOffset = newest->nextOffset;
+    }
+    if (newest->hasMore && !newest->records.empty()) {
+        follower.afterKey = newest->records.back().key;
+    } else {
+        follower.afterKey.clear();
+        follower.readsNewest = false;
+        follower.offset = follower.newestOffset;
+    }
+    this->succeed(follower, std::move(newest->records));
+}
+
+void Client::Implementation::takeRead(Follower &follower, const Net::HttpResult &result)
+{
+    std::optional<Platform::ReadRecords> read = Platform::decodeRead(result, follower.offset);
+    if (!read) {
+        this->retry(follower, result);
+        return;
+    }
+    if (read->expired) {
+        Common::logEvent(Common::LogLevel::Warning, "store_history_expired",
+                         {{"topic", topicName(follower.topic)}, {"offset", follower.offset}});
+        follower.readsNewest = true;
+    }
+    follower.offset = read->nextOffset;
+    this->succeed(follower, std::move(read->records));
+}
+
+void Client::Implementation::succeed(Follower &follower, std::vector<Platform::StoreRecord> records)
+{
+    if (follower.isLost) {
+        Common::logEvent(Common::LogLevel::Info, "store_regained",
+                         {{"topic", topicName(follower.topic)}});
+    }
+    follower.isLost = false;
+    follower.pauseMs = 0;
+    follower.deliver({true, std::move(records)});
+    this->read(follower);
+}
+
+void Client::Implementation::retry(Follower &follower, const Net::HttpResult &result)
+{
+    if (!follower.isLost) {
+        follower.isLost = true;
+        Common::logEvent(Common::LogLevel::Warning, "store_lost",
+                         {{"topic", topicName(follower.topic)}, {"why", describe(result)}});
+        follower.deliver({});
+    }
+    follower.pauseMs = this->longerPause(follower.pauseMs);
+    this->timers.after(this->jittered(follower.pauseMs),
+                       [this, &follower] { this->read(follower); });
+}
+
+void Client::Implementation::write(StoreTopic topic, const Platform::StoreRecord &record,
+                                   std::int64_t pauseMs)
+{
+    this->send(Platform::writeCall(this->settings.address, topic, record), 0,
+               [this, topic, record, pauseMs](const Net::HttpResult &result) {
+                   this->count("write", result);
+                   constexpr int Ok = 200;
+                   if (result.transport == Net::HttpTransport::Answered && result.status == Ok) {
+                       return;
+                   }
+                   Common::logEvent(Common::LogLevel::Warning, "store_write_failed",
+                                    {{"topic", topicName(topic)},
+                                     {"key", record.key},
+                                     {"why", describe(result)}});
+                   const std::int64_t longer = this->longerPause(pauseMs);
+                   this->timers.after(this->jittered(longer), [this, topic, record, longer] {
+                       this->write(topic, record, longer);
+                   });
+               });
+}
+
+void Client::Implementation::count(const char *call, const Net::HttpResult &result) const
+{
+    if (this->settings.metrics == nullptr) {
+        return;
+    }
+    const bool isAnswered = result.transport == Net::HttpTransport::Answered;
+    this->settings.metrics->count(
+            CallCounter,
+            {{"call", call}, {"outcome", isAnswered ? std::to_string(result.status) : "lost"}});
+}
+
+std::int64_t Client::Implementation::longerPause(std::int64_t pauseMs) const
+{
+    return pauseMs == 0 ? this->settings.retryMs
+                        : std::min(pauseMs * 2, this->settings.retryMs * MaxRetryFactor);
+}
+
+std::chrono::milliseconds Client::Implementation::jittered(std::int64_t pauseMs)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    std::uniform_int_distribution<std::int64_t> spread(pauseMs / 2, pauseMs + pauseMs / 2);
+    return std::chrono::milliseconds(spread(this->random));
+}
+
+void Client::Implementation::stop()
+{
+    std::unique_ptr<Net::HttpClient> stopped;
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        stopped = std::move(this->client);
+    }
+    this->timers.stop();
+}
+
+Client::Client(StoreSettings settings)
+    : implementation(std::make_unique<Implementation>(std::move(settings)))
+{}
+
+Client::~Client()
+{
+    this->stop();
+}
+
+void Client::follow(StoreTopic topic, std::function<void(StoreNews)> deliver)
+{
+    auto follower = std::make_unique<Follower>();
+    follower->topic = topic;
+    follower->deliver = std::move(deliver);
+    Follower &added = *follower;
+    {
+        const std::lock_guard<std::mutex> lock(this->implementation->mutex);
+        this->implementation->followers.push_back(std::move(follower));
+    }
+    this->implementation->read(added);
+}
+
+void Client::readOnce(StoreTopic topic, std::function<void(StoreNews)> deliver)
+{
+    this->implementation->send(
+            Platform::newestCall(this->implementation->settings.address, topic, {}), 0,
+            [this, deliver = std::move(deliver)](const Net::HttpResult &result) {
+                this->implementation->count("newest", result);
+                std::optional<Platform::NewestRecords> newest = Platform::decodeNewest(result);
+                if (newest) {
+                    deliver({true, std::move(newest->records)});
+                } else {
+                    deliver({});
+                }
+            });
+}
+
+void Client::write(StoreTopic topic, Platform::StoreRecord record)
+{
+    this->implementation->write(topic, record, 0);
+}
+
+void Client::stop()
+{
+    this->implementation->stop();
+}
+
+} // namespace StoreClient
--- /dev/null
+++ b/Source/Core/StoreClient/StoreClient.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Common/Common.h"
+#include "platform/Platform.h"
+
+/// Client of the platform's store. Nothing on the path of a job waits for it.
+namespace StoreClient {
+
+struct StoreSettings
+{
+    /// host:port
+    std::string address;
+    /// How long a read may wait for a record: each read is charged for, and a change comes at once.
+    std::int64_t longPollMs = 10'000;
+    /// How long an answer may take beyond that.
+    std::int64_t answerTimeoutMs = 1500;
+    /// Pause before the first repetition of a call that failed. It doubles up to sixteen times
+    /// this, and is spread by half to either side: the store takes 800 writes a second from all
+    /// processes, which would otherwise come back to it together.
+    std::int64_t retryMs = 150;
+    /// Counts calls by kind and outcome. Must outlive the client.
+    Common::Metrics *metrics = nullptr;
+};
+
+/// Records that were read, or the loss of the store.
+struct StoreNews
+{
+    /// False once each time the store stops answering.
+    bool available = false;
+    std::vector<Platform::StoreRecord> records;
+};
+
+/// Works on threads of its own.
+class Client
+{
+public:
+    explicit Client(StoreSettings settings);
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /// Delivers the newest record of each key of \a topic, then every later one, for as long as
+    /// the client lives, on a thread of the client.
+    void follow(Platform::StoreTopic topic, std::function<void(StoreNews)> deliver);
+    /// Delivers the newest record of each key once; nothing where the store does not answer.
+    void readOnce(Platform::StoreTopic topic, std::function<void(StoreNews)> deliver);
+    /// Writes the record, again and again until it is acknowledged.
+    void write(Platform::StoreTopic topic, Platform::StoreRecord record);
+    /// Nothing is delivered afterwards. Not to be called from a delivery.
+    void stop();
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace StoreClient
--- /dev/null
+++ b/Source/Core/Transient/Discovery.cpp
@@ -0,0 +1,105 @@
+#include "Transient/Discovery.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Transient {
+
+namespace {
+
+/// A process that was killed is back within a second: the first attempts come soon after each
+/// other, and no gateway is dialled more than once a second by one process in the long run.
+constexpr std::int64_t FirstRedialMs = 100;
+constexpr std::int64_t LongestRedialMs = 1000;
+constexpr int MostDoublings = 4;
+/// An address that only hearsay names is given up after so long without an answer: by then whoever
+/// has its machine's successor at another address has told of that.
+constexpr std::int64_t GiveUpMs = 20'000;
+
+} // namespace
+
+Discovery makeDiscovery(const std::string &self, const std::vector<std::string> &seeds)
+{
+    Discovery discovery;
+    discovery.self = self;
+    for (const std::string &seed : seeds) {
+        if (seed != self) {
+            discovery.gateways[seed].isSeed = true;
+        }
+    }
+    return discovery;
+}
+
+void gatewayTold(Discovery &discovery, const std::string &address, Common::Moment now)
+{
+    if (address == discovery.self) {
+        return;
+    }
+    const auto [entry, isNew] = discovery.gateways.try_emplace(address);
+    if (isNew) {
+        entry->second.heardMs = now.steadyMs;
+    }
+}
+
+std::vector<std::string> gatewaysToDial(Discovery &discovery, Common::Moment now)
+{
+    std::vector<std::string> due;
+    for (auto entry = discovery.gateways.begin(); entry != discovery.gateways.end();) {
+        KnownGateway &gateway = entry->second;
+        const bool isIdle = !gateway.isLinked && !gateway.isDialling;
+        if (isIdle && !gateway.isSeed && now.steadyMs - gateway.heardMs > GiveUpMs) {
+            entry = discovery.gateways.erase(entry);
+            continue;
+        }
+        if (isIdle && now.steadyMs >= gateway.nextDialMs) {
+            gateway.isDialling = true;
+            due.push_back(entry->first);
+        }
+        ++entry;
+    }
+    return due;
+}
+
+void gatewayLinked(Discovery &discovery, const std::string &address, Common::Moment now)
+{
+    KnownGateway &gateway = discovery.gateways[address];
+    gateway.isLinked = true;
+    gateway.isDialling = false;
+    gateway.failures = 0;
+    gateway.heardMs = now.steadyMs;
+}
+
+void dialEnded(Discovery &discovery, const std::string &address, Common::Moment now)
+{
+    const auto found = discovery.gateways.find(address);
+    if (found == discovery.gateways.end()) {
+        return;
+    }
+    KnownGateway &gateway = found->second;
+    if (gateway.isLinked) {
+        gateway.heardMs = now.steadyMs;
+    }
+    gateway.isLinked = false;
+    gateway.isDialling = false;
+    const int doublings = std::min(gateway.failures, MostDoublings);
+    gateway.nextDialMs = now.steadyMs + std::min(FirstRedialMs << doublings, LongestRedialMs);
+    gateway.failures += 1;
+}
+
+std::int64_t nextDialMs(const Discovery &discovery)
+{
+    std::int64_t next = std::numeric_limits<std::int64_t>::max();
+    for (const auto &[address, gateway] : discovery.gateways) {
+        if (!gateway.isLinked && !gateway.isDialling) {
+            next = std::min(next, gateway.nextDialMs);
+        }
+    }
+    return next;
+}
+
+std::string addressOf(const Schema::Member &member)
+{
+    return member.host + ':' + std::to_string(member.peerPort);
+}
+
+} // namespace Transient
--- /dev/null
+++ b/Source/Core/Transient/Effects.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "Schema/Schema.h"
+#include "Transient/Job.h"
+
+/// What the decisions on transient jobs ask of the outside. The gateway's control thread, or a test
+/// in virtual time, carries them out in order.
+namespace Transient {
+
+struct SendToAgent
+{
+    /// Instance of the agent.
+    std::string agent;
+    Schema::Frame frame;
+};
+
+struct AnswerCaller
+{
+    std::string token;
+    std::string job;
+    JobResult result;
+};
+
+/// Adds one to a counter labelled with a reason.
+struct CountReason
+{
+    std::string counter;
+    Schema::Reason reason = Schema::Reason::None;
+};
+
+struct ObserveSeconds
+{
+    std::string histogram;
+    std::string queue;
+    double seconds = 0;
+};
+
+/// One log line.
+struct Note
+{
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using Effect = std::variant<SendToAgent, AnswerCaller, CountReason, ObserveSeconds, Note>;
+using Effects = std::vector<Effect>;
+
+} // namespace Transient
--- /dev/null
+++ b/Source/Core/Transient/Fleet.cpp
@@ -0,0 +1,100 @@
+#include "Transient/Fleet.h"
+
+#include <algorithm>
+
+namespace Transient {
+
+namespace {
+
+/// An end in less than this part of the expected time counts as fast: a backend server that fails
+/// all it starts does so at once.
+constexpr double FastShare = 0.3;
+
+std::size_t countEjected(const Fleet &fleet)
+{
+    std::size_t ejected = 0;
+    for (const auto &[name, agent] : fleet.agents) {
+        const bool isOut = agent.health.phase == Dispatch::HealthPhase::Ejected
+                           || agent.health.phase == Dispatch::HealthPhase::Trial;
+        ejected += isOut ? 1 : 0;
+    }
+    return ejected;
+}
+
+} // namespace
+
+AgentView *findAgent(Fleet &fleet, const std::string &instance)
+{
+    for (auto &[name, agent] : fleet.agents) {
+        if (agent.announced.instance == instance) {
+            return &agent;
+        }
+    }
+    return nullptr;
+}
+
+bool takesWork(const AgentView &agent, const std::string &service, std::int64_t nowMs)
+{
+    if (!agent.isLinked || !agent.announced.accepting || agent.announced.service != service
+        || nowMs < agent.pausedUntilMs) {
+        return false;
+    }
+    constexpr std::int64_t NoLimit = 1'000'000;
+    return agent.inFlight < Dispatch::healthLimit(agent.health, NoLimit);
+}
+
+double committedProcessors(const AgentView &agent)
+{
+    return agent.load.committedProcessors + agent.unreportedProcessors + agent.tentativeProcessors;
+}
+
+double freeProcessors(const AgentView &agent)
+{
+    return agent.announced.resources.processors - committedProcessors(agent);
+}
+
+void loadReported(AgentView &agent, const Schema::AgentLoad &load, std::int64_t nowMs)
+{
+    agent.load = load;
+    agent.loadAtMs = nowMs;
+    while (!agent.unreported.empty() && agent.unreported.front().first <= load.lastOrder) {
+        agent.unreportedProcessors -= agent.unreported.front().second;
+        agent.unreported.pop_front();
+    }
+    if (agent.unreported.empty()) {
+        agent.unreportedProcessors = 0;
+    }
+}
+
+std::int64_t ordered(AgentView &agent, double processors, std::int64_t tasks)
+{
+    agent.unreported.emplace_back(++agent.lastSequence, processors);
+    agent.unreportedProcessors += processors;
+    agent.inFlight += tasks;
+    return agent.lastSequence;
+}
+
+bool runEnded(Fleet &fleet, AgentView &agent, Dispatch::ProfileId profile,
+              const RunOutcome &outcome, std::int64_t nowMs)
+{
+    if (outcome.succeeded && outcome.runMs > 0) {
+        Dispatch::learnRun(fleet.estimates, profile, agent.speed,
+                           static_cast<double>(outcome.runMs));
+    }
+    const bool isFast = static_cast<double>(outcome.runMs) < outcome.expectedMs * FastShare;
+    const bool isBad = Dispatch::outcomeObserved(agent.health, {outcome.succeeded, isFast});
+    if (!isBad || countEjected(fleet) >= Dispatch::mostEjected(fleet.agents.size())) {
+        return false;
+    }
+    Dispatch::eject(agent.health, nowMs);
+    return true;
+}
+
+void advanceFleet(Fleet &fleet, std::int64_t nowMs)
+{
+    for (auto &[name, agent] : fleet.agents) {
+        Dispatch::advanceHealth(agent.health, nowMs);
+    }
+}
+
+} // namespace Transient
--- /dev/null
+++ b/Source/Core/Transient/Fleet.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Common/Common.h"
+#include "Dispatch/Dispatch.h"
+#include "Dispatch/Estimates.h"
+#include "Dispatch/Health.h"
+#include "Schema/Schema.h"
+
+/// What a gateway believes of the agents and their backend servers.
+///
+/// Load pattern: several gateways send work to the same backend servers. Each agent tells all of
+/// them how full it is; to that a gateway adds what it has sent since, so that its own orders are
+/// counted at once and only those of others are known late.
+namespace Transient {
+
+struct AgentView
+{
+    Schema::AgentAnnouncement announced;
+    bool isLinked = false;
+    Schema::AgentLoad load;
+    std::int64_t lastSequence = 0;
+    /// Orders that the load does not count yet: sequence and processors.
+    std::deque<std::pair<std::int64_t, double>> unreported;
+    double unreportedProcessors = 0;
+    /// Of tasks being placed whose job is not yet let in.
+    double tentativeProcessors = 0;
+    std::int64_t loadAtMs = 0;
+    Dispatch::BackendSpeed speed;
+    Dispatch::HealthRecord health;
+    /// Tasks ordered from here that have not ended.
+    std::int64_t inFlight = 0;
+    /// Refused a start: gets none until then.
+    std::int64_t pausedUntilMs = 0;
+    /// While not linked: when nothing that was ordered there can run any more.
+    std::int64_t settledAtMs = 0;
+};
+
+struct Fleet
+{
+    /// By the agent's name, which it keeps when it starts again. Iterated in the order of names, so
+    /// that a seed replays.
+    std::map<std::string, AgentView> agents;
+    Dispatch::Estimates estimates;
+    std::map<std::string, Dispatch::ServiceOutcomes> outcomes;
+};
+
+/// The agent with this instance, if it is the one known under its name.
+AgentView *findAgent(Fleet &fleet, const std::string &instance);
+
+/// True where the agent takes tasks of \a service at present.
+bool takesWork(const AgentView &agent, const std::string &service, std::int64_t nowMs);
+
+double committedProcessors(const AgentView &agent);
+/// Room for more, as far as is known; may be negative.
+double freeProcessors(const AgentView &agent);
+
+void loadReported(AgentView &agent, const Schema::AgentLoad &load, std::int64_t nowMs);
+/// Counts an order of \a tasks tasks; returns its sequence.
+std::int64_t ordered(AgentView &agent, double processors, std::int64_t tasks);
+
+struct RunOutcome
+{
+    std::string service;
+    bool succeeded = false;
+    double expectedMs = 0;
+    std::int64_t runMs = 0;
+};
+
+/// Learns from a task's end. True where the agent was ejected for it.
+bool runEnded(Fleet &fleet, AgentView &agent, Dispatch::ProfileId profile,
+              const RunOutcome &outcome, std::int64_t nowMs);
+
+/// Lets ejected backend servers have their trial when it is due.
+void advanceFleet(Fleet &fleet, std::int64_t nowMs);
+
+} // namespace Transient
--- /dev/null
+++ b/Source/Core/Transient/Placement.cpp
@@ -0,0 +1,106 @@
+#include "Transient/Placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+
+namespace Transient {
+
+namespace {
+
+/// Tasks of one step take this much longer away from the rack of their data; the platform's figure.
+constexpr double RemoteDataFactor = 1.5;
+/// Ends that are expected within this of each other count as the same, and chance decides: several
+/// gateways would otherwise all choose the same backend server between two reports of its load.
+constexpr double TieMs = 4;
+
+bool hasLabel(const AgentView &agent, const std::string &label)
+{
+    const std::vector<std::string> &labels = agent.announced.labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool isAble(const AgentView &agent, const StepRequest &step)
+{
+    const Schema::Resources &has = agent.announced.resources;
+    return has.processors >= step.resources.processors && has.memoryMb >= step.resources.memoryMb
+           && has.accelerators >= step.resources.accelerators
+           && hasLabel(agent, step.requiredLabel);
+}
+
+bool mayTakeAnother(const AgentView &agent, const PlacementQuery &query)
+{
+    if (query.step->maxTasksPerBackend == 0 || query.tasksThere == nullptr) {
+        return true;
+    }
+    const auto found = query.tasksThere->find(agent.announced.name);
+    return found == query.tasksThere->end() || found->second < query.step->maxTasksPerBackend;
+}
+
+bool isAvoided(const AgentView &agent, const PlacementQuery &query)
+{
+    return query.avoided != nullptr
+           && std::find(query.avoided->begin(), query.avoided->end(), agent.announced.name)
+                      != query.avoided->end();
+}
+
+std::optional<Placement> placeAmong(Fleet &fleet, const PlacementQuery &query, bool takesAvoided,
+                                    std::int64_t nowMs, Common::Random &random)
+{
+    std::optional<Placement> best;
+    double bestEndMs = std::numeric_limits<double>::max();
+    std::uint64_t ties = 0;
+    for (auto &[name, agent] : fleet.agents) {
+        if (!takesWork(agent, query.service, nowMs) || !isAble(agent, *query.step)
+            || !mayTakeAnother(agent, query) || (!takesAvoided && isAvoided(agent, query))) {
+            continue;
+        }
+        const double remote = hasLabel(agent, query.step->dataRack) ? 1 : RemoteDataFactor;
+        Placement here;
+        here.agent = name;
+        here.waitMs = expectedWaitMs(agent, query.step->resources.processors);
+        here.runMs = query.runMs * Dispatch::speedFactor(agent.speed) * remote;
+        const double endMs = here.waitMs + here.runMs;
+        if (endMs < bestEndMs - TieMs) {
+            best = here;
+            bestEndMs = endMs;
+            ties = 1;
+        } else if (endMs <= bestEndMs + TieMs) {
+            ++ties;
+            if (std::uniform_int_distribution<std::uint64_t>(1, ties)(random) == 1) {
+                best = here;
+                bestEndMs = std::min(bestEndMs, endMs);
+            }
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+double expectedWaitMs(const AgentView &agent, double processors)
+{
+    const double missing = processors - freeProcessors(agent);
+    if (missing <= 0) {
+        return 0;
+    }
+    // Tasks end one after the other: in the mean time that one still takes, all that is there
+    // frees its processors once.
+    return missing / agent.announced.resources.processors * std::max(agent.load.meanLeftMs, 1.0);
+}
+
+std::optional<Placement> placeTask(Fleet &fleet, const PlacementQuery &query, std::int64_t nowMs,
+                                   Common::Random &random)
+{
+    const auto placement = placeAmong(fleet, query, false, nowMs, random);
+    return placement ? placement : placeAmong(fleet, query, true, nowMs, random);
+}
+
+bool anyAble(const Fleet &fleet, const std::string &service, const StepRequest &step)
+{
+    return std::any_of(fleet.agents.begin(), fleet.agents.end(), [&](const auto &entry) {
+        return entry.second.announced.service == service && isAble(entry.second, step);
+    });
+}
+
+} // namespace Transient
--- /dev/null
+++ b/Source/Core/Transient/Placement.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "Common/Common.h"
+#include "Transient/Fleet.h"
+#include "Transient/Job.h"
+
+/// On which backend server a task goes.
+///
+/// Load pattern: backend servers differ in speed by more than two times, and a job ends with its
+/// last task. Each task goes where it is expected to end first, queueing included, so that the fast
+/// backend servers fill first and the tasks of a wide job end together.
+namespace Transient {
+
+struct PlacementQuery
+{
+    std::string service;
+    const StepRequest *step = nullptr;
+    /// On a backend server of factor 1.
+    double runMs = 0;
+    /// Tasks of the step that are already there, by the agent's name.
+    const std::map<std::string, int> *tasksThere = nullptr;
+    /// Agents where the task has failed or that gave it back; used only where no other is left.
+    const std::vector<std::string> *avoided = nullptr;
+};
+
+struct Placement
+{
+    std::string agent;
+    double waitMs = 0;
+    double runMs = 0;
+};
+
+/// Expected time until \a processors are free there.
+double expectedWaitMs(const AgentView &agent, double processors);
+
+std::optional<Placement> placeTask(Fleet &fleet, const PlacementQuery &query, std::int64_t nowMs,
+                                   Common::Random &random);
+
+/// The service has a backend server that could run the step, whether or not it takes work now.
+bool anyAble(const Fleet &fleet, const std::string &service, const StepRequest &step);
+
+} // namespace Transient
--- /dev/null
+++ b/Source/Core/Transient/Transient.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Public header of the decisions on transient jobs: what a gateway does with them, and the types
+/// it shares with the agents and with the adapter for the platform.
+#include "Transient/Backend.h"
+#include "Transient/Discovery.h"
+#include "Transient/Effects.h"
+#include "Transient/Fleet.h"
+#include "Transient/Job.h"
+#include "Transient/Jobs.h"
+#include "Transient/Queues.h"
