UnitTests: drive sites of transient jobs in virtual time

Cause: the decisions on transient jobs had no tests. A site of gateways, agents and backend servers in virtual time, with callers that submit again, found two faults at once: a task ran twice at a time where a new process of an agent announced itself before it had looked at what the former one had left (gateway took the announcement as proof); and an order sent while an announcement was being taken in was counted as lost and sent again. Change: an announcement says whether the agent is clean; a former process's tasks are free only then or when its leases have lapsed. The agent's fence is its start in milliseconds: two starts within a second had the same. Ruled out: a longer lease (the double start came 358 ms after the kill, well within any).

--- a/Source/Core/Runner/Load.cpp
+++ b/Source/Core/Runner/Load.cpp
@@ -93,6 +93,7 @@
         announcement.resources = state.backend->resources;
     }
     announcement.accepting = isAccepting(state);
+    announcement.clean = state.isClean;
     for (const auto &[id, run] : state.runs) {
         if (run.gateway == gateway) {
             announcement.held.push_back({run.attempt, run.task});
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -176,10 +176,9 @@
     this->state.service = this->settings.service;
     this->state.times.leaseMs = this->settings.leaseMs;
     this->state.times.grantMs = this->settings.silenceMs;
-    // Seconds since the epoch: a later process has a higher fence, so that orders of the former one
-    // that are still on their way do nothing.
-    constexpr std::int64_t MsPerSecond = 1000;
-    this->state.fence = this->now.wallMs / MsPerSecond;
+    // A later process has a higher fence, so that orders of the former one that are still on their
+    // way do nothing.
+    this->state.fence = this->now.wallMs;
     this->state.answeredMs = this->now.steadyMs;
 }
 
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -20,8 +20,6 @@
 /// The backend server's room is not what it seems here, or a stop is still under way: 50 ms is the
 /// longest that one takes.
 constexpr std::int64_t RoomPauseMs = 50;
-/// A fence that was too low is raised by an hour of seconds: more than clocks are ever wrong by.
-constexpr std::int64_t FenceStep = 3600;
 
 Transient::Note runNote(const char *event, const Run &run, Common::Moment now,
                         std::vector<std::pair<std::string, std::string>> more)
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -5,6 +5,10 @@
 /// The life of one run at the backend server.
 namespace Runner {
 
+/// A fence that was too low, since the time of day was set back, is raised by an hour: more than
+/// clocks are ever wrong by.
+constexpr std::int64_t FenceStep = 3'600'000;
+
 /// Starts what has room now.
 Effects startRuns(RunnerState &state, Common::Moment now);
 
--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -24,7 +24,6 @@
 constexpr std::int64_t StrayRetryMs = 150;
 /// Between observations that failed at once.
 constexpr std::int64_t FailedPauseMs = 50;
-constexpr std::int64_t FenceStep = 3600;
 
 bool isWatchNeeded(const RunnerState &state)
 {
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -200,6 +200,10 @@
          * agent stops.
          */
         bool accepting{};
+        /**
+         * Nothing that an earlier process of this agent had started runs any more.
+         */
+        bool clean{};
         std::string failureDomain{};
         std::vector<TaskAttempt> held{};
         std::string instance{};
@@ -1193,6 +1197,7 @@
 
     inline void from_json(const json & j, AgentAnnouncement& x) {
         x.accepting = j.at("accepting").get<bool>();
+        x.clean = j.at("clean").get<bool>();
         x.failureDomain = j.at("failureDomain").get<std::string>();
         x.held = j.at("held").get<std::vector<TaskAttempt>>();
         x.instance = j.at("instance").get<std::string>();
@@ -1206,6 +1211,7 @@
     inline void to_json(json & j, const AgentAnnouncement & x) {
         j = json::object();
         j["accepting"] = x.accepting;
+        j["clean"] = x.clean;
         j["failureDomain"] = x.failureDomain;
         j["held"] = x.held;
         j["instance"] = x.instance;
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -42,11 +42,21 @@
     std::int64_t settledAtMs = 0;
 };
 
+/// A process of an agent that another one has followed. What it had started may run on until the
+/// new one has told that it is over, or until its leases have lapsed.
+struct FormerAgent
+{
+    std::string instance;
+    std::string name;
+    std::int64_t settledAtMs = 0;
+};
+
 struct Fleet
 {
     /// By the agent's name, which it keeps when it starts again. Iterated in the order of names, so
     /// that a seed replays.
     std::map<std::string, AgentView> agents;
+    std::vector<FormerAgent> formers;
     Dispatch::Estimates estimates;
     std::map<std::string, Dispatch::ServiceOutcomes> outcomes;
 };
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -653,6 +653,25 @@
     return effects;
 }
 
+/// Earlier processes of the agent \a name, or of any whose time is over.
+Effects settleFormers(GatewayState &state, const std::string &name, Common::Moment now,
+                      Common::Random &random)
+{
+    Effects effects;
+    std::vector<FormerAgent> over;
+    std::vector<FormerAgent> &formers = state.fleet.formers;
+    const auto isOver = [&](const FormerAgent &former) {
+        return former.name == name || now.steadyMs >= former.settledAtMs;
+    };
+    std::copy_if(formers.begin(), formers.end(), std::back_inserter(over), isOver);
+    formers.erase(std::remove_if(formers.begin(), formers.end(), isOver), formers.end());
+    for (const FormerAgent &former : over) {
+        append(effects,
+               settleAttempts(state, former.instance, {}, AttemptPhase::Stopped, now, random));
+    }
+    return effects;
+}
+
 void forgetFinished(GatewayState &state, Common::Moment now)
 {
     for (auto entry = state.finished.begin(); entry != state.finished.end();) {
@@ -753,18 +772,21 @@
     agent.announced = announcement;
     agent.isLinked = true;
     if (isRestarted) {
-        // A new process has stopped or lost all that the former one had started.
+        const std::int64_t settledAtMs = agent.loadAtMs + state.times.settleMs;
+        state.fleet.formers.push_back({former, announcement.name, settledAtMs});
         agent.inFlight = 0;
         agent.unreported.clear();
         agent.unreportedProcessors = 0;
-        append(effects, settleAttempts(state, former, {}, AttemptPhase::Stopped, now, random));
     }
-    loadReported(state.fleet.agents.at(announcement.name), announcement.load, now.steadyMs);
+    loadReported(agent, announcement.load, now.steadyMs);
     if (isLink) {
         append(effects, settleAttempts(state, announcement.instance, announcement.held,
                                        AttemptPhase::NotStarted, now, random));
         withdrawUnknown(state, effects, announcement);
     }
+    if (announcement.clean) {
+        append(effects, settleFormers(state, announcement.name, now, random));
+    }
     append(effects, placeWaiting(state, now, random));
     return effects;
 }
@@ -818,6 +840,7 @@
     state.sweptMs = now.steadyMs;
     advanceFleet(state.fleet, now.steadyMs);
     append(effects, settleLost(state, now, random));
+    append(effects, settleFormers(state, {}, now, random));
     append(effects, endOverdue(state, now, random));
     append(effects, placeWaiting(state, now, random));
     forgetFinished(state, now);
--- /dev/null
+++ b/Source/UnitTests/Platform/StoreCallsTest.cpp
@@ -0,0 +1,114 @@
+#include <doctest/doctest.h>
+#include <ostream>
+
+#include "platform/Platform.h"
+
+using Platform::StoreTopic;
+
+namespace {
+
+Net::HttpResult answered(int status, const std::string &body)
+{
+    Net::HttpResult result;
+    result.transport = Net::HttpTransport::Answered;
+    result.status = status;
+    result.body = body;
+    return result;
+}
+
+std::string head()
+{
+    return std::string(16, '\0');
+}
+
+} // namespace
+
+TEST_CASE("What was written is read back")
+{
+    const Net::HttpCall call =
+            Platform::writeCall("10.0.0.7:80", StoreTopic::Gateways, {"gateway-1", "where"});
+    CHECK(call.url == "http://10.0.0.7:80/log-append?topic=keyed.gateways&part=0");
+    const auto read = Platform::decodeRead(answered(200, head() + call.body + call.body), 40);
+    REQUIRE(read.has_value());
+    CHECK(read->nextOffset == 42);
+    REQUIRE(read->records.size() == 2);
+    CHECK(read->records[0].key == "gateway-1");
+    CHECK(read->records[0].value == "where");
+}
+
+TEST_CASE("Records of other writers do not hide those behind them")
+{
+    const std::string good =
+            Platform::writeCall("s:1", StoreTopic::Gateways, {"gateway-1", "where"}).body;
+    const std::string empty(4, '\0');
+    const std::string shortKey = std::string("\0\0\0\x02\x09z", 6);
+    const auto read = Platform::decodeRead(answered(200, head() + empty + shortKey + good), 0);
+    REQUIRE(read.has_value());
+    CHECK(read->nextOffset == 3);
+    REQUIRE(read->records.size() == 1);
+    // Bytes that were cut off are read again.
+    const auto cut = Platform::decodeRead(answered(200, head() + good + good.substr(0, 9)), 0);
+    REQUIRE(cut.has_value());
+    CHECK(cut->nextOffset == 1);
+    CHECK_FALSE(Platform::decodeMember("{").has_value());
+    CHECK_FALSE(Platform::decodeMember("{}").has_value());
+}
+
+TEST_CASE("History that has gone, and a store that does not answer")
+{
+    const auto gone = Platform::decodeRead(answered(410, R"({"startOffset":70})"), 12);
+    REQUIRE(gone.has_value());
+    CHECK(gone->expired);
+    CHECK_FALSE(Platform::decodeRead(answered(503, ""), 12).has_value());
+    CHECK_FALSE(Platform::decodeRead(answered(200, "short"), 12).has_value());
+    CHECK_FALSE(Platform::decodeRead({}, 12).has_value());
+    CHECK_FALSE(Platform::decodeNewest(answered(429, "")).has_value());
+    CHECK_FALSE(Platform::decodeNewest(answered(200, "{}")).has_value());
+}
+
+TEST_CASE("The newest record of each key")
+{
+    const auto newest = Platform::decodeNewest(answered(
+            200, R"({"items":[{"key":"config","value":"eyJhIjoxfQ==","offset":4},{"key":7}],)"
+                 R"("hasMore":true,"endOffset":6})"));
+    REQUIRE(newest.has_value());
+    CHECK(newest->nextOffset == 6);
+    CHECK(newest->hasMore);
+    REQUIRE(newest->records.size() == 1);
+    CHECK(newest->records[0].key == Platform::QueuesKey);
+    CHECK(newest->records[0].value == "{\"a\":1}");
+}
+
+TEST_CASE("The operators' queues")
+{
+    struct Row
+    {
+        const char *text;
+        std::int64_t version;
+        std::size_t queues;
+    };
+    const Row rows[] = {
+            {R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",)"
+             R"("priority":2,"maxAttempts":5,"slackFactor":1.6,"targetLatencyMs":60}]})",
+             7, 1},
+            {R"({"version":8,"routes":[]})", 8, 0},
+            {R"({"version":"x","routes":[]})", 0, 0},
+            {R"({"version":9,"routes":[{"name":"r"}]})", 0, 0},
+            {"", 0, 0},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.text);
+        const auto table = Common::handle(
+                [&]() -> Common::Outcome<Schema::QueueTable> {
+                    return Platform::decodeQueues(row.text);
+                },
+                [](const Common::Failure &) { return Schema::QueueTable{}; });
+        CHECK(table.version == row.version);
+        CHECK(table.queues.size() == row.queues);
+        if (!table.queues.empty()) {
+            CHECK(table.queues[0].path == "/p/");
+            CHECK(table.queues[0].attemptLimit == 5);
+            CHECK(table.queues[0].priority == 2);
+        }
+    }
+}
--- /dev/null
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -0,0 +1,213 @@
+#include <doctest/doctest.h>
+#include <ostream>
+
+#include "Transient/Admission.h"
+#include "Transient/Placement.h"
+#include "Transient/Transient.h"
+
+using namespace Transient;
+
+namespace {
+
+Common::Moment at(std::int64_t ms)
+{
+    return {ms, ms};
+}
+
+Schema::JobQueue queueAt(const std::string &host, const std::string &path)
+{
+    Schema::JobQueue queue;
+    queue.name = host + path;
+    queue.host = host;
+    queue.path = path;
+    return queue;
+}
+
+AgentView agentOf(const std::string &name, double processors, double committed, double meanLeftMs)
+{
+    AgentView agent;
+    agent.announced.name = name;
+    agent.announced.instance = name + "-1";
+    agent.announced.service = "desk";
+    agent.announced.accepting = true;
+    agent.announced.resources.processors = processors;
+    agent.announced.resources.memoryMb = 1000;
+    agent.announced.labels = {"a", "rack-1"};
+    agent.isLinked = true;
+    agent.load.committedProcessors = committed;
+    agent.load.meanLeftMs = meanLeftMs;
+    return agent;
+}
+
+} // namespace
+
+TEST_CASE("The longest path of the host wins")
+{
+    Schema::QueueTable queues;
+    queues.version = 3;
+    queues.queues = {queueAt("a.example", "/desk/"), queueAt("a.example", "/desk/urgent/"),
+                     queueAt("b.example", "/desk/")};
+    struct Row
+    {
+        const char *host;
+        const char *path;
+        const char *found;
+    };
+    const Row rows[] = {
+            {"a.example", "/desk/1", "a.example/desk/"},
+            {"a.example", "/desk/urgent/1", "a.example/desk/urgent/"},
+            {"b.example", "/desk/urgent/1", "b.example/desk/"},
+            {"a.example", "/des", ""},
+            {"c.example", "/desk/1", ""},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.path);
+        const Schema::JobQueue *queue = findQueue(queues, row.host, row.path);
+        CHECK((queue == nullptr ? std::string() : queue->name) == row.found);
+    }
+}
+
+TEST_CASE("Queues never go back")
+{
+    Schema::QueueTable inForce;
+    struct Row
+    {
+        std::int64_t version;
+        bool taken;
+        std::int64_t after;
+    };
+    for (const Row &row : {Row{5, true, 5}, Row{4, false, 5}, Row{5, false, 5}, Row{9, true, 9}}) {
+        Schema::QueueTable newer;
+        newer.version = row.version;
+        CHECK(takeQueues(inForce, newer) == row.taken);
+        CHECK(inForce.version == row.after);
+    }
+}
+
+TEST_CASE("Discovery dials seeds for ever and hearsay for a while")
+{
+    Discovery discovery = makeDiscovery("10.0.0.1:1", {"10.0.0.1:1", "10.0.0.2:1"});
+    gatewayTold(discovery, "10.0.0.3:1", at(0));
+    gatewayTold(discovery, "10.0.0.1:1", at(0));
+    CHECK(gatewaysToDial(discovery, at(0)).size() == 2);
+    CHECK(gatewaysToDial(discovery, at(1)).empty());
+    gatewayLinked(discovery, "10.0.0.3:1", at(5));
+    dialEnded(discovery, "10.0.0.2:1", at(5));
+    CHECK(gatewaysToDial(discovery, at(6)).empty());
+    CHECK(gatewaysToDial(discovery, at(105)).size() == 1);
+    dialEnded(discovery, "10.0.0.3:1", at(1000));
+    std::int64_t nowMs = 1000;
+    for (int round = 0; round < 60; ++round) {
+        nowMs += 1000;
+        for (const std::string &address : gatewaysToDial(discovery, at(nowMs))) {
+            dialEnded(discovery, address, at(nowMs));
+        }
+    }
+    CHECK(discovery.gateways.count("10.0.0.2:1") == 1);
+    CHECK(discovery.gateways.count("10.0.0.3:1") == 0);
+}
+
+TEST_CASE("A job is refused only where it would wait and end too late")
+{
+    struct Row
+    {
+        const char *what;
+        double predictedMs;
+        double waitMs;
+        bool refused;
+    };
+    const Row rows[] = {
+            {"free, in time", 100, 0, false},
+            {"free, and late anyhow: nothing is gained by refusing", 900, 0, false},
+            {"waits, in time", 200, 50, false},
+            {"waits, late but of use", 500, 300, false},
+            {"waits, past three times its target", 700, 500, true},
+            {"waits, past the deadline", 650, 500, true},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        AdmissionQuery query;
+        query.predictedMs = row.predictedMs;
+        query.waitMs = row.waitMs;
+        query.targetMs = 200;
+        query.deadlineMs = 620;
+        const auto refused = decideAdmission({}, query);
+        CHECK(refused.has_value() == row.refused);
+        if (refused) {
+            CHECK(refused->outcome == JobOutcome::Refused);
+            CHECK(refused->retryAfterMs >= 1000);
+        }
+    }
+}
+
+TEST_CASE("Waits are expected from what is missing and the time that tasks there take")
+{
+    CHECK(expectedWaitMs(agentOf("a", 64, 50, 300), 6) == doctest::Approx(0));
+    CHECK(expectedWaitMs(agentOf("a", 64, 64, 300), 6.4) == doctest::Approx(30));
+    CHECK(expectedWaitMs(agentOf("a", 64, 128, 300), 6.4) == doctest::Approx(330));
+}
+
+TEST_CASE("A task goes where it ends first")
+{
+    struct Row
+    {
+        const char *what;
+        double slowFactor;
+        double fastCommitted;
+        bool fastAccepts;
+        std::string label;
+        std::vector<std::string> avoided;
+        std::string found;
+    };
+    const Row rows[] = {
+            {"the faster one", 2, 0, true, "", {}, "fast"},
+            {"the faster one is too full", 2, 200, true, "", {}, "slow"},
+            {"the faster one is leaving", 2, 0, false, "", {}, "slow"},
+            {"it failed on the faster one", 2, 0, true, "", {"fast"}, "slow"},
+            {"it failed on both: better there than nowhere",
+             2,
+             0,
+             true,
+             "",
+             {"fast", "slow"},
+             "fast"},
+            {"no one has the label", 2, 0, true, "z", {}, ""},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        Fleet fleet;
+        fleet.agents["fast"] = agentOf("fast", 64, row.fastCommitted, 100);
+        fleet.agents["fast"].announced.accepting = row.fastAccepts;
+        fleet.agents["slow"] = agentOf("slow", 64, 0, 100);
+        fleet.agents["slow"].speed.logFactor = std::log(row.slowFactor);
+        StepRequest step;
+        step.resources.processors = 6;
+        step.requiredLabel = row.label;
+        PlacementQuery query;
+        query.service = "desk";
+        query.step = &step;
+        query.runMs = 100;
+        query.avoided = &row.avoided;
+        Common::Random random(1);
+        const auto placement = placeTask(fleet, query, 0, random);
+        CHECK((placement ? placement->agent : std::string()) == row.found);
+    }
+}
+
+TEST_CASE("What was sent counts until the agent counts it")
+{
+    AgentView agent = agentOf("a", 64, 0, 0);
+    const std::int64_t first = ordered(agent, 12, 2);
+    const std::int64_t second = ordered(agent, 6, 1);
+    CHECK(committedProcessors(agent) == doctest::Approx(18));
+    Schema::AgentLoad load;
+    load.committedProcessors = 12;
+    load.lastOrder = first;
+    loadReported(agent, load, 1);
+    CHECK(committedProcessors(agent) == doctest::Approx(18));
+    load.lastOrder = second;
+    load.committedProcessors = 18;
+    loadReported(agent, load, 2);
+    CHECK(committedProcessors(agent) == doctest::Approx(18));
+    CHECK(agent.inFlight == 3);
+}
--- /dev/null
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -0,0 +1,279 @@
+#include <doctest/doctest.h>
+#include <ostream>
+
+#include "Transient/Transient.h"
+
+using namespace Transient;
+using Schema::AttemptPhase;
+using Schema::Reason;
+
+namespace {
+
+Common::Moment at(std::int64_t ms)
+{
+    return {ms, ms};
+}
+
+/// A gateway with one agent that has room for \a processors.
+struct Fixture
+{
+    explicit Fixture(double processors = 8)
+    {
+        Schema::AgentAnnouncement announcement;
+        announcement.instance = "agent-1";
+        announcement.name = "agent";
+        announcement.service = "desk";
+        announcement.accepting = true;
+        announcement.clean = true;
+        announcement.resources.processors = processors;
+        announcement.resources.memoryMb = 1000;
+        agentAnnounced(this->state, announcement, at(0), this->random);
+    }
+
+    Submission submission(const std::string &id, std::vector<StepRequest> steps)
+    {
+        Submission made;
+        made.token = id + "-token" + std::to_string(++this->tokens);
+        made.queue.name = "checks";
+        made.queue.service = "desk";
+        made.queue.attemptLimit = 2;
+        made.queue.latencyFactor = 1.6;
+        made.queue.targetLatencyMs = 60;
+        made.patienceMs = 2000;
+        made.request.id = id;
+        made.request.steps = std::move(steps);
+        return made;
+    }
+
+    Effects report(const std::string &task, std::int64_t attempt, AttemptPhase phase,
+                   std::int64_t nowMs)
+    {
+        Schema::AgentReport report;
+        report.load.lastOrder = 1000;
+        report.states.push_back({});
+        report.states.back().task = task;
+        report.states.back().attempt = attempt;
+        report.states.back().phase = phase;
+        report.states.back().reason =
+                phase == AttemptPhase::Failed ? Reason::TaskFailed : Reason::None;
+        report.states.back().runMs = 50;
+        return agentReported(this->state, "agent-1", report, at(nowMs), this->random);
+    }
+
+    GatewayState state;
+    Common::Random random{1};
+    int tokens = 0;
+};
+
+StepRequest stepOf(int tasks, std::vector<int> after = {}, double processors = 1)
+{
+    StepRequest step;
+    step.taskCount = tasks;
+    step.resources.processors = processors;
+    step.expectedRunMs = 100;
+    step.after = std::move(after);
+    return step;
+}
+
+std::vector<std::string> orderedTasks(const Effects &effects)
+{
+    std::vector<std::string> tasks;
+    for (const Effect &effect : effects) {
+        const auto *sent = std::get_if<SendToAgent>(&effect);
+        if (sent != nullptr && sent->frame.taskOrders) {
+            for (const Schema::TaskAttempt &attempt : sent->frame.taskOrders->tasks) {
+                tasks.push_back(attempt.task + '#' + std::to_string(attempt.attempt));
+            }
+        }
+    }
+    return tasks;
+}
+
+std::vector<std::string> withdrawnTasks(const Effects &effects)
+{
+    std::vector<std::string> tasks;
+    for (const Effect &effect : effects) {
+        const auto *sent = std::get_if<SendToAgent>(&effect);
+        if (sent != nullptr && sent->frame.withdrawTasks) {
+            for (const Schema::TaskAttempt &attempt : sent->frame.withdrawTasks->tasks) {
+                tasks.push_back(attempt.task);
+            }
+        }
+    }
+    return tasks;
+}
+
+std::vector<JobResult> answers(const Effects &effects)
+{
+    std::vector<JobResult> results;
+    for (const Effect &effect : effects) {
+        const auto *answer = std::get_if<AnswerCaller>(&effect);
+        if (answer != nullptr) {
+            results.push_back(answer->result);
+        }
+    }
+    return results;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("Steps start when those before them have succeeded")
+{
+    Fixture site;
+    const Effects first = jobSubmitted(
+            site.state, site.submission("job", {stepOf(2), stepOf(1), stepOf(1, {0, 1})}), at(1),
+            site.random);
+    CHECK(orderedTasks(first) == Names{"job.0.0#1", "job.0.1#1", "job.1.0#1"});
+    CHECK(orderedTasks(site.report("job.0.0", 1, AttemptPhase::Succeeded, 50)).empty());
+    CHECK(orderedTasks(site.report("job.1.0", 1, AttemptPhase::Succeeded, 60)).empty());
+    CHECK(orderedTasks(site.report("job.0.1", 1, AttemptPhase::Succeeded, 70))
+          == Names{"job.2.0#1"});
+    const auto last = answers(site.report("job.2.0", 1, AttemptPhase::Succeeded, 120));
+    REQUIRE(last.size() == 1);
+    CHECK(last[0].outcome == JobOutcome::Succeeded);
+    CHECK(site.state.jobs.empty());
+}
+
+TEST_CASE("A task that fails as often as its queue allows fails the job and stops the others")
+{
+    Fixture site;
+    jobSubmitted(site.state, site.submission("job", {stepOf(2)}), at(1), site.random);
+    CHECK(orderedTasks(site.report("job.0.0", 1, AttemptPhase::Failed, 50)) == Names{"job.0.0#2"});
+    const Effects failed = site.report("job.0.0", 2, AttemptPhase::Failed, 90);
+    REQUIRE(answers(failed).size() == 1);
+    CHECK(answers(failed)[0].outcome == JobOutcome::Failed);
+    CHECK(withdrawnTasks(failed) == Names{"job.0.1"});
+    CHECK(site.state.jobs.size() == 1);
+    site.report("job.0.1", 1, AttemptPhase::Stopped, 95);
+    CHECK(site.state.jobs.empty());
+}
+
+TEST_CASE("A resubmission waits until the last life of its id is over")
+{
+    // The caller's connection breaks and the job comes again at the same gateway, while a task of
+    // the first submission is still being stopped. It starts only when that is over.
+    Fixture site;
+    const Submission first = site.submission("job", {stepOf(1)});
+    jobSubmitted(site.state, first, at(1), site.random);
+    CHECK(withdrawnTasks(callerGone(site.state, first.token, at(20))) == Names{"job.0.0"});
+    const Effects again =
+            jobSubmitted(site.state, site.submission("job", {stepOf(1)}), at(30), site.random);
+    CHECK(orderedTasks(again).empty());
+    CHECK(orderedTasks(site.report("job.0.0", 1, AttemptPhase::Stopped, 60)) == Names{"job.0.0#1"});
+}
+
+TEST_CASE("The answer to a job that has ended is given again")
+{
+    Fixture site;
+    jobSubmitted(site.state, site.submission("job", {stepOf(1)}), at(1), site.random);
+    site.report("job.0.0", 1, AttemptPhase::Succeeded, 50);
+    const Effects again =
+            jobSubmitted(site.state, site.submission("job", {stepOf(1)}), at(60), site.random);
+    CHECK(orderedTasks(again).empty());
+    REQUIRE(answers(again).size() == 1);
+    CHECK(answers(again)[0].outcome == JobOutcome::Succeeded);
+}
+
+TEST_CASE("A silent agent's tasks go elsewhere only when they cannot run there any more")
+{
+    // The link to the agent is lost. It may be alive, and its backend server working, until the
+    // gateway's grant and the lease have lapsed. Before that nothing is ordered a second time.
+    Fixture site;
+    jobSubmitted(site.state, site.submission("job", {stepOf(1)}), at(1), site.random);
+    agentLinkLost(site.state, "agent-1", at(100));
+    Schema::AgentAnnouncement other;
+    other.instance = "other-1";
+    other.name = "other";
+    other.service = "desk";
+    other.accepting = true;
+    other.resources.processors = 8;
+    other.resources.memoryMb = 1000;
+    CHECK(orderedTasks(agentAnnounced(site.state, other, at(110), site.random)).empty());
+    const std::int64_t settledMs = site.state.times.settleMs;
+    CHECK(orderedTasks(tick(site.state, at(settledMs - 1), site.random)).empty());
+    CHECK(orderedTasks(tick(site.state, at(settledMs + 100), site.random)) == Names{"job.0.0#2"});
+}
+
+TEST_CASE("A new process of an agent settles what the former one had")
+{
+    Fixture site;
+    jobSubmitted(site.state, site.submission("job", {stepOf(1)}), at(1), site.random);
+    Schema::AgentAnnouncement reborn = site.state.fleet.agents.at("agent").announced;
+    reborn.instance = "agent-2";
+    reborn.clean = false;
+    // It has not yet looked at what runs.
+    CHECK(orderedTasks(agentAnnounced(site.state, reborn, at(40), site.random)).empty());
+    reborn.clean = true;
+    CHECK(orderedTasks(agentAnnounced(site.state, reborn, at(50), site.random))
+          == Names{"job.0.0#2"});
+}
+
+TEST_CASE("An order that was lost with a link is sent again, and what is not wanted is withdrawn")
+{
+    Fixture site;
+    jobSubmitted(site.state, site.submission("job", {stepOf(2)}), at(1), site.random);
+    agentLinkLost(site.state, "agent-1", at(20));
+    Schema::AgentAnnouncement again = site.state.fleet.agents.at("agent").announced;
+    again.held = {{1, "job.0.0"}, {1, "gone.0.0"}};
+    const Effects effects = agentAnnounced(site.state, again, at(40), site.random);
+    CHECK(orderedTasks(effects) == Names{"job.0.1#2"});
+    CHECK(withdrawnTasks(effects) == Names{"gone.0.0"});
+}
+
+TEST_CASE("Refusals")
+{
+    struct Row
+    {
+        const char *what;
+        double processorsNeeded;
+        double committed;
+        std::int64_t nowMs;
+        bool stopping;
+        Reason reason;
+    };
+    const Row rows[] = {
+            {"room", 1, 0, 5000, false, Reason::None},
+            {"nobody is able", 9, 0, 5000, false, Reason::NoBackend},
+            {"nobody is able, but agents are still being gathered", 9, 0, 100, false, Reason::None},
+            {"far too much waits", 1, 200, 5000, false, Reason::DeadlineUnreachable},
+            {"it would not end before the gateway is gone", 1, 0, 5000, true, Reason::Stopping},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        Fixture site;
+        AgentView &agent = site.state.fleet.agents.at("agent");
+        agent.load.committedProcessors = row.committed;
+        agent.load.meanLeftMs = 200;
+        if (row.stopping) {
+            beginStop(site.state, 50, at(row.nowMs));
+        }
+        const Effects effects = jobSubmitted(
+                site.state, site.submission("job", {stepOf(1, {}, row.processorsNeeded)}),
+                at(row.nowMs), site.random);
+        const auto given = answers(effects);
+        const bool isRefused = row.reason != Reason::None;
+        CHECK(given.size() == (isRefused ? 1 : 0));
+        if (isRefused && !given.empty()) {
+            CHECK(given[0].outcome == JobOutcome::Refused);
+            CHECK(given[0].reason == row.reason);
+            CHECK(given[0].retryAfterMs >= 1000);
+            CHECK(orderedTasks(effects).empty());
+            CHECK(committedProcessors(agent) == doctest::Approx(row.committed));
+        }
+    }
+}
+
+TEST_CASE("At the deadline what may have run is given up, and what has not is refused")
+{
+    Fixture site;
+    jobSubmitted(site.state, site.submission("ran", {stepOf(1)}), at(1), site.random);
+    jobSubmitted(site.state, site.submission("waits", {stepOf(1, {}, 9)}), at(1), site.random);
+    const auto early = answers(tick(site.state, at(1500), site.random));
+    REQUIRE(early.size() == 1);
+    CHECK(early[0].outcome == JobOutcome::Refused);
+    const auto late = answers(tick(site.state, at(2100), site.random));
+    REQUIRE(late.size() == 1);
+    CHECK(late[0].outcome == JobOutcome::GaveUp);
+}
--- /dev/null
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -0,0 +1,258 @@
+#include <doctest/doctest.h>
+#include <ostream>
+
+#include "TransientWorld.h"
+
+using Transient::JobOutcome;
+using namespace TransientSite;
+
+namespace {
+
+constexpr std::int64_t StartUpMs = 1000;
+constexpr ModelWork Short{100, 1, false};
+constexpr ModelWork Long{900, 1, false};
+
+std::unique_ptr<World> readySite(std::uint64_t seed, int gateways = 3, int agents = 4)
+{
+    auto world = makeWorld(seed, gateways, agents);
+    runFor(*world, StartUpMs);
+    return world;
+}
+
+void checkPromises(const World &world)
+{
+    for (const std::string &promise : world.broken) {
+        FAIL_CHECK(promise);
+    }
+}
+
+void checkSucceeded(const World &world, std::size_t caller)
+{
+    REQUIRE(world.callers[caller].isAnswered);
+    CHECK(world.callers[caller].result.outcome == JobOutcome::Succeeded);
+}
+
+} // namespace
+
+TEST_CASE("A job is answered when all its tasks have ended")
+{
+    auto world = readySite(1);
+    const std::size_t caller = submit(*world, 0, Short, 8);
+    runFor(*world, 400);
+    checkSucceeded(*world, caller);
+    CHECK(world->starts == 8);
+    checkPromises(*world);
+}
+
+TEST_CASE("The gateway is killed with tasks running: its caller submits again and is served")
+{
+    // The caller's connection breaks, and after 1,300 ms it submits the same job at another
+    // gateway. The agents have lost the first gateway and have stopped its runs by then, so that no
+    // task runs twice at a time. A gateway that loses power tells nobody: its agents notice by the
+    // grant that lapses.
+    for (const bool loudly : {true, false}) {
+        CAPTURE(loudly);
+        auto world = readySite(2);
+        const std::size_t caller = submit(*world, 0, Long, 6, 5000);
+        runFor(*world, 300);
+        killGateway(*world, 0, loudly);
+        runFor(*world, 5000);
+        checkSucceeded(*world, caller);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("The caller leaves: nothing of its job runs on")
+{
+    // The connection of a patrol breaks; it will call again elsewhere. What was started for it is
+    // stopped within the time that a call back takes, also where the stop's answer is lost.
+    auto world = readySite(3);
+    const std::size_t caller = submit(*world, 0, Long, 8);
+    runFor(*world, 200);
+    leave(*world, caller);
+    world->unansweredShare = 0.3;
+    runFor(*world, ResubmitMs);
+    for (const ModelBackend &backend : world->backends) {
+        CHECK(backend.runs.empty());
+    }
+    checkPromises(*world);
+}
+
+TEST_CASE("An agent is frozen with orders in its sockets")
+{
+    // The gateway gives the silent agent up and has its tasks run elsewhere; the lease of what the
+    // frozen agent had started lapses meanwhile. When it wakes it finds the old orders in its
+    // sockets. They are past the gateway's grant, and it starts none of them.
+    for (const std::int64_t forMs : {900, 1500, 2500, 2600, 2800, 3500}) {
+        CAPTURE(forMs);
+        auto world = readySite(4);
+        freezeAgent(*world, 1, forMs);
+        std::vector<std::size_t> callers;
+        for (int job = 0; job < 6; ++job) {
+            callers.push_back(submit(*world, job % 3, Long, 4, 8000));
+        }
+        runFor(*world, 9000);
+        for (const std::size_t caller : callers) {
+            checkSucceeded(*world, caller);
+        }
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("A gateway is frozen past its callers' patience")
+{
+    // The callers give up and submit again elsewhere, where their tasks run. When the gateway wakes
+    // it hears that its agents have stopped everything; its callers have gone, so that it starts
+    // nothing again.
+    auto world = readySite(5);
+    const std::size_t caller = submit(*world, 0, Long, 6, 2500);
+    runFor(*world, 300);
+    freezeGateway(*world, 0, 5000);
+    runFor(*world, 9000);
+    checkSucceeded(*world, caller);
+    checkPromises(*world);
+}
+
+TEST_CASE("Orders to the backend server go unanswered and are carried out late")
+{
+    // One call in five gets no answer; half of these take effect seconds later. An unanswered start
+    // is settled by a stop before the task goes elsewhere, so that its late start is rejected.
+    auto world = readySite(6);
+    world->unansweredShare = 0.2;
+    std::vector<std::size_t> callers;
+    for (int job = 0; job < 40; ++job) {
+        callers.push_back(submit(*world, job % 3, Short, 3, 4000));
+        runFor(*world, 50);
+    }
+    runFor(*world, 15'000);
+    int answered = 0;
+    for (const std::size_t caller : callers) {
+        answered += world->callers[caller].isAnswered ? 1 : 0;
+    }
+    CHECK(answered == 40);
+    checkPromises(*world);
+}
+
+TEST_CASE("A backend server crashes and comes back under the same id")
+{
+    // It knows nothing of before: its clock, its ends and its run numbers start anew. What ran
+    // there runs again elsewhere, and the agent serves the new life.
+    auto world = readySite(7, 1, 2);
+    const std::size_t caller = submit(*world, 0, Long, 8, 8000);
+    runFor(*world, 200);
+    crashBackend(*world, 0);
+    runFor(*world, 300);
+    restartBackend(*world, 0);
+    runFor(*world, 4000);
+    checkSucceeded(*world, caller);
+    const std::size_t next = submit(*world, 0, Short, 16, 4000);
+    runFor(*world, 1500);
+    checkSucceeded(*world, next);
+    checkPromises(*world);
+}
+
+TEST_CASE("An agent is killed and another process takes its place")
+{
+    // Its runs go on at the backend server until their lease lapses or the new process stops them.
+    // Only when the new process has seen that nothing is left does it take orders, and only then
+    // are the tasks free to run elsewhere.
+    for (const bool loudly : {true, false}) {
+        CAPTURE(loudly);
+        auto world = readySite(8);
+        const std::size_t caller = submit(*world, 0, Long, 8, 8000);
+        runFor(*world, 200);
+        killAgent(*world, 0, loudly);
+        runFor(*world, 150);
+        startAgent(*world, 0);
+        runFor(*world, 6000);
+        checkSucceeded(*world, caller);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("A connection is reset or goes silent while tasks run")
+{
+    // After a reset the link is back at once and what ran goes on; what was told on the lost
+    // connection is told again. A silent connection is found out by the beats that are missing.
+    for (const bool isReset : {true, false}) {
+        CAPTURE(isReset);
+        auto world = readySite(9);
+        const std::size_t caller = submit(*world, 0, Long, 8, 8000);
+        runFor(*world, 200);
+        for (int agent = 0; agent < 4; ++agent) {
+            if (isReset) {
+                resetLink(*world, 0, agent);
+            } else {
+                silenceLink(*world, 0, agent);
+            }
+        }
+        runFor(*world, 6000);
+        checkSucceeded(*world, caller);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("A backend server that leaves gets nothing new")
+{
+    auto world = readySite(10, 1, 2);
+    const std::size_t running = submit(*world, 0, Long, 8, 8000);
+    runFor(*world, 100);
+    backendLeaves(*world, 0);
+    runFor(*world, 50);
+    const std::size_t before = world->backends[0].runs.size();
+    CHECK(before > 0);
+    const std::size_t next = submit(*world, 0, Short, 4, 8000);
+    runFor(*world, 100);
+    CHECK(world->backends[0].runs.size() <= before);
+    runFor(*world, 3000);
+    checkSucceeded(*world, running);
+    checkSucceeded(*world, next);
+    checkPromises(*world);
+}
+
+TEST_CASE("A backend server fails everything it starts")
+{
+    // It looks idle, since everything there is over at once. Its failures go elsewhere and it gets
+    // no more work; jobs that can be done succeed, and one that cannot is told so.
+    auto world = readySite(11);
+    world->backends[1].failsAll = true;
+    int succeeded = 0;
+    for (int job = 0; job < 40; ++job) {
+        const std::size_t caller = submit(*world, job % 3, Short, 2, 4000);
+        runFor(*world, 250);
+        const Caller &asked = world->callers[caller];
+        succeeded += asked.isAnswered && asked.result.outcome == JobOutcome::Succeeded ? 1 : 0;
+    }
+    CHECK(succeeded >= 38);
+    const std::size_t poison = submit(*world, 0, {50, 1, true}, 1, 4000);
+    runFor(*world, 1000);
+    REQUIRE(world->callers[poison].isAnswered);
+    CHECK(world->callers[poison].result.outcome == JobOutcome::Failed);
+    checkPromises(*world);
+}
+
+TEST_CASE("The same job at two gateways at once is answered at both or runs once at a time")
+{
+    auto world = readySite(12, 2, 1);
+    const std::size_t first = submit(*world, 0, Short, 2, 4000);
+    runFor(*world, 20);
+    // The same id at the same gateway joins the job that runs.
+    const int before = world->starts;
+    world->callers.push_back(world->callers[first]);
+    Transient::Submission again;
+    again.token = world->callers.back().token = "again";
+    again.queue = world->queue;
+    again.patienceMs = 4000;
+    again.request.id = world->callers[first].job;
+    again.request.payload = payloadOf(Short);
+    again.request.steps.resize(1);
+    again.request.steps[0].taskCount = 2;
+    const auto effects = Transient::jobSubmitted(world->gateways[0].state, again,
+                                                 {world->nowMs, world->nowMs}, world->random);
+    CHECK(effects.size() == 1);
+    runFor(*world, 500);
+    CHECK(world->starts == before);
+    checkSucceeded(*world, first);
+    REQUIRE(world->callers.back().isAnswered);
+    checkPromises(*world);
+}
