Common: write log lines on a thread of their own, bounded, to standard output

Cause: lines went to standard error from the thread that logged, which waits when the reader is behind, without a bound on their number. Change: an asynchronous sink with a bounded queue; 4,000 lines a second, and how many were over is told.

--- a/Source/Core/Common/Invariant.cpp
+++ b/Source/Core/Common/Invariant.cpp
@@ -12,6 +12,7 @@
         return;
     }
     logEvent(LogLevel::Error, "invariant_broken", {{"promise", promise}, {"detail", detail}});
+    stopLogging();
     std::abort();
 }
 
--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -4,15 +4,23 @@
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/global_logger_storage.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
+#include <chrono>
 #include <cstdio>
+#include <future>
 #include <iostream>
+#include <memory>
 #include <mutex>
+#include <thread>
 
 #include "Common/NameTable.h"
 
@@ -25,6 +33,23 @@
                                                 {LogLevel::Warning, "warning"},
                                                 {LogLevel::Error, "error"}}};
 
+/// Twice what a gateway writes at 150 jobs a second, with a line for each start and end of a run.
+constexpr std::uint64_t MaxLinesASecond = 4000;
+/// Lines that wait for the writing thread: half a second's. More are dropped.
+constexpr std::size_t QueueLines = 2000;
+constexpr std::chrono::milliseconds LastLinesTimeout{300};
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::asynchronous_sink<
+        Backend, boost::log::sinks::bounded_fifo_queue<QueueLines,
+                                                       boost::log::sinks::drop_on_overflow>>;
+
+boost::shared_ptr<Sink> &sink()
+{
+    static boost::shared_ptr<Sink> instance;
+    return instance;
+}
+
 using Logger = boost::log::sources::severity_logger_mt<LogLevel>;
 
 Logger &logger()
@@ -83,6 +108,55 @@
     line += needsQuotes(value) ? quoteValue(value) : value;
 }
 
+/// Lets MaxLinesASecond through, and tells how many more there were in the next second. Failures
+/// come in floods: a reader who is behind must not hold the process up, nor the lines of a flood
+/// take the processor that serves callers.
+class LineBudget
+{
+public:
+    struct Verdict
+    {
+        bool passes = true;
+        std::uint64_t droppedBefore = 0;
+    };
+
+    Verdict take()
+    {
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+                std::chrono::steady_clock::now().time_since_epoch());
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        Verdict verdict;
+        if (second != this->current) {
+            this->current = second;
+            this->lines = 0;
+            verdict.droppedBefore = std::exchange(this->dropped, 0);
+        }
+        verdict.passes = ++this->lines <= MaxLinesASecond;
+        this->dropped += verdict.passes ? 0 : 1;
+        return verdict;
+    }
+
+private:
+    std::mutex mutex;
+    std::chrono::seconds current{0};
+    std::uint64_t lines = 0;
+    std::uint64_t dropped = 0;
+};
+
+void write(LogLevel level, const std::string &line)
+{
+    static LineBudget budget;
+    const LineBudget::Verdict verdict = budget.take();
+    if (verdict.droppedBefore > 0) {
+        std::string told = startLine(LogLevel::Warning, "log_lines_dropped");
+        addField(told, "lines", std::to_string(verdict.droppedBefore));
+        BOOST_LOG_SEV(logger(), LogLevel::Warning) << told;
+    }
+    if (verdict.passes) {
+        BOOST_LOG_SEV(logger(), level) << line;
+    }
+}
+
 } // namespace
 
 void startLogging(std::string_view process, std::string_view levelName)
@@ -91,25 +165,43 @@
     processName() = process;
     boost::log::add_common_attributes();
     boost::log::core::get()->add_global_attribute("UtcTime", boost::log::attributes::utc_clock());
-    boost::log::add_console_log(std::clog,
-                                boost::log::keywords::format =
-                                        (expressions::stream
-                                         << "time="
-                                         << expressions::format_date_time<boost::posix_time::ptime>(
-                                                    "UtcTime", "%Y-%m-%dT%H:%M:%S.%fZ")
-                                         << " " << expressions::smessage),
-                                boost::log::keywords::auto_flush = true);
+    const auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
+    backend->auto_flush(true);
+    sink() = boost::make_shared<Sink>(backend);
+    sink()->set_formatter(expressions::stream
+                          << "time="
+                          << expressions::format_date_time<boost::posix_time::ptime>(
+                                     "UtcTime", "%Y-%m-%dT%H:%M:%S.%fZ")
+                          << " " << expressions::smessage);
+    boost::log::core::get()->add_sink(sink());
     const LogLevel threshold = valueOf(LogLevelNames, levelName).value_or(LogLevel::Info);
     boost::log::core::get()->set_filter(expressions::attr<LogLevel>("Severity") >= threshold);
 }
 
+bool stopLogging()
+{
+    if (!sink()) {
+        return true;
+    }
+    const boost::shared_ptr<Sink> stopped = std::exchange(sink(), nullptr);
+    boost::log::core::get()->remove_sink(stopped);
+    const auto written = std::make_shared<std::promise<void>>();
+    std::thread([stopped, written] {
+        stopped->stop();
+        stopped->flush();
+        written->set_value();
+    }).detach();
+    return written->get_future().wait_for(LastLinesTimeout) == std::future_status::ready;
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = startLine(level, event);
     for (const LogField &field : fields) {
         addField(line, field.key, field.value);
     }
-    BOOST_LOG_SEV(logger(), level) << line;
+    write(level, line);
 }
 
 void logEvent(LogLevel level, std::string_view event,
@@ -119,7 +211,7 @@
     for (const auto &[key, value] : fields) {
         addField(line, key, value);
     }
-    BOOST_LOG_SEV(logger(), level) << line;
+    write(level, line);
 }
 
 } // namespace Common
--- a/Source/Core/Common/Log.h
+++ b/Source/Core/Common/Log.h
@@ -32,9 +32,15 @@
     std::string value;
 };
 
-/// Log lines go to standard error. \a process is put on each line.
+/// Log lines go to standard output, by a thread of their own: whoever logs never waits for the
+/// reader. Past a bound on the lines of a second, and on those that wait, lines are dropped; how
+/// many were over the first is told. \a process is put on each line.
 void startLogging(std::string_view process, std::string_view levelName);
 
+/// Writes out what waits. False where the reader does not take it: the process should then end
+/// without waiting for its threads.
+bool stopLogging();
+
 /// Writes one line: time, level, process, event and the fields, as key=value pairs. A value with
 /// blanks, quotes or control characters is quoted and escaped, so that a line stays one line.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
--- a/Source/Core/Daemon/Daemon.h
+++ b/Source/Core/Daemon/Daemon.h
@@ -89,7 +89,12 @@
     waiter.join();
     Common::logEvent(Common::LogLevel::Info, "stopped",
                      {{"complete", stoppedInTime ? "true" : "false"}});
-    return stoppedInTime ? EXIT_SUCCESS : StopTimedOut;
+    const int status = stoppedInTime ? EXIT_SUCCESS : StopTimedOut;
+    daemon.reset();
+    if (!Common::stopLogging()) {
+        std::_Exit(status);
+    }
+    return status;
 }
 
 } // namespace Daemon
--- a/Source/Core/StandIn/DaemonProcess.h
+++ b/Source/Core/StandIn/DaemonProcess.h
@@ -43,6 +43,7 @@
     Common::logEvent(Common::LogLevel::Info, "started", {{"url", server->url()}});
     waitForStop();
     Common::logEvent(Common::LogLevel::Info, "stopping");
+    Common::stopLogging();
 }
 
 } // namespace StandIn
