Transient: refuse at once where every able backend server leaves

Cause: found by a test of the real daemons: a job whose only backend server was leaving was accepted, waited for its whole target time and was refused only then. Change: a leaving backend server does not count as able; one whose link is lost for a moment still does. Tests of the real daemons against a store and a backend server in the platform's forms: the whole way, bad input, no configuration, a caller that leaves, a graceful stop, a replaced gateway, a leaving backend server.

--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -99,7 +99,9 @@
 bool anyAble(const Fleet &fleet, const std::string &service, const StepRequest &step)
 {
     return std::any_of(fleet.agents.begin(), fleet.agents.end(), [&](const auto &entry) {
-        return entry.second.announced.service == service && isAble(entry.second, step);
+        const AgentView &agent = entry.second;
+        const bool mayTakeIt = !agent.isLinked || agent.announced.accepting;
+        return mayTakeIt && agent.announced.service == service && isAble(agent, step);
     });
 }
 
--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -40,7 +40,8 @@
 std::optional<Placement> placeTask(Fleet &fleet, const PlacementQuery &query, std::int64_t nowMs,
                                    Common::Random &random);
 
-/// The service has a backend server that could run the step, whether or not it takes work now.
+/// The service has a backend server that could run the step, now or when its agent, whose link is
+/// lost, is back. One that is leaving does not count.
 bool anyAble(const Fleet &fleet, const std::string &service, const StepRequest &step);
 
 } // namespace Transient
--- /dev/null
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -0,0 +1,254 @@
+#include <doctest/doctest.h>
+#include <functional>
+#include <ostream>
+#include <thread>
+
+#include "FakePlatform.h"
+#include "Gateway/Gateway.h"
+#include "platform/Platform.h"
+#include "Runner/Runner.h"
+
+namespace {
+
+constexpr const char *Service = "desk";
+constexpr const char *Job = "5c0e7a21d94b36f8";
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+/// Looks until \a holds. False after a generous time.
+bool waitFor(const std::function<bool()> &holds)
+{
+    constexpr int Rounds = 3000;
+    constexpr std::chrono::milliseconds Pause{10};
+    for (int round = 0; round < Rounds; ++round) {
+        if (holds()) {
+            return true;
+        }
+        std::this_thread::sleep_for(Pause);
+    }
+    return false;
+}
+
+/// A gateway, an agent and a backend server, as threads of this process.
+struct Site
+{
+    explicit Site(bool hasQueues = true)
+    {
+        if (hasQueues) {
+            this->store.setQueues(FakePlatform::oneQueue(7, Service));
+        }
+        this->startGateway();
+        this->startAgent();
+    }
+
+    ~Site()
+    {
+        this->stopGateway();
+        if (this->agentThread.joinable()) {
+            this->agent->requestStop();
+            this->agentThread.join();
+        }
+    }
+
+    void startGateway()
+    {
+        Schema::TransientGatewaySettings settings;
+        settings.name = "gateway-1";
+        settings.host = "127.0.0.1";
+        settings.callerAddress = this->callers;
+        settings.probeAddress = this->probes;
+        settings.peerAddress = this->peers;
+        settings.storeAddress = this->store.address();
+        settings.maxBodyBytes = 262'144;
+        settings.heartbeatMs = 250;
+        // Generous: the machine that runs the test may be busy.
+        settings.silenceMs = 5000;
+        settings.leaseMs = 700;
+        settings.stopTimeoutMs = 20'000;
+        this->gateway = Gateway::TransientDaemonBuilder().settings(settings).build();
+        this->gatewayThread = std::thread([this] { this->stoppedWell = this->gateway->run(); });
+    }
+
+    void startAgent()
+    {
+        Schema::TransientAgentSettings settings;
+        settings.name = "agent-1";
+        settings.host = "127.0.0.1";
+        settings.registrationAddress = this->registration;
+        settings.backendAddress = this->backend.address();
+        settings.service = Service;
+        settings.storeAddress = this->store.address();
+        settings.seeds = {this->peers};
+        settings.heartbeatMs = 250;
+        settings.silenceMs = 5000;
+        settings.leaseMs = 900;
+        settings.stopTimeoutMs = 5000;
+        this->agent = Runner::RunnerDaemonBuilder().settings(settings).build();
+        this->agentThread = std::thread([this] { this->agent->run(); });
+    }
+
+    void stopGateway()
+    {
+        if (this->gatewayThread.joinable()) {
+            this->gateway->requestStop();
+            this->gatewayThread.join();
+        }
+    }
+
+    Net::HttpResult call(const std::string &method, const std::string &path,
+                         const std::string &body = {}, std::int64_t timeoutMs = 20'000)
+    {
+        Net::HttpClient client(1);
+        Net::HttpCall made;
+        made.method = method;
+        made.url = "http://" + this->callers + path;
+        made.body = body;
+        made.headers = {"Host: desk.example"};
+        made.timeoutMs = timeoutMs;
+        return client.perform(made);
+    }
+
+    bool isReady() const
+    {
+        Net::HttpClient client(1);
+        Net::HttpCall probe;
+        probe.url = "http://" + this->probes + "/readyz";
+        return client.perform(probe).status == 200;
+    }
+
+    bool serves()
+    {
+        return this->backend.announce(this->registration, Service, false)
+               && waitFor([this] { return this->isReady(); }) && waitFor([this] {
+                      return this->call("POST", "/checks/00000000000000aa", shortJob()).status
+                             == 200;
+                  });
+    }
+
+    static std::string shortJob()
+    {
+        return R"({"bestEffort":true,"spec":"30 1","steps":[{"count":3,"cpu":1000,"estimateMs":30}]})";
+    }
+
+    static std::string longJob()
+    {
+        return R"({"bestEffort":true,"spec":"1500 1","steps":[{"count":2,"cpu":1000,"estimateMs":1500}]})";
+    }
+
+    FakePlatform::Store store;
+    FakePlatform::BackendServer backend;
+    std::string callers = loopback(FakePlatform::freePort());
+    std::string probes = loopback(FakePlatform::freePort());
+    std::string peers = loopback(FakePlatform::freePort());
+    std::string registration = loopback(FakePlatform::freePort());
+    std::unique_ptr<Gateway::TransientDaemon> gateway;
+    std::unique_ptr<Runner::RunnerDaemon> agent;
+    std::thread gatewayThread;
+    std::thread agentThread;
+    bool stoppedWell = false;
+};
+
+} // namespace
+
+TEST_CASE("A job goes its whole way through the real daemons")
+{
+    Site site;
+    REQUIRE(site.serves());
+    struct Row
+    {
+        const char *what;
+        const char *method;
+        std::string path;
+        std::string body;
+        int status;
+    };
+    const std::string id = std::string("/checks/") + Job;
+    const Row rows[] = {
+            {"a job", "POST", id, Site::shortJob(), 200},
+            {"the same again: its answer is remembered", "POST", id, Site::shortJob(), 200},
+            {"no such queue", "POST", "/elsewhere/1", Site::shortJob(), 404},
+            {"no id", "POST", "/checks/1", Site::shortJob(), 400},
+            {"not a job", "POST", id, "{", 400},
+            {"a kind that is not served", "POST", id, R"({"steps":[{"count":1}]})", 503},
+            {"what waits", "GET", "/checks/", "", 200},
+            {"a job that has ended is not kept", "GET", id, "", 410},
+            {"nothing to cancel", "DELETE", id, "", 410},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        const Net::HttpResult result = site.call(row.method, row.path, row.body);
+        CHECK(result.transport == Net::HttpTransport::Answered);
+        CHECK(result.status == row.status);
+    }
+    CHECK(site.call("POST", id, std::string(300'000, 'x')).status == 413);
+    CHECK(site.store.writes() > 0);
+}
+
+TEST_CASE("Without a configuration nothing is answered as unknown")
+{
+    // A gateway that starts while the store is down cannot tell which queues there are: 404 would
+    // tell a caller that its queue is gone.
+    Site site(false);
+    CHECK(site.call("POST", std::string("/checks/") + Job, Site::shortJob()).status == 503);
+    CHECK_FALSE(site.isReady());
+}
+
+TEST_CASE("The caller's connection closes, and what ran for it is stopped")
+{
+    // The caller gives up after 300 ms. Its tasks would run for 1.5 s; they end well before, and it
+    // may submit the job again at another gateway.
+    Site site;
+    REQUIRE(site.serves());
+    const int before = site.backend.starts();
+    const auto result = site.call("POST", std::string("/checks/") + Job, Site::longJob(), 300);
+    CHECK(result.transport == Net::HttpTransport::TimedOut);
+    CHECK(site.backend.starts() <= before + 2);
+    CHECK(waitFor([&site] { return site.backend.running() == 0; }));
+    CHECK(site.call("GET", std::string("/checks/") + Job).status == 410);
+}
+
+TEST_CASE("A gateway that is told to stop answers what it has taken")
+{
+    // The job's caller is answered after the stop was asked for; the probe fails meanwhile, and the
+    // process ends when nothing is open any more.
+    Site site;
+    REQUIRE(site.serves());
+    Net::HttpResult result;
+    std::thread caller(
+            [&] { result = site.call("POST", std::string("/checks/") + Job, Site::longJob()); });
+    CHECK(waitFor([&site] { return site.backend.running() == 2; }));
+    site.gateway->requestStop();
+    CHECK(waitFor([&site] { return !site.isReady(); }));
+    caller.join();
+    CHECK(result.status == 200);
+    site.stopGateway();
+    CHECK(site.stoppedWell);
+}
+
+TEST_CASE("The gateway is replaced by another process at its address")
+{
+    // The agent dials the address again and serves the new process, which has its configuration
+    // from the store.
+    Site site;
+    REQUIRE(site.serves());
+    site.stopGateway();
+    site.gateway.reset();
+    site.startGateway();
+    REQUIRE(site.serves());
+}
+
+TEST_CASE("A backend server that leaves gets nothing new")
+{
+    Site site;
+    REQUIRE(site.serves());
+    CHECK(site.backend.announce(site.registration, Service, true));
+    const int before = site.backend.starts();
+    // Nobody else is able: the job is refused while nothing of it has run.
+    CHECK(waitFor([&site] {
+        return site.call("POST", std::string("/checks/") + Job, Site::shortJob()).status == 503;
+    }));
+    CHECK(site.backend.starts() <= before + 3);
+}
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -265,6 +265,25 @@
     }
 }
 
+TEST_CASE("Where the only backend server leaves, jobs are refused at once")
+{
+    // Its agent is linked and says that it takes nothing more. A job that waited for it would learn
+    // only at its target time that nobody can run it.
+    Fixture site;
+    Schema::AgentAnnouncement leaving = site.state.fleet.agents.at("agent").announced;
+    leaving.accepting = false;
+    agentAnnounced(site.state, leaving, at(5000), site.random);
+    const auto given = answers(
+            jobSubmitted(site.state, site.submission("job", {stepOf(1)}), at(5001), site.random));
+    REQUIRE(given.size() == 1);
+    CHECK(given[0].reason == Reason::NoBackend);
+    // One whose link is gone for a moment may be back at once.
+    agentLinkLost(site.state, "agent-1", at(5002));
+    CHECK(answers(jobSubmitted(site.state, site.submission("other", {stepOf(1)}), at(5003),
+                               site.random))
+                  .empty());
+}
+
 TEST_CASE("At the deadline what may have run is given up, and what has not is refused")
 {
     Fixture site;
