--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -28,7 +28,6 @@
 constexpr int NotFound = 404;
 constexpr int Gone = 410;
 constexpr int Unavailable = 503;
-constexpr std::int64_t RetryMs = 1000;
 /// Of a caller that does not say how long it waits.
 constexpr std::int64_t DefaultPatienceMs = 30'000;
 /// An answer at the last moment has to reach its caller.
@@ -642,9 +641,9 @@
 
 void TransientDaemon::Implementation::carryOut(const Transient::ObserveSeconds &effect)
 {
-    static const std::vector<double> Bounds{0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75,
+    static const std::vector<double> bounds{0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75,
                                             1,    1.5, 2,    3,   5,   10,  30};
-    this->metrics.observe(effect.histogram, effect.seconds, Bounds, {{"queue", effect.queue}});
+    this->metrics.observe(effect.histogram, effect.seconds, bounds, {{"queue", effect.queue}});
 }
 
 void TransientDaemon::Implementation::carryOut(const Transient::Note &effect)
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -140,7 +140,7 @@
     void askStore();
     void sendReports();
     bool isReportDue(const GatewayLink &link) const;
-    void sendTo(Net::LinkId id, GatewayLink &link, Schema::Frame frame);
+    void sendTo(Net::LinkId id, GatewayLink &link, const Schema::Frame &frame);
     Net::HttpResponse answerBackend(const Net::HttpRequest &request);
     Platform::BackendTarget target() const;
     std::int64_t nextWake() const;
@@ -353,10 +353,11 @@
     frame.type = Schema::FrameType::AgentAnnouncement;
     frame.agentAnnouncement = announcementFor(this->state, link.instance, this->now);
     link.toldProcessors = frame.agentAnnouncement->load.committedProcessors;
-    this->sendTo(id, link, std::move(frame));
+    this->sendTo(id, link, frame);
 }
 
-void RunnerDaemon::Implementation::sendTo(Net::LinkId id, GatewayLink &link, Schema::Frame frame)
+void RunnerDaemon::Implementation::sendTo(Net::LinkId id, GatewayLink &link,
+                                          const Schema::Frame &frame)
 {
     link.sentMs = this->now.steadyMs;
     if (!this->hub->send(id, frame)) {
@@ -589,7 +590,7 @@
         frame.agentReport->states = std::move(link.unsent);
         link.unsent.clear();
         link.toldProcessors = frame.agentReport->load.committedProcessors;
-        this->sendTo(id, link, std::move(frame));
+        this->sendTo(id, link, frame);
     }
 }
 
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -254,7 +254,7 @@
             });
 }
 
-void Client::write(StoreTopic topic, Platform::StoreRecord record)
+void Client::write(StoreTopic topic, const Platform::StoreRecord &record)
 {
     this->implementation->write(topic, record, 0);
 }
--- a/Source/Core/StoreClient/StoreClient.h
+++ b/Source/Core/StoreClient/StoreClient.h
@@ -53,7 +53,7 @@
     /// Delivers the newest record of each key once; nothing where the store does not answer.
     void readOnce(Platform::StoreTopic topic, std::function<void(StoreNews)> deliver);
     /// Writes the record, again and again until it is acknowledged.
-    void write(Platform::StoreTopic topic, Platform::StoreRecord record);
+    void write(Platform::StoreTopic topic, const Platform::StoreRecord &record);
     /// Nothing is delivered afterwards. Not to be called from a delivery.
     void stop();
 
--- a/Source/UnitTests/Platform/FakePlatform.cpp
+++ b/Source/UnitTests/Platform/FakePlatform.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 using Json = nlohmann::json;
-using TransientSite::ModelBackend;
 
 constexpr const char *Id = "i-1";
 
--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -87,8 +87,10 @@
         CAPTURE(forMs);
         auto world = readySite(4);
         freezeAgent(*world, 1, forMs);
+        constexpr int Jobs = 6;
         std::vector<std::size_t> callers;
-        for (int job = 0; job < 6; ++job) {
+        callers.reserve(Jobs);
+        for (int job = 0; job < Jobs; ++job) {
             callers.push_back(submit(*world, job % 3, Long, 4, 8000));
         }
         runFor(*world, 9000);
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -84,8 +84,8 @@
     return world.partitions.count({gateway, agent}) != 0;
 }
 
-void carryOut(World &world, int gateway, Transient::Effects effects);
-void carryOut(World &world, int agent, Runner::Effects effects);
+void carryOut(World &world, int gateway, const Transient::Effects &effects);
+void carryOut(World &world, int agent, const Runner::Effects &effects);
 
 /// What the oracle sees of a start.
 void judgeStart(World &world, int backendIndex, const Transient::RunStart &start)
@@ -347,7 +347,7 @@
 void carryOutOne(World & /*world*/, int /*agent*/, const Transient::CountReason & /*effect*/) {}
 void carryOutOne(World & /*world*/, int /*agent*/, const Transient::Note & /*effect*/) {}
 
-void carryOut(World &world, int agent, Runner::Effects effects)
+void carryOut(World &world, int agent, const Runner::Effects &effects)
 {
     for (const Runner::Effect &effect : effects) {
         std::visit([&world, agent](const auto &one) { carryOutOne(world, agent, one); }, effect);
@@ -460,7 +460,7 @@
 void carryOutOne(World & /*world*/, int /*gateway*/, const Transient::ObserveSeconds & /*effect*/)
 {}
 
-void carryOut(World &world, int gateway, Transient::Effects effects)
+void carryOut(World &world, int gateway, const Transient::Effects &effects)
 {
     for (const Transient::Effect &effect : effects) {
         std::visit([&world, gateway](const auto &one) { carryOutOne(world, gateway, one); },
