Transient: give a dial attempt up after 250 ms

Cause: after a loss of all power an agent's attempt at a gateway that was not up yet hung for 0.8 s, the silence limit of links: a machine without power swallows the first packet. Change: an attempt waits 250 ms.

--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -698,7 +698,7 @@
     for (const std::string &address : Transient::gatewaysToDial(this->discovery, this->now)) {
         const Net::Address target = Net::parseAddress(address);
         const Net::LinkId id =
-                this->hub->connect(target.host, target.port, this->settings.silenceMs);
+                this->hub->connect(target.host, target.port, Transient::DialTimeoutMs);
         PeerLink link;
         link.address = address;
         this->links.emplace(id, std::move(link));
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -513,7 +513,7 @@
     for (const std::string &address : Transient::gatewaysToDial(this->discovery, this->now)) {
         const Net::Address target = Net::parseAddress(address);
         const Net::LinkId id =
-                this->hub->connect(target.host, target.port, this->settings.silenceMs);
+                this->hub->connect(target.host, target.port, Transient::DialTimeoutMs);
         GatewayLink link;
         link.address = address;
         link.heardMs = this->now.steadyMs;
--- a/Source/Core/Transient/Discovery.h
+++ b/Source/Core/Transient/Discovery.h
@@ -12,6 +12,11 @@
 /// gateways and from the platform's store; an address is dialled until it answers or is given up.
 namespace Transient {
 
+/// How long an attempt waits for its connection. A machine without power swallows the attempt's
+/// first packet; the next attempt must not wait until that one is given up by the system, seconds
+/// later. Forty times the way there and back between failure domains.
+constexpr std::int64_t DialTimeoutMs = 250;
+
 struct KnownGateway
 {
     /// Named in the settings: never given up.
