--- a/Source/Core/Transient/Discovery.cpp
+++ b/Source/Core/Transient/Discovery.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 /// Failure: all processes start together, and agents that meet nobody yet pause ever longer; three
-/// of four gateways then had no agent for 0.5 s and refused their callers. A process that was killed
-/// is back within a second: so long the attempts come soon after each other. In the long run no
-/// gateway is dialled more than once a second by one process.
+/// of four gateways then had no agent for 0.5 s and refused their callers. A process that was
+/// killed is back within a second: so long the attempts come soon after each other. In the long run
+/// no gateway is dialled more than once a second by one process.
 constexpr int QuickRedials = 12;
 constexpr std::int64_t FirstRedialMs = 100;
 constexpr std::int64_t LongestRedialMs = 1000;
