Schema: drop a setting that nothing reads

Cause: resubmitMs was in the settings of a transient gateway and in its template, and no code looked at it: what must be over before callers submit again follows from silenceMs and leaseMs. Change: removed. No behaviour.

--- a/Source/Core/Schema/Generated/Settings.h
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -279,10 +279,6 @@
          */
         std::string probeAddress{};
         std::string region{};
-        /**
-         * Callers whose connection broke submit again after this time.
-         */
-        int64_t resubmitMs{};
         /**
          * Peer addresses of some gateways; the rest are learned from them and from the store.
          */
@@ -482,7 +478,6 @@
         x.peerAddress = j.at("peerAddress").get<std::string>();
         x.probeAddress = j.at("probeAddress").get<std::string>();
         x.region = j.at("region").get<std::string>();
-        x.resubmitMs = j.at("resubmitMs").get<int64_t>();
         x.seeds = j.at("seeds").get<std::vector<std::string>>();
         x.silenceMs = j.at("silenceMs").get<int64_t>();
         x.stopTimeoutMs = j.at("stopTimeoutMs").get<int64_t>();
@@ -503,7 +498,6 @@
         j["peerAddress"] = x.peerAddress;
         j["probeAddress"] = x.probeAddress;
         j["region"] = x.region;
-        j["resubmitMs"] = x.resubmitMs;
         j["seeds"] = x.seeds;
         j["silenceMs"] = x.silenceMs;
         j["stopTimeoutMs"] = x.stopTimeoutMs;
