Net: say in the answer that its connection ends

Cause: found when reading the change again: the library keeps the first header of a name, so that an answer that ended its connection still said Keep-Alive; a gateway that stops thus shut connections that its callers meant to use again. Change: the first header is taken out. Tests of it, of the headers that the handler gets, and of the end of a connection. Measured: the first test failed before (Keep-Alive in the answer) and passes; net-tests 26 cases.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -184,6 +184,8 @@
         const std::shared_ptr<Pistache::Tcp::Peer> peer =
                 response.closesConnection ? this->livePeer() : nullptr;
         if (peer) {
+            // The library keeps the first header of a name.
+            this->writer.headers().remove<Http::Header::Connection>();
             this->writer.headers().add<Http::Header::Connection>(Http::ConnectionControl::Close);
         }
         this->gate->addUnwritten(1);
--- a/Source/UnitTests/Net/HttpTest.cpp
+++ b/Source/UnitTests/Net/HttpTest.cpp
@@ -191,6 +191,51 @@
     }
 }
 
+TEST_CASE("An answer that ends its connection says so")
+{
+    // A gateway that stops answers on connections that its callers would go on using. One that is
+    // not told sends its next request into a connection that nobody reads any more.
+    const auto server = serve([](const Net::HttpRequest &, const Net::HttpReply &reply) {
+        reply.send({200, "bye", "text/plain", 0, true});
+    });
+    const std::string post = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab";
+    const std::string answer = RawServer::exchange(server->port(), post, "bye");
+    CHECK(answer.find("Connection: Close") != std::string::npos);
+    CHECK(answer.find("Keep-Alive") == std::string::npos);
+}
+
+TEST_CASE("The handler gets the headers, and the end of each connection is told")
+{
+    Latch ended(1);
+    std::atomic<std::uint64_t> opened{0};
+    std::atomic<std::uint64_t> closed{0};
+    const auto server =
+            Net::HttpServerBuilder()
+                    .disconnected([&](std::uint64_t connection) {
+                        closed = connection;
+                        ended.countDown();
+                    })
+                    .handler([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        opened = request.connection;
+                        const auto found = request.headers.find("x-wait-ms");
+                        const bool isThere = found != request.headers.end();
+                        reply.send({200,
+                                    request.headers.at("host") + ' '
+                                            + (isThere ? found->second : "none"),
+                                    "text/plain", 0, false});
+                    })
+                    .build();
+    {
+        Net::HttpClient client(1);
+        Net::HttpCall call = post(server->port(), "ab");
+        call.headers = {"Host: desk.example", "X-Wait-Ms: 70"};
+        CHECK(client.perform(call).body == "desk.example 70");
+    }
+    REQUIRE(ended.wait());
+    CHECK(opened == closed);
+    CHECK(opened != 0);
+}
+
 TEST_CASE("Replies can be sent later, from another thread, in any order")
 {
     constexpr int Requests = 100;
