Core: one piece of code where the transient jobs had written it again

StoreClient judged a status of the platform itself. Two members were written and never read; two functions always returned nothing; the processors that are taken were summed for each link, and a metric was set at each round. A port file that can't be written is now logged by the daemons, where it was passed over. No other behaviour; no assertion changed.

--- a/Source/Core/Agent/AgentDaemon.cpp
+++ b/Source/Core/Agent/AgentDaemon.cpp
@@ -23,22 +23,6 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusNotFound = 404;
 
-struct LinkOpened
-{
-    Net::LinkId link = 0;
-};
-
-struct LinkClosed
-{
-    Net::LinkId link = 0;
-};
-
-struct FrameArrived
-{
-    Net::LinkId link = 0;
-    Schema::Frame frame;
-};
-
 struct RunAnswered
 {
     TaskKey key;
@@ -54,7 +38,7 @@
 {};
 
 /// What the traffic threads hand to the control thread.
-using ControlMessage = std::variant<LinkOpened, LinkClosed, FrameArrived, RunAnswered,
+using ControlMessage = std::variant<Net::LinkUp, Net::LinkDown, Net::FrameArrived, RunAnswered,
                                     HealthAnswered, StopRequested>;
 
 std::string uniqueInstance(const std::string &name, Common::Random &random)
@@ -86,9 +70,9 @@
     bool run();
 
     void takeMessage(ControlMessage message);
-    Effects decide(const LinkOpened &event, Common::Moment now);
-    Effects decide(const LinkClosed &event, Common::Moment now);
-    Effects decide(const FrameArrived &event, Common::Moment now);
+    Effects decide(const Net::LinkUp &event, Common::Moment now);
+    Effects decide(const Net::LinkDown &event, Common::Moment now);
+    Effects decide(const Net::FrameArrived &event, Common::Moment now);
     Effects decide(const RunAnswered &event, Common::Moment now);
     Effects decide(const HealthAnswered &event, Common::Moment now);
     Effects decide(const StopRequested &event, Common::Moment now);
@@ -144,13 +128,7 @@
                         reply.send(this->answerOperator(request));
                     })
                     .build();
-    Net::PeerHubEvents events;
-    events.opened = [this](Net::LinkId link) { this->mailbox.post(LinkOpened{link}); };
-    events.closed = [this](Net::LinkId link) { this->mailbox.post(LinkClosed{link}); };
-    events.received = [this](Net::LinkId link, Schema::Frame frame) {
-        this->mailbox.post(FrameArrived{link, std::move(frame)});
-    };
-    this->hub = std::make_unique<Net::PeerHub>(std::move(events));
+    this->hub = std::make_unique<Net::PeerHub>(Net::eventsTo(this->mailbox));
     this->runClient =
             std::make_unique<Net::HttpClient>(static_cast<int>(this->settings.connections));
     this->healthClient = std::make_unique<Net::HttpClient>(1);
@@ -187,12 +165,12 @@
     return found == this->linkNumbers.end() ? 0 : found->second;
 }
 
-Effects AgentDaemon::Implementation::decide(const LinkOpened &event, Common::Moment now)
+Effects AgentDaemon::Implementation::decide(const Net::LinkUp &event, Common::Moment now)
 {
     return linkOpened(this->state, this->numberOf(event.link), now);
 }
 
-Effects AgentDaemon::Implementation::decide(const LinkClosed &event, Common::Moment now)
+Effects AgentDaemon::Implementation::decide(const Net::LinkDown &event, Common::Moment now)
 {
     const LinkNumber number = this->numberOf(event.link);
     this->linkNumbers.erase(event.link);
@@ -200,7 +178,7 @@
     return linkClosed(this->state, number, now);
 }
 
-Effects AgentDaemon::Implementation::decide(const FrameArrived &event, Common::Moment now)
+Effects AgentDaemon::Implementation::decide(const Net::FrameArrived &event, Common::Moment now)
 {
     return frameReceived(this->state, this->numberOf(event.link), event.frame, now);
 }
--- a/Source/Core/Agent/Effects.cpp
+++ b/Source/Core/Agent/Effects.cpp
@@ -1,7 +1,5 @@
 #include "Agent/Effects.h"
 
-#include <iterator>
-
 #include "Common/Common.h"
 
 namespace Agent {
@@ -12,10 +10,4 @@
     return Common::hash64(key.job) ^ (static_cast<std::uint64_t>(key.index) * IndexSpread);
 }
 
-void append(Effects &effects, Effects more)
-{
-    effects.insert(effects.end(), std::make_move_iterator(more.begin()),
-                   std::make_move_iterator(more.end()));
-}
-
 } // namespace Agent
--- a/Source/Core/Agent/Effects.h
+++ b/Source/Core/Agent/Effects.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "Common/Append.h"
 #include "Schema/Schema.h"
 
 /// What the agent's decisions ask of the outside, and how its tasks and links are named.
@@ -74,8 +75,7 @@
 /// Carried out in order.
 using Effects = std::vector<Effect>;
 
-/// Adds \a more at the end of \a effects.
-void append(Effects &effects, Effects more);
+using Common::append;
 
 constexpr const char *RefusalsCounter = "auburntrail_agent_refusals_total";
 constexpr const char *LinkLossesCounter = "auburntrail_agent_link_losses_total";
--- a/Source/Core/Common/Common.h
+++ b/Source/Core/Common/Common.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Common/Append.h"
+#include "Common/Backoff.h"
 #include "Common/Clock.h"
 #include "Common/Hash.h"
 #include "Common/Ids.h"
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -58,10 +58,10 @@
     return received;
 }
 
-void writePorts(const std::string &path, const Ports &ports)
+bool writePorts(const std::string &path, const Ports &ports)
 {
     if (path.empty()) {
-        return;
+        return true;
     }
     // Renamed into place, so that a reader never sees half of it.
     const std::string temporary = path + ".new";
@@ -70,7 +70,7 @@
         file << name << '=' << port << '\n';
     }
     file.close();
-    std::rename(temporary.c_str(), path.c_str());
+    return file.good() && std::rename(temporary.c_str(), path.c_str()) == 0;
 }
 
 int runProgram(int argc, char **argv, const Program &program)
--- a/Source/Core/Daemon/Daemon.h
+++ b/Source/Core/Daemon/Daemon.h
@@ -54,7 +54,9 @@
 void blockSignals();
 /// Returns at SIGTERM, SIGINT or SIGHUP, with its number.
 int waitForSignal();
-void writePorts(const std::string &path, const Ports &ports);
+/// Writes a line NAME=PORT for each, whole or not at all. False where it can't be written; an empty
+/// \a path writes nothing.
+bool writePorts(const std::string &path, const Ports &ports);
 
 /// Runs the daemon that \a build makes until it is told to stop. \a portsOf lists its ports.
 template <typename Build, typename PortsOf>
@@ -70,7 +72,10 @@
         std::cerr << name << ": " << error.what() << '\n';
         return AddressError;
     }
-    writePorts(options.portFile, portsOf(*daemon));
+    if (!writePorts(options.portFile, portsOf(*daemon))) {
+        Common::logEvent(Common::LogLevel::Warning, "port_file_not_written",
+                         {{"path", options.portFile}});
+    }
     std::thread waiter([&daemon] {
         int signal = waitForSignal();
         while (signal == SIGHUP) {
--- a/Source/Core/Dispatch/BackendPool.cpp
+++ b/Source/Core/Dispatch/BackendPool.cpp
@@ -17,14 +17,6 @@
                       != server.services.end();
 }
 
-bool fits(const Schema::Resources &whole, const Schema::Resources &used,
-          const Schema::Resources &wanted)
-{
-    return used.processors + wanted.processors <= whole.processors
-           && used.memoryMb + wanted.memoryMb <= whole.memoryMb
-           && used.accelerators + wanted.accelerators <= whole.accelerators;
-}
-
 std::string keyOf(const std::string &service, const Schema::Resources &resources)
 {
     return service + '\n' + std::to_string(resources.processors) + '\n'
@@ -189,6 +181,14 @@
 
 } // namespace
 
+bool fits(const Schema::Resources &whole, const Schema::Resources &used,
+          const Schema::Resources &wanted)
+{
+    return used.processors + wanted.processors <= whole.processors
+           && used.memoryMb + wanted.memoryMb <= whole.memoryMb
+           && used.accelerators + wanted.accelerators <= whole.accelerators;
+}
+
 bool isAble(const BackendRecord &backend, const Requirement &requirement)
 {
     // An idle requirement is judged too: its next job finds it as it is then.
--- a/Source/Core/Dispatch/BackendPool.h
+++ b/Source/Core/Dispatch/BackendPool.h
@@ -113,6 +113,10 @@
     std::int64_t sweptMs = 0;
 };
 
+/// Of \a whole, with \a used taken, \a wanted is left.
+bool fits(const Schema::Resources &whole, const Schema::Resources &used,
+          const Schema::Resources &wanted);
+
 /// A task of \a requirement fits the equipment, were all of it free.
 bool isAble(const BackendRecord &backend, const Requirement &requirement);
 
--- a/Source/Core/Dispatch/Effects.h
+++ b/Source/Core/Dispatch/Effects.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "Common/Append.h"
 #include "Schema/Schema.h"
 
 /// What decisions ask of the outside. Decision code does no input or output of its own: it returns
@@ -75,7 +76,6 @@
                             AnswerQuery, CountReason, Note>;
 using Effects = std::vector<Effect>;
 
-/// Adds \a more at the end of \a effects.
-void append(Effects &effects, Effects more);
+using Common::append;
 
 } // namespace Dispatch
--- a/Source/Core/Gateway/ControlMessage.h
+++ b/Source/Core/Gateway/ControlMessage.h
@@ -17,22 +17,6 @@
     Net::HttpReply reply;
 };
 
-struct LinkUp
-{
-    Net::LinkId link = 0;
-};
-
-struct FrameArrived
-{
-    Net::LinkId link = 0;
-    Schema::Frame frame;
-};
-
-struct LinkDown
-{
-    Net::LinkId link = 0;
-};
-
 struct LogDelivered
 {
     Dispatch::LogStream stream = Dispatch::LogStream::Control;
@@ -49,7 +33,7 @@
 struct StopRequested
 {};
 
-using ControlMessage = std::variant<ApiCalled, LinkUp, FrameArrived, LinkDown, LogDelivered,
-                                    LogAppended, StopRequested>;
+using ControlMessage = std::variant<ApiCalled, Net::LinkUp, Net::FrameArrived, Net::LinkDown,
+                                    LogDelivered, LogAppended, StopRequested>;
 
 } // namespace Gateway
--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -63,9 +63,9 @@
     bool run();
     void handle(ControlMessage message);
     void on(ApiCalled &called);
-    void on(LinkUp &up);
-    void on(FrameArrived &arrived);
-    void on(LinkDown &down);
+    void on(Net::LinkUp &up);
+    void on(Net::FrameArrived &arrived);
+    void on(Net::LinkDown &down);
     void on(LogDelivered &delivered);
     void on(LogAppended &appended);
     void on(StopRequested &stop);
@@ -112,13 +112,7 @@
     , random(Common::makeRandom())
     , now(Common::currentMoment())
 {
-    Net::PeerHubEvents events;
-    events.opened = [this](Net::LinkId link) { this->mailbox.post(LinkUp{link}); };
-    events.received = [this](Net::LinkId link, Schema::Frame frame) {
-        this->mailbox.post(FrameArrived{link, std::move(frame)});
-    };
-    events.closed = [this](Net::LinkId link) { this->mailbox.post(LinkDown{link}); };
-    this->hub = std::make_unique<Net::PeerHub>(std::move(events));
+    this->hub = std::make_unique<Net::PeerHub>(Net::eventsTo(this->mailbox));
     this->peerPort =
             this->hub->listen(settings.host, static_cast<std::uint16_t>(settings.peerPort));
 
@@ -276,12 +270,12 @@
     this->carryOut(Dispatch::callerAsked(this->state, std::move(asked), this->now, this->random));
 }
 
-void GatewayDaemon::Implementation::on(LinkUp &up)
+void GatewayDaemon::Implementation::on(Net::LinkUp &up)
 {
     linkOpened(this->links, up.link, this->now);
 }
 
-void GatewayDaemon::Implementation::on(FrameArrived &arrived)
+void GatewayDaemon::Implementation::on(Net::FrameArrived &arrived)
 {
     const auto known = this->links.links.find(arrived.link);
     if (known == this->links.links.end()) {
@@ -313,7 +307,7 @@
     }
 }
 
-void GatewayDaemon::Implementation::on(LinkDown &down)
+void GatewayDaemon::Implementation::on(Net::LinkDown &down)
 {
     this->forgetLink(down.link);
 }
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -57,22 +57,6 @@
     std::uint64_t connection = 0;
 };
 
-struct LinkUp
-{
-    Net::LinkId link = 0;
-};
-
-struct LinkDown
-{
-    Net::LinkId link = 0;
-};
-
-struct FrameArrived
-{
-    Net::LinkId link = 0;
-    Schema::Frame frame;
-};
-
 struct QueuesRead
 {
     Schema::QueueTable queues;
@@ -86,8 +70,8 @@
 struct StopRequested
 {};
 
-using ControlMessage = std::variant<CallerAsked, CallerLeft, LinkUp, LinkDown, FrameArrived,
-                                    QueuesRead, GatewaysRead, StopRequested>;
+using ControlMessage = std::variant<CallerAsked, CallerLeft, Net::LinkUp, Net::LinkDown,
+                                    Net::FrameArrived, QueuesRead, GatewaysRead, StopRequested>;
 
 struct PeerLink
 {
@@ -120,9 +104,9 @@
 
     void on(CallerAsked &event);
     void on(const CallerLeft &event);
-    void on(const LinkUp &event);
-    void on(const LinkDown &event);
-    void on(const FrameArrived &event);
+    void on(const Net::LinkUp &event);
+    void on(const Net::LinkDown &event);
+    void on(const Net::FrameArrived &event);
     void on(const QueuesRead &event);
     void on(const GatewaysRead &event);
     void on(const StopRequested &event);
@@ -166,6 +150,8 @@
     std::uint64_t lastToken = 0;
     std::int64_t stopDeadlineMs = 0;
     std::int64_t idleSinceMs = 0;
+    /// That the metrics show.
+    std::optional<std::size_t> toldJobs;
 
     // Last, so that their threads end before what they post to.
     std::unique_ptr<Net::PeerHub> hub;
@@ -195,13 +181,7 @@
 
 void TransientDaemon::Implementation::start()
 {
-    Net::PeerHubEvents events;
-    events.opened = [this](Net::LinkId link) { this->mailbox.post(LinkUp{link}); };
-    events.closed = [this](Net::LinkId link) { this->mailbox.post(LinkDown{link}); };
-    events.received = [this](Net::LinkId link, Schema::Frame frame) {
-        this->mailbox.post(FrameArrived{link, std::move(frame)});
-    };
-    this->hub = std::make_unique<Net::PeerHub>(std::move(events));
+    this->hub = std::make_unique<Net::PeerHub>(Net::eventsTo(this->mailbox));
     const Net::Address peer = Net::parseAddress(this->settings.peerAddress);
     this->self.peerPort = this->hub->listen(peer.host, peer.port);
     StoreClient::StoreSettings storeSettings;
@@ -269,14 +249,7 @@
         }
     });
     this->store->follow(StoreTopic::Gateways, [this](const StoreClient::StoreNews &news) {
-        GatewaysRead read;
-        for (const Platform::StoreRecord &record : news.records) {
-            const auto member = Platform::decodeMember(record.value);
-            if (member) {
-                read.gateways.push_back(*member);
-            }
-        }
-        this->mailbox.post(std::move(read));
+        this->mailbox.post(GatewaysRead{Platform::decodeMembers(news.records)});
     });
     this->store->write(StoreTopic::Gateways,
                        {this->settings.name, Platform::encodeMember(this->self)});
@@ -451,7 +424,7 @@
     }
 }
 
-void TransientDaemon::Implementation::on(const LinkUp &event)
+void TransientDaemon::Implementation::on(const Net::LinkUp &event)
 {
     PeerLink &link = this->links[event.link];
     link.isOpen = true;
@@ -459,7 +432,7 @@
     this->beat(event.link, link);
 }
 
-void TransientDaemon::Implementation::on(const LinkDown &event)
+void TransientDaemon::Implementation::on(const Net::LinkDown &event)
 {
     const auto found = this->links.find(event.link);
     if (found == this->links.end()) {
@@ -480,7 +453,7 @@
     }
 }
 
-void TransientDaemon::Implementation::on(const FrameArrived &event)
+void TransientDaemon::Implementation::on(const Net::FrameArrived &event)
 {
     const auto found = this->links.find(event.link);
     if (found == this->links.end()) {
@@ -535,9 +508,7 @@
     const bool isNews = !link.gateway;
     link.gateway = announcement.gateway;
     Transient::gatewayTold(this->discovery, Transient::addressOf(announcement.gateway), this->now);
-    for (const Schema::Member &other : announcement.others) {
-        Transient::gatewayTold(this->discovery, Transient::addressOf(other), this->now);
-    }
+    Transient::gatewaysTold(this->discovery, announcement.others, this->now);
     if (announcement.queuesVersion < this->queues.version) {
         this->sendQueues(id);
     }
@@ -586,9 +557,7 @@
 
 void TransientDaemon::Implementation::on(const GatewaysRead &event)
 {
-    for (const Schema::Member &gateway : event.gateways) {
-        Transient::gatewayTold(this->discovery, Transient::addressOf(gateway), this->now);
-    }
+    Transient::gatewaysTold(this->discovery, event.gateways, this->now);
 }
 
 void TransientDaemon::Implementation::on(const StopRequested & /*event*/)
@@ -599,8 +568,7 @@
     Common::logEvent(LogLevel::Info, "stop_requested",
                      {{"requests", this->requests.size()}, {"jobs", this->state.jobs.size()}});
     this->stopDeadlineMs = this->now.steadyMs + this->settings.stopTimeoutMs;
-    this->carryOut(Transient::beginStop(this->state, this->settings.stopTimeoutMs - LastAnswersMs,
-                                        this->now));
+    Transient::beginStop(this->state, this->settings.stopTimeoutMs - LastAnswersMs, this->now);
 }
 
 void TransientDaemon::Implementation::carryOut(Transient::Effects effects)
@@ -710,8 +678,11 @@
     } else if (this->idleSinceMs == 0) {
         this->idleSinceMs = this->now.steadyMs;
     }
-    this->metrics.set("auburntrail_transient_jobs_open",
-                      static_cast<double>(this->state.jobs.size()));
+    const std::size_t jobs = this->state.jobs.size();
+    if (jobs != this->toldJobs) {
+        this->toldJobs = jobs;
+        this->metrics.set("auburntrail_transient_jobs_open", static_cast<double>(jobs));
+    }
 }
 
 TransientDaemon::TransientDaemon(std::unique_ptr<Implementation> implementation)
--- /dev/null
+++ b/Source/Core/Net/LinkMessages.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <utility>
+
+#include "Net/PeerHub.h"
+
+/// What a hub tells a daemon's control thread.
+namespace Net {
+
+struct LinkUp
+{
+    LinkId link = 0;
+};
+
+struct LinkDown
+{
+    LinkId link = 0;
+};
+
+struct FrameArrived
+{
+    LinkId link = 0;
+    Schema::Frame frame;
+};
+
+/// Hands every event of a hub to \a mailbox, which must outlive it.
+template <typename Mailbox>
+PeerHubEvents eventsTo(Mailbox &mailbox)
+{
+    PeerHubEvents events;
+    events.opened = [&mailbox](LinkId link) { mailbox.post(LinkUp{link}); };
+    events.closed = [&mailbox](LinkId link) { mailbox.post(LinkDown{link}); };
+    events.received = [&mailbox](LinkId link, Schema::Frame frame) {
+        mailbox.post(FrameArrived{link, std::move(frame)});
+    };
+    return events;
+}
+
+} // namespace Net
--- a/Source/Core/Net/Net.h
+++ b/Source/Core/Net/Net.h
@@ -4,6 +4,7 @@
 #include "Net/Codec.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
+#include "Net/LinkMessages.h"
 #include "Net/MetricsServer.h"
 #include "Net/PeerHub.h"
 
--- a/Source/Core/PlatformLog/LogClient.cpp
+++ b/Source/Core/PlatformLog/LogClient.cpp
@@ -4,7 +4,6 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <random>
 
 #include "Common/Common.h"
 #include "Net/HttpClient.h"
@@ -161,7 +160,7 @@
     void takeRead(Follower &follower, const Net::HttpResult &result);
     void succeed(Follower &follower, ReadResult read);
     void retry(Follower &follower, ReadFailure reason);
-    std::int64_t jittered(std::int64_t pauseMs);
+    std::chrono::milliseconds jittered(std::int64_t pauseMs);
     void count(const char *name, Stream stream, const char *label, std::string_view value) const;
     void stop();
 
@@ -256,18 +255,16 @@
         unavailable.nextOffset = follower.offset;
         follower.deliver(std::move(unavailable));
     }
-    follower.pauseMs = follower.pauseMs == 0 ? this->settings.retryMs
-                                             : std::min(follower.pauseMs * 2,
-                                                        this->settings.retryMs * MaxRetryFactor);
-    this->timers.after(std::chrono::milliseconds(this->jittered(follower.pauseMs)),
+    const std::int64_t firstMs = this->settings.retryMs;
+    follower.pauseMs = Common::longerPause(follower.pauseMs, firstMs, firstMs * MaxRetryFactor);
+    this->timers.after(this->jittered(follower.pauseMs),
                        [this, &follower] { this->read(follower); });
 }
 
-std::int64_t LogClient::Implementation::jittered(std::int64_t pauseMs)
+std::chrono::milliseconds LogClient::Implementation::jittered(std::int64_t pauseMs)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    std::uniform_int_distribution<std::int64_t> spread(pauseMs / 2, pauseMs + pauseMs / 2);
-    return spread(this->random);
+    return Common::spreadPause(pauseMs, this->random);
 }
 
 void LogClient::Implementation::count(const char *name, Stream stream, const char *label,
--- a/Source/Core/Runner/Load.cpp
+++ b/Source/Core/Runner/Load.cpp
@@ -38,11 +38,9 @@
     }
     // Sums of fractions: a millionth of a processor is no more than rounding.
     constexpr double Rounding = 1e-6;
-    const Schema::Resources used = occupied(state);
-    const Schema::Resources &has = state.backend->resources;
-    return used.processors + needed.processors <= has.processors + Rounding
-           && used.memoryMb + needed.memoryMb <= has.memoryMb
-           && used.accelerators + needed.accelerators <= has.accelerators;
+    Schema::Resources whole = state.backend->resources;
+    whole.processors += Rounding;
+    return Dispatch::fits(whole, occupied(state), needed);
 }
 
 std::int64_t timeLeftMs(const Run &run, Common::Moment now)
@@ -57,13 +55,22 @@
     return std::max(run.expectedMs - soFarMs, ShortestLeftMs);
 }
 
+double committedProcessors(const RunnerState &state)
+{
+    double processors = 0;
+    for (const auto &[id, run] : state.runs) {
+        processors += run.resources.processors;
+    }
+    return processors;
+}
+
 Schema::AgentLoad loadFor(const RunnerState &state, const std::string &gateway, Common::Moment now)
 {
     Schema::AgentLoad load;
     load.sentMs = now.steadyMs;
+    load.committedProcessors = committedProcessors(state);
     double processorMs = 0;
     for (const auto &[id, run] : state.runs) {
-        load.committedProcessors += run.resources.processors;
         processorMs += run.resources.processors * static_cast<double>(timeLeftMs(run, now));
     }
     if (load.committedProcessors > 0) {
--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -20,11 +20,6 @@
 constexpr std::int64_t RecentMemoryMs = 3000;
 constexpr std::int64_t ForgetEveryMs = 5000;
 
-void append(Effects &effects, Effects more)
-{
-    std::move(more.begin(), more.end(), std::back_inserter(effects));
-}
-
 Run makeRun(const std::string &gateway, const Schema::TaskOrders &orders,
             const Schema::TaskAttempt &attempt, Common::Moment now)
 {
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -40,22 +40,6 @@
 /// Without any gateway, the store is asked for their addresses so often.
 constexpr std::int64_t AskStoreMs = 2000;
 
-struct LinkUp
-{
-    Net::LinkId link = 0;
-};
-
-struct LinkDown
-{
-    Net::LinkId link = 0;
-};
-
-struct FrameArrived
-{
-    Net::LinkId link = 0;
-    Schema::Frame frame;
-};
-
 struct BackendSpoke
 {
     Platform::Registration registration;
@@ -89,8 +73,9 @@
 struct StopRequested
 {};
 
-using ControlMessage = std::variant<LinkUp, LinkDown, FrameArrived, BackendSpoke, StartEnded,
-                                    StopEnded, ObserveEnded, GatewaysRead, StopRequested>;
+using ControlMessage =
+        std::variant<Net::LinkUp, Net::LinkDown, Net::FrameArrived, BackendSpoke, StartEnded,
+                     StopEnded, ObserveEnded, GatewaysRead, StopRequested>;
 
 /// A link to a gateway, from the dial on.
 struct GatewayLink
@@ -113,9 +98,9 @@
     void start();
     bool run();
 
-    void on(const LinkUp &event);
-    void on(const LinkDown &event);
-    void on(const FrameArrived &event);
+    void on(const Net::LinkUp &event);
+    void on(const Net::LinkDown &event);
+    void on(const Net::FrameArrived &event);
     void on(const BackendSpoke &event);
     void on(const StartEnded &event);
     void on(const StopEnded &event);
@@ -139,7 +124,7 @@
     void dropSilent();
     void askStore();
     void sendReports();
-    bool isReportDue(const GatewayLink &link) const;
+    bool isReportDue(const GatewayLink &link, double processors) const;
     void sendTo(Net::LinkId id, GatewayLink &link, const Schema::Frame &frame);
     Net::HttpResponse answerBackend(const Net::HttpRequest &request);
     Platform::BackendTarget target() const;
@@ -187,13 +172,7 @@
 
 void RunnerDaemon::Implementation::start()
 {
-    Net::PeerHubEvents events;
-    events.opened = [this](Net::LinkId link) { this->mailbox.post(LinkUp{link}); };
-    events.closed = [this](Net::LinkId link) { this->mailbox.post(LinkDown{link}); };
-    events.received = [this](Net::LinkId link, Schema::Frame frame) {
-        this->mailbox.post(FrameArrived{link, std::move(frame)});
-    };
-    this->hub = std::make_unique<Net::PeerHub>(std::move(events));
+    this->hub = std::make_unique<Net::PeerHub>(Net::eventsTo(this->mailbox));
     this->backend = std::make_unique<Net::HttpClient>(BackendConnections, TimeoutsUntilSuspect);
     StoreClient::StoreSettings storeSettings;
     storeSettings.address = this->settings.storeAddress;
@@ -272,7 +251,7 @@
     return std::min(next, Transient::nextDialMs(this->discovery));
 }
 
-void RunnerDaemon::Implementation::on(const LinkUp &event)
+void RunnerDaemon::Implementation::on(const Net::LinkUp &event)
 {
     const auto found = this->links.find(event.link);
     if (found != this->links.end()) {
@@ -280,7 +259,7 @@
     }
 }
 
-void RunnerDaemon::Implementation::on(const LinkDown &event)
+void RunnerDaemon::Implementation::on(const Net::LinkDown &event)
 {
     const auto found = this->links.find(event.link);
     if (found == this->links.end()) {
@@ -294,7 +273,7 @@
     this->links.erase(found);
 }
 
-void RunnerDaemon::Implementation::on(const FrameArrived &event)
+void RunnerDaemon::Implementation::on(const Net::FrameArrived &event)
 {
     const auto found = this->links.find(event.link);
     if (found == this->links.end()) {
@@ -319,9 +298,7 @@
 void RunnerDaemon::Implementation::gatewayAnnounced(Net::LinkId id,
                                                     const Schema::GatewayAnnouncement &announcement)
 {
-    for (const Schema::Member &other : announcement.others) {
-        Transient::gatewayTold(this->discovery, Transient::addressOf(other), this->now);
-    }
+    Transient::gatewaysTold(this->discovery, announcement.others, this->now);
     GatewayLink &link = this->links.at(id);
     if (!link.instance.empty()) {
         grantReceived(this->state, link.instance, announcement.echoMs);
@@ -384,7 +361,7 @@
 
 void RunnerDaemon::Implementation::on(const StopEnded &event)
 {
-    this->carryOut(stopAnswered(this->state, event.task, event.number, event.taken, this->now));
+    stopAnswered(this->state, event.task, event.number, event.taken, this->now);
 }
 
 void RunnerDaemon::Implementation::on(const ObserveEnded &event)
@@ -394,9 +371,7 @@
 
 void RunnerDaemon::Implementation::on(const GatewaysRead &event)
 {
-    for (const Schema::Member &gateway : event.gateways) {
-        Transient::gatewayTold(this->discovery, Transient::addressOf(gateway), this->now);
-    }
+    Transient::gatewaysTold(this->discovery, event.gateways, this->now);
 }
 
 void RunnerDaemon::Implementation::on(const StopRequested & /*event*/)
@@ -548,20 +523,13 @@
         return;
     }
     this->askedStoreMs = this->now.steadyMs;
-    this->store->readOnce(Platform::StoreTopic::Gateways,
-                          [this](const StoreClient::StoreNews &news) {
-                              GatewaysRead read;
-                              for (const Platform::StoreRecord &record : news.records) {
-                                  const auto member = Platform::decodeMember(record.value);
-                                  if (member) {
-                                      read.gateways.push_back(*member);
-                                  }
-                              }
-                              this->mailbox.post(std::move(read));
-                          });
+    this->store->readOnce(
+            Platform::StoreTopic::Gateways, [this](const StoreClient::StoreNews &news) {
+                this->mailbox.post(GatewaysRead{Platform::decodeMembers(news.records)});
+            });
 }
 
-bool RunnerDaemon::Implementation::isReportDue(const GatewayLink &link) const
+bool RunnerDaemon::Implementation::isReportDue(const GatewayLink &link, double processors) const
 {
     if (!link.unsent.empty() || this->now.steadyMs >= link.sentMs + this->settings.heartbeatMs) {
         return true;
@@ -569,18 +537,15 @@
     if (!this->state.backend || this->now.steadyMs < link.sentMs + LoadPauseMs) {
         return false;
     }
-    double processors = 0;
-    for (const auto &[id, run] : this->state.runs) {
-        processors += run.resources.processors;
-    }
     const double change = std::abs(processors - link.toldProcessors);
     return change > this->state.backend->resources.processors * TellingLoadShare;
 }
 
 void RunnerDaemon::Implementation::sendReports()
 {
+    const double processors = committedProcessors(this->state);
     for (auto &[id, link] : this->links) {
-        if (link.instance.empty() || !this->isReportDue(link)) {
+        if (link.instance.empty() || !this->isReportDue(link, processors)) {
             continue;
         }
         Schema::Frame frame;
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -103,6 +103,7 @@
 using Effect = std::variant<CallStart, CallStop, CallObserve, ReportAttempt, Announce,
                             Transient::CountReason, Transient::Note>;
 using Effects = std::vector<Effect>;
+using Common::append;
 
 /// One observation that was asked for.
 struct Watch
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -223,8 +223,8 @@
     run.nextStopMs = now.steadyMs;
 }
 
-Effects stopAnswered(RunnerState &state, const std::string &task, std::int64_t number, bool taken,
-                     Common::Moment now)
+void stopAnswered(RunnerState &state, const std::string &task, std::int64_t number, bool taken,
+                  Common::Moment now)
 {
     for (auto &[id, run] : state.runs) {
         if (run.task != task || run.number != number || run.phase != RunPhase::Stopping) {
@@ -238,7 +238,6 @@
         }
         run.nextStopMs = now.steadyMs + state.times.stopRetryMs;
     }
-    return {};
 }
 
 Effects driveStops(RunnerState &state, Common::Moment now)
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -14,8 +14,8 @@
 
 Effects startAnswered(RunnerState &state, RunId id, std::int64_t number,
                       const Transient::StartAnswer &answer, Common::Moment now);
-Effects stopAnswered(RunnerState &state, const std::string &task, std::int64_t number, bool taken,
-                     Common::Moment now);
+void stopAnswered(RunnerState &state, const std::string &task, std::int64_t number, bool taken,
+                  Common::Moment now);
 
 /// Ends the run for good and tells its gateway.
 void finishRun(RunnerState &state, Effects &effects, RunId id, Schema::AttemptPhase phase,
--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -97,7 +97,7 @@
         }
         run->percent = active.percent;
     }
-    // Late starts of an hour ago need not be remembered.
+    // What was stopped is gone: nothing has to be asked again.
     if (seen.active.empty()) {
         state.strays.clear();
     }
@@ -168,8 +168,7 @@
                            && seen.startedAtMs != state.backend->startedAtMs;
     if (isNewLife) {
         beginLife(state, effects, seen.startedAtMs, now);
-    }
-    if (!isNewLife) {
+    } else {
         state.acknowledgedEnd = std::max(state.acknowledgedEnd, watch.lastEnd);
     }
     std::vector<Transient::EndedRun> ended = seen.ended;
@@ -203,8 +202,9 @@
     } else {
         state.nextWatchMs = now.steadyMs + FailedPauseMs;
     }
-    // The clock of the backend server may be slow by a fiftieth.
-    const std::int64_t lapsedMs = state.times.leaseMs + state.times.leaseMs / 25;
+    // The clock of the backend server may be slow by a fiftieth: twice that is safe.
+    constexpr std::int64_t ClockShare = 25;
+    const std::int64_t lapsedMs = state.times.leaseMs + state.times.leaseMs / ClockShare;
     const bool isGone =
             outcome == ObserveOutcome::NotConnected || outcome == ObserveOutcome::OtherLife;
     const bool isLapsed = now.steadyMs - state.answeredMs > lapsedMs;
--- a/Source/Core/StandIn/DaemonProcess.cpp
+++ b/Source/Core/StandIn/DaemonProcess.cpp
@@ -2,10 +2,10 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <cstdio>
-#include <fstream>
 #include <stdexcept>
 
+#include "Daemon/Daemon.h"
+
 namespace StandIn {
 
 namespace {
@@ -49,14 +49,7 @@
 
 void writePortFile(const std::string &path, std::uint16_t port)
 {
-    if (path.empty()) {
-        return;
-    }
-    const std::string partial = path + ".partial";
-    std::ofstream file(partial);
-    file << "http=" << port << '\n';
-    file.close();
-    if (!file.good() || std::rename(partial.c_str(), path.c_str()) != 0) {
+    if (!Daemon::writePorts(path, {{"http", port}})) {
         throw std::runtime_error("can't write " + path);
     }
 }
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <mutex>
-#include <random>
 #include <utility>
 
 namespace StoreClient {
@@ -181,8 +180,7 @@
     this->send(Platform::writeCall(this->settings.address, topic, record), 0,
                [this, topic, record, pauseMs](const Net::HttpResult &result) {
                    this->count("write", result);
-                   constexpr int Ok = 200;
-                   if (result.transport == Net::HttpTransport::Answered && result.status == Ok) {
+                   if (Platform::isWritten(result)) {
                        return;
                    }
                    Common::logEvent(Common::LogLevel::Warning, "store_write_failed",
@@ -209,15 +207,14 @@
 
 std::int64_t Client::Implementation::longerPause(std::int64_t pauseMs) const
 {
-    return pauseMs == 0 ? this->settings.retryMs
-                        : std::min(pauseMs * 2, this->settings.retryMs * MaxRetryFactor);
+    const std::int64_t firstMs = this->settings.retryMs;
+    return Common::longerPause(pauseMs, firstMs, firstMs * MaxRetryFactor);
 }
 
 std::chrono::milliseconds Client::Implementation::jittered(std::int64_t pauseMs)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    std::uniform_int_distribution<std::int64_t> spread(pauseMs / 2, pauseMs + pauseMs / 2);
-    return std::chrono::milliseconds(spread(this->random));
+    return Common::spreadPause(pauseMs, this->random);
 }
 
 void Client::Implementation::stop()
--- a/Source/Core/Transient/Discovery.cpp
+++ b/Source/Core/Transient/Discovery.cpp
@@ -44,6 +44,14 @@
     }
 }
 
+void gatewaysTold(Discovery &discovery, const std::vector<Schema::Member> &gateways,
+                  Common::Moment now)
+{
+    for (const Schema::Member &gateway : gateways) {
+        gatewayTold(discovery, addressOf(gateway), now);
+    }
+}
+
 std::vector<std::string> gatewaysToDial(Discovery &discovery, Common::Moment now)
 {
     std::vector<std::string> due;
--- a/Source/Core/Transient/Discovery.h
+++ b/Source/Core/Transient/Discovery.h
@@ -40,6 +40,10 @@
 /// Somebody has told of a gateway at \a address.
 void gatewayTold(Discovery &discovery, const std::string &address, Common::Moment now);
 
+/// The same of several.
+void gatewaysTold(Discovery &discovery, const std::vector<Schema::Member> &gateways,
+                  Common::Moment now);
+
 /// Addresses to dial now; each is then being dialled until gatewayLinked() or dialEnded().
 std::vector<std::string> gatewaysToDial(Discovery &discovery, Common::Moment now);
 void gatewayLinked(Discovery &discovery, const std::string &address, Common::Moment now);
--- a/Source/Core/Transient/Effects.h
+++ b/Source/Core/Transient/Effects.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "Common/Common.h"
 #include "Schema/Schema.h"
 #include "Transient/Job.h"
 
@@ -50,5 +51,6 @@
 
 using Effect = std::variant<SendToAgent, AnswerCaller, CountReason, ObserveSeconds, Note>;
 using Effects = std::vector<Effect>;
+using Common::append;
 
 } // namespace Transient
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -58,7 +58,6 @@
     std::map<std::string, AgentView> agents;
     std::vector<FormerAgent> formers;
     Dispatch::Estimates estimates;
-    std::map<std::string, Dispatch::ServiceOutcomes> outcomes;
 };
 
 /// The agent with this instance, if it is the one known under its name.
@@ -77,7 +76,6 @@
 
 struct RunOutcome
 {
-    std::string service;
     bool succeeded = false;
     double expectedMs = 0;
     std::int64_t runMs = 0;
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -21,6 +21,9 @@
 constexpr double MsPerSecond = 1000;
 /// An agent that gave a task back for want of room gets none until its next reports are in.
 constexpr std::int64_t RefusedPauseMs = 50;
+/// Told to callers where nothing says when a backend server will be there: by then a process that
+/// was killed is back.
+constexpr std::int64_t RetryMs = 1000;
 /// Bounds the work that one round of timers can cost.
 constexpr std::int64_t SweepMs = 20;
 
@@ -108,11 +111,6 @@
     return effects;
 }
 
-void append(Effects &effects, Effects more)
-{
-    std::move(more.begin(), more.end(), std::back_inserter(effects));
-}
-
 struct PlacedTask
 {
     int step = 0;
@@ -293,7 +291,6 @@
     if (!state.isStopping || query.predictedMs <= leftMs) {
         return std::nullopt;
     }
-    constexpr std::int64_t RetryMs = 1000;
     return JobResult{JobOutcome::Refused, Reason::Stopping, RetryMs};
 }
 
@@ -308,7 +305,6 @@
     if (allAble || now.steadyMs < state.startedMs + state.times.gatherMs) {
         return std::nullopt;
     }
-    constexpr std::int64_t RetryMs = 1000;
     return JobResult{JobOutcome::Refused, Reason::NoBackend, RetryMs};
 }
 
@@ -407,8 +403,8 @@
                  {"failures", std::to_string(task.failures)}}};
 }
 
-void learn(GatewayState &state, Effects &effects, const JobRecord &job, const StepRecord &step,
-           const TaskRecord &task, const Schema::AttemptState &reported, Common::Moment now)
+void learn(GatewayState &state, Effects &effects, const StepRecord &step, const TaskRecord &task,
+           const Schema::AttemptState &reported, Common::Moment now)
 {
     const auto agent = state.fleet.agents.find(task.agent);
     const bool tells = reported.phase == AttemptPhase::Succeeded
@@ -418,7 +414,6 @@
         return;
     }
     RunOutcome outcome;
-    outcome.service = job.queue.service;
     outcome.succeeded = reported.phase == AttemptPhase::Succeeded;
     outcome.expectedMs = task.expectedMs;
     outcome.runMs = reported.runMs;
@@ -496,7 +491,7 @@
         return effects;
     }
     StepRecord &step = job.steps[static_cast<std::size_t>(ref->step)];
-    learn(state, effects, job, step, *task, reported, now);
+    learn(state, effects, step, *task, reported, now);
     releaseTask(state, job, step, *task);
     if (reported.phase == AttemptPhase::Succeeded) {
         taskSucceeded(state, effects, job, step, *task, now);
@@ -627,7 +622,6 @@
     std::sort(overdue.begin(), overdue.end());
     for (const std::string &id : overdue) {
         JobRecord &job = state.jobs.at(id);
-        constexpr std::int64_t RetryMs = 1000;
         const Reason reason =
                 state.fleet.agents.empty() ? Reason::NoBackend : Reason::DeadlineUnreachable;
         const JobResult result = job.anyOrdered
@@ -723,8 +717,7 @@
 
 Effects callerGone(GatewayState &state, const std::string &token, Common::Moment now)
 {
-    for (auto entry = state.parked.begin(); entry != state.parked.end(); ++entry) {
-        std::vector<Submission> &waiting = entry->second;
+    for (auto &[id, waiting] : state.parked) {
         waiting.erase(
                 std::remove_if(waiting.begin(), waiting.end(),
                                [&token](const Submission &one) { return one.token == token; }),
@@ -829,11 +822,10 @@
     return effects;
 }
 
-Effects beginStop(GatewayState &state, std::int64_t timeoutMs, Common::Moment now)
+void beginStop(GatewayState &state, std::int64_t timeoutMs, Common::Moment now)
 {
     state.isStopping = true;
     state.stopDeadlineMs = now.steadyMs + timeoutMs;
-    return {};
 }
 
 Effects tick(GatewayState &state, Common::Moment now, Common::Random &random)
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -84,7 +84,7 @@
                       Common::Random &random);
 Effects agentLinkLost(GatewayState &state, const std::string &instance, Common::Moment now);
 
-Effects beginStop(GatewayState &state, std::int64_t timeoutMs, Common::Moment now);
+void beginStop(GatewayState &state, std::int64_t timeoutMs, Common::Moment now);
 
 /// Timers: deadlines, lost agents, tasks that wait.
 Effects tick(GatewayState &state, Common::Moment now, Common::Random &random);
--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -22,9 +22,7 @@
 
 bool isAble(const AgentView &agent, const StepRequest &step)
 {
-    const Schema::Resources &has = agent.announced.resources;
-    return has.processors >= step.resources.processors && has.memoryMb >= step.resources.memoryMb
-           && has.accelerators >= step.resources.accelerators
+    return Dispatch::fits(agent.announced.resources, {}, step.resources)
            && hasLabel(agent, step.requiredLabel);
 }
 
--- /dev/null
+++ b/Source/UnitTests/PropertyCheck.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <iostream>
+#include <rapidcheck.h>
+#include <sstream>
+#include <string>
+#include <vector>
+
+/// Searches for a list of commands that breaks a promise.
+namespace PropertyCheck {
+
+struct Search
+{
+    std::string name;
+    /// A short run for each build; AUBURNTRAIL_PROPERTY_RUNS and _SEED widen the search.
+    int runs = 1;
+    int maxSize = 60;
+};
+
+inline std::uint64_t numberFrom(const char *variable, std::uint64_t usual)
+{
+    const char *text = std::getenv(variable);
+    return text == nullptr ? usual : std::strtoull(text, nullptr, 10);
+}
+
+/// \a promisesBroken plays commands with a seed and tells what broke, or nothing.
+template <typename Command, typename PromisesBroken>
+void check(const Search &search, const rc::Gen<Command> &anyCommand, PromisesBroken promisesBroken)
+{
+    constexpr std::size_t Commands = 60;
+    rc::detail::TestParams parameters;
+    parameters.seed = numberFrom("AUBURNTRAIL_PROPERTY_SEED", 1);
+    parameters.maxSuccess = static_cast<int>(
+            numberFrom("AUBURNTRAIL_PROPERTY_RUNS", static_cast<std::uint64_t>(search.runs)));
+    parameters.maxSize = search.maxSize;
+    // A long search shows what it found first; shrinking it takes many times as long.
+    parameters.disableShrinking = std::getenv("AUBURNTRAIL_PROPERTY_RUNS") != nullptr;
+    const auto property = [&] {
+        const auto commands = *rc::gen::container<std::vector<Command>>(Commands, anyCommand);
+        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const std::string broken = promisesBroken(commands, seed);
+        if (!broken.empty()) {
+            // At once: a search that is cut off while it shrinks has then still told what it found.
+            std::cerr << "seed " << seed << ": " << broken << '\n';
+        }
+        RC_LOG(broken);
+        RC_ASSERT(broken.empty());
+    };
+    const rc::detail::TestMetadata metadata{search.name, "Random commands break no promise"};
+    const rc::detail::TestResult result = rc::detail::checkTestable(property, metadata, parameters);
+    std::ostringstream report;
+    rc::detail::printResultMessage(result, report);
+    INFO(report.str());
+    CHECK(result.template is<rc::detail::SuccessResult>());
+}
+
+} // namespace PropertyCheck
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -1,10 +1,8 @@
-#include <cstdlib>
 #include <doctest/doctest.h>
-#include <iostream>
 #include <rapidcheck.h>
-#include <sstream>
 
 #include "TransientWorld.h"
+#include "UnitTests/PropertyCheck.h"
 
 using namespace TransientSite;
 
@@ -220,35 +218,9 @@
     return broken;
 }
 
-int numberFrom(const char *variable, int usual)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? usual : std::atoi(text);
-}
-
 } // namespace
 
 TEST_CASE("Random commands break no promise of transient jobs")
 {
-    rc::detail::TestParams parameters;
-    parameters.seed = static_cast<std::uint64_t>(numberFrom("AUBURNTRAIL_PROPERTY_SEED", 1));
-    parameters.maxSuccess = numberFrom("AUBURNTRAIL_PROPERTY_RUNS", 12);
-    parameters.maxSize = 60;
-    const auto property = [] {
-        const auto commands = *rc::gen::container<std::vector<Command>>(60, anyCommand());
-        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        const std::string broken = promisesBroken(commands, seed);
-        if (!broken.empty()) {
-            // At once: a search that is cut off while it shrinks has then still told what it found.
-            std::cerr << "seed " << seed << ": " << broken << '\n';
-        }
-        RC_LOG(broken);
-        RC_ASSERT(broken.empty());
-    };
-    const rc::detail::TestMetadata metadata{"transient jobs", "Random commands break no promise"};
-    const rc::detail::TestResult result = rc::detail::checkTestable(property, metadata, parameters);
-    std::ostringstream report;
-    rc::detail::printResultMessage(result, report);
-    INFO(report.str());
-    CHECK(result.template is<rc::detail::SuccessResult>());
+    PropertyCheck::check<Command>({"transient jobs", 12, 60}, anyCommand(), promisesBroken);
 }
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -200,9 +200,8 @@
 {
     const std::int64_t fence = agentAt(world, agent).state.fence;
     const auto tell = [&world, agent, effect](bool taken) {
-        carryOut(world, agent,
-                 Runner::stopAnswered(agentAt(world, agent).state, effect.task, effect.number,
-                                      taken, moment(world)));
+        Runner::stopAnswered(agentAt(world, agent).state, effect.task, effect.number, taken,
+                             moment(world));
     };
     callBackend(
             world, agent, StopTimeoutMs,
--- a/Source/UnitTests/Whole/PropertyTest.cpp
+++ b/Source/UnitTests/Whole/PropertyTest.cpp
@@ -1,9 +1,8 @@
-#include <cstdlib>
 #include <doctest/doctest.h>
-#include <iostream>
 #include <rapidcheck.h>
 #include <sstream>
 
+#include "UnitTests/PropertyCheck.h"
 #include "World.h"
 
 namespace {
@@ -261,45 +260,9 @@
     return broken;
 }
 
-/// Runs and their length can be raised for a long search: AUBURNTRAIL_PROPERTY_RUNS.
-int propertyRuns()
-{
-    constexpr int DefaultRuns = 40;
-    const char *runs = std::getenv("AUBURNTRAIL_PROPERTY_RUNS");
-    return runs == nullptr ? DefaultRuns : std::atoi(runs);
-}
-
-std::uint64_t propertySeed()
-{
-    const char *seed = std::getenv("AUBURNTRAIL_PROPERTY_SEED");
-    return seed == nullptr ? 1 : std::strtoull(seed, nullptr, 10);
-}
-
 } // namespace
 
 TEST_CASE("Random commands break no promise")
 {
-    rc::detail::TestParams parameters;
-    parameters.seed = propertySeed();
-    parameters.maxSuccess = propertyRuns();
-    parameters.maxSize = 80;
-    // A long search shows what it found first; shrinking it takes many times as long.
-    parameters.disableShrinking = std::getenv("AUBURNTRAIL_PROPERTY_RUNS") != nullptr;
-    const auto property = [] {
-        const auto commands = *rc::gen::container<std::vector<Command>>(60, anyCommand());
-        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        const std::string broken = promisesBroken(commands, seed);
-        if (!broken.empty()) {
-            // At once: a search that is cut off while it shrinks has then still told what it found.
-            std::cerr << "seed " << seed << ": " << broken << '\n';
-        }
-        RC_LOG(broken);
-        RC_ASSERT(broken.empty());
-    };
-    const rc::detail::TestMetadata metadata{"random commands", "Random commands break no promise"};
-    const rc::detail::TestResult result = rc::detail::checkTestable(property, metadata, parameters);
-    std::ostringstream report;
-    rc::detail::printResultMessage(result, report);
-    INFO(report.str());
-    CHECK(result.template is<rc::detail::SuccessResult>());
+    PropertyCheck::check<Command>({"random commands", 40, 80}, anyCommand(), promisesBroken);
 }
