Transient: correct predictions by what the last answers took

Each queue's last answers now stretch its predictions before a job is let in; forgotten with a half-life of 1 s. Ruled out: the same with no forgetting (a queue that refuses all would never learn again).

--- a/Source/Core/Transient/Admission.cpp
+++ b/Source/Core/Transient/Admission.cpp
@@ -1,6 +1,7 @@
 #include "Transient/Admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Transient {
 
@@ -9,19 +10,47 @@
 /// Callers are told whole seconds, and none sooner than the backlog can have changed.
 constexpr double ShortestRetryMs = 1000;
 constexpr double LongestRetryMs = 10'000;
+/// Of one answer in the mean: a dozen answers, a third of a second of a queue's traffic on the
+/// smallest sites, show a change.
+constexpr double AnswerShare = 1.0 / 12;
+/// Without answers the correction is forgotten: a queue whose jobs are all refused would otherwise
+/// never learn that its predictions hold again. Two or three overloaded rounds of short jobs.
+constexpr double ForgetHalfLifeMs = 1000;
+/// A single job may take a hundred times as long as predicted, when its backend server hangs.
+constexpr double MostLogStretch = 1.4;
+
+double forgotten(const PredictionError &error, std::int64_t nowMs)
+{
+    const auto idleMs = static_cast<double>(nowMs - error.observedMs);
+    return error.logStretch * std::exp2(-idleMs / ForgetHalfLifeMs);
+}
 
 } // namespace
 
+void answerObserved(PredictionError &error, double predictedMs, double takenMs, std::int64_t nowMs)
+{
+    const double logStretch = std::log(std::max(takenMs, 1.0) / std::max(predictedMs, 1.0));
+    const double bounded = std::clamp(logStretch, -MostLogStretch, MostLogStretch);
+    const double before = forgotten(error, nowMs);
+    error.logStretch = before + AnswerShare * (bounded - before);
+    error.observedMs = nowMs;
+}
+
+double expectedStretch(const PredictionError &error, std::int64_t nowMs)
+{
+    return std::exp(std::max(forgotten(error, nowMs), 0.0));
+}
+
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits, const AdmissionQuery &query)
 {
     const double usefulMs = std::min(query.deadlineMs, query.targetMs * limits.mostLateness);
-    if (query.waitMs <= 0 || query.predictedMs <= usefulMs) {
+    if (query.waitMs <= 0 || query.predictedMs * query.stretch <= usefulMs) {
         return std::nullopt;
     }
     JobResult refused;
     refused.outcome = JobOutcome::Refused;
     refused.reason = Schema::Reason::DeadlineUnreachable;
-    const double backlogMs = std::clamp(query.waitMs, ShortestRetryMs, LongestRetryMs);
+    const double backlogMs = std::clamp(query.waitMs * query.stretch, ShortestRetryMs, LongestRetryMs);
     refused.retryAfterMs = static_cast<std::int64_t>(backlogMs * (1 + query.spread));
     return refused;
 }
--- a/Source/Core/Transient/JobTable.h
+++ b/Source/Core/Transient/JobTable.h
@@ -65,6 +65,8 @@
     /// A job of which nothing is ordered by then is refused: it would end too late to be of use.
     std::int64_t lastStartMs = 0;
     std::int64_t deadlineMs = 0;
+    /// From its arrival to its end, as it was expected when it was let in.
+    double predictedMs = 0;
     bool anyOrdered = false;
     /// Tasks ordered or withdrawn.
     int unsettled = 0;
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -19,6 +19,7 @@
 constexpr const char *EndCounter = "auburntrail_transient_jobs_total";
 constexpr const char *AnswerSeconds = "auburntrail_transient_answer_seconds";
 constexpr double MsPerSecond = 1000;
+constexpr double PercentOfOne = 100;
 /// An agent that gave a task back for want of room gets none until its next reports are in.
 constexpr std::int64_t RefusedPauseMs = 50;
 /// Told to callers where nothing says when a backend server will be there: by then a process that
@@ -104,6 +105,8 @@
                   {"tasks_withdrawn", std::to_string(job.unsettled)}}});
     effects.emplace_back(CountReason{EndCounter, result.reason});
     if (result.outcome == JobOutcome::Succeeded) {
+        answerObserved(state.predictionErrors[job.queue.name], job.predictedMs,
+                       static_cast<double>(now.steadyMs - job.receivedMs), now.steadyMs);
         effects.emplace_back(ObserveSeconds{AnswerSeconds, job.queue.name, seconds});
     }
     answerAll(effects, job, result);
@@ -266,6 +269,10 @@
         query.waitMs = std::max(query.waitMs, one.placement.waitMs);
     }
     query.predictedMs = longestChainMs(job.steps, stepMs) + state.times.overheadMs;
+    const auto error = state.predictionErrors.find(job.queue.name);
+    if (error != state.predictionErrors.end()) {
+        query.stretch = expectedStretch(error->second, now.steadyMs);
+    }
     query.targetMs = static_cast<double>(job.targetMs - now.steadyMs);
     query.deadlineMs = static_cast<double>(job.deadlineMs - now.steadyMs);
     query.spread = std::uniform_real_distribution<double>(0, 1)(random);
@@ -328,6 +335,7 @@
             {"queue", job.queue.name},
             {"predicted_ms", text(query.predictedMs)},
             {"wait_ms", text(query.waitMs)},
+            {"stretch_percent", text(query.stretch * PercentOfOne)},
             {"target_ms", text(query.targetMs)},
             {"deadline_ms", text(query.deadlineMs)}};
     if (refused) {
@@ -338,6 +346,7 @@
     inputs.emplace_back("tasks_placed", std::to_string(placed.size()));
     inputs.emplace_back("tasks_waiting",
                         std::to_string(job.ready - static_cast<int>(placed.size())));
+    job.predictedMs = query.predictedMs;
     Effects effects;
     effects.emplace_back(Note{"job_accepted", std::move(inputs)});
     state.readyTasks += job.ready;
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -60,6 +60,8 @@
     /// While stopping: nothing is let in that would end later.
     std::int64_t stopDeadlineMs = 0;
     Fleet fleet;
+    /// By queue.
+    std::unordered_map<std::string, PredictionError> predictionErrors;
     std::unordered_map<std::string, JobRecord> jobs;
     std::unordered_map<std::string, FinishedJob> finished;
     /// Submissions of ids whose last life is not over yet.
