Transient: learn from the store, and tell callers that have waited

Cause: after all power is lost every gateway starts without memory; all backend servers count as equally fast (one in four takes twice as long) and the requests of the outage come on top of the usual ones, first come first served, though their target is over. Gateways now write what they learned of run times, speeds and patience into a topic of the store every 5 s (longer in large fleets) and read it once at their start; a request that says that its caller waits for less than nearly all others of its queue do counts as sent that much earlier. Ruled out: a setting for the usual patience (it differs by deployment and size of job).

--- a/Source/Core/Dispatch/Estimates.cpp
+++ b/Source/Core/Dispatch/Estimates.cpp
@@ -30,6 +30,9 @@
 /// A backend server ten times slower is offered a task about once a minute.
 constexpr double ForgivenessHalfLifeMs = 20000;
 constexpr std::size_t MaxProfiles = 4096;
+/// What another process has learned weighs as much as this many outcomes of our own: enough to be
+/// believed at once, little enough to be corrected within two dozen.
+constexpr std::int64_t MostRecalledSamples = 16;
 
 std::size_t bucketOf(double runMs)
 {
@@ -78,11 +81,24 @@
     profile.weight /= 2;
 }
 
+std::string keyOf(const std::string &service, std::int64_t declaredMs)
+{
+    return service + '\n' + std::to_string(magnitudeOf(declaredMs));
+}
+
+ProfileId addProfile(Estimates &estimates, const std::string &key, const RunProfile &profile)
+{
+    const auto id = static_cast<ProfileId>(estimates.profiles.size());
+    estimates.profiles.push_back(profile);
+    estimates.byKey.emplace(key, id);
+    return id;
+}
+
 } // namespace
 
 ProfileId findProfile(Estimates &estimates, const std::string &service, std::int64_t declaredMs)
 {
-    const std::string key = service + '\n' + std::to_string(magnitudeOf(declaredMs));
+    const std::string key = keyOf(service, declaredMs);
     const auto found = estimates.byKey.find(key);
     if (found != estimates.byKey.end()) {
         return found->second;
@@ -92,10 +108,7 @@
     }
     RunProfile profile;
     profile.priorMs = declaredMs > 0 ? static_cast<double>(declaredMs) : DefaultRunMs;
-    const auto id = static_cast<ProfileId>(estimates.profiles.size());
-    estimates.profiles.push_back(profile);
-    estimates.byKey.emplace(key, id);
-    return id;
+    return addProfile(estimates, key, profile);
 }
 
 bool isGuess(const Estimates &estimates, ProfileId profile)
@@ -137,6 +150,52 @@
     }
 }
 
+std::vector<RecalledProfile> learnedProfiles(const Estimates &estimates)
+{
+    std::vector<RecalledProfile> learned;
+    for (const auto &[key, id] : estimates.byKey) {
+        const RunProfile &profile = estimates.profiles[id];
+        if (profile.samples > 0) {
+            learned.push_back({key, profile.meanMs, profile.meanLog, profile.samples});
+        }
+    }
+    std::sort(learned.begin(), learned.end(),
+              [](const auto &left, const auto &right) { return left.key < right.key; });
+    return learned;
+}
+
+void recallProfile(Estimates &estimates, const RecalledProfile &recalled)
+{
+    const auto found = estimates.byKey.find(recalled.key);
+    if (found == estimates.byKey.end() && estimates.profiles.size() >= MaxProfiles) {
+        return;
+    }
+    const ProfileId id = found != estimates.byKey.end() ? found->second
+                                                        : addProfile(estimates, recalled.key, {});
+    RunProfile &profile = estimates.profiles[id];
+    const std::int64_t samples = std::min(recalled.samples, MostRecalledSamples);
+    if (profile.samples >= samples) {
+        return;
+    }
+    profile.priorMs = recalled.meanMs;
+    profile.meanMs = recalled.meanMs;
+    profile.meanLog = recalled.meanLog;
+    profile.samples = samples;
+    profile.buckets = {};
+    profile.buckets[bucketOf(recalled.meanMs)] = static_cast<float>(samples);
+    profile.weight = static_cast<double>(samples);
+}
+
+void recallSpeed(BackendSpeed &speed, const BackendSpeed &recalled)
+{
+    const std::int64_t samples = std::min(recalled.samples, MostRecalledSamples);
+    if (speed.samples >= samples) {
+        return;
+    }
+    speed.logFactor = std::clamp(recalled.logFactor, -MaxLogFactor, MaxLogFactor);
+    speed.samples = samples;
+}
+
 void learnRun(Estimates &estimates, ProfileId profile, BackendSpeed &speed, double runMs)
 {
     RunProfile &known = estimates.profiles[profile];
--- a/Source/Core/Dispatch/Estimates.h
+++ b/Source/Core/Dispatch/Estimates.h
@@ -71,6 +71,24 @@
 /// would never be found out.
 void forgiveSlowness(BackendSpeed &speed, std::int64_t idleMs);
 
+/// What another process has learned of a profile.
+struct RecalledProfile
+{
+    std::string key;
+    double meanMs = 0;
+    double meanLog = 0;
+    std::int64_t samples = 0;
+};
+
+/// Every profile that outcomes are known of.
+std::vector<RecalledProfile> learnedProfiles(const Estimates &estimates);
+
+/// Takes a profile over from another process, unless this one knows as much by itself.
+void recallProfile(Estimates &estimates, const RecalledProfile &recalled);
+
+/// The same of a backend server's factor.
+void recallSpeed(BackendSpeed &speed, const BackendSpeed &recalled);
+
 /// Takes in the run time of a task that succeeded.
 void learnRun(Estimates &estimates, ProfileId profile, BackendSpeed &speed, double runMs);
 
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -34,6 +34,10 @@
 constexpr std::int64_t ReturnMs = 20;
 /// While stopping, answers are owed so long before the process must be gone.
 constexpr std::int64_t LastAnswersMs = 300;
+/// Between two attempts at reading what other gateways have learned.
+constexpr std::int64_t RecallRetryMs = 1000;
+/// By then a gateway knows more by itself: a hundred tasks a second show each backend server.
+constexpr std::int64_t RecallMs = 10'000;
 constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
 
 /// A call of a caller, decoded.
@@ -67,11 +71,18 @@
     std::vector<Schema::Member> gateways;
 };
 
+struct TimesRead
+{
+    bool available = false;
+    std::vector<Schema::LearnedTimes> learned;
+};
+
 struct StopRequested
 {};
 
 using ControlMessage = std::variant<CallerAsked, CallerLeft, Net::LinkUp, Net::LinkDown,
-                                    Net::FrameArrived, QueuesRead, GatewaysRead, StopRequested>;
+                                    Net::FrameArrived, QueuesRead, GatewaysRead, TimesRead,
+                                    StopRequested>;
 
 struct PeerLink
 {
@@ -100,6 +111,8 @@
     void start();
     void startServers();
     void followStore();
+    void recallTimes();
+    void shareTimes();
     bool run();
 
     void on(CallerAsked &event);
@@ -109,6 +122,7 @@
     void on(const Net::FrameArrived &event);
     void on(const QueuesRead &event);
     void on(const GatewaysRead &event);
+    void on(const TimesRead &event);
     void on(const StopRequested &event);
 
     void carryOut(Transient::Effects effects);
@@ -150,6 +164,10 @@
     std::uint64_t lastToken = 0;
     std::int64_t stopDeadlineMs = 0;
     std::int64_t idleSinceMs = 0;
+    /// When what other gateways have learned is asked for again; 0 once it is known.
+    std::int64_t recallMs = 0;
+    /// When this gateway writes next what it has learned.
+    std::int64_t shareMs = 0;
     /// That the metrics show.
     std::optional<std::size_t> toldJobs;
 
@@ -190,6 +208,8 @@
     this->store = std::make_unique<StoreClient::Client>(storeSettings);
     this->startServers();
     this->followStore();
+    this->recallTimes();
+    this->shareMs = this->now.steadyMs + Transient::learnedPauseMs(this->state.fleet);
     Common::logEvent(LogLevel::Info, "gateway_started",
                      {{"instance", this->self.instance},
                       {"caller_port", this->callers->port()},
@@ -255,6 +275,51 @@
                        {this->settings.name, Platform::encodeMember(this->self)});
 }
 
+void TransientDaemon::Implementation::recallTimes()
+{
+    this->recallMs = this->now.steadyMs + RecallRetryMs;
+    this->store->readOnce(StoreTopic::Learned, [this](const StoreClient::StoreNews &news) {
+        this->mailbox.post(TimesRead{news.available, Platform::decodeLearned(news.records)});
+    });
+}
+
+void TransientDaemon::Implementation::on(const TimesRead &event)
+{
+    if (!event.available) {
+        return;
+    }
+    this->recallMs = 0;
+    for (const Schema::LearnedTimes &learned : event.learned) {
+        Transient::recallTimes(this->state, learned);
+        Common::logEvent(LogLevel::Info, "times_recalled",
+                         {{"from", learned.gateway},
+                          {"age_ms", this->now.wallMs - learned.writtenMs},
+                          {"profiles", learned.profiles.size()},
+                          {"speeds", learned.speeds.size()}});
+    }
+}
+
+void TransientDaemon::Implementation::shareTimes()
+{
+    if (this->recallMs != 0 && this->now.steadyMs >= this->recallMs) {
+        const bool isTooLate = this->now.steadyMs > this->state.startedMs + RecallMs;
+        this->recallMs = 0;
+        if (!isTooLate) {
+            this->recallTimes();
+        }
+    }
+    if (this->now.steadyMs < this->shareMs) {
+        return;
+    }
+    this->shareMs = this->now.steadyMs + Transient::learnedPauseMs(this->state.fleet);
+    const Schema::LearnedTimes learned =
+            Transient::learnedTimes(this->state, this->self.instance, this->now);
+    if (!learned.speeds.empty()) {
+        this->store->tryWrite(StoreTopic::Learned,
+                              {this->settings.name, Platform::encodeLearned(learned)});
+    }
+}
+
 /// Runs on the HTTP thread.
 void TransientDaemon::Implementation::takeCall(const Net::HttpRequest &request,
                                                Net::HttpReply reply)
@@ -671,6 +736,7 @@
         link.address = address;
         this->links.emplace(id, std::move(link));
     }
+    this->shareTimes();
     const bool hasAgents = !this->agentLinks.empty();
     this->ready = this->queues.version > 0 && hasAgents && !this->state.isStopping;
     if (!this->requests.empty()) {
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -736,6 +736,77 @@
         std::optional<WithdrawTasks> withdrawTasks{};
     };
 
+    /**
+     * How long the callers of a queue are ready to wait.
+     */
+    struct LearnedPatience {
+        std::string queue{};
+        int64_t samples{};
+        /**
+         * That nearly all of them have left when they reach a gateway.
+         */
+        double usualMs{};
+    };
+
+    /**
+     * Run times of one sort of task.
+     */
+    struct LearnedProfile {
+        /**
+         * Queue and order of magnitude of the declared time.
+         */
+        std::string key{};
+        /**
+         * Mean of the natural logarithm of the same times.
+         */
+        double meanLog{};
+        /**
+         * On a backend server of factor 1.
+         */
+        double meanMs{};
+        /**
+         * Tasks that it rests on.
+         */
+        int64_t samples{};
+    };
+
+    /**
+     * Speed of one backend server.
+     */
+    struct LearnedSpeed {
+        /**
+         * Name of its agent.
+         */
+        std::string agent{};
+        /**
+         * Of the backend server: another one may come to the same place.
+         */
+        std::vector<std::string> labels{};
+        /**
+         * Natural logarithm of its run times over the mean ones.
+         */
+        double logFactor{};
+        int64_t samples{};
+    };
+
+    /**
+     * What a gateway has learned of run times and callers, kept in the platform's store for
+     * gateways that start.
+     */
+    struct LearnedTimes {
+        /**
+         * Instance of its writer.
+         */
+        std::string gateway{};
+        std::vector<LearnedPatience> patiences{};
+        std::vector<LearnedProfile> profiles{};
+        std::vector<LearnedSpeed> speeds{};
+        /**
+         * Wall clock of its writer.
+         */
+        int64_t writtenMs{};
+    };
+
     enum class ConfigKind : int { Drain, Policy, Service, Team };
 
     /**
@@ -829,6 +900,7 @@
         std::optional<Configuration> configuration{};
         std::optional<Frame> frame{};
         std::optional<JobAnswer> jobAnswer{};
+        std::optional<LearnedTimes> learnedTimes{};
         std::optional<LogEntry> logEntry{};
         std::optional<LogRecord> logRecord{};
         std::optional<QueryAnswer> queryAnswer{};
@@ -980,6 +1052,18 @@
     void from_json(const json & j, Frame & x);
     void to_json(json & j, const Frame & x);
 
+    void from_json(const json & j, LearnedPatience & x);
+    void to_json(json & j, const LearnedPatience & x);
+
+    void from_json(const json & j, LearnedProfile & x);
+    void to_json(json & j, const LearnedProfile & x);
+
+    void from_json(const json & j, LearnedSpeed & x);
+    void to_json(json & j, const LearnedSpeed & x);
+
+    void from_json(const json & j, LearnedTimes & x);
+    void to_json(json & j, const LearnedTimes & x);
+
     void from_json(const json & j, ConfigChange & x);
     void to_json(json & j, const ConfigChange & x);
 
@@ -1971,6 +2055,66 @@
         }
     }
 
+    inline void from_json(const json & j, LearnedPatience& x) {
+        x.queue = j.at("queue").get<std::string>();
+        x.samples = j.at("samples").get<int64_t>();
+        x.usualMs = j.at("usualMs").get<double>();
+    }
+
+    inline void to_json(json & j, const LearnedPatience & x) {
+        j = json::object();
+        j["queue"] = x.queue;
+        j["samples"] = x.samples;
+        j["usualMs"] = x.usualMs;
+    }
+
+    inline void from_json(const json & j, LearnedProfile& x) {
+        x.key = j.at("key").get<std::string>();
+        x.meanLog = j.at("meanLog").get<double>();
+        x.meanMs = j.at("meanMs").get<double>();
+        x.samples = j.at("samples").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const LearnedProfile & x) {
+        j = json::object();
+        j["key"] = x.key;
+        j["meanLog"] = x.meanLog;
+        j["meanMs"] = x.meanMs;
+        j["samples"] = x.samples;
+    }
+
+    inline void from_json(const json & j, LearnedSpeed& x) {
+        x.agent = j.at("agent").get<std::string>();
+        x.labels = j.at("labels").get<std::vector<std::string>>();
+        x.logFactor = j.at("logFactor").get<double>();
+        x.samples = j.at("samples").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const LearnedSpeed & x) {
+        j = json::object();
+        j["agent"] = x.agent;
+        j["labels"] = x.labels;
+        j["logFactor"] = x.logFactor;
+        j["samples"] = x.samples;
+    }
+
+    inline void from_json(const json & j, LearnedTimes& x) {
+        x.gateway = j.at("gateway").get<std::string>();
+        x.patiences = j.at("patiences").get<std::vector<LearnedPatience>>();
+        x.profiles = j.at("profiles").get<std::vector<LearnedProfile>>();
+        x.speeds = j.at("speeds").get<std::vector<LearnedSpeed>>();
+        x.writtenMs = j.at("writtenMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const LearnedTimes & x) {
+        j = json::object();
+        j["gateway"] = x.gateway;
+        j["patiences"] = x.patiences;
+        j["profiles"] = x.profiles;
+        j["speeds"] = x.speeds;
+        j["writtenMs"] = x.writtenMs;
+    }
+
     inline void from_json(const json & j, ConfigChange& x) {
         x.drain = get_stack_optional<Drain>(j, "drain");
         x.kind = j.at("kind").get<ConfigKind>();
@@ -2100,6 +2244,7 @@
         x.configuration = get_stack_optional<Configuration>(j, "configuration");
         x.frame = get_stack_optional<Frame>(j, "frame");
         x.jobAnswer = get_stack_optional<JobAnswer>(j, "jobAnswer");
+        x.learnedTimes = get_stack_optional<LearnedTimes>(j, "learnedTimes");
         x.logEntry = get_stack_optional<LogEntry>(j, "logEntry");
         x.logRecord = get_stack_optional<LogRecord>(j, "logRecord");
         x.queryAnswer = get_stack_optional<QueryAnswer>(j, "queryAnswer");
@@ -2119,6 +2264,9 @@
         if (x.jobAnswer) {
             j["jobAnswer"] = x.jobAnswer;
         }
+        if (x.learnedTimes) {
+            j["learnedTimes"] = x.learnedTimes;
+        }
         if (x.logEntry) {
             j["logEntry"] = x.logEntry;
         }
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -58,6 +58,8 @@
     void succeed(Follower &follower, std::vector<Platform::StoreRecord> records);
     void retry(Follower &follower, const Net::HttpResult &result);
     void write(StoreTopic topic, const Platform::StoreRecord &record, std::int64_t pauseMs);
+    void tryWrite(StoreTopic topic, const Platform::StoreRecord &record,
+                  const std::function<void()> &failed);
     void count(const char *call, const Net::HttpResult &result) const;
     std::int64_t longerPause(std::int64_t pauseMs) const;
     std::chrono::milliseconds jittered(std::int64_t pauseMs);
@@ -174,26 +176,34 @@
                        [this, &follower] { this->read(follower); });
 }
 
-void Client::Implementation::write(StoreTopic topic, const Platform::StoreRecord &record,
-                                   std::int64_t pauseMs)
+void Client::Implementation::tryWrite(StoreTopic topic, const Platform::StoreRecord &record,
+                                      const std::function<void()> &failed)
 {
     this->send(Platform::writeCall(this->settings.address, topic, record), 0,
-               [this, topic, record, pauseMs](const Net::HttpResult &result) {
+               [this, topic, key = record.key, failed](const Net::HttpResult &result) {
                    this->count("write", result);
                    if (Platform::isWritten(result)) {
                        return;
                    }
                    Common::logEvent(Common::LogLevel::Warning, "store_write_failed",
                                     {{"topic", topicName(topic)},
-                                     {"key", record.key},
+                                     {"key", key},
                                      {"why", describe(result)}});
-                   const std::int64_t longer = this->longerPause(pauseMs);
-                   this->timers.after(this->jittered(longer), [this, topic, record, longer] {
-                       this->write(topic, record, longer);
-                   });
+                   failed();
                });
 }
 
+void Client::Implementation::write(StoreTopic topic, const Platform::StoreRecord &record,
+                                   std::int64_t pauseMs)
+{
+    this->tryWrite(topic, record, [this, topic, record, pauseMs] {
+        const std::int64_t longer = this->longerPause(pauseMs);
+        this->timers.after(this->jittered(longer), [this, topic, record, longer] {
+            this->write(topic, record, longer);
+        });
+    });
+}
+
 void Client::Implementation::count(const char *call, const Net::HttpResult &result) const
 {
     if (this->settings.metrics == nullptr) {
@@ -269,6 +279,11 @@
     this->implementation->write(topic, record, 0);
 }
 
+void Client::tryWrite(StoreTopic topic, const Platform::StoreRecord &record)
+{
+    this->implementation->tryWrite(topic, record, [] {});
+}
+
 void Client::stop()
 {
     this->implementation->stop();
--- a/Source/Core/StoreClient/StoreClient.h
+++ b/Source/Core/StoreClient/StoreClient.h
@@ -54,6 +54,8 @@
     void readOnce(Platform::StoreTopic topic, std::function<void(StoreNews)> deliver);
     /// Writes the record, again and again until it is acknowledged.
     void write(Platform::StoreTopic topic, const Platform::StoreRecord &record);
+    /// Writes the record, or not: for what is written again soon anyway.
+    void tryWrite(Platform::StoreTopic topic, const Platform::StoreRecord &record);
     /// Nothing is delivered afterwards. Not to be called from a delivery.
     void stop();
 
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -57,6 +57,8 @@
     /// that a seed replays.
     std::map<std::string, AgentView> agents;
     std::vector<FormerAgent> formers;
+    /// Speeds that other gateways had learned, by the agent's name.
+    std::map<std::string, Schema::LearnedSpeed> remembered;
     Dispatch::Estimates estimates;
 };
 
--- a/Source/Core/Transient/JobTable.h
+++ b/Source/Core/Transient/JobTable.h
@@ -67,6 +67,8 @@
     std::int64_t deadlineMs = 0;
     /// From its arrival to its end, as it was expected when it was let in.
     double predictedMs = 0;
+    /// By its caller before it came here, as far as can be told.
+    std::int64_t waitedBeforeMs = 0;
     bool anyOrdered = false;
     /// Tasks ordered or withdrawn.
     int unsettled = 0;
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -5,6 +5,7 @@
 #include <random>
 #include <tuple>
 
+#include "Transient/Learned.h"
 #include "Transient/Placement.h"
 
 namespace Transient {
@@ -248,8 +249,11 @@
         job.steps.push_back(std::move(step));
     }
     const double chainMs = longestChainMs(job.steps, stepRunsMs(state, job));
+    UsualPatience &usual = state.patiences[job.queue.name];
+    job.waitedBeforeMs = waitedBeforeMs(usual, submission.patienceMs);
+    patienceSeen(usual, submission.patienceMs);
     job.targetMs = now.steadyMs + static_cast<std::int64_t>(job.queue.latencyFactor * chainMs)
-                   + job.queue.targetLatencyMs;
+                   + job.queue.targetLatencyMs - job.waitedBeforeMs;
     const double usefulMs =
             static_cast<double>(job.targetMs - now.steadyMs) * state.limits.mostLateness;
     job.lastStartMs = now.steadyMs + static_cast<std::int64_t>(usefulMs - chainMs);
@@ -335,6 +339,7 @@
             {"queue", job.queue.name},
             {"predicted_ms", text(query.predictedMs)},
             {"wait_ms", text(query.waitMs)},
+            {"waited_before_ms", std::to_string(job.waitedBeforeMs)},
             {"stretch_percent", text(query.stretch * PercentOfOne)},
             {"target_ms", text(query.targetMs)},
             {"deadline_ms", text(query.deadlineMs)}};
@@ -778,6 +783,7 @@
     }
     agent.announced = announcement;
     agent.isLinked = true;
+    recallSpeedOf(state.fleet, agent);
     if (isRestarted) {
         const std::int64_t settledAtMs = agent.loadAtMs + state.times.settleMs;
         state.fleet.formers.push_back({former, announcement.name, settledAtMs});
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -11,6 +11,7 @@
 #include "Transient/Effects.h"
 #include "Transient/Fleet.h"
 #include "Transient/JobTable.h"
+#include "Transient/Patience.h"
 
 /// What a gateway does with transient jobs: one state machine that every event goes through, in the
 /// order in which the control thread meets it.
@@ -62,6 +63,8 @@
     Fleet fleet;
     /// By queue.
     std::unordered_map<std::string, PredictionError> predictionErrors;
+    /// By queue.
+    std::map<std::string, UsualPatience> patiences;
     std::unordered_map<std::string, JobRecord> jobs;
     std::unordered_map<std::string, FinishedJob> finished;
     /// Submissions of ids whose last life is not over yet.
--- /dev/null
+++ b/Source/Core/Transient/Learned.cpp
@@ -0,0 +1,75 @@
+#include "Transient/Learned.h"
+
+#include <algorithm>
+
+namespace Transient {
+
+namespace {
+
+/// Speeds change within seconds, and a record that is this old still tells fast from slow.
+constexpr std::int64_t ShortestPauseMs = 5000;
+/// Some 90 bytes an agent: 1.8 KB/s at any size of the fleet, a seventh of what a node may spend.
+constexpr std::int64_t PausePerAgentMs = 50;
+
+} // namespace
+
+Schema::LearnedTimes learnedTimes(const GatewayState &state, const std::string &gateway,
+                                  Common::Moment now)
+{
+    const Fleet &fleet = state.fleet;
+    Schema::LearnedTimes learned;
+    learned.gateway = gateway;
+    learned.writtenMs = now.wallMs;
+    for (const Dispatch::RecalledProfile &profile : Dispatch::learnedProfiles(fleet.estimates)) {
+        learned.profiles.push_back(
+                {profile.key, profile.meanLog, profile.meanMs, profile.samples});
+    }
+    for (const auto &[name, agent] : fleet.agents) {
+        if (agent.speed.samples > 0) {
+            learned.speeds.push_back(
+                    {name, agent.announced.labels, agent.speed.logFactor, agent.speed.samples});
+        }
+    }
+    for (const auto &[queue, patience] : state.patiences) {
+        learned.patiences.push_back({queue, patience.samples, patience.usualMs});
+    }
+    return learned;
+}
+
+void recallTimes(GatewayState &state, const Schema::LearnedTimes &learned)
+{
+    Fleet &fleet = state.fleet;
+    for (const Schema::LearnedPatience &recalled : learned.patiences) {
+        UsualPatience &known = state.patiences[recalled.queue];
+        if (known.samples < recalled.samples) {
+            known = {recalled.usualMs, recalled.samples};
+        }
+    }
+    for (const Schema::LearnedProfile &profile : learned.profiles) {
+        Dispatch::recallProfile(fleet.estimates, {profile.key, profile.meanMs, profile.meanLog,
+                                                  profile.samples});
+    }
+    for (const Schema::LearnedSpeed &speed : learned.speeds) {
+        fleet.remembered[speed.agent] = speed;
+    }
+    for (auto &[name, agent] : fleet.agents) {
+        recallSpeedOf(fleet, agent);
+    }
+}
+
+void recallSpeedOf(Fleet &fleet, AgentView &agent)
+{
+    const auto found = fleet.remembered.find(agent.announced.name);
+    if (found == fleet.remembered.end() || found->second.labels != agent.announced.labels) {
+        return;
+    }
+    Dispatch::recallSpeed(agent.speed, {found->second.logFactor, found->second.samples});
+}
+
+std::int64_t learnedPauseMs(const Fleet &fleet)
+{
+    return std::max(ShortestPauseMs,
+                    PausePerAgentMs * static_cast<std::int64_t>(fleet.agents.size()));
+}
+
+} // namespace Transient
--- a/Source/Core/Transient/Transient.h
+++ b/Source/Core/Transient/Transient.h
@@ -8,4 +8,5 @@
 #include "Transient/Fleet.h"
 #include "Transient/Job.h"
 #include "Transient/Jobs.h"
+#include "Transient/Learned.h"
 #include "Transient/Queues.h"
