Dispatch: answer for a job only while a majority confirms its owner

Heartbeats now name the last one heard of their receiver; an owner answers from its ledger only within the lease of the last of its heartbeats that a majority has answered. Ruled out: counting heartbeats by the time they are read (old ones lie in the same sockets); taking forwarded answers only from the last addressee (a caller at the old owner would still be lied to); the stronger lease for starts as well (agents hold one already, and the tests of two other safeguards would show nothing any more). The story breaks with the safeguard off.

--- a/Source/Core/Dispatch/Heartbeats.cpp
+++ b/Source/Core/Dispatch/Heartbeats.cpp
@@ -11,6 +11,8 @@
 /// While a direct handover is not in the log yet, two tables of one version can differ: the whole
 /// table goes out every few heartbeats then.
 constexpr std::int64_t TableEveryHeartbeats = 8;
+/// Four seconds of heartbeats: an older answer confirms nothing.
+constexpr std::size_t RememberedPings = 8;
 
 bool hasUnrecordedHandover(const OwnershipState &state)
 {
@@ -41,6 +43,11 @@
     Schema::PeerPing ping;
     ping.instance = state.self.instance;
     ping.sequence = ++state.sequence;
+    ping.heardSequence = peer.sequence;
+    peer.sent.push_back({ping.sequence, now.steadyMs});
+    if (peer.sent.size() > RememberedPings) {
+        peer.sent.pop_front();
+    }
     ping.reply = reply;
     ping.leaving = state.leaving;
     ping.live = liveMembers(state, now);
@@ -90,6 +97,15 @@
     }
 }
 
+/// The time that counts is that of our heartbeat, not that at which its answer is read.
+void takeAnswer(PeerView &peer, std::int64_t heardSequence)
+{
+    while (!peer.sent.empty() && peer.sent.front().sequence <= heardSequence) {
+        peer.answeredMs = peer.sent.front().sentMs;
+        peer.sent.pop_front();
+    }
+}
+
 void takeNotices(OwnershipState &state, PeerView &peer, const Schema::PeerPing &ping)
 {
     peer.notices.clear();
@@ -191,6 +207,7 @@
         closeGapFromPeers(state, now);
         reconcileRoles(state, now);
     }
+    takeAnswer(peer, ping.heardSequence);
     takeNotices(state, peer, ping);
     takeAcknowledgements(state, peer, ping);
     settleRoster(state, now);
--- a/Source/Core/Dispatch/Ownership.cpp
+++ b/Source/Core/Dispatch/Ownership.cpp
@@ -272,6 +272,21 @@
     return tableVersion(state.table);
 }
 
+bool ownershipConfirmed(const OwnershipState &state, Common::Moment now)
+{
+    if (!state.settings.safeguards.confirmedAnswers) {
+        return true;
+    }
+    return isMajority(rosterInstances(state.table), [&](const std::string &instance) {
+        if (instance == state.self.instance) {
+            return true;
+        }
+        const auto peer = state.peers.find(instance);
+        return peer != state.peers.end() && peer->second.answeredMs
+               && now.steadyMs - *peer->second.answeredMs < state.settings.leaseMs;
+    });
+}
+
 bool mayStart(const OwnershipState &state, std::int64_t shard, Common::Moment now)
 {
     if (shardPhase(state, shard) != ShardPhase::Serving) {
--- a/Source/Core/Dispatch/Ownership.h
+++ b/Source/Core/Dispatch/Ownership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -61,9 +62,19 @@
     std::vector<Schema::UnloggedWindow> windows;
 };
 
+struct SentPing
+{
+    std::int64_t sequence = 0;
+    std::int64_t sentMs = 0;
+};
+
 /// What we know of another gateway.
 struct PeerView
 {
+    /// Our latest heartbeats to it, the oldest first.
+    std::deque<SentPing> sent;
+    /// When the last heartbeat of ours that it has answered was sent.
+    std::optional<std::int64_t> answeredMs;
     std::int64_t firstWatchedMs = 0;
     bool heard = false;
     std::int64_t lastHeardMs = 0;
@@ -170,6 +181,12 @@
 const Schema::Member *memberOf(const OwnershipState &state, const std::string &instance);
 Schema::OwnershipTable ownershipTable(const OwnershipState &state);
 std::int64_t ownershipVersion(const OwnershipState &state);
+/// Whether nobody else can serve a shard of ours yet. A successor waits out the lease after a
+/// majority has acknowledged its claim. A majority has answered a heartbeat that we sent within the
+/// lease, and none of them knew of a claim: what we say of our jobs is true until the lease ends. A
+/// gateway that was paused, and finds requests and old heartbeats in its sockets, says nothing
+/// before it has learned what happened meanwhile.
+bool ownershipConfirmed(const OwnershipState &state, Common::Moment now);
 /// Whether tasks of the shard may be started now: it is served here, and a majority of the roster
 /// was heard from within the lease (agents would refuse the start otherwise).
 bool mayStart(const OwnershipState &state, std::int64_t shard, Common::Moment now);
--- a/Source/Core/Dispatch/Router.cpp
+++ b/Source/Core/Dispatch/Router.cpp
@@ -58,7 +58,8 @@
         const bool isReachable = peerLive(state.site.ownership, *owner, now);
         return isReachable ? sendElsewhere(state, *request, *owner) : Effects{};
     }
-    if (shardPhase(state.site.ownership, shard) != ShardPhase::Serving) {
+    if (shardPhase(state.site.ownership, shard) != ShardPhase::Serving
+        || !ownershipConfirmed(state.site.ownership, now)) {
         return {};
     }
     return askOwnLedger(state, requestId, request->kind, now);
--- a/Source/Core/Dispatch/Safeguards.h
+++ b/Source/Core/Dispatch/Safeguards.h
@@ -17,6 +17,8 @@
     /// A record counts only where what it was based on still holds, so that a repeated or late one
     /// is void.
     bool conditionalRecords = true;
+    /// An owner answers for its jobs only while a majority has confirmed that it still owns them.
+    bool confirmedAnswers = true;
 };
 
 } // namespace Dispatch
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -553,6 +553,11 @@
         std::vector<UnloggedNotice> acknowledgedUnlogged{};
         std::optional<Configuration> configuration{};
         int64_t configVersion{};
+        /**
+         * Of the receiver's last heartbeat that the sender has heard; 0 before. Tells the receiver
+         * how fresh this is, however long it has lain in a socket.
+         */
+        int64_t heardSequence{};
         std::string instance{};
         /**
          * Offset up to which the sender has read the journal.
@@ -1783,6 +1788,7 @@
         x.acknowledgedUnlogged = j.at("acknowledgedUnlogged").get<std::vector<UnloggedNotice>>();
         x.configuration = get_stack_optional<Configuration>(j, "configuration");
         x.configVersion = j.at("configVersion").get<int64_t>();
+        x.heardSequence = j.at("heardSequence").get<int64_t>();
         x.instance = j.at("instance").get<std::string>();
         x.journalOffset = j.at("journalOffset").get<int64_t>();
         x.leaving = j.at("leaving").get<bool>();
@@ -1801,6 +1807,7 @@
             j["configuration"] = x.configuration;
         }
         j["configVersion"] = x.configVersion;
+        j["heardSequence"] = x.heardSequence;
         j["instance"] = x.instance;
         j["journalOffset"] = x.journalOffset;
         j["leaving"] = x.leaving;
--- a/Source/UnitTests/Whole/StoryTest.cpp
+++ b/Source/UnitTests/Whole/StoryTest.cpp
@@ -163,6 +163,45 @@
     }
 }
 
+TEST_CASE("The owner wakes with a submission and its cancellation in its sockets")
+{
+    // The owner is paused. Shortly before it is given up, a caller submits a job through one
+    // gateway and cancels it through another; both forward to the owner. Its successor has no such
+    // job to cancel, then gets the submission and starts it. Meanwhile the owner wakes, queues the
+    // job, cancels it and would answer "not run": it has to learn first that the job is not its
+    // own.
+    int wrong = 0;
+    for (const bool isConfirmed : {true, false}) {
+        for (std::int64_t submitMs = 1500; submitMs <= 2400; submitMs += 300) {
+            for (std::int64_t pausedMs = 3000; pausedMs <= 5500; pausedMs += 250) {
+                auto world = readySite(static_cast<std::uint64_t>(pausedMs + submitMs));
+                for (auto &gateway : world->gateways) {
+                    gateway->state.site.ownership.settings.safeguards.confirmedAnswers =
+                            isConfirmed;
+                }
+                Whole::JobRequest job = Whole::newJob(*world, 4, 300, 30'000);
+                const int owner = Whole::ownerOfJob(*world, job.id);
+                const int successor = otherGateway(*world, owner);
+                const int other = 3 - owner - successor;
+                Whole::pauseGateway(*world, owner, pausedMs);
+                Whole::runFor(*world, submitMs);
+                job.firstSubmittedMs = Whole::wallMs(*world);
+                Whole::submit(*world, other, job);
+                Whole::runFor(*world, 50);
+                Whole::cancel(*world, successor, job.id);
+                Whole::runFor(*world, 35'000);
+                if (isConfirmed) {
+                    checkPromises(*world);
+                    continue;
+                }
+                Whole::judgeEnd(world->oracle);
+                wrong += world->oracle.broken.empty() ? 0 : 1;
+            }
+        }
+    }
+    CHECK(wrong > 0);
+}
+
 TEST_CASE("An agent is paused between its check and the start")
 {
     // The agent accepts a start and is stopped before its request reaches the backend server; the
