--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -35,8 +35,11 @@
 /// A gateway, an agent and a backend server, as threads of this process.
 struct Site
 {
-    explicit Site(bool hasQueues = true)
+    explicit Site(bool hasQueues = true, const std::string &learned = {})
     {
+        if (!learned.empty()) {
+            this->store.setLearned("gateway-0", learned);
+        }
         if (hasQueues) {
             this->store.setQueues(FakePlatform::oneQueue(7, Service));
         }
@@ -240,6 +243,26 @@
     REQUIRE(site.serves());
 }
 
+TEST_CASE("A gateway starts with what others have learned, and passes it on")
+{
+    // All gateways were lost. The record of one of them tells that the backend server is slow; the
+    // new gateway has it from the store, beside a record that nobody can read.
+    Schema::LearnedTimes learned;
+    learned.gateway = "gateway-0-x";
+    learned.writtenMs = 1;
+    learned.speeds.push_back({"agent-1", {"a"}, 1.5, 400});
+    Site site(true, Platform::encodeLearned(learned));
+    site.store.setLearned("somebody", "{");
+    REQUIRE(site.backend.announce(site.registration, Service, false));
+    REQUIRE(waitFor([&site] { return !site.store.learned("gateway-1").empty(); }));
+    const auto own =
+            Platform::decodeLearned({{"gateway-1", site.store.learned("gateway-1")}});
+    REQUIRE(own.size() == 1);
+    REQUIRE(own[0].speeds.size() == 1);
+    CHECK(own[0].speeds[0].agent == "agent-1");
+    CHECK(own[0].speeds[0].logFactor == 1.5);
+}
+
 TEST_CASE("A backend server that leaves gets nothing new")
 {
     Site site;
--- a/Source/UnitTests/Platform/FakePlatform.cpp
+++ b/Source/UnitTests/Platform/FakePlatform.cpp
@@ -113,6 +113,19 @@
     this->isSilent = silent;
 }
 
+void Store::setLearned(const std::string &key, const std::string &value)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->learnedByKey[key] = value;
+}
+
+std::string Store::learned(const std::string &key) const
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->learnedByKey.find(key);
+    return found == this->learnedByKey.end() ? std::string() : found->second;
+}
+
 int Store::writes() const
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -129,6 +142,13 @@
     }
     if (request.path == "/log-append") {
         ++this->writeCount;
+        if (request.query.at("topic") == "keyed.learned") {
+            // Length of the record, length of the key, key, value.
+            constexpr std::size_t KeyLengthAt = 4;
+            const auto keyLength = static_cast<unsigned char>(request.body.at(KeyLengthAt));
+            const std::string key = request.body.substr(KeyLengthAt + 1, keyLength);
+            this->learnedByKey[key] = request.body.substr(KeyLengthAt + 1 + keyLength);
+        }
         reply.send(json(200, Json{{"offset", 0}, {"endOffset", 1}}));
         return;
     }
@@ -147,6 +167,12 @@
                          {"value", websocketpp::base64_encode(this->queues)},
                          {"offset", 0}});
     }
+    if (request.query.at("topic") == "keyed.learned") {
+        for (const auto &[key, value] : this->learnedByKey) {
+            items.push_back(
+                    {{"key", key}, {"value", websocketpp::base64_encode(value)}, {"offset", 0}});
+        }
+    }
     reply.send(json(200, Json{{"items", items}, {"hasMore", false}, {"endOffset", 1}}));
 }
 
--- a/Source/UnitTests/Platform/FakePlatform.h
+++ b/Source/UnitTests/Platform/FakePlatform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -13,7 +14,8 @@
 /// the real daemons.
 namespace FakePlatform {
 
-/// Holds one configuration; reads wait a little and find nothing more.
+/// Holds one configuration and the newest records of what gateways have learned; reads wait a little
+/// and find nothing more.
 class Store
 {
 public:
@@ -26,12 +28,16 @@
     void setQueues(const std::string &text);
     void setSilent(bool silent);
     int writes() const;
+    void setLearned(const std::string &key, const std::string &value);
+    /// Empty where nobody has written it.
+    std::string learned(const std::string &key) const;
 
 private:
     void answer(const Net::HttpRequest &request, const Net::HttpReply &reply);
 
     mutable std::mutex mutex;
     std::string queues;
+    std::map<std::string, std::string> learnedByKey;
     bool isSilent = false;
     int writeCount = 0;
     Common::TimerThread timers;
