Runner: do not give a start up that is on its way

Now nothing is given up within a lease of the last start. A second hole beside it: a backend server that carries observations out without answering had its leases renewed by them for as long as the agent asked; they renew only within a lease of the last answer now. Both tests fail before.

--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -187,6 +187,25 @@
     }
 }
 
+/// A lease that was granted ends by then. The clock of the backend server may be slow by a
+/// fiftieth: twice that is safe.
+std::int64_t lapseMs(const RunnerState &state)
+{
+    constexpr std::int64_t ClockShare = 25;
+    return state.times.leaseMs + state.times.leaseMs / ClockShare;
+}
+
+/// Whether a start may have granted a lease that still lasts: to its own run and to all others. One
+/// that is on its way while the backend server refuses everything else is easily forgotten; its
+/// task was given up and ran a second time elsewhere.
+bool mayHaveStarted(const RunnerState &state, Common::Moment now)
+{
+    return std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
+        const Run &run = entry.second;
+        return run.phase != RunPhase::Queued && now.steadyMs <= run.startSentMs + lapseMs(state);
+    });
+}
+
 void takeFailure(RunnerState &state, Effects &effects, ObserveOutcome outcome, Common::Moment now)
 {
     effects.emplace_back(Transient::CountReason{
@@ -202,13 +221,14 @@
     } else {
         state.nextWatchMs = now.steadyMs + FailedPauseMs;
     }
-    // The clock of the backend server may be slow by a fiftieth: twice that is safe.
-    constexpr std::int64_t ClockShare = 25;
-    const std::int64_t lapsedMs = state.times.leaseMs + state.times.leaseMs / ClockShare;
+    const std::int64_t lapsedMs = lapseMs(state);
     const bool isGone =
             outcome == ObserveOutcome::NotConnected || outcome == ObserveOutcome::OtherLife;
     const bool isLapsed = now.steadyMs - state.answeredMs > lapsedMs;
-    if (!(isGone && isLapsed) && now.steadyMs - state.answeredMs <= 2 * lapsedMs) {
+    // The last observation that renews is sent a lease after the last answer, and its lease
+    // follows.
+    const bool isOver = (isGone && isLapsed) || now.steadyMs - state.answeredMs > 2 * lapsedMs;
+    if (!isOver || mayHaveStarted(state, now)) {
         return;
     }
     if (state.isAlive) {
@@ -247,7 +267,10 @@
     CallObserve call;
     call.watch = ++state.lastWatch;
     call.lastEnd = state.lastEnd;
-    call.leaseUntilMs = leaseUntilMs(state, now);
+    // A backend server that carries calls out without answering would go on for ever with what this
+    // agent takes to have lapsed.
+    const bool isHeard = now.steadyMs - state.answeredMs <= lapseMs(state);
+    call.leaseUntilMs = isHeard ? leaseUntilMs(state, now) : 0;
     const bool isWaiting = state.isClean && state.isAlive;
     const bool isLossy = now.steadyMs < state.lossyUntilMs;
     call.waitMs = isWaiting ? (isLossy ? LossyWatchMs : state.times.watchMs) : 0;
--- /dev/null
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -0,0 +1,156 @@
+#include <doctest/doctest.h>
+#include <optional>
+#include <ostream>
+
+#include "Runner/Runner.h"
+#include "Runner/Watch.h"
+
+using namespace Runner;
+using Transient::ObserveOutcome;
+using Transient::StartOutcome;
+
+namespace {
+
+constexpr std::int64_t LeaseMs = 700;
+constexpr const char *Gateway = "gateway-1";
+
+Common::Moment at(std::int64_t ms)
+{
+    return {ms, ms};
+}
+
+template <typename Wanted>
+std::optional<Wanted> lastOf(const Effects &effects)
+{
+    std::optional<Wanted> last;
+    for (const Effect &effect : effects) {
+        if (const auto *found = std::get_if<Wanted>(&effect)) {
+            last = *found;
+        }
+    }
+    return last;
+}
+
+/// An agent whose backend server is free and known to be clean.
+struct Fixture
+{
+    Fixture()
+    {
+        this->state.instance = "agent-1";
+        this->state.service = "desk";
+        this->state.times.leaseMs = LeaseMs;
+        this->state.times.grantMs = 1'000'000;
+        Transient::BackendAnnouncement backend;
+        backend.id = "backend-1";
+        backend.service = "desk";
+        backend.resources.processors = 8;
+        backend.resources.memoryMb = 1000;
+        backend.startedAtMs = 1;
+        backend.sequence = 1;
+        backendAnnounced(this->state, backend, at(1));
+        grantReceived(this->state, Gateway, 1);
+        const auto first = lastOf<CallObserve>(tick(this->state, at(1)));
+        REQUIRE(first.has_value());
+        this->seen(first->watch, 2);
+    }
+
+    Effects seen(std::uint64_t watch, std::int64_t nowMs)
+    {
+        Transient::ObserveAnswer answer;
+        answer.outcome = ObserveOutcome::Seen;
+        answer.seen.clockMs = nowMs;
+        answer.seen.startedAtMs = 1;
+        for (const auto &[id, run] : this->state.runs) {
+            if (run.phase == RunPhase::Running) {
+                answer.seen.active.push_back({run.task, run.number, 10});
+            }
+        }
+        return observed(this->state, watch, answer, at(nowMs));
+    }
+
+    /// The start that the order leads to.
+    CallStart order(const std::string &task, std::int64_t nowMs)
+    {
+        Schema::TaskOrders orders;
+        orders.sequence = ++this->sequence;
+        orders.echoMs = nowMs;
+        orders.resources.processors = 1;
+        orders.expectedRunMs = 5000;
+        orders.targetInMs = 10'000;
+        orders.deadlineInMs = 20'000;
+        orders.tasks.push_back({1, task});
+        Effects effects = ordersReceived(this->state, Gateway, orders, at(nowMs));
+        append(effects, tick(this->state, at(nowMs)));
+        const auto start = lastOf<CallStart>(effects);
+        REQUIRE(start.has_value());
+        return *start;
+    }
+
+    void answer(const CallStart &start, std::int64_t nowMs)
+    {
+        startAnswered(this->state, start.run, start.start.number, {StartOutcome::Started, nowMs},
+                      at(nowMs));
+    }
+
+    bool isKnown(RunId run) const { return this->state.runs.count(run) != 0; }
+
+    RunnerState state;
+    std::int64_t sequence = 0;
+};
+
+/// Every observation of the time ends with \a outcome. Returns the last lease that was asked for.
+std::int64_t observeInVain(Fixture &site, ObserveOutcome outcome, std::int64_t fromMs,
+                           std::int64_t untilMs)
+{
+    std::int64_t leaseUntilMs = 0;
+    for (std::int64_t nowMs = fromMs; nowMs < untilMs; nowMs += 10) {
+        const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)));
+        if (call) {
+            leaseUntilMs = std::max(leaseUntilMs, call->leaseUntilMs);
+            Transient::ObserveAnswer failed;
+            failed.outcome = outcome;
+            observed(site.state, call->watch, failed, at(nowMs + 1));
+        }
+    }
+    return leaseUntilMs;
+}
+
+} // namespace
+
+TEST_CASE("A start on its way is not given up with what has lapsed")
+{
+    // The backend server refuses every observation for a while and takes a start all the same. A
+    // refusal comes in while the start's answer is on its way. The run before it has lapsed; the
+    // new one has not: given up now, its task would run a second time elsewhere.
+    for (const ObserveOutcome outcome : {ObserveOutcome::Refused, ObserveOutcome::NotConnected}) {
+        CAPTURE(Common::nameOf(Transient::ObserveOutcomeNames, outcome));
+        Fixture site;
+        const CallStart first = site.order("a.0.0", 10);
+        site.answer(first, 12);
+        const std::int64_t lapsingMs = outcome == ObserveOutcome::Refused ? 1450 : 720;
+        observeInVain(site, outcome, 20, lapsingMs);
+        CHECK(site.isKnown(first.run));
+        const CallStart second = site.order("b.0.0", lapsingMs);
+        observeInVain(site, outcome, lapsingMs + 10, lapsingMs + 100);
+        CHECK(site.isKnown(second.run));
+        CHECK(site.isKnown(first.run));
+        // Nothing of the second can be left a lease after it was sent.
+        observeInVain(site, outcome, lapsingMs + 110, lapsingMs + 1700);
+        CHECK_FALSE(site.isKnown(first.run));
+        CHECK_FALSE(site.isKnown(second.run));
+    }
+}
+
+TEST_CASE("What is taken to have lapsed is not renewed")
+{
+    // The backend server carries observations out and answers none. Each would renew the lease of
+    // everything there; the agent gives its runs up in the end, and they must be over by then.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    const std::int64_t leaseUntilMs =
+            observeInVain(site, ObserveOutcome::Unanswered, 20, 20 + 3 * LeaseMs);
+    CHECK_FALSE(site.isKnown(start.run));
+    CHECK(leaseUntilMs <= 12 + 2 * (LeaseMs + LeaseMs / 25));
+    CHECK_FALSE(site.state.isAlive);
+}
