Transient: of several records of what was learned the newest counts

Cause, found on rereading: records were taken in the oldest first, and what is recalled is not recalled again, so that the record of a gateway that was removed long ago won over fresh ones. The new test fails with the order before.

--- a/Source/Core/Transient/Learned.cpp
+++ b/Source/Core/Transient/Learned.cpp
@@ -57,7 +57,7 @@
                                 {profile.key, profile.meanMs, profile.meanLog, profile.samples});
     }
     for (const Schema::LearnedSpeed &speed : learned.speeds) {
-        fleet.remembered[speed.agent] = speed;
+        fleet.remembered.emplace(speed.agent, speed);
     }
     for (auto &[name, agent] : fleet.agents) {
         recallSpeedOf(fleet, agent);
--- a/Source/Core/Transient/Learned.h
+++ b/Source/Core/Transient/Learned.h
@@ -10,14 +10,15 @@
 ///
 /// Load pattern: all gateways lose their memory at once, and the callers' requests of the meantime
 /// come together. Without memory every backend server counts as equally fast, and those that take
-/// twice as long get as many tasks: a quarter of the jobs of the first two seconds ended late on
+/// twice as long get as many tasks: in the first two seconds a quarter of the late jobs waited for
 /// one of eleven backend servers.
 namespace Transient {
 
 Schema::LearnedTimes learnedTimes(const GatewayState &state, const std::string &gateway,
                                   Common::Moment now);
 
-/// Takes over what this gateway doesn't know as well by itself.
+/// Takes over what this gateway doesn't know as well by itself. Of several records the first one
+/// that tells of a thing counts: the newest has to come first.
 void recallTimes(GatewayState &state, const Schema::LearnedTimes &learned);
 
 /// The speed of an agent that has just announced itself, where it is remembered.
--- a/Source/UnitTests/Transient/LearnedTest.cpp
+++ b/Source/UnitTests/Transient/LearnedTest.cpp
@@ -110,6 +110,41 @@
     CHECK(waitedBeforeMs(fresh.patiences[Queue], 1000) == 0);
 }
 
+TEST_CASE("Of several records the newest counts")
+{
+    // A gateway that was removed for good has left its record behind: it tells of a time when the
+    // backend server was fast. Another one has since learned that it is slow.
+    const GatewayState experience = experienced();
+    const Schema::LearnedTimes newer = learnedTimes(experience, "gateway-1", at(5000));
+    Schema::LearnedTimes older = newer;
+    older.writtenMs = 1000;
+    for (Schema::LearnedSpeed &speed : older.speeds) {
+        speed.logFactor = 0;
+    }
+    for (Schema::LearnedProfile &profile : older.profiles) {
+        profile.meanMs = 1;
+    }
+    for (const bool isAnnouncedFirst : {true, false}) {
+        CAPTURE(isAnnouncedFirst);
+        GatewayState after;
+        Common::Random random{1};
+        const auto announce = [&] {
+            agentAnnounced(after, announcementOf("slow", {"a", "rack-1"}), at(0), random);
+        };
+        if (isAnnouncedFirst) {
+            announce();
+        }
+        recallTimes(after, newer);
+        recallTimes(after, older);
+        if (!isAnnouncedFirst) {
+            announce();
+        }
+        CHECK(Dispatch::speedFactor(after.fleet.agents.at("slow").speed) > 1.2);
+        const auto profile = Dispatch::findProfile(after.fleet.estimates, Queue, 300);
+        CHECK(Dispatch::meanRunMs(after.fleet.estimates, profile) > 50);
+    }
+}
+
 TEST_CASE("A caller with less patience than nearly all others has waited")
 {
     // All gateways were gone for a second. The connections of that time come together: their
