Transient: a gateway that stops answers every caller before it ends

Predictions are means. While stopping, a job is taken only if twice its corrected prediction fits; at the last moment all callers that still wait get a final answer and what runs for them is stopped. Ruled out: a shorter time for taking anything at all (callers keep using open connections until the end). The test fails before.

--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -13,6 +13,9 @@
 
 constexpr const char *RefusalCounter = "auburntrail_transient_refusals_total";
 constexpr double PercentOfOne = 100;
+/// A gateway that stops takes only what surely ends in time: the predictions are means, and the
+/// last of a handful of tasks takes up to twice as long.
+constexpr double StopSafety = 2;
 
 std::vector<double> stepRunsMs(const GatewayState &state, const JobRecord &job)
 {
@@ -92,7 +95,7 @@
                                         Common::Moment now)
 {
     const double leftMs = static_cast<double>(state.stopDeadlineMs - now.steadyMs);
-    if (!state.isStopping || query.predictedMs <= leftMs) {
+    if (!state.isStopping || query.predictedMs * query.stretch * StopSafety <= leftMs) {
         return std::nullopt;
     }
     return JobResult{JobOutcome::Refused, Reason::Stopping, RetryMs};
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -14,6 +14,38 @@
 /// Bounds the work that one round of timers can cost.
 constexpr std::int64_t SweepMs = 20;
 
+/// A gateway that stops has no time left: its callers get a final answer while the process still
+/// lives, and what runs for them is stopped before they submit again. Otherwise their connections
+/// would close without a word.
+Effects endAll(GatewayState &state, Common::Moment now)
+{
+    Effects effects;
+    std::vector<std::string> open;
+    for (const auto &[id, job] : state.jobs) {
+        if (!job.result) {
+            open.push_back(id);
+        }
+    }
+    std::sort(open.begin(), open.end());
+    for (const std::string &id : open) {
+        JobRecord &job = state.jobs.at(id);
+        const JobResult result =
+                job.anyOrdered ? JobResult{JobOutcome::GaveUp, Reason::Stopping, 0}
+                               : JobResult{JobOutcome::Refused, Reason::Stopping, RetryMs};
+        append(effects, endJob(state, job, result, now));
+        forgetIfSettled(state, id, now);
+    }
+    // An earlier life of these ids has run: "not run" would not be true.
+    for (const auto &[id, waiting] : state.parked) {
+        for (const Submission &submission : waiting) {
+            effects.emplace_back(
+                    AnswerCaller{submission.token, id, {JobOutcome::GaveUp, Reason::Stopping, 0}});
+        }
+    }
+    state.parked.clear();
+    return effects;
+}
+
 /// Jobs past their time, or of which nothing could be placed in time to be of use.
 Effects endOverdue(GatewayState &state, Common::Moment now, Common::Random &random)
 {
@@ -142,6 +174,9 @@
     forgetLost(state, effects, now);
     append(effects, settleFormers(state, now, random));
     append(effects, endOverdue(state, now, random));
+    if (state.isStopping && now.steadyMs >= state.stopDeadlineMs) {
+        append(effects, endAll(state, now));
+    }
     append(effects, placeWaiting(state, now, random));
     forgetFinished(state, now);
     return effects;
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -355,3 +355,33 @@
     REQUIRE(late.size() == 1);
     CHECK(late[0].outcome == JobOutcome::GaveUp);
 }
+
+TEST_CASE("A gateway that stops takes only what surely ends, and answers all before it ends")
+{
+    // The gateway is told to stop and has 5 s. A job that is expected to take 100 ms comes while
+    // there is time, one when it might not end. The first takes far longer than expected: its
+    // caller is answered before the process ends, what runs for it is stopped, and a resubmission
+    // that waits for that is answered as well.
+    constexpr std::int64_t TimeoutMs = 5000;
+    Fixture site;
+    beginStop(site.state, TimeoutMs, at(0));
+    Submission first = site.submission("first", {stepOf(2)});
+    first.patienceMs = 2 * TimeoutMs;
+    CHECK(answers(jobSubmitted(site.state, std::move(first), at(3000), site.random)).empty());
+    const auto late = answers(jobSubmitted(site.state, site.submission("late", {stepOf(2)}),
+                                           at(TimeoutMs - 150), site.random));
+    REQUIRE(late.size() == 1);
+    CHECK(late[0].outcome == JobOutcome::Refused);
+    CHECK(late[0].reason == Reason::Stopping);
+    CHECK(answers(tick(site.state, at(TimeoutMs - 50), site.random)).empty());
+    const Effects last = tick(site.state, at(TimeoutMs), site.random);
+    REQUIRE(answers(last).size() == 1);
+    CHECK(answers(last)[0].outcome == JobOutcome::GaveUp);
+    CHECK(withdrawnTasks(last) == Names{"first.0.0", "first.0.1"});
+    Submission again = site.submission("first", {stepOf(2)});
+    CHECK(answers(jobSubmitted(site.state, std::move(again), at(TimeoutMs + 10), site.random))
+                  .empty());
+    const auto parked = answers(tick(site.state, at(TimeoutMs + 40), site.random));
+    REQUIRE(parked.size() == 1);
+    CHECK(parked[0].outcome == JobOutcome::GaveUp);
+}
