Runner: keep a start that was never answered until it can arrive no more

Cause: when the leases known of were over, or another life of the backend server was met, an agent gave up all its runs, also those whose start had not been answered. Such a start may be carried out up to 12 s later, with a lease counted from then; its task ran elsewhere by that time. Now such runs are stopped, and settled by the confirmed stop or after 13.5 s, as gateways do with the unanswered starts of a lost agent. In "A start on its way is not given up with what has lapsed" one check was wrong for the same reason: it wanted a start without any answer to be forgotten a lease after it was sent. It wants that start to be kept for 12 s and forgotten after 13.5 s now, and the run before it to be given up as before. Price: what was started unanswered at a backend server that goes silent for good is answered when its deadline passes, or when another life announces itself, no longer placed again after 1.5 s.

--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -120,7 +120,7 @@
         state.clockOffsetMs.reset();
         state.isClean = false;
         state.isAlive = true;
-        loseAll(state, effects, Reason::BackendLost, now);
+        loseStarted(state, effects, Reason::BackendLost, now);
     }
     if (announcement.leaving && (!before || !before->leaving)) {
         effects.emplace_back(Transient::Note{
@@ -143,7 +143,7 @@
     effects.emplace_back(Transient::Note{"backend_left", {{"id", id}}});
     state.backend->leaving = true;
     giveBackQueued(state, effects, Reason::AgentDraining, now);
-    loseAll(state, effects, Reason::BackendLost, now);
+    loseStarted(state, effects, Reason::BackendLost, now);
     effects.emplace_back(Announce{});
     return effects;
 }
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -57,6 +57,9 @@
     std::int64_t number = 0;
     std::int64_t startSentMs = 0;
     bool isStartPending = false;
+    /// The backend server has answered the start, or shown the run. Until then the start may still
+    /// be on its way.
+    bool isStartKnown = false;
     std::int64_t startedMs = 0;
     int startTries = 0;
     int percent = 0;
@@ -128,6 +131,9 @@
     /// another connection: answers that were lost would otherwise hide every end meanwhile.
     std::int64_t watchGraceMs = 40;
     std::int64_t stopRetryMs = 120;
+    /// A start without an answer has taken effect by then or never does: orders have been carried
+    /// out up to 12 s late; slack.
+    std::int64_t lateStartMs = 13'500;
     /// How long a gateway's grant lasts.
     std::int64_t grantMs = 800;
 };
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -56,6 +56,7 @@
     run.number = nextNumber(state, run);
     run.startSentMs = now.steadyMs;
     run.isStartPending = true;
+    run.isStartKnown = false;
     run.missed = 0;
     ++run.startTries;
     state.numbers[run.task] = {run.number, now.steadyMs};
@@ -204,6 +205,7 @@
     }
     Run &run = found->second;
     run.isStartPending = false;
+    run.isStartKnown = answer.outcome != StartOutcome::Unanswered;
     if (mayHaveGranted(answer.outcome)) {
         state.grantedMs = std::max(state.grantedMs, run.startSentMs);
     }
@@ -286,17 +288,24 @@
     return effects;
 }
 
-void loseAll(RunnerState &state, Effects &effects, Reason reason, Common::Moment now)
+void loseStarted(RunnerState &state, Effects &effects, Reason reason, Common::Moment now)
 {
-    std::vector<RunId> lost;
+    std::vector<RunId> over;
+    std::vector<RunId> unknown;
     for (const auto &[id, run] : state.runs) {
-        if (run.phase != RunPhase::Queued) {
-            lost.push_back(id);
+        if (run.phase == RunPhase::Queued) {
+            continue;
         }
+        const bool mayStillStart =
+                !run.isStartKnown && now.steadyMs <= run.startSentMs + state.times.lateStartMs;
+        (mayStillStart ? unknown : over).push_back(id);
     }
-    for (const RunId id : lost) {
+    for (const RunId id : over) {
         finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
     }
+    for (const RunId id : unknown) {
+        stopRun(state, effects, id, reason, now);
+    }
 }
 
 } // namespace Runner
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -28,8 +28,10 @@
 /// Stops that are due, and runs past their deadline.
 Effects driveStops(RunnerState &state, Common::Moment now);
 
-/// Nothing that was started can be running any more.
-void loseAll(RunnerState &state, Effects &effects, Schema::Reason reason, Common::Moment now);
+/// Nothing that was started before is running any more. A start whose answer never came may take
+/// effect yet; where its task was given up at once, it ran twice at a time. It is stopped instead,
+/// which the backend server confirms, or waited out.
+void loseStarted(RunnerState &state, Effects &effects, Schema::Reason reason, Common::Moment now);
 
 /// On the backend server's clock; 0 while that is not known.
 std::int64_t leaseUntilMs(const RunnerState &state, Common::Moment now);
--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -96,6 +96,7 @@
             continue;
         }
         run->percent = active.percent;
+        run->isStartKnown = true;
     }
     // What was stopped is gone: nothing has to be asked again.
     if (seen.active.empty()) {
@@ -146,7 +147,7 @@
     state.backend->startedAtMs = startedAtMs;
     state.lastEnd = 0;
     state.acknowledgedEnd = 0;
-    loseAll(state, effects, Reason::BackendLost, now);
+    loseStarted(state, effects, Reason::BackendLost, now);
 }
 
 void becomeClean(RunnerState &state, Effects &effects, const Transient::Observation &seen)
@@ -273,7 +274,7 @@
         becomeSilent(state, effects, outcome, now);
     }
     if (isOver) {
-        loseAll(state, effects, Reason::BackendLost, now);
+        loseStarted(state, effects, Reason::BackendLost, now);
     }
 }
 
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -134,9 +134,14 @@
         observeInVain(site, outcome, lapsingMs + 10, lapsingMs + 100);
         CHECK(site.isKnown(second.run));
         CHECK(site.isKnown(first.run));
-        // Nothing of the second can be left a lease after it was sent.
+        // The first was under the lease that the second start may have granted, and no later one.
+        // The second was never answered: it may be on its way for 12 s.
         observeInVain(site, outcome, lapsingMs + 110, lapsingMs + 1700);
         CHECK_FALSE(site.isKnown(first.run));
+        CHECK(site.isKnown(second.run));
+        observeInVain(site, outcome, lapsingMs + 1700, lapsingMs + 12'000);
+        CHECK(site.isKnown(second.run));
+        observeInVain(site, outcome, lapsingMs + 12'000, lapsingMs + 15'000);
         CHECK_FALSE(site.isKnown(second.run));
     }
 }
@@ -217,3 +222,19 @@
                   RenewedMs + LeaseMs + 100);
     CHECK_FALSE(site.isKnown(start.run));
 }
+
+TEST_CASE("A start that was never answered is not given up with the leases")
+{
+    // A start goes unanswered, and so does everything after it. It may still be on its way and take
+    // effect up to 12 s later, with a lease counted from then. Given up when the leases known of
+    // are over, its task would go to another agent and run there when the start arrives.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    startAnswered(site.state, start.run, start.start.number, {StartOutcome::Unanswered, {}},
+                  at(160));
+    observeInVain(site, ObserveOutcome::Unanswered, 170, 12'000);
+    CHECK_FALSE(site.state.isAlive);
+    CHECK(site.isKnown(start.run));
+    observeInVain(site, ObserveOutcome::Unanswered, 12'000, 15'000);
+    CHECK_FALSE(site.isKnown(start.run));
+}
