UnitTests: nine more ways to two runs of a task at a time, all red

Found on reading what an agent takes for proof that a run is over, after an incident in which it took the wrong measure.

--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -3,6 +3,7 @@
 #include <ostream>
 
 #include "Runner/Runner.h"
+#include "Runner/Runs.h"
 #include "Runner/Watch.h"
 
 using namespace Runner;
@@ -54,12 +55,12 @@
         this->seen(first->watch, 2);
     }
 
-    Effects seen(std::uint64_t watch, std::int64_t nowMs)
+    Effects seen(std::uint64_t watch, std::int64_t nowMs, std::int64_t startedAtMs = 1)
     {
         Transient::ObserveAnswer answer;
         answer.outcome = ObserveOutcome::Seen;
         answer.seen.clockMs = nowMs;
-        answer.seen.startedAtMs = 1;
+        answer.seen.startedAtMs = startedAtMs;
         for (const auto &[id, run] : this->state.runs) {
             if (run.phase == RunPhase::Running) {
                 answer.seen.active.push_back({run.task, run.number, 10});
@@ -238,3 +239,216 @@
     observeInVain(site, ObserveOutcome::Unanswered, 12'000, 15'000);
     CHECK_FALSE(site.isKnown(start.run));
 }
+
+TEST_CASE("A late announcement of a former life changes nothing" * doctest::skip())
+{
+    // A backend server begins a new life at the same address, and an announcement that the former
+    // one had sent arrives only then. Taken for a third life, it would have everything given up
+    // that runs in the second, and run elsewhere as well.
+    struct Row
+    {
+        const char *formerId;
+        std::int64_t formerStartedAtMs;
+    };
+    const Row rows[] = {{"backend-1", 1}, {"backend-0", 500}};
+    for (const Row &row : rows) {
+        CAPTURE(row.formerId);
+        Fixture site;
+        Transient::BackendAnnouncement former = *site.state.backend;
+        former.id = row.formerId;
+        former.startedAtMs = row.formerStartedAtMs;
+        former.sequence = 7;
+        backendAnnounced(site.state, former, at(20));
+        Transient::BackendAnnouncement next = *site.state.backend;
+        next.id = "backend-2";
+        next.startedAtMs = 900;
+        next.sequence = 1;
+        backendAnnounced(site.state, next, at(1000));
+        const auto look = lastOf<CallObserve>(tick(site.state, at(1100)));
+        REQUIRE(look.has_value());
+        site.seen(look->watch, 1101, next.startedAtMs);
+        const CallStart start = site.order("a.0.0", 1200);
+        site.answer(start, 1202);
+        former.sequence = 8;
+        backendAnnounced(site.state, former, at(1250));
+        CHECK(site.state.backend->id == next.id);
+        CHECK(site.isKnown(start.run));
+    }
+}
+
+TEST_CASE("What was asked of a former life tells nothing of the present one" * doctest::skip())
+{
+    // A backend server crashes and begins another life under the same id, which announces itself.
+    // The answer to an observation of the former life, and to a start there, is taken in only then.
+    // The runs of the new life go on, and its clock stays known.
+    Fixture site;
+    const CallStart former = site.order("a.0.0", 10);
+    const auto asked = lastOf<CallObserve>(tick(site.state, at(40)));
+    REQUIRE(asked.has_value());
+    Transient::BackendAnnouncement next = *site.state.backend;
+    next.startedAtMs = 900;
+    next.sequence = 1;
+    backendAnnounced(site.state, next, at(1000));
+    const auto look = lastOf<CallObserve>(tick(site.state, at(1100)));
+    REQUIRE(look.has_value());
+    site.seen(look->watch, 1101, next.startedAtMs);
+    const CallStart start = site.order("b.0.0", 1200);
+    site.answer(start, 1202);
+    site.seen(asked->watch, 1210, 1);
+    startAnswered(site.state, former.run, former.start.number, {StartOutcome::Started, 77'000},
+                  at(1211));
+    CHECK(site.isKnown(start.run));
+    CHECK(site.state.backend->startedAtMs == next.startedAtMs);
+    CHECK(leaseUntilMs(site.state, at(1212)) == 1212 + LeaseMs);
+}
+
+TEST_CASE("A start that went to a former life is stopped in the present one" * doctest::skip())
+{
+    // The backend server begins another life under the same id while a start is unanswered. Orders
+    // that are carried out late reach the new life, which knows neither the run's number nor the
+    // fence. The task is free only after the new life has confirmed a stop, under a higher fence.
+    Fixture site;
+    const std::int64_t fence = site.state.fence;
+    const CallStart start = site.order("a.0.0", 10);
+    startAnswered(site.state, start.run, start.start.number, {StartOutcome::Unanswered, {}},
+                  at(160));
+    REQUIRE(lastOf<CallStop>(tick(site.state, at(161))).has_value());
+    stopAnswered(site.state, "a.0.0", start.start.number, true, at(162));
+    const auto look = lastOf<CallObserve>(tick(site.state, at(420)));
+    REQUIRE(look.has_value());
+    site.seen(look->watch, 422, 300);
+    CHECK(site.isKnown(start.run));
+    CHECK(site.state.fence > fence);
+    REQUIRE(lastOf<CallStop>(tick(site.state, at(423))).has_value());
+    stopAnswered(site.state, "a.0.0", start.start.number, true, at(424));
+    const auto proof = lastOf<CallObserve>(tick(site.state, at(450)));
+    REQUIRE(proof.has_value());
+    site.seen(proof->watch, 452, 300);
+    CHECK_FALSE(site.isKnown(start.run));
+}
+
+TEST_CASE("The announcements of a life that was met in an observation are heard" * doctest::skip())
+{
+    // An observation shows that another life has begun; its announcements count from 1 again. It
+    // says that it leaves, and must get nothing more.
+    Fixture site;
+    site.state.backend->sequence = 50;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    const auto look = lastOf<CallObserve>(tick(site.state, at(40)));
+    REQUIRE(look.has_value());
+    site.seen(look->watch, 42, 30);
+    Transient::BackendAnnouncement leaving = *site.state.backend;
+    leaving.sequence = 2;
+    leaving.leaving = true;
+    backendAnnounced(site.state, leaving, at(60));
+    CHECK(site.state.backend->leaving);
+}
+
+TEST_CASE("What runs at a backend server that has left is given up with its lease"
+          * doctest::skip())
+{
+    // A backend server says that it has left while a task still runs there; it may take some
+    // moments to end. Given up at once, the task would run elsewhere beside it.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    backendLeft(site.state, "backend-1", at(100));
+    CHECK(site.isKnown(start.run));
+    observeInVain(site, ObserveOutcome::NotConnected, 110, 1500);
+    CHECK_FALSE(site.isKnown(start.run));
+}
+
+TEST_CASE("Observations that were made before a start took effect do not end it" * doctest::skip())
+{
+    // A start takes long to be answered. Two observations are sent after it, carried out before it,
+    // and answered after it: neither shows the run, and both were asked for later than the start.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    Transient::ObserveAnswer empty;
+    empty.outcome = ObserveOutcome::Seen;
+    empty.seen.startedAtMs = 1;
+    std::vector<std::uint64_t> asked;
+    for (std::int64_t nowMs = 11; asked.size() < 2 && nowMs < 1000; ++nowMs) {
+        if (const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)))) {
+            asked.push_back(call->watch);
+        }
+    }
+    REQUIRE(asked.size() == 2);
+    site.answer(start, 1000);
+    for (const std::uint64_t watch : asked) {
+        observed(site.state, watch, empty, at(1001));
+    }
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("Of stops one in two goes unanswered, and what must end ends before its caller is back"
+          * doctest::skip())
+{
+    // The gateway of a run is killed and its caller submits again elsewhere 1.3 s later. Every
+    // second order to the backend server is lost. The stop is repeated without a wait for the one
+    // that hangs; 300 ms are for the link to come back.
+    constexpr std::int64_t LinkLostMs = 300;
+    constexpr std::int64_t ResubmittedMs = 1300;
+    constexpr int FewestTries = 9;
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    gatewayLost(site.state, Gateway, at(LinkLostMs));
+    int stops = 0;
+    for (std::int64_t nowMs = LinkLostMs; nowMs < ResubmittedMs; ++nowMs) {
+        for (const Effect &effect : tick(site.state, at(nowMs))) {
+            stops += std::holds_alternative<CallStop>(effect) ? 1 : 0;
+        }
+    }
+    CHECK(stops >= FewestTries);
+}
+
+TEST_CASE("What must end is not renewed while its stop goes unanswered" * doctest::skip())
+{
+    // The gateway of a run is killed and its caller submits again elsewhere 1.3 s later. The
+    // backend server answers observations and no stop. Its leases end all that runs there before
+    // that: better the tasks of others run again than one runs twice at a time.
+    constexpr std::int64_t LinkLostMs = 300;
+    constexpr std::int64_t ResubmittedMs = 1300;
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    std::int64_t leaseUntilMs = 0;
+    for (std::int64_t nowMs = 20; nowMs < 3000; nowMs += 10) {
+        if (nowMs == LinkLostMs) {
+            gatewayLost(site.state, Gateway, at(nowMs));
+        }
+        if (const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)))) {
+            leaseUntilMs = std::max(leaseUntilMs, call->leaseUntilMs);
+            Transient::ObserveAnswer answer;
+            answer.outcome = ObserveOutcome::Seen;
+            answer.seen.clockMs = nowMs + 1;
+            answer.seen.startedAtMs = 1;
+            answer.seen.active.push_back({"a.0.0", start.start.number, 10});
+            observed(site.state, call->watch, answer, at(nowMs + 1));
+        }
+    }
+    CHECK(leaseUntilMs < ResubmittedMs);
+    CHECK(leaseUntilMs > LinkLostMs + LeaseMs);
+}
+
+TEST_CASE("After an unanswered call nothing sent before it is obeyed" * doctest::skip())
+{
+    // A renewal goes unanswered and is carried out seconds later, when it would prolong runs that
+    // this agent has given up meanwhile. Every later call has a higher fence: once one of them is
+    // answered, the late one does nothing.
+    Fixture site;
+    const std::int64_t fence = site.state.fence;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    const auto call = lastOf<CallObserve>(tick(site.state, at(40)));
+    REQUIRE(call.has_value());
+    observed(site.state, call->watch, {}, at(400));
+    CHECK(site.state.fence > fence);
+    const std::int64_t raised = site.state.fence;
+    const CallStart next = site.order("b.0.0", 410);
+    CHECK(next.start.fence == raised);
+    startAnswered(site.state, next.run, next.start.number, {StartOutcome::Unanswered, {}}, at(560));
+    CHECK(site.state.fence > raised);
+}
