UnitTests: the tests of a quiet time lose the look that follows the start

Cause: both tests let observations fail that were never made, since the one that followed the order was still open. Now the look that follows the start is the one that is lost.

--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -84,9 +84,20 @@
         append(effects, tick(this->state, at(nowMs)));
         const auto start = lastOf<CallStart>(effects);
         REQUIRE(start.has_value());
+        if (const auto look = lastOf<CallObserve>(effects)) {
+            this->asked = look->watch;
+        }
         return *start;
     }
 
+    /// The observation that followed the last order ends with \a outcome.
+    void lookFails(ObserveOutcome outcome, std::int64_t nowMs)
+    {
+        Transient::ObserveAnswer failed;
+        failed.outcome = outcome;
+        observed(this->state, this->asked, failed, at(nowMs));
+    }
+
     void answer(const CallStart &start, std::int64_t nowMs)
     {
         startAnswered(this->state, start.run, start.start.number, {StartOutcome::Started, nowMs},
@@ -97,6 +108,7 @@
 
     RunnerState state;
     std::int64_t sequence = 0;
+    std::uint64_t asked = 0;
 };
 
 /// Every observation of the time ends with \a outcome. Returns the last lease that was asked for.
@@ -179,7 +191,9 @@
         if (isStartAnswered) {
             site.answer(start, QuietMs + 1);
         }
-        observeInVain(site, ObserveOutcome::Unanswered, QuietMs + 2, QuietMs + 100);
+        site.lookFails(ObserveOutcome::Unanswered, QuietMs + 3);
+        CHECK(site.isKnown(start.run));
+        observeInVain(site, ObserveOutcome::Unanswered, QuietMs + 4, QuietMs + 100);
         CHECK(site.isKnown(start.run));
         CHECK(site.state.isAlive);
     }
@@ -192,12 +206,13 @@
     constexpr std::int64_t QuietMs = 7000;
     Fixture site;
     const CallStart refused = site.order("a.0.0", 10);
-    observeInVain(site, ObserveOutcome::Refused, 20, 30);
+    site.lookFails(ObserveOutcome::Refused, 12);
     startAnswered(site.state, refused.run, refused.start.number, {StartOutcome::Refused, {}},
                   at(31));
     REQUIRE_FALSE(site.isKnown(refused.run));
     tick(site.state, at(100));
     const CallStart start = site.order("b.0.0", QuietMs);
+    site.lookFails(ObserveOutcome::Refused, QuietMs + 2);
     observeInVain(site, ObserveOutcome::Refused, QuietMs + 10, QuietMs + 100);
     CHECK(site.isKnown(start.run));
     CHECK(site.state.isAlive);
