Net: count an answer as unwritten no longer than the library holds it

A gateway that was told to stop had ended its work after 5.5 s and was still there at 6.0 s, when it is killed; a request that it had taken meanwhile got no answer. Cause: the server counts answers that are sent and not yet written, and stop() waits for them, up to 2 s. Where a caller closes its connection just as its answer is written, the library drops the write with all that was to follow, so the count never fell again; from then on every stop of that process waited in vain. The count hangs on the life of what follows now, called or dropped. Found by running the programs under faults; ruled out there: open requests (none), the control loop (had ended). New test: 40 callers that leave; before, 2 answers counted as unwritten for ever.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -75,6 +75,26 @@
     }
 };
 
+/// Counts an answer as unwritten for as long as the library holds what follows its writing. Where
+/// the caller has gone, the library drops that without a call: counted down by a call only, one
+/// such caller made every later stop wait for the whole FlushTimeout, while requests were still
+/// taken and nobody answered them.
+class UnwrittenAnswer
+{
+public:
+    explicit UnwrittenAnswer(std::shared_ptr<Gate> gate)
+        : gate(std::move(gate))
+    {
+        this->gate->addUnwritten(1);
+    }
+    ~UnwrittenAnswer() { this->gate->addUnwritten(-1); }
+    UnwrittenAnswer(const UnwrittenAnswer &) = delete;
+    UnwrittenAnswer &operator=(const UnwrittenAnswer &) = delete;
+
+private:
+    std::shared_ptr<Gate> gate;
+};
+
 HttpResponse refusal(int status, Schema::Reason reason, const std::string &detail)
 {
     HttpResponse response;
@@ -188,13 +208,12 @@
             this->writer.headers().remove<Http::Header::Connection>();
             this->writer.headers().add<Http::Header::Connection>(Http::ConnectionControl::Close);
         }
-        this->gate->addUnwritten(1);
-        const auto written = [gate = this->gate, peer] {
+        const auto unwritten = std::make_shared<UnwrittenAnswer>(this->gate);
+        const auto written = [unwritten, peer] {
             // The transport closes the connection when the caller has closed its side too.
             if (peer) {
                 ::shutdown(peer->fd(), SHUT_WR);
             }
-            gate->addUnwritten(-1);
         };
         this->writer
                 .send(static_cast<Http::Code>(response.status), response.body,
@@ -413,6 +432,12 @@
     return this->implementation->gate->connections;
 }
 
+int HttpServer::unwrittenAnswers() const
+{
+    const std::lock_guard<std::mutex> lock(this->implementation->gate->unwrittenMutex);
+    return this->implementation->gate->unwritten;
+}
+
 void HttpServer::stop()
 {
     if (this->implementation->isStopped.exchange(true)) {
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -71,6 +71,9 @@
     /// Connections of callers that are open now.
     int openConnections() const;
 
+    /// Answers that were sent and are not written to their connections yet.
+    int unwrittenAnswers() const;
+
     /// Stops listening and closes all connections. Answers still owed must have been sent.
     void stop();
 
--- a/Source/UnitTests/Net/HttpTest.cpp
+++ b/Source/UnitTests/Net/HttpTest.cpp
@@ -330,6 +330,46 @@
     }
 }
 
+TEST_CASE("An answer to a caller that has gone holds no stop up")
+{
+    // Callers close their connections just as their answers are written. The answers are dropped
+    // with the connections; counted as unwritten for ever, they would make the server's stop wait
+    // for nothing, and the process outlast the time it is given.
+    constexpr int Callers = 40;
+    constexpr int Rounds = 3000;
+    constexpr std::chrono::milliseconds Pause{10};
+    const std::string body(1U << 20U, 'a');
+    std::mutex mutex;
+    std::vector<Net::HttpReply> owed;
+    const auto server = serve([&](const Net::HttpRequest &, const Net::HttpReply &reply) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        owed.push_back(reply);
+    });
+    const auto countOwed = [&] {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return owed.size();
+    };
+    for (int caller = 0; caller < Callers; ++caller) {
+        const std::size_t before = countOwed();
+        std::thread leaver([&] {
+            Net::HttpClient client(1);
+            Net::HttpCall call = post(server->port(), "{}");
+            call.timeoutMs = 30;
+            client.perform(call);
+        });
+        while (countOwed() == before) {
+            std::this_thread::yield();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(caller));
+        owed.back().send({200, body, "text/plain", 0});
+        leaver.join();
+    }
+    for (int round = 0; round < Rounds && server->unwrittenAnswers() > 0; ++round) {
+        std::this_thread::sleep_for(Pause);
+    }
+    CHECK(server->unwrittenAnswers() == 0);
+}
+
 TEST_CASE("A reply may outlive its caller and its server")
 {
     // The caller gives up and closes; later the server stops, and only then the job's answer is
