Dispatch: one folder for each kind of decision

More than seventy files stood side by side, so that finding who decides what meant opening several. They now stand in Scheduling, Ownership, Jobs, Persistence, Configuration and Query; the root keeps what wires them, and Dispatch.h stays the one public header. Namespaces and code are unchanged, but for include paths. Ruled out: a namespace for each folder, since the decisions share one vocabulary and callers see one library.

--- a/Source/Core/Dispatch/ConfigRules.cpp
+++ b/Source/Core/Dispatch/Configuration/ConfigRules.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/ConfigRules.h"
+#include "Dispatch/Configuration/ConfigRules.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/Source/Core/Dispatch/ConfigStore.cpp
+++ b/Source/Core/Dispatch/Configuration/ConfigStore.cpp
@@ -1,9 +1,9 @@
-#include "Dispatch/ConfigStore.h"
+#include "Dispatch/Configuration/ConfigStore.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "Dispatch/ConfigRules.h"
+#include "Dispatch/Configuration/ConfigRules.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/ConfigStore.h
+++ b/Source/Core/Dispatch/Configuration/ConfigStore.h
@@ -8,10 +8,10 @@
 #include "Common/Clock.h"
 #include "Common/Ids.h"
 #include "Common/Outcome.h"
-#include "Dispatch/ConfigRules.h"
+#include "Dispatch/Configuration/ConfigRules.h"
 #include "Dispatch/Effects.h"
-#include "Dispatch/LogEvents.h"
-#include "Dispatch/Safeguards.h"
+#include "Dispatch/Ownership/Safeguards.h"
+#include "Dispatch/Persistence/LogEvents.h"
 
 /// The operators' configuration: compare-and-set by key, decided by log order, never going back.
 /// One document is folded strictly from the log; the one in force is the newer of that and the
--- a/Source/Core/Dispatch/PolicyPresets.cpp
+++ b/Source/Core/Dispatch/Configuration/PolicyPresets.cpp
@@ -1,6 +1,6 @@
-#include "Dispatch/PolicyPresets.h"
+#include "Dispatch/Configuration/PolicyPresets.h"
 
-#include "Dispatch/Admission.h"
+#include "Dispatch/Scheduling/Admission.h"
 
 namespace Dispatch {
 namespace {
--- a/Source/Core/Dispatch/Dispatch.h
+++ b/Source/Core/Dispatch/Dispatch.h
@@ -3,11 +3,11 @@
 #include "Dispatch/Effects.h"
 #include "Dispatch/GatewayCore.h"
 #include "Dispatch/GatewayState.h"
-#include "Dispatch/Ledger.h"
-#include "Dispatch/Requests.h"
-#include "Dispatch/Scheduler.h"
+#include "Dispatch/Jobs/Requests.h"
+#include "Dispatch/Persistence/Ledger.h"
+#include "Dispatch/Query/SiteQuery.h"
+#include "Dispatch/Scheduling/Scheduler.h"
 #include "Dispatch/Site.h"
-#include "Dispatch/SiteQuery.h"
 
 /// Public header of the dispatch library: every decision of a gateway as free functions over plain
 /// structs, without network, clock or thread.
--- a/Source/Core/Dispatch/GatewayCore.cpp
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 
-#include "Dispatch/Owner.h"
-#include "Dispatch/Recovery.h"
-#include "Dispatch/Router.h"
-#include "Dispatch/SiteQuery.h"
-#include "Dispatch/Transfer.h"
+#include "Dispatch/Jobs/Owner.h"
+#include "Dispatch/Jobs/Router.h"
+#include "Dispatch/Ownership/Transfer.h"
+#include "Dispatch/Persistence/Recovery.h"
+#include "Dispatch/Query/SiteQuery.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/GatewayState.h
+++ b/Source/Core/Dispatch/GatewayState.h
@@ -7,12 +7,12 @@
 #include <vector>
 
 #include "Common/Common.h"
-#include "Dispatch/AgentTable.h"
 #include "Dispatch/Effects.h"
-#include "Dispatch/Ledger.h"
-#include "Dispatch/QueryLanguage.h"
-#include "Dispatch/Requests.h"
-#include "Dispatch/Scheduler.h"
+#include "Dispatch/Jobs/AgentTable.h"
+#include "Dispatch/Jobs/Requests.h"
+#include "Dispatch/Persistence/Ledger.h"
+#include "Dispatch/Query/QueryLanguage.h"
+#include "Dispatch/Scheduling/Scheduler.h"
 #include "Dispatch/Site.h"
 #include "Schema/Schema.h"
 
--- a/Source/Core/Dispatch/AgentTable.cpp
+++ b/Source/Core/Dispatch/Jobs/AgentTable.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/AgentTable.h"
+#include "Dispatch/Jobs/AgentTable.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/AgentTable.h
+++ b/Source/Core/Dispatch/Jobs/AgentTable.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "Common/Common.h"
-#include "Dispatch/SchedulerTypes.h"
+#include "Dispatch/Scheduling/SchedulerTypes.h"
 
 /// Which tasks are with which agent, for the time when an agent or its connection is lost. What an
 /// agent can take is the scheduler's business, not this table's.
--- a/Source/Core/Dispatch/Owner.cpp
+++ b/Source/Core/Dispatch/Jobs/Owner.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Owner.h"
+#include "Dispatch/Jobs/Owner.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/Requests.cpp
+++ b/Source/Core/Dispatch/Jobs/Requests.cpp
@@ -1,8 +1,8 @@
-#include "Dispatch/Requests.h"
+#include "Dispatch/Jobs/Requests.h"
 
 #include <algorithm>
 
-#include "Dispatch/Ledger.h"
+#include "Dispatch/Persistence/Ledger.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/Router.cpp
+++ b/Source/Core/Dispatch/Jobs/Router.cpp
@@ -1,6 +1,6 @@
-#include "Dispatch/Router.h"
+#include "Dispatch/Jobs/Router.h"
 
-#include "Dispatch/Owner.h"
+#include "Dispatch/Jobs/Owner.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/ControlAppend.cpp
+++ b/Source/Core/Dispatch/Ownership/ControlAppend.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "Dispatch/OwnershipParts.h"
+#include "Dispatch/Ownership/OwnershipParts.h"
 
 /// The control records that this gateway writes: joins, leaves, claims, handovers and snapshots.
 /// One is under way at a time. Each holds only where what it was based on still holds, so a record
--- a/Source/Core/Dispatch/ControlTable.cpp
+++ b/Source/Core/Dispatch/Ownership/ControlTable.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/ControlTable.h"
+#include "Dispatch/Ownership/ControlTable.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/ControlTable.h
+++ b/Source/Core/Dispatch/Ownership/ControlTable.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "Dispatch/Safeguards.h"
+#include "Dispatch/Ownership/Safeguards.h"
 #include "Schema/Schema.h"
 
 /// The roster of gateways and the owner of each shard, as a pure function of the control stream.
--- a/Source/Core/Dispatch/Handover.cpp
+++ b/Source/Core/Dispatch/Ownership/Handover.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "Dispatch/OwnershipParts.h"
+#include "Dispatch/Ownership/OwnershipParts.h"
 
 /// Direct handover of shards: a chain of single holders, which needs neither log nor agreement.
 namespace Dispatch {
--- a/Source/Core/Dispatch/Heartbeats.cpp
+++ b/Source/Core/Dispatch/Ownership/Heartbeats.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <set>
 
-#include "Dispatch/OwnershipParts.h"
+#include "Dispatch/Ownership/OwnershipParts.h"
 
 /// Heartbeats between gateways: liveness, table versions and unlogged declarations.
 namespace Dispatch {
--- a/Source/Core/Dispatch/Ownership.cpp
+++ b/Source/Core/Dispatch/Ownership/Ownership.cpp
@@ -1,11 +1,11 @@
-#include "Dispatch/Ownership.h"
+#include "Dispatch/Ownership/Ownership.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "Common/Hash.h"
 #include "Common/Invariant.h"
-#include "Dispatch/OwnershipParts.h"
+#include "Dispatch/Ownership/OwnershipParts.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/Ownership.h
+++ b/Source/Core/Dispatch/Ownership/Ownership.h
@@ -9,9 +9,9 @@
 
 #include "Common/Clock.h"
 #include "Common/Ids.h"
-#include "Dispatch/ControlTable.h"
 #include "Dispatch/Effects.h"
-#include "Dispatch/LogEvents.h"
+#include "Dispatch/Ownership/ControlTable.h"
+#include "Dispatch/Persistence/LogEvents.h"
 
 /// Which gateway owns which shard, as one gateway sees and changes it: roster, claims, fencing of a
 /// lost owner, direct handover. Epochs are ordered by the log; between gateways there are only
--- a/Source/Core/Dispatch/OwnershipParts.h
+++ b/Source/Core/Dispatch/Ownership/OwnershipParts.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "Dispatch/Ownership.h"
+#include "Dispatch/Ownership/Ownership.h"
 
 /// What the parts of the ownership module share; not for others.
 namespace Dispatch {
--- a/Source/Core/Dispatch/Quorum.cpp
+++ b/Source/Core/Dispatch/Ownership/Quorum.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "Dispatch/Journal.h"
-#include "Dispatch/OwnershipParts.h"
+#include "Dispatch/Ownership/OwnershipParts.h"
+#include "Dispatch/Persistence/Journal.h"
 
 /// Acknowledgements: of claims, of roster changes and of unlogged declarations.
 namespace Dispatch {
--- a/Source/Core/Dispatch/Transfer.cpp
+++ b/Source/Core/Dispatch/Ownership/Transfer.cpp
@@ -1,9 +1,9 @@
-#include "Dispatch/Transfer.h"
+#include "Dispatch/Ownership/Transfer.h"
 
 #include <algorithm>
 
-#include "Dispatch/Owner.h"
-#include "Dispatch/Recovery.h"
+#include "Dispatch/Jobs/Owner.h"
+#include "Dispatch/Persistence/Recovery.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/IntentIndex.cpp
+++ b/Source/Core/Dispatch/Persistence/IntentIndex.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/IntentIndex.h"
+#include "Dispatch/Persistence/IntentIndex.h"
 
 #include "Common/Hash.h"
 
--- a/Source/Core/Dispatch/Journal.cpp
+++ b/Source/Core/Dispatch/Persistence/Journal.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Journal.h"
+#include "Dispatch/Persistence/Journal.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/Core/Dispatch/Journal.h
+++ b/Source/Core/Dispatch/Persistence/Journal.h
@@ -10,8 +10,8 @@
 #include "Common/Clock.h"
 #include "Common/Ids.h"
 #include "Dispatch/Effects.h"
-#include "Dispatch/IntentIndex.h"
-#include "Dispatch/LogEvents.h"
+#include "Dispatch/Persistence/IntentIndex.h"
+#include "Dispatch/Persistence/LogEvents.h"
 
 /// The owner's side of the journal: intents go to the log, many to one append and one append in
 /// flight, before a job's first start. While the log is away an owner may declare itself unlogged
--- a/Source/Core/Dispatch/Ledger.cpp
+++ b/Source/Core/Dispatch/Persistence/Ledger.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Ledger.h"
+#include "Dispatch/Persistence/Ledger.h"
 
 #include <algorithm>
 #include <tuple>
--- a/Source/Core/Dispatch/Recovery.cpp
+++ b/Source/Core/Dispatch/Persistence/Recovery.cpp
@@ -1,8 +1,8 @@
-#include "Dispatch/Recovery.h"
+#include "Dispatch/Persistence/Recovery.h"
 
 #include <algorithm>
 
-#include "Dispatch/Owner.h"
+#include "Dispatch/Jobs/Owner.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/QueryLanguage.cpp
+++ b/Source/Core/Dispatch/Query/QueryLanguage.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/QueryLanguage.h"
+#include "Dispatch/Query/QueryLanguage.h"
 
 #include <algorithm>
 #include <cctype>
--- a/Source/Core/Dispatch/SiteQuery.cpp
+++ b/Source/Core/Dispatch/Query/SiteQuery.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/SiteQuery.h"
+#include "Dispatch/Query/SiteQuery.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/Admission.cpp
+++ b/Source/Core/Dispatch/Scheduling/Admission.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Admission.h"
+#include "Dispatch/Scheduling/Admission.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/Admission.h
+++ b/Source/Core/Dispatch/Scheduling/Admission.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "Dispatch/SchedulerTypes.h"
+#include "Dispatch/Scheduling/SchedulerTypes.h"
 #include "Schema/Schema.h"
 
 /// Which jobs are let in.
--- a/Source/Core/Dispatch/BackendCare.cpp
+++ b/Source/Core/Dispatch/Scheduling/BackendCare.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/BackendCare.h"
+#include "Dispatch/Scheduling/BackendCare.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/BackendCare.h
+++ b/Source/Core/Dispatch/Scheduling/BackendCare.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Common/Common.h"
-#include "Dispatch/SchedulerState.h"
+#include "Dispatch/Scheduling/SchedulerState.h"
 
 /// Watches outcomes and silence of the backend servers, and takes bad ones out of work within the
 /// cap that Health.h sets.
--- a/Source/Core/Dispatch/BackendPool.cpp
+++ b/Source/Core/Dispatch/Scheduling/BackendPool.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/BackendPool.h"
+#include "Dispatch/Scheduling/BackendPool.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/BackendPool.h
+++ b/Source/Core/Dispatch/Scheduling/BackendPool.h
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "Dispatch/Estimates.h"
-#include "Dispatch/Health.h"
+#include "Dispatch/Scheduling/Estimates.h"
+#include "Dispatch/Scheduling/Health.h"
 #include "Schema/Schema.h"
 
 /// What is believed of the backend servers, and which of them could take a task now.
--- a/Source/Core/Dispatch/Capacity.cpp
+++ b/Source/Core/Dispatch/Scheduling/Capacity.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Capacity.h"
+#include "Dispatch/Scheduling/Capacity.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/Capacity.h
+++ b/Source/Core/Dispatch/Scheduling/Capacity.h
@@ -2,7 +2,7 @@
 
 #include <vector>
 
-#include "Dispatch/BackendPool.h"
+#include "Dispatch/Scheduling/BackendPool.h"
 
 /// How much the backend servers able to run a requirement can do, as admission and placement count
 /// on it: places by learned speed, without those that take no work at the moment.
--- a/Source/Core/Dispatch/EarlyBinding.cpp
+++ b/Source/Core/Dispatch/Scheduling/EarlyBinding.cpp
@@ -1,8 +1,8 @@
-#include "Dispatch/EarlyBinding.h"
+#include "Dispatch/Scheduling/EarlyBinding.h"
 
-#include "Dispatch/Flight.h"
-#include "Dispatch/JobBook.h"
-#include "Dispatch/Placement.h"
+#include "Dispatch/Scheduling/Flight.h"
+#include "Dispatch/Scheduling/JobBook.h"
+#include "Dispatch/Scheduling/Placement.h"
 
 namespace Dispatch {
 namespace {
--- a/Source/Core/Dispatch/EarlyBinding.h
+++ b/Source/Core/Dispatch/Scheduling/EarlyBinding.h
@@ -3,7 +3,7 @@
 #include <vector>
 
 #include "Common/Common.h"
-#include "Dispatch/SchedulerState.h"
+#include "Dispatch/Scheduling/SchedulerState.h"
 
 /// Baselines for the bench: a task is bound to a backend server when its turn comes, free or not,
 /// and then waits for that one. This is what a dispatcher without windows does, with the waiting
--- a/Source/Core/Dispatch/Estimates.cpp
+++ b/Source/Core/Dispatch/Scheduling/Estimates.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Estimates.h"
+#include "Dispatch/Scheduling/Estimates.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/Core/Dispatch/FairQueue.cpp
+++ b/Source/Core/Dispatch/Scheduling/FairQueue.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/FairQueue.h"
+#include "Dispatch/Scheduling/FairQueue.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/FairQueue.h
+++ b/Source/Core/Dispatch/Scheduling/FairQueue.h
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "Dispatch/QueuedWork.h"
-#include "Dispatch/WorkRate.h"
+#include "Dispatch/Scheduling/QueuedWork.h"
+#include "Dispatch/Scheduling/WorkRate.h"
 
 /// Whose task is next when a slot is free.
 ///
--- a/Source/Core/Dispatch/Flight.cpp
+++ b/Source/Core/Dispatch/Scheduling/Flight.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Flight.h"
+#include "Dispatch/Scheduling/Flight.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/Flight.h
+++ b/Source/Core/Dispatch/Scheduling/Flight.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "Common/Common.h"
-#include "Dispatch/SchedulerState.h"
+#include "Dispatch/Scheduling/SchedulerState.h"
 
 /// Tasks between the moment they are sent to a backend server and the moment they end.
 namespace Dispatch {
--- a/Source/Core/Dispatch/Health.cpp
+++ b/Source/Core/Dispatch/Scheduling/Health.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/Health.h"
+#include "Dispatch/Scheduling/Health.h"
 
 #include <algorithm>
 #include <limits>
--- a/Source/Core/Dispatch/JobBook.cpp
+++ b/Source/Core/Dispatch/Scheduling/JobBook.cpp
@@ -1,8 +1,8 @@
-#include "Dispatch/JobBook.h"
+#include "Dispatch/Scheduling/JobBook.h"
 
 #include <algorithm>
 
-#include "Dispatch/Capacity.h"
+#include "Dispatch/Scheduling/Capacity.h"
 
 namespace Dispatch {
 namespace {
--- a/Source/Core/Dispatch/JobBook.h
+++ b/Source/Core/Dispatch/Scheduling/JobBook.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "Common/Common.h"
-#include "Dispatch/SchedulerState.h"
+#include "Dispatch/Scheduling/SchedulerState.h"
 
 /// Which tasks of which job wait, are held or delayed, with all counts that follow from it. The
 /// scheduler's decisions change a job's tasks through these functions only, so that the counts by
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Scheduling/Placement.cpp
@@ -1,8 +1,8 @@
-#include "Dispatch/Placement.h"
+#include "Dispatch/Scheduling/Placement.h"
 
 #include <algorithm>
 
-#include "Dispatch/Capacity.h"
+#include "Dispatch/Scheduling/Capacity.h"
 
 namespace Dispatch {
 namespace {
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Scheduling/Placement.h
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "Common/Common.h"
-#include "Dispatch/BackendPool.h"
+#include "Dispatch/Scheduling/BackendPool.h"
 #include "Schema/Schema.h"
 
 /// On which backend server the next task starts.
--- a/Source/Core/Dispatch/QueuedWork.cpp
+++ b/Source/Core/Dispatch/Scheduling/QueuedWork.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/QueuedWork.h"
+#include "Dispatch/Scheduling/QueuedWork.h"
 
 namespace Dispatch {
 namespace {
--- a/Source/Core/Dispatch/QueuedWork.h
+++ b/Source/Core/Dispatch/Scheduling/QueuedWork.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <map>
 
-#include "Dispatch/Estimates.h"
+#include "Dispatch/Scheduling/Estimates.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/RetryBudget.cpp
+++ b/Source/Core/Dispatch/Scheduling/RetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/RetryBudget.h"
+#include "Dispatch/Scheduling/RetryBudget.h"
 
 #include <algorithm>
 
--- a/Source/Core/Dispatch/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduling/Scheduler.cpp
@@ -1,11 +1,11 @@
-#include "Dispatch/Scheduler.h"
+#include "Dispatch/Scheduling/Scheduler.h"
 
 #include <algorithm>
 #include <cmath>
 #include <numeric>
 
-#include "Dispatch/Capacity.h"
-#include "Dispatch/JobBook.h"
+#include "Dispatch/Scheduling/Capacity.h"
+#include "Dispatch/Scheduling/JobBook.h"
 
 namespace Dispatch {
 namespace {
--- a/Source/Core/Dispatch/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduling/Scheduler.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "Common/Common.h"
-#include "Dispatch/SchedulerState.h"
-#include "Dispatch/SchedulerTypes.h"
+#include "Dispatch/Scheduling/SchedulerState.h"
+#include "Dispatch/Scheduling/SchedulerTypes.h"
 #include "Schema/Schema.h"
 
 /// Who is served, who waits, who is refused and where work goes: the facade over admission, the
--- a/Source/Core/Dispatch/SchedulerState.h
+++ b/Source/Core/Dispatch/Scheduling/SchedulerState.h
@@ -10,14 +10,14 @@
 #include <vector>
 
 #include "Common/Common.h"
-#include "Dispatch/Admission.h"
-#include "Dispatch/BackendPool.h"
-#include "Dispatch/Estimates.h"
-#include "Dispatch/FairQueue.h"
-#include "Dispatch/Health.h"
-#include "Dispatch/RetryBudget.h"
-#include "Dispatch/SchedulerTypes.h"
-#include "Dispatch/SlotReserve.h"
+#include "Dispatch/Scheduling/Admission.h"
+#include "Dispatch/Scheduling/BackendPool.h"
+#include "Dispatch/Scheduling/Estimates.h"
+#include "Dispatch/Scheduling/FairQueue.h"
+#include "Dispatch/Scheduling/Health.h"
+#include "Dispatch/Scheduling/RetryBudget.h"
+#include "Dispatch/Scheduling/SchedulerTypes.h"
+#include "Dispatch/Scheduling/SlotReserve.h"
 #include "Schema/Schema.h"
 
 namespace Dispatch {
--- a/Source/Core/Dispatch/SchedulerTasks.cpp
+++ b/Source/Core/Dispatch/Scheduling/SchedulerTasks.cpp
@@ -1,11 +1,11 @@
 #include <algorithm>
 
-#include "Dispatch/BackendCare.h"
-#include "Dispatch/EarlyBinding.h"
-#include "Dispatch/Flight.h"
-#include "Dispatch/JobBook.h"
-#include "Dispatch/Placement.h"
-#include "Dispatch/Scheduler.h"
+#include "Dispatch/Scheduling/BackendCare.h"
+#include "Dispatch/Scheduling/EarlyBinding.h"
+#include "Dispatch/Scheduling/Flight.h"
+#include "Dispatch/Scheduling/JobBook.h"
+#include "Dispatch/Scheduling/Placement.h"
+#include "Dispatch/Scheduling/Scheduler.h"
 
 namespace Dispatch {
 namespace {
--- a/Source/Core/Dispatch/SlotReserve.cpp
+++ b/Source/Core/Dispatch/Scheduling/SlotReserve.cpp
@@ -1,4 +1,4 @@
-#include "Dispatch/SlotReserve.h"
+#include "Dispatch/Scheduling/SlotReserve.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/Core/Dispatch/Site.h
+++ b/Source/Core/Dispatch/Site.h
@@ -3,9 +3,9 @@
 #include <cstdint>
 #include <vector>
 
-#include "Dispatch/ConfigStore.h"
-#include "Dispatch/Journal.h"
-#include "Dispatch/Ownership.h"
+#include "Dispatch/Configuration/ConfigStore.h"
+#include "Dispatch/Ownership/Ownership.h"
+#include "Dispatch/Persistence/Journal.h"
 
 /// All that the gateways of a site agree on, through the log and their heartbeats: ownership,
 /// journal and configuration, wired together. What concerns one of them alone is asked of that one.
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -9,8 +9,8 @@
 
 #include "Common/Common.h"
 #include "Dispatch/Dispatch.h"
-#include "Dispatch/Estimates.h"
-#include "Dispatch/Health.h"
+#include "Dispatch/Scheduling/Estimates.h"
+#include "Dispatch/Scheduling/Health.h"
 #include "Schema/Schema.h"
 
 /// What a gateway believes of the agents and their backend servers.
--- a/Source/Core/Transient/JobTable.h
+++ b/Source/Core/Transient/JobTable.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "Dispatch/Estimates.h"
+#include "Dispatch/Scheduling/Estimates.h"
 #include "Transient/Job.h"
 
 /// The transient jobs of one gateway and where their tasks are.
--- a/Source/UnitTests/Dispatch/ConfigStoreTest.cpp
+++ b/Source/UnitTests/Dispatch/ConfigStoreTest.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "Dispatch/ConfigStore.h"
+#include "Dispatch/Configuration/ConfigStore.h"
 
 using namespace Dispatch;
 
--- a/Source/UnitTests/Dispatch/ControlTableTest.cpp
+++ b/Source/UnitTests/Dispatch/ControlTableTest.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "Dispatch/ControlTable.h"
+#include "Dispatch/Ownership/ControlTable.h"
 
 using namespace Dispatch;
 
--- a/Source/UnitTests/Dispatch/IdleRequirementTest.cpp
+++ b/Source/UnitTests/Dispatch/IdleRequirementTest.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "Dispatch/BackendPool.h"
+#include "Dispatch/Scheduling/BackendPool.h"
 
 namespace {
 
--- a/Source/UnitTests/Dispatch/JournalTest.cpp
+++ b/Source/UnitTests/Dispatch/JournalTest.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "Common/Hash.h"
-#include "Dispatch/Journal.h"
+#include "Dispatch/Persistence/Journal.h"
 
 using namespace Dispatch;
 
--- a/Source/UnitTests/Dispatch/LoadModel.h
+++ b/Source/UnitTests/Dispatch/LoadModel.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "Dispatch/Scheduler.h"
+#include "Dispatch/Scheduling/Scheduler.h"
 
 /// A site in virtual time around the scheduler: callers that submit whatever happens (open loop),
 /// backend servers with slots and speeds, and the answers that callers receive.
--- a/Source/UnitTests/Dispatch/LoadPatternTest.cpp
+++ b/Source/UnitTests/Dispatch/LoadPatternTest.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 
-#include "Dispatch/PolicyPresets.h"
+#include "Dispatch/Configuration/PolicyPresets.h"
 #include "LoadModel.h"
 
 using LoadModel::Backend;
--- a/Source/UnitTests/Dispatch/SchedulerCostTest.cpp
+++ b/Source/UnitTests/Dispatch/SchedulerCostTest.cpp
@@ -2,7 +2,7 @@
 #include <deque>
 #include <doctest/doctest.h>
 
-#include "Dispatch/Scheduler.h"
+#include "Dispatch/Scheduling/Scheduler.h"
 
 namespace {
 
--- a/Source/UnitTests/Dispatch/SchedulerTest.cpp
+++ b/Source/UnitTests/Dispatch/SchedulerTest.cpp
@@ -2,7 +2,7 @@
 #include <map>
 #include <set>
 
-#include "Dispatch/Scheduler.h"
+#include "Dispatch/Scheduling/Scheduler.h"
 
 using Dispatch::Assignment;
 using Dispatch::JobDemand;
