Dispatch: the owner's work in four modules

Owner.cpp held 551 lines with four jobs: what a submission is told, how tasks start, what reports of them mean, and how a job ends. Each has a module now (Submissions, TaskStarts, TaskReports, JobEnd). Functions are moved unchanged, but for awaitIntent(), which names two lines of acceptJob(), and frameOf(), which stands beside the effects.

--- a/Source/Core/Dispatch/GatewayCore.cpp
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 
-#include "Dispatch/Jobs/Owner.h"
+#include "Dispatch/Jobs/JobEnd.h"
 #include "Dispatch/Jobs/Router.h"
+#include "Dispatch/Jobs/TaskReports.h"
+#include "Dispatch/Jobs/TaskStarts.h"
 #include "Dispatch/Ownership/Transfer.h"
 #include "Dispatch/Persistence/Recovery.h"
 #include "Dispatch/Query/SiteQuery.h"
--- a/Source/Core/Dispatch/Jobs/Router.cpp
+++ b/Source/Core/Dispatch/Jobs/Router.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/Jobs/Router.h"
 
-#include "Dispatch/Jobs/Owner.h"
+#include "Dispatch/Jobs/JobEnd.h"
+#include "Dispatch/Jobs/Submissions.h"
 
 namespace Dispatch {
 
--- /dev/null
+++ b/Source/Core/Dispatch/Jobs/Submissions.cpp
@@ -0,0 +1,191 @@
+#include "Dispatch/Jobs/Submissions.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "Dispatch/Jobs/JobEnd.h"
+#include "Dispatch/Jobs/TaskStarts.h"
+
+namespace Dispatch {
+
+using Schema::Reason;
+
+namespace {
+
+bool isKnownTeam(const Schema::Configuration &configuration, const std::string &name)
+{
+    return std::any_of(configuration.teams.begin(), configuration.teams.end(),
+                       [&name](const Schema::Team &team) { return team.name == name; });
+}
+
+bool isKnownService(const Schema::Configuration &configuration, const std::string &name)
+{
+    return std::any_of(configuration.services.begin(), configuration.services.end(),
+                       [&name](const Schema::Service &service) { return service.name == name; });
+}
+
+/// The request waits for the job's end, or for its acceptance.
+Effects waitForJob(GatewayState &state, const std::string &requestId, JobEntry &job)
+{
+    Request *request = findRequest(state.requests, requestId);
+    markWaiting(state.requests, *request);
+    if (request->wait) {
+        job.waiters.push_back(requestId);
+        return {};
+    }
+    if (job.startable) {
+        return answerRequest(state, requestId, pendingAnswer(job));
+    }
+    job.acceptWaiters.push_back(requestId);
+    return {};
+}
+
+/// An id that an earlier owner may have acted on without trace: it is never started, and every
+/// submission of it gets the same answer.
+Effects answerUnknowable(GatewayState &state, const std::string &requestId,
+                         const Schema::SubmitJob &submit, Reason reason)
+{
+    JobEntry &job = addRecoveredJob(state.ledger, *submit.id,
+                                    static_cast<std::int64_t>(submit.tasks.size()),
+                                    submit.firstSubmittedMs.value_or(0));
+    adoptSubmission(state.ledger, job, submit);
+    job.waiters.push_back(requestId);
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        markLost(job, static_cast<std::int64_t>(index));
+    }
+    return finishJob(
+            state, job,
+            givenUpAnswer(job, reason, "an earlier owner of this job may have started it"));
+}
+
+Effects acceptJob(GatewayState &state, const std::string &requestId,
+                  const Schema::SubmitJob &submit, Common::Moment now)
+{
+    JobEntry &job = addJob(state.ledger, submit);
+    const std::optional<Refusal> refused = admitJob(state.scheduler, demandOf(job), now);
+    if (refused) {
+        removeJob(state.ledger, job.id);
+        return refuseRequest(state, requestId, refused->reason, refused->detail,
+                             refused->retryAfterMs);
+    }
+    awaitIntent(state, job, now);
+    return waitForJob(state, requestId, job);
+}
+
+/// First sight of the id in this ledger; the journal may still know it.
+Effects submitUnseen(GatewayState &state, const std::string &requestId,
+                     const Schema::SubmitJob &submit, Common::Moment now)
+{
+    const std::int64_t shard = shardOf(state.ledger, *submit.id);
+    const std::int64_t firstMs = submit.firstSubmittedMs.value_or(now.wallMs);
+    const std::optional<JournaledIntent> intent = findIntent(state.site.journal, *submit.id);
+    if (intent && !sameContent(*intent, submissionDigest(submit))) {
+        return refuseRequest(state, requestId, Reason::IdConflict,
+                             "this id was submitted before with other content");
+    }
+    const JobHistory history = jobHistory(state.site, *submit.id, firstMs);
+    if (history == JobHistory::Journaled) {
+        const auto proven = state.recovery.provenSinceMs.find(shard);
+        const bool isProvedNotStarted = proven != state.recovery.provenSinceMs.end() && intent
+                                        && intent->firstSubmittedMs >= proven->second;
+        if (!isProvedNotStarted) {
+            return answerUnknowable(state, requestId, submit, Reason::TaskLost);
+        }
+        return acceptJob(state, requestId, submit, now);
+    }
+    if (history == JobHistory::Unknown) {
+        return answerUnknowable(state, requestId, submit, Reason::PredecessorUnlogged);
+    }
+    const Schema::Configuration &config = configuration(state.site.config);
+    if (!isKnownTeam(config, submit.team)) {
+        return refuseRequest(state, requestId, Reason::UnknownTeam, "no such team: " + submit.team);
+    }
+    if (!isKnownService(config, submit.service)) {
+        return refuseRequest(state, requestId, Reason::UnknownService,
+                             "no such service: " + submit.service);
+    }
+    return acceptJob(state, requestId, submit, now);
+}
+
+/// The content of a job that this owner knew only by its traces.
+Effects resumeJob(GatewayState &state, const std::string &requestId, JobEntry &job,
+                  const Schema::SubmitJob &submit, Common::Moment now)
+{
+    if (submit.tasks.size() != job.tasks.size()) {
+        return refuseRequest(state, requestId, Reason::IdConflict,
+                             "this id was submitted before with other content");
+    }
+    adoptSubmission(state.ledger, job, submit);
+    scheduleJob(state, job, now);
+    return waitForJob(state, requestId, job);
+}
+
+} // namespace
+
+Effects ownerSubmit(GatewayState &state, const std::string &requestId, Common::Moment now)
+{
+    const Schema::SubmitJob submit = *findRequest(state.requests, requestId)->submit;
+    std::optional<Common::Failure> wrongTime;
+    Common::handle([&] { return checkTimes(state.ledger, submit, now); },
+                   [&](const Common::Failure &failure) { wrongTime = failure; });
+    JobEntry *job = findJob(state.ledger, *submit.id);
+    const SubmitVerdict verdict = lookUp(state.ledger, submit);
+    const bool isNew = verdict == SubmitVerdict::New || verdict == SubmitVerdict::Refused;
+    // A deadline that has passed does not take back the answer of a job that has ended.
+    if (wrongTime && isNew) {
+        const bool mayHaveRun =
+                wrongTime->reason == Reason::DeadlinePassed && verdict == SubmitVerdict::New
+                && jobHistory(state.site, *submit.id, submit.firstSubmittedMs.value_or(0))
+                           != JobHistory::NeverStarted;
+        if (mayHaveRun) {
+            return answerUnknowable(state, requestId, submit, Reason::TaskLost);
+        }
+        return refuseRequest(state, requestId, wrongTime->reason, wrongTime->detail);
+    }
+    switch (verdict) {
+    case SubmitVerdict::New:
+        return submitUnseen(state, requestId, submit, now);
+    case SubmitVerdict::Refused:
+        removeJob(state.ledger, *submit.id);
+        return acceptJob(state, requestId, submit, now);
+    case SubmitVerdict::Ended:
+        return answerRequest(state, requestId, *job->answer);
+    case SubmitVerdict::Conflict:
+        return refuseRequest(state, requestId, Reason::IdConflict,
+                             "this id was submitted before with other content");
+    case SubmitVerdict::Pending:
+        return waitForJob(state, requestId, *job);
+    case SubmitVerdict::Recovered:
+        break;
+    }
+    return resumeJob(state, requestId, *job, submit, now);
+}
+
+Effects ownerGet(GatewayState &state, const std::string &requestId)
+{
+    const Request *request = findRequest(state.requests, requestId);
+    JobEntry *job = findJob(state.ledger, request->job);
+    if (job == nullptr) {
+        return refuseRequest(state, requestId, Reason::UnknownJob,
+                             "no job with this id is remembered");
+    }
+    if (job->answer) {
+        return answerRequest(state, requestId, *job->answer);
+    }
+    if (request->wait) {
+        return waitForJob(state, requestId, *job);
+    }
+    return answerRequest(state, requestId, pendingAnswer(*job));
+}
+
+Effects ownerCancel(GatewayState &state, const std::string &requestId)
+{
+    JobEntry *job = findJob(state.ledger, findRequest(state.requests, requestId)->job);
+    if (job != nullptr && !job->answer) {
+        job->waiters.push_back(requestId);
+        return finishJob(state, *job, givenUpAnswer(*job, Reason::Cancelled));
+    }
+    return ownerGet(state, requestId);
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Jobs/TaskReports.cpp
@@ -0,0 +1,136 @@
+#include "Dispatch/Jobs/TaskReports.h"
+
+#include <optional>
+
+#include "Dispatch/Jobs/JobEnd.h"
+
+namespace Dispatch {
+
+using Schema::Reason;
+using Schema::TaskPhase;
+
+namespace {
+
+constexpr const char *RetriedCounter = "auburntrail_task_retries_total";
+constexpr const char *ReportedCounter = "auburntrail_task_reports_total";
+
+/// Frees the task's place at the agent, and lets the scheduler learn from how it went.
+void releaseSlot(GatewayState &state, const std::string &agent, const TaskKey &task,
+                 const Schema::TaskState &report, Common::Moment now)
+{
+    taskLeft(state.agents, agent, task);
+    if (report.phase == TaskPhase::Unknown) {
+        taskAbandoned(state.scheduler, task, agent, now);
+        return;
+    }
+    taskEnded(state.scheduler, task, agent, report.phase == TaskPhase::Succeeded,
+              report.runMs.value_or(0), now);
+}
+
+Effects taskRefused(GatewayState &state, JobEntry &job, const std::string &agent,
+                    const TaskKey &task, Reason reason, Common::Moment now, Common::Random &random)
+{
+    taskLeft(state.agents, agent, task);
+    const RetryDecision decision =
+            taskNotStarted(state.scheduler, task, agent, reason, now, random);
+    Effects effects{CountReason{RetriedCounter, reason}};
+    if (decision == RetryDecision::GivenUp && !job.answer) {
+        append(effects, finishJob(state, job,
+                                  givenUpAnswer(job, reason, "no backend server took the task")));
+    }
+    return effects;
+}
+
+Effects reportApplied(GatewayState &state, JobEntry &job, const std::string &agent,
+                      const Schema::TaskState &report, ReportEffect effect, Common::Moment now,
+                      Common::Random &random)
+{
+    const TaskKey task{report.job, static_cast<int>(report.index)};
+    switch (effect) {
+    case ReportEffect::Nothing:
+        return {};
+    case ReportEffect::Running:
+        taskWith(state.agents, agent, task);
+        return {};
+    case ReportEffect::NotStarted:
+        return taskRefused(state, job, agent, task, report.reason, now, random);
+    case ReportEffect::Ended:
+    case ReportEffect::Lost:
+        releaseSlot(state, agent, task, report, now);
+        break;
+    }
+    Effects effects{CountReason{ReportedCounter, report.reason}};
+    append(effects, finishIfDecided(state, job));
+    return effects;
+}
+
+/// A task of a job that neither the ledger nor the journal knows: it was started unlogged.
+JobEntry &addEvidence(GatewayState &state, const Schema::TaskState &report, Common::Moment now)
+{
+    const std::optional<JournaledIntent> intent = findIntent(state.site.journal, report.job);
+    if (intent) {
+        return addRecoveredJob(state.ledger, report.job, intent->tasks, intent->firstSubmittedMs);
+    }
+    JobEntry &job = addRecoveredJob(state.ledger, report.job, 1, now.wallMs);
+    endJob(state.ledger, job, givenUpAnswer(job, Reason::PredecessorUnlogged));
+    job.answer->outcome = Schema::JobOutcome::Unknown;
+    return job;
+}
+
+bool takesReports(const GatewayState &state, std::int64_t shard)
+{
+    const ShardPhase phase = shardPhase(state.site.ownership, shard);
+    return phase == ShardPhase::NeedsReports || phase == ShardPhase::Serving;
+}
+
+} // namespace
+
+Effects tasksReported(GatewayState &state, const std::string &agent,
+                      const Schema::TaskStates &report, Common::Moment now, Common::Random &random)
+{
+    Effects effects;
+    Schema::TaskRefs acknowledged;
+    for (const Schema::TaskState &task : report.states) {
+        const std::int64_t shard = shardOf(state.ledger, task.job);
+        if (!takesReports(state, shard)) {
+            continue;
+        }
+        JobEntry *job = findJob(state.ledger, task.job);
+        if (job == nullptr && task.phase != TaskPhase::NotStarted) {
+            job = &addEvidence(state, task, now);
+        }
+        if (job != nullptr) {
+            const ReportEffect effect = applyReport(*job, task, agent);
+            append(effects, reportApplied(state, *job, agent, task, effect, now, random));
+        }
+        if (task.phase != TaskPhase::Running) {
+            Schema::TaskRef ref;
+            ref.job = task.job;
+            ref.index = task.index;
+            ref.attempt = task.attempt;
+            acknowledged.tasks.push_back(std::move(ref));
+        }
+    }
+    if (!acknowledged.tasks.empty()) {
+        Schema::Frame frame = frameOf(Schema::FrameType::AcknowledgeTasks);
+        frame.acknowledgeTasks = std::move(acknowledged);
+        effects.emplace_back(SendToAgent{agent, std::move(frame)});
+    }
+    return effects;
+}
+
+Effects agentGone(GatewayState &state, const std::string &agent, Common::Moment now)
+{
+    Effects effects{Note{"agent_gone", {{"agent", agent}}}};
+    for (const TaskKey &task : removeAgent(state.agents, agent, now)) {
+        taskAbandoned(state.scheduler, task, agent, now);
+        JobEntry *job = findJob(state.ledger, task.job);
+        if (job != nullptr) {
+            markLost(*job, task.index);
+            append(effects, finishIfDecided(state, *job));
+        }
+    }
+    return effects;
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/Ownership/Transfer.cpp
+++ b/Source/Core/Dispatch/Ownership/Transfer.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "Dispatch/Jobs/Owner.h"
+#include "Dispatch/Jobs/TaskStarts.h"
 #include "Dispatch/Persistence/Recovery.h"
 
 namespace Dispatch {
--- a/Source/Core/Dispatch/Persistence/Recovery.cpp
+++ b/Source/Core/Dispatch/Persistence/Recovery.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "Dispatch/Jobs/Owner.h"
+#include "Dispatch/Jobs/JobEnd.h"
+#include "Dispatch/Jobs/TaskReports.h"
 
 namespace Dispatch {
 
