Dispatch: the ledger's parts in modules of their own

Functions are moved unchanged, but for insertJob(), which returns the entry that its three callers looked up again.

--- a/Source/Core/Dispatch/Dispatch.h
+++ b/Source/Core/Dispatch/Dispatch.h
@@ -4,6 +4,7 @@
 #include "Dispatch/GatewayCore.h"
 #include "Dispatch/GatewayState.h"
 #include "Dispatch/Jobs/Requests.h"
+#include "Dispatch/Persistence/JobAnswers.h"
 #include "Dispatch/Persistence/Ledger.h"
 #include "Dispatch/Query/SiteQuery.h"
 #include "Dispatch/Scheduling/Scheduler.h"
--- a/Source/Core/Dispatch/Jobs/JobEnd.cpp
+++ b/Source/Core/Dispatch/Jobs/JobEnd.cpp
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "Dispatch/Persistence/JobAnswers.h"
+
 namespace Dispatch {
 
 using Schema::Reason;
--- a/Source/Core/Dispatch/Jobs/Requests.cpp
+++ b/Source/Core/Dispatch/Jobs/Requests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Dispatch/Persistence/JobAnswers.h"
 #include "Dispatch/Persistence/Ledger.h"
 
 namespace Dispatch {
--- a/Source/Core/Dispatch/Jobs/Submissions.cpp
+++ b/Source/Core/Dispatch/Jobs/Submissions.cpp
@@ -5,6 +5,7 @@
 
 #include "Dispatch/Jobs/JobEnd.h"
 #include "Dispatch/Jobs/TaskStarts.h"
+#include "Dispatch/Persistence/JobAnswers.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/Jobs/TaskReports.cpp
+++ b/Source/Core/Dispatch/Jobs/TaskReports.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "Dispatch/Jobs/JobEnd.h"
+#include "Dispatch/Persistence/JobAnswers.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/Jobs/TaskStarts.cpp
+++ b/Source/Core/Dispatch/Jobs/TaskStarts.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Dispatch/Jobs/JobEnd.h"
+#include "Dispatch/Persistence/JobAnswers.h"
 
 namespace Dispatch {
 
--- a/Source/Core/Dispatch/Ownership/Transfer.cpp
+++ b/Source/Core/Dispatch/Ownership/Transfer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Dispatch/Jobs/TaskStarts.h"
+#include "Dispatch/Persistence/JobSnapshots.h"
 #include "Dispatch/Persistence/Recovery.h"
 
 namespace Dispatch {
--- a/Source/Core/Dispatch/Persistence/Ledger.cpp
+++ b/Source/Core/Dispatch/Persistence/Ledger.cpp
@@ -1,103 +1,15 @@
 #include "Dispatch/Persistence/Ledger.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace Dispatch {
 
 using Schema::JobOutcome;
 using Schema::Reason;
-using Schema::TaskPhase;
-
-const Common::NameTable<TaskStage, 6> TaskStageNames{{{TaskStage::Waiting, "waiting"},
-                                                      {TaskStage::Sent, "sent"},
-                                                      {TaskStage::Succeeded, "succeeded"},
-                                                      {TaskStage::Failed, "failed"},
-                                                      {TaskStage::Lost, "lost"},
-                                                      {TaskStage::Dropped, "dropped"}}};
 
 namespace {
 
-struct StageCounts
-{
-    std::int64_t waiting = 0;
-    std::int64_t sent = 0;
-    std::int64_t succeeded = 0;
-    std::int64_t failed = 0;
-    std::int64_t lost = 0;
-
-    std::int64_t started() const
-    {
-        return this->sent + this->succeeded + this->failed + this->lost;
-    }
-    std::int64_t ended() const { return this->succeeded + this->failed; }
-};
-
-StageCounts countStages(const JobEntry &job)
-{
-    StageCounts counts;
-    for (const TaskEntry &task : job.tasks) {
-        switch (task.stage) {
-        case TaskStage::Waiting:
-            ++counts.waiting;
-            break;
-        case TaskStage::Sent:
-            ++counts.sent;
-            break;
-        case TaskStage::Succeeded:
-            ++counts.succeeded;
-            break;
-        case TaskStage::Failed:
-            ++counts.failed;
-            break;
-        case TaskStage::Lost:
-            ++counts.lost;
-            break;
-        case TaskStage::Dropped:
-            break;
-        }
-    }
-    return counts;
-}
-
-void takeContent(JobEntry &job, const Schema::SubmitJob &submit)
-{
-    job.submit = submit;
-    job.team = submit.team;
-    job.caller = submit.caller;
-    job.service = submit.service;
-}
-
-bool isOpen(TaskStage stage)
-{
-    return stage == TaskStage::Waiting || stage == TaskStage::Sent;
-}
-
-Schema::JobAnswer baseAnswer(const JobEntry &job, JobOutcome outcome, Reason reason)
-{
-    const StageCounts counts = countStages(job);
-    Schema::JobAnswer answer;
-    answer.id = job.id;
-    answer.outcome = outcome;
-    answer.reason = reason;
-    answer.taskCount = static_cast<std::int64_t>(job.tasks.size());
-    answer.tasksStarted = counts.started();
-    answer.tasksEnded = counts.ended();
-    answer.firstSubmittedMs = job.firstSubmittedMs;
-    answer.notRun = false;
-    return answer;
-}
-
-void insertJob(LedgerState &state, JobEntry job)
-{
-    const std::string id = job.id;
-    state.expiries.emplace(job.firstSubmittedMs + state.settings.dedupWindowMs, id);
-    if (!job.answer) {
-        state.deadlines.emplace(job.deadlineMs, id);
-    }
-    state.jobs.insert_or_assign(id, std::move(job));
-}
-
 void eraseFrom(std::multimap<std::int64_t, std::string> &index, std::int64_t key,
                const std::string &id)
 {
@@ -109,48 +21,6 @@
     }
 }
 
-TaskEntry &taskAt(JobEntry &job, std::int64_t index)
-{
-    Common::invariant(index >= 0 && index < static_cast<std::int64_t>(job.tasks.size()),
-                      "a task index lies within its job", job.id);
-    return job.tasks[static_cast<std::size_t>(index)];
-}
-
-TaskPhase phaseOf(TaskStage stage)
-{
-    switch (stage) {
-    case TaskStage::Succeeded:
-        return TaskPhase::Succeeded;
-    case TaskStage::Failed:
-        return TaskPhase::Failed;
-    case TaskStage::Sent:
-        return TaskPhase::Running;
-    case TaskStage::Lost:
-        return TaskPhase::Unknown;
-    case TaskStage::Waiting:
-    case TaskStage::Dropped:
-        break;
-    }
-    return TaskPhase::NotStarted;
-}
-
-TaskStage stageOf(TaskPhase phase)
-{
-    switch (phase) {
-    case TaskPhase::Succeeded:
-        return TaskStage::Succeeded;
-    case TaskPhase::Failed:
-        return TaskStage::Failed;
-    case TaskPhase::Running:
-        return TaskStage::Sent;
-    case TaskPhase::Unknown:
-        return TaskStage::Lost;
-    case TaskPhase::NotStarted:
-        break;
-    }
-    return TaskStage::Waiting;
-}
-
 } // namespace
 
 std::int64_t shardOf(const LedgerState &state, const std::string &job)
@@ -210,6 +80,16 @@
     return job->submit ? SubmitVerdict::Pending : SubmitVerdict::Recovered;
 }
 
+JobEntry &insertJob(LedgerState &state, JobEntry job)
+{
+    const std::string id = job.id;
+    state.expiries.emplace(job.firstSubmittedMs + state.settings.dedupWindowMs, id);
+    if (!job.answer) {
+        state.deadlines.emplace(job.deadlineMs, id);
+    }
+    return state.jobs.insert_or_assign(id, std::move(job)).first->second;
+}
+
 JobEntry &addJob(LedgerState &state, const Schema::SubmitJob &submit)
 {
     JobEntry job;
@@ -220,10 +100,8 @@
     job.firstSubmittedMs = submit.firstSubmittedMs.value_or(0);
     job.deadlineMs = deadlineOf(state, submit);
     job.tasks.resize(submit.tasks.size());
-    const std::string id = job.id;
-    Common::invariant(state.jobs.count(id) == 0, "a known id is never added again", id);
-    insertJob(state, std::move(job));
-    return state.jobs.at(id);
+    Common::invariant(state.jobs.count(job.id) == 0, "a known id is never added again", job.id);
+    return insertJob(state, std::move(job));
 }
 
 JobEntry &addRecoveredJob(LedgerState &state, const std::string &id, std::int64_t taskCount,
@@ -239,8 +117,7 @@
     for (TaskEntry &task : job.tasks) {
         task.stage = TaskStage::Sent;
     }
-    insertJob(state, std::move(job));
-    return state.jobs.at(id);
+    return insertJob(state, std::move(job));
 }
 
 void adoptSubmission(LedgerState &state, JobEntry &job, const Schema::SubmitJob &submit)
@@ -264,114 +141,6 @@
     return found == state.jobs.end() ? nullptr : &found->second;
 }
 
-std::int64_t markSent(JobEntry &job, std::int64_t index, const std::string &agent,
-                      std::int64_t epoch)
-{
-    TaskEntry &task = taskAt(job, index);
-    Common::invariant(task.stage == TaskStage::Waiting,
-                      "a task is sent only while it has not started", job.id);
-    Common::invariant(job.startable, "no task is sent before its job's intent", job.id);
-    Common::invariant(!job.answer, "no task is sent after its job's answer", job.id);
-    task.stage = TaskStage::Sent;
-    task.agent = agent;
-    task.attempt = task.epoch == epoch ? task.attempt + 1 : 1;
-    task.epoch = epoch;
-    return task.attempt;
-}
-
-void markNotStarted(JobEntry &job, std::int64_t index)
-{
-    TaskEntry &task = taskAt(job, index);
-    if (task.stage == TaskStage::Sent) {
-        task.stage = job.answer ? TaskStage::Dropped : TaskStage::Waiting;
-        task.agent.clear();
-    }
-}
-
-ReportEffect applyReport(JobEntry &job, const Schema::TaskState &report, const std::string &agent)
-{
-    if (report.index < 0 || report.index >= static_cast<std::int64_t>(job.tasks.size())) {
-        return ReportEffect::Nothing;
-    }
-    TaskEntry &task = taskAt(job, report.index);
-    if (report.phase == TaskPhase::NotStarted) {
-        // A late refusal of an earlier start may cross a newer start to the same agent.
-        const bool coversLastStart =
-                std::tie(report.epoch, report.attempt) >= std::tie(task.epoch, task.attempt);
-        const bool answersLastStart = task.stage == TaskStage::Sent && task.agent == agent;
-        if (!answersLastStart || !coversLastStart) {
-            return ReportEffect::Nothing;
-        }
-        markNotStarted(job, report.index);
-        return ReportEffect::NotStarted;
-    }
-    const bool mayLearn = isOpen(task.stage) || task.stage == TaskStage::Lost;
-    const TaskStage reported = stageOf(report.phase);
-    if (!mayLearn || (reported == task.stage && task.agent == agent)) {
-        return ReportEffect::Nothing;
-    }
-    task.stage = reported;
-    task.agent = agent;
-    task.result = report.result.value_or("");
-    switch (reported) {
-    case TaskStage::Sent:
-        return ReportEffect::Running;
-    case TaskStage::Lost:
-        return ReportEffect::Lost;
-    default:
-        return ReportEffect::Ended;
-    }
-}
-
-void markLost(JobEntry &job, std::int64_t index)
-{
-    TaskEntry &task = taskAt(job, index);
-    if (isOpen(task.stage)) {
-        task.stage = TaskStage::Lost;
-    }
-}
-
-std::optional<Schema::JobAnswer> decidedAnswer(const JobEntry &job)
-{
-    const StageCounts counts = countStages(job);
-    if (counts.failed > 0) {
-        return baseAnswer(job, JobOutcome::Failed, Reason::TaskFailed);
-    }
-    if (counts.lost > 0 && counts.sent == 0) {
-        return baseAnswer(job, JobOutcome::Unknown, Reason::TaskLost);
-    }
-    if (counts.succeeded != static_cast<std::int64_t>(job.tasks.size())) {
-        return std::nullopt;
-    }
-    Schema::JobAnswer answer = baseAnswer(job, JobOutcome::Completed, Reason::None);
-    answer.results.emplace();
-    for (const TaskEntry &task : job.tasks) {
-        answer.results->push_back(task.result);
-    }
-    return answer;
-}
-
-Schema::JobAnswer givenUpAnswer(const JobEntry &job, Reason reason, std::string detail)
-{
-    const StageCounts counts = countStages(job);
-    const bool nothingStarted = counts.started() == 0;
-    JobOutcome outcome = nothingStarted ? JobOutcome::Refused : JobOutcome::Failed;
-    if (counts.lost > 0) {
-        outcome = JobOutcome::Unknown;
-    }
-    Schema::JobAnswer answer = baseAnswer(job, outcome, reason);
-    answer.notRun = nothingStarted;
-    if (!detail.empty()) {
-        answer.detail = std::move(detail);
-    }
-    return answer;
-}
-
-Schema::JobAnswer pendingAnswer(const JobEntry &job)
-{
-    return baseAnswer(job, JobOutcome::Pending, Reason::None);
-}
-
 std::vector<std::string> endJob(LedgerState &state, JobEntry &job, Schema::JobAnswer answer)
 {
     Common::invariant(!job.answer, "a job ends once", job.id);
@@ -419,22 +188,6 @@
     return forgotten;
 }
 
-Schema::JobAnswer refusal(const std::string &id, std::size_t taskCount, Reason reason,
-                          std::string detail, std::int64_t retryAfterMs)
-{
-    Schema::JobAnswer answer;
-    answer.id = id;
-    answer.outcome = JobOutcome::Refused;
-    answer.notRun = true;
-    answer.reason = reason;
-    answer.taskCount = static_cast<std::int64_t>(taskCount);
-    answer.detail = std::move(detail);
-    if (retryAfterMs > 0) {
-        answer.retryAfterMs = retryAfterMs;
-    }
-    return answer;
-}
-
 std::vector<std::string> jobsOfShard(const LedgerState &state, std::int64_t shard)
 {
     std::vector<std::string> jobs;
@@ -446,33 +199,6 @@
     return jobs;
 }
 
-Schema::JobSnapshot snapshotOf(const JobEntry &job)
-{
-    Schema::JobSnapshot snapshot;
-    snapshot.id = job.id;
-    snapshot.digest = job.digest;
-    snapshot.answer = job.answer ? *job.answer : pendingAnswer(job);
-    if (job.answer) {
-        return snapshot;
-    }
-    snapshot.submit = job.submit;
-    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
-        const TaskEntry &task = job.tasks[index];
-        Schema::TaskSnapshot row;
-        row.index = static_cast<std::int64_t>(index);
-        row.phase = phaseOf(task.stage);
-        row.sent = task.stage != TaskStage::Waiting;
-        row.agent = task.agent;
-        row.epoch = task.epoch;
-        row.attempt = task.attempt;
-        if (!task.result.empty()) {
-            row.result = task.result;
-        }
-        snapshot.tasks.push_back(std::move(row));
-    }
-    return snapshot;
-}
-
 void removeJob(LedgerState &state, const std::string &job)
 {
     const auto found = state.jobs.find(job);
@@ -484,38 +210,4 @@
     state.jobs.erase(found);
 }
 
-JobEntry *importJob(LedgerState &state, const Schema::JobSnapshot &snapshot)
-{
-    if (state.jobs.count(snapshot.id) != 0) {
-        return nullptr;
-    }
-    JobEntry job;
-    job.id = snapshot.id;
-    job.digest = snapshot.digest;
-    if (snapshot.submit) {
-        takeContent(job, *snapshot.submit);
-    }
-    job.shard = shardOf(state, job.id);
-    job.firstSubmittedMs = snapshot.answer.firstSubmittedMs.value_or(0);
-    job.deadlineMs = job.submit ? deadlineOf(state, *job.submit)
-                                : job.firstSubmittedMs + state.settings.maxDeadlineMs;
-    // The predecessor may have handed the job over before its intent was durable; its successor
-    // journals it again, or the next successor would not know of it.
-    job.startable = !job.submit;
-    if (snapshot.answer.outcome != JobOutcome::Pending) {
-        job.answer = snapshot.answer;
-    }
-    for (const Schema::TaskSnapshot &row : snapshot.tasks) {
-        TaskEntry task;
-        task.stage = stageOf(row.phase);
-        task.agent = row.agent.value_or("");
-        task.epoch = row.epoch;
-        task.attempt = row.attempt;
-        task.result = row.result.value_or("");
-        job.tasks.push_back(std::move(task));
-    }
-    insertJob(state, std::move(job));
-    return findJob(state, snapshot.id);
-}
-
 } // namespace Dispatch
--- a/Source/Core/Dispatch/Query/SiteQuery.cpp
+++ b/Source/Core/Dispatch/Query/SiteQuery.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/Persistence/JobAnswers.h"
+
 namespace Dispatch {
 
 namespace {
