Transient: when what was learned is read and written

The daemon kept the times of these reads and writes among its own, where no test without network reached them. They are functions over LearnedSchedule now, with the same figures: a read at the start and each second until the records come or ten seconds have passed; a write every five seconds, rarer with a large fleet.

--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -34,10 +34,6 @@
 constexpr std::int64_t ReturnMs = 20;
 /// While stopping, answers are owed so long before the process must be gone.
 constexpr std::int64_t LastAnswersMs = 300;
-/// Between two attempts at reading what other gateways have learned.
-constexpr std::int64_t RecallRetryMs = 1000;
-/// By then a gateway knows more by itself: a hundred tasks a second show each backend server.
-constexpr std::int64_t RecallMs = 10'000;
 constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
 
 /// A call of a caller, decoded.
@@ -164,10 +160,7 @@
     std::uint64_t lastToken = 0;
     std::int64_t stopDeadlineMs = 0;
     std::int64_t idleSinceMs = 0;
-    /// When what other gateways have learned is asked for again; 0 once it is known.
-    std::int64_t recallMs = 0;
-    /// When this gateway writes next what it has learned.
-    std::int64_t shareMs = 0;
+    Transient::LearnedSchedule learned;
     /// That the metrics show.
     std::optional<std::size_t> toldJobs;
 
@@ -208,8 +201,8 @@
     this->store = std::make_unique<StoreClient::Client>(storeSettings);
     this->startServers();
     this->followStore();
+    this->learned = Transient::scheduleLearned(this->state.fleet, this->now);
     this->recallTimes();
-    this->shareMs = this->now.steadyMs + Transient::learnedPauseMs(this->state.fleet);
     Common::logEvent(LogLevel::Info, "gateway_started",
                      {{"instance", this->self.instance},
                       {"caller_port", this->callers->port()},
@@ -277,7 +270,9 @@
 
 void TransientDaemon::Implementation::recallTimes()
 {
-    this->recallMs = this->now.steadyMs + RecallRetryMs;
+    if (!Transient::takeReadDue(this->learned, this->now)) {
+        return;
+    }
     this->store->readOnce(StoreTopic::Learned, [this](const StoreClient::StoreNews &news) {
         this->mailbox.post(TimesRead{news.available, Platform::decodeLearned(news.records)});
     });
@@ -288,7 +283,7 @@
     if (!event.available) {
         return;
     }
-    this->recallMs = 0;
+    Transient::learnedRead(this->learned);
     for (const Schema::LearnedTimes &learned : event.learned) {
         Transient::recallTimes(this->state, learned);
         Common::logEvent(LogLevel::Info, "times_recalled",
@@ -301,17 +296,9 @@
 
 void TransientDaemon::Implementation::shareTimes()
 {
-    if (this->recallMs != 0 && this->now.steadyMs >= this->recallMs) {
-        const bool isTooLate = this->now.steadyMs > this->state.startedMs + RecallMs;
-        this->recallMs = 0;
-        if (!isTooLate) {
-            this->recallTimes();
-        }
-    }
-    if (this->now.steadyMs < this->shareMs) {
+    if (!Transient::takeWriteDue(this->learned, this->state.fleet, this->now)) {
         return;
     }
-    this->shareMs = this->now.steadyMs + Transient::learnedPauseMs(this->state.fleet);
     const Schema::LearnedTimes learned =
             Transient::learnedTimes(this->state, this->self.instance, this->now);
     if (!learned.speeds.empty()) {
@@ -736,6 +723,7 @@
         link.address = address;
         this->links.emplace(id, std::move(link));
     }
+    this->recallTimes();
     this->shareTimes();
     const bool hasAgents = !this->agentLinks.empty();
     this->ready = this->queues.version > 0 && hasAgents && !this->state.isStopping;
--- a/Source/Core/Transient/Learned.cpp
+++ b/Source/Core/Transient/Learned.cpp
@@ -11,6 +11,11 @@
 /// Some 90 bytes an agent: 1.8 KB/s at any size of the fleet, a seventh of what a node may spend.
 constexpr std::int64_t PausePerAgentMs = 50;
 
+/// Between two attempts at reading what other gateways have learned.
+constexpr std::int64_t ReadRetryMs = 1000;
+/// By then a gateway knows more by itself: a hundred tasks a second show each backend server.
+constexpr std::int64_t ReadUntilMs = 10'000;
+
 /// Longer than any caller waits: a figure beyond it was not learned.
 constexpr double LongestPatienceMs = 300'000;
 
@@ -19,6 +24,12 @@
     return patience.usualMs > 0 && patience.usualMs <= LongestPatienceMs && patience.samples > 0;
 }
 
+std::int64_t pauseMs(const Fleet &fleet)
+{
+    return std::max(ShortestPauseMs,
+                    PausePerAgentMs * static_cast<std::int64_t>(fleet.agents.size()));
+}
+
 } // namespace
 
 Schema::LearnedTimes learnedTimes(const GatewayState &state, const std::string &gateway,
@@ -73,10 +84,40 @@
     Dispatch::recallSpeed(agent.speed, {found->second.logFactor, found->second.samples});
 }
 
-std::int64_t learnedPauseMs(const Fleet &fleet)
+LearnedSchedule scheduleLearned(const Fleet &fleet, Common::Moment now)
 {
-    return std::max(ShortestPauseMs,
-                    PausePerAgentMs * static_cast<std::int64_t>(fleet.agents.size()));
+    LearnedSchedule schedule;
+    schedule.startedMs = now.steadyMs;
+    schedule.nextReadMs = now.steadyMs;
+    schedule.nextWriteMs = now.steadyMs + pauseMs(fleet);
+    return schedule;
+}
+
+bool takeReadDue(LearnedSchedule &schedule, Common::Moment now)
+{
+    if (!schedule.nextReadMs || now.steadyMs < *schedule.nextReadMs) {
+        return false;
+    }
+    if (now.steadyMs > schedule.startedMs + ReadUntilMs) {
+        schedule.nextReadMs.reset();
+        return false;
+    }
+    schedule.nextReadMs = now.steadyMs + ReadRetryMs;
+    return true;
+}
+
+void learnedRead(LearnedSchedule &schedule)
+{
+    schedule.nextReadMs.reset();
+}
+
+bool takeWriteDue(LearnedSchedule &schedule, const Fleet &fleet, Common::Moment now)
+{
+    if (now.steadyMs < schedule.nextWriteMs) {
+        return false;
+    }
+    schedule.nextWriteMs = now.steadyMs + pauseMs(fleet);
+    return true;
 }
 
 } // namespace Transient
--- a/Source/UnitTests/Transient/LearnedTest.cpp
+++ b/Source/UnitTests/Transient/LearnedTest.cpp
@@ -177,3 +177,67 @@
     // A crowd of them does not become the usual.
     CHECK(waitedBeforeMs(usual, 1000) >= 350);
 }
+
+TEST_CASE("What was learned is read until it comes, and no longer than it helps")
+{
+    // All gateways start together while the store is silent. Each asks again every second; once an
+    // answer has come, or after ten seconds of its own experience, it asks no more.
+    struct Row
+    {
+        const char *what;
+        std::int64_t answeredMs;
+        int reads;
+    };
+    constexpr std::int64_t Never = 1'000'000;
+    const Row rows[] = {{"the store answers at once", 3, 1},
+                        {"the answer takes longer than the pause", 1500, 2},
+                        {"the store is silent for some seconds", 4200, 5},
+                        {"the store stays silent", Never, 11}};
+    constexpr std::int64_t StartMs = 70'000;
+    constexpr std::int64_t LastMs = 30'000;
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        LearnedSchedule schedule = scheduleLearned(Fleet{}, at(StartMs));
+        int reads = 0;
+        for (std::int64_t passedMs = 0; passedMs <= LastMs; ++passedMs) {
+            if (passedMs == row.answeredMs) {
+                learnedRead(schedule);
+            }
+            reads += takeReadDue(schedule, at(StartMs + passedMs)) ? 1 : 0;
+        }
+        CHECK(reads == row.reads);
+        CHECK(!schedule.nextReadMs);
+    }
+}
+
+TEST_CASE("A gateway that wakes up late reads no more")
+{
+    // The store is silent, and the process is held up for longer than the records help.
+    LearnedSchedule schedule = scheduleLearned(Fleet{}, at(0));
+    CHECK(takeReadDue(schedule, at(0)));
+    CHECK_FALSE(takeReadDue(schedule, at(10'001)));
+    CHECK_FALSE(takeReadDue(schedule, at(60'000)));
+}
+
+TEST_CASE("The larger the fleet, the rarer the record")
+{
+    struct Row
+    {
+        int agents;
+        int writes;
+    };
+    constexpr std::int64_t LastMs = 60'000;
+    for (const Row &row : {Row{0, 12}, Row{11, 12}, Row{100, 12}, Row{200, 6}, Row{860, 1}}) {
+        CAPTURE(row.agents);
+        Fleet fleet;
+        for (int agent = 0; agent < row.agents; ++agent) {
+            fleet.agents.emplace("agent-" + std::to_string(agent), AgentView{});
+        }
+        LearnedSchedule schedule = scheduleLearned(fleet, at(0));
+        int writes = 0;
+        for (std::int64_t passedMs = 0; passedMs <= LastMs; ++passedMs) {
+            writes += takeWriteDue(schedule, fleet, at(passedMs)) ? 1 : 0;
+        }
+        CHECK(writes == row.writes);
+    }
+}
