Gateway: the daemon for transient jobs in parts with one job each

TransientLinks keeps the links to agents and other gateways, TransientCallers the callers' calls and answers, TransientStore what is followed, read and written in the store; TransientControl is the state they share. The daemon is the loop that gives each event to its part. Effects are still carried out where they arise, so that orders to an agent go out ahead of the heartbeat that follows them; returning them to the loop would have turned that order round.

--- /dev/null
+++ b/Source/Core/Gateway/TransientCallers.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Gateway/TransientControl.h"
+
+namespace Gateway {
+
+/// The callers' side of the daemon for transient jobs: calls are decoded, sent to their queue, and
+/// answered once each. Serves readiness and metrics, too.
+class TransientCallers
+{
+public:
+    /// The first two must outlive this.
+    TransientCallers(TransientControl &control, TransientMailbox &mailbox, CarryOut carryOut);
+
+    /// Throws std::runtime_error where an address cannot be had.
+    void start();
+    void stop();
+    std::uint16_t callerPort() const;
+    std::uint16_t metricsPort() const;
+
+    void on(CallerAsked &event);
+    void on(const CallerLeft &event);
+    void answer(const Transient::AnswerCaller &effect);
+
+    /// \a isReady is what the probe says from now on.
+    void passTime(bool isReady);
+    std::size_t openRequests() const;
+    /// No caller is owed an answer or can still ask.
+    bool isQuiet() const;
+
+private:
+    struct OpenRequest
+    {
+        std::uint64_t connection = 0;
+        Net::HttpReply reply;
+    };
+
+    void startCallerServer();
+    void startProbeServer();
+    void takeCall(const Net::HttpRequest &request, Net::HttpReply reply);
+    void submit(CallerAsked &asked, const Schema::JobQueue &queue);
+    void askState(const CallerAsked &asked, const Schema::JobQueue &queue);
+    void refuse(const CallerAsked &asked, int status, Schema::Reason reason,
+                const std::string &detail);
+    void reply(const Net::HttpReply &reply, Net::HttpResponse response);
+
+    TransientControl &control;
+    TransientMailbox &mailbox;
+    CarryOut carryOut;
+    std::atomic<bool> ready{false};
+    std::map<std::string, OpenRequest> requests;
+    std::uint64_t lastToken = 0;
+    /// 0 while an answer is owed.
+    std::int64_t idleSinceMs = 0;
+
+    std::unique_ptr<Net::HttpServer> callerServer;
+    std::unique_ptr<Net::HttpServer> probeServer;
+    std::unique_ptr<Net::HttpServer> metricsServer;
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -0,0 +1,255 @@
+#include "Gateway/TransientLinks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Gateway {
+
+using Common::LogLevel;
+
+TransientLinks::TransientLinks(TransientControl &control, TransientMailbox &mailbox,
+                               CarryOut carryOut)
+    : control(control)
+    , mailbox(mailbox)
+    , carryOut(std::move(carryOut))
+{}
+
+void TransientLinks::start()
+{
+    this->hub = std::make_unique<Net::PeerHub>(Net::eventsTo(this->mailbox));
+    const Net::Address own = Net::parseAddress(this->control.settings.peerAddress);
+    this->control.self.peerPort = this->hub->listen(own.host, own.port);
+}
+
+void TransientLinks::stop()
+{
+    this->hub->stop();
+}
+
+void TransientLinks::on(const Net::LinkUp &event)
+{
+    PeerLink &link = this->links[event.link];
+    link.isOpen = true;
+    link.heardMs = this->control.now.steadyMs;
+    this->announceTo(event.link, link);
+}
+
+void TransientLinks::on(const Net::LinkDown &event)
+{
+    const auto found = this->links.find(event.link);
+    if (found == this->links.end()) {
+        return;
+    }
+    const PeerLink link = found->second;
+    this->links.erase(found);
+    if (!link.address.empty()) {
+        Transient::dialEnded(this->control.discovery, link.address, this->control.now);
+    }
+    if (link.gateway) {
+        Common::logEvent(LogLevel::Info, "gateway_unlinked", {{"gateway", link.gateway->instance}});
+    }
+    const auto agent = this->agentLinks.find(link.agent);
+    if (agent != this->agentLinks.end() && agent->second == event.link) {
+        this->agentLinks.erase(agent);
+        this->carryOut(
+                Transient::agentLinkLost(this->control.state, link.agent, this->control.now));
+    }
+}
+
+void TransientLinks::on(const Net::FrameArrived &event)
+{
+    const auto found = this->links.find(event.link);
+    if (found == this->links.end()) {
+        return;
+    }
+    PeerLink &link = found->second;
+    link.heardMs = this->control.now.steadyMs;
+    const Schema::Frame &frame = event.frame;
+    if (frame.agentAnnouncement) {
+        this->agentAnnounced(event.link, *frame.agentAnnouncement);
+    } else if (frame.agentReport && !link.agent.empty()) {
+        this->carryOut(Transient::agentReported(this->control.state, link.agent, *frame.agentReport,
+                                                this->control.now, this->control.random));
+    } else if (frame.gatewayAnnouncement) {
+        this->gatewayAnnounced(event.link, *frame.gatewayAnnouncement);
+    } else if (frame.queueTable) {
+        this->takeQueues(*frame.queueTable, link.gateway ? link.gateway->instance : "unknown");
+    } else {
+        Common::logEvent(LogLevel::Warning, "frame_unexpected",
+                         {{"type", Schema::enumName(frame.type)}});
+    }
+}
+
+void TransientLinks::agentAnnounced(Net::LinkId id, const Schema::AgentAnnouncement &announcement)
+{
+    PeerLink &link = this->links.at(id);
+    const auto former = this->agentLinks.find(announcement.instance);
+    if (former != this->agentLinks.end() && former->second != id) {
+        // Frames on the former link may be lost: the agent is taken as met anew.
+        this->hub->close(former->second);
+        this->carryOut(Transient::agentLinkLost(this->control.state, announcement.instance,
+                                                this->control.now));
+    }
+    link.agent = announcement.instance;
+    this->agentLinks[announcement.instance] = id;
+    this->carryOut(Transient::agentAnnounced(this->control.state, announcement, this->control.now,
+                                             this->control.random));
+    this->announceTo(id, link);
+}
+
+void TransientLinks::gatewayAnnounced(Net::LinkId id,
+                                      const Schema::GatewayAnnouncement &announcement)
+{
+    PeerLink &link = this->links.at(id);
+    if (!link.gateway) {
+        Common::logEvent(LogLevel::Info, "gateway_linked",
+                         {{"gateway", announcement.gateway.instance},
+                          {"queues_version", announcement.queuesVersion}});
+        if (!link.address.empty()) {
+            Transient::gatewayLinked(this->control.discovery, link.address, this->control.now);
+        }
+    }
+    const bool isNews = !link.gateway;
+    link.gateway = announcement.gateway;
+    Transient::gatewayTold(this->control.discovery, Transient::addressOf(announcement.gateway),
+                           this->control.now);
+    Transient::gatewaysTold(this->control.discovery, announcement.others, this->control.now);
+    if (announcement.queuesVersion < this->control.queues.version) {
+        this->sendQueues(id);
+    }
+    if (isNews) {
+        // Agents learn of a new gateway from the others, and dial it.
+        this->announceToAll();
+    }
+}
+
+void TransientLinks::sendQueues(Net::LinkId id)
+{
+    Schema::Frame frame;
+    frame.type = Schema::FrameType::QueueTable;
+    frame.queueTable = this->control.queues;
+    this->hub->send(id, frame);
+}
+
+void TransientLinks::takeQueues(Schema::QueueTable newer, const std::string &source)
+{
+    const std::int64_t before = this->control.queues.version;
+    if (!Transient::takeQueues(this->control.queues, std::move(newer))) {
+        return;
+    }
+    Common::logEvent(LogLevel::Info, "queues_in_force",
+                     {{"version", this->control.queues.version},
+                      {"before", before},
+                      {"queues", this->control.queues.queues.size()},
+                      {"source", source}});
+    this->control.metrics.set("auburntrail_queues_version",
+                              static_cast<double>(this->control.queues.version));
+    for (const auto &[id, link] : this->links) {
+        if (link.gateway) {
+            this->sendQueues(id);
+        }
+    }
+}
+
+void TransientLinks::sendTo(const Transient::SendToAgent &effect)
+{
+    const auto link = this->agentLinks.find(effect.agent);
+    if (link != this->agentLinks.end() && this->hub->send(link->second, effect.frame)) {
+        return;
+    }
+    this->control.metrics.count("auburntrail_frames_undeliverable_total", {{"to", "agent"}});
+    if (link != this->agentLinks.end()) {
+        // What was lost is found out when the agent announces itself on a new link.
+        this->hub->close(link->second);
+    }
+}
+
+std::vector<Schema::Member> TransientLinks::liveGateways() const
+{
+    std::vector<Schema::Member> live;
+    for (const auto &[id, link] : this->links) {
+        if (link.gateway) {
+            live.push_back(*link.gateway);
+        }
+    }
+    return live;
+}
+
+void TransientLinks::announceTo(Net::LinkId id, PeerLink &link)
+{
+    link.sentMs = this->control.now.steadyMs;
+    Schema::Frame frame;
+    frame.type = Schema::FrameType::GatewayAnnouncement;
+    frame.gatewayAnnouncement = Schema::GatewayAnnouncement{};
+    frame.gatewayAnnouncement->gateway = this->control.self;
+    frame.gatewayAnnouncement->others = this->liveGateways();
+    frame.gatewayAnnouncement->queuesVersion = this->control.queues.version;
+    const Transient::AgentView *agent =
+            link.agent.empty() ? nullptr
+                               : Transient::findAgent(this->control.state.fleet, link.agent);
+    frame.gatewayAnnouncement->echoMs = agent == nullptr ? 0 : agent->load.sentMs;
+    this->hub->send(id, frame);
+}
+
+void TransientLinks::dropSilent()
+{
+    for (const auto &[id, link] : this->links) {
+        if (link.isOpen
+            && this->control.now.steadyMs > link.heardMs + this->control.settings.silenceMs) {
+            this->hub->close(id);
+        }
+    }
+}
+
+void TransientLinks::announceToAll()
+{
+    for (auto &[id, link] : this->links) {
+        if (link.isOpen) {
+            this->announceTo(id, link);
+        }
+    }
+}
+
+void TransientLinks::passTime()
+{
+    const std::int64_t nowMs = this->control.now.steadyMs;
+    for (auto &[id, link] : this->links) {
+        if (link.isOpen && nowMs >= link.sentMs + this->control.settings.heartbeatMs) {
+            this->announceTo(id, link);
+        }
+    }
+    this->dropSilent();
+    this->dialGateways();
+}
+
+void TransientLinks::dialGateways()
+{
+    for (const std::string &address :
+         Transient::gatewaysToDial(this->control.discovery, this->control.now)) {
+        const Net::Address target = Net::parseAddress(address);
+        const Net::LinkId id =
+                this->hub->connect(target.host, target.port, Transient::DialTimeoutMs);
+        PeerLink link;
+        link.address = address;
+        this->links.emplace(id, std::move(link));
+    }
+}
+
+std::int64_t TransientLinks::nextWakeMs() const
+{
+    std::int64_t next = Transient::nextDialMs(this->control.discovery);
+    for (const auto &[id, link] : this->links) {
+        if (link.isOpen) {
+            next = std::min(next, link.sentMs + this->control.settings.heartbeatMs);
+            next = std::min(next, link.heardMs + this->control.settings.silenceMs + 1);
+        }
+    }
+    return next;
+}
+
+bool TransientLinks::hasAgents() const
+{
+    return !this->agentLinks.empty();
+}
+
+} // namespace Gateway
