--- /dev/null
+++ b/Source/Core/Gateway/GatewayCallers.cpp
@@ -0,0 +1,183 @@
+#include "Gateway/GatewayCallers.h"
+
+#include <utility>
+
+namespace Gateway {
+
+namespace {
+
+/// Requests refused before they reach a decision.
+constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
+constexpr int Ok = 200;
+constexpr int BadRequest = 400;
+constexpr int Unavailable = 503;
+
+Net::HttpResponse jsonResponse(int status, const nlohmann::json &body)
+{
+    return {status, body.dump(), "application/json", 0};
+}
+
+} // namespace
+
+GatewayCallers::GatewayCallers(GatewayControl &control, ControlMailbox &mailbox,
+                               CarryOutDispatch carryOut)
+    : control(control)
+    , mailbox(mailbox)
+    , carryOut(std::move(carryOut))
+{}
+
+void GatewayCallers::start()
+{
+    const Schema::GatewaySettings &settings = this->control.settings;
+    this->server =
+            Net::HttpServerBuilder()
+                    .listenOn(settings.host, static_cast<std::uint16_t>(settings.httpPort))
+                    .threads(static_cast<int>(settings.httpThreads))
+                    .maxBodyBytes(static_cast<std::size_t>(settings.maxBodyBytes))
+                    .refused([this](Schema::Reason reason) {
+                        this->control.metrics.count(RefusedRequests,
+                                                    {{"reason", Schema::enumName(reason)}});
+                    })
+                    .handler([this](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        this->takeCall(request, reply);
+                    })
+                    .build();
+}
+
+void GatewayCallers::stop()
+{
+    this->server->stop();
+}
+
+std::uint16_t GatewayCallers::port() const
+{
+    return this->server->port();
+}
+
+/// Runs on the HTTP threads. Probes and refusals need no decision and are answered at once.
+void GatewayCallers::takeCall(const Net::HttpRequest &request, const Net::HttpReply &reply)
+{
+    Common::handle([&] { return this->decodeCall(request, reply); },
+                   [&](const Common::Failure &failure) {
+                       this->control.metrics.count(RefusedRequests,
+                                                   {{"reason", Schema::enumName(failure.reason)}});
+                       reply.send(failureResponse(failure));
+                   });
+}
+
+Common::Outcome<void> GatewayCallers::decodeCall(const Net::HttpRequest &request,
+                                                 const Net::HttpReply &reply)
+{
+    BOOST_LEAF_AUTO(parsed, parseRequest(request));
+    if (parsed.call == ApiCall::Health) {
+        reply.send({Ok, "{\"ok\":true}", "application/json", 0});
+    } else if (parsed.call == ApiCall::Metrics) {
+        reply.send({Ok, this->control.metrics.expose(), "text/plain; version=0.0.4", 0});
+    } else {
+        this->mailbox.post(ApiCalled{std::move(parsed), reply});
+    }
+    return {};
+}
+
+void GatewayCallers::on(ApiCalled &called)
+{
+    switch (called.request.call) {
+    case ApiCall::Ready:
+        this->answerReady(called.reply);
+        return;
+    case ApiCall::GetConfiguration: {
+        const nlohmann::json document = Dispatch::configuration(this->control.state.site.config);
+        called.reply.send(jsonResponse(Ok, document));
+        return;
+    }
+    case ApiCall::SetConfiguration: {
+        const std::string token = this->keepReply(called.reply);
+        this->carryOut(Dispatch::configureAsked(this->control.state, token, *called.request.change,
+                                                called.request.basedOn, this->control.now,
+                                                this->control.random));
+        return;
+    }
+    case ApiCall::Query: {
+        const std::string token = this->keepReply(called.reply);
+        this->carryOut(Dispatch::queryAsked(this->control.state, token, called.request.text,
+                                            this->control.now));
+        return;
+    }
+    default:
+        this->askDispatch(called);
+    }
+}
+
+void GatewayCallers::answerReady(const Net::HttpReply &reply)
+{
+    if (Dispatch::isReady(this->control.state)) {
+        reply.send({Ok, "{\"ready\":true}", "application/json", 0});
+        return;
+    }
+    const char *body = this->control.state.stopping ? "{\"ready\":false,\"reason\":\"stopping\"}"
+                                                    : "{\"ready\":false,\"reason\":\"not_ready\"}";
+    reply.send({Unavailable, body, "application/json", 0});
+}
+
+void GatewayCallers::askDispatch(ApiCalled &called)
+{
+    Dispatch::CallerRequest asked;
+    asked.token = this->keepReply(called.reply);
+    asked.wait = called.request.wait;
+    asked.job = called.request.job;
+    asked.submit = std::move(called.request.submit);
+    if (called.request.call == ApiCall::Submit) {
+        asked.kind = Schema::ForwardKind::Submit;
+    } else if (called.request.call == ApiCall::Cancel) {
+        asked.kind = Schema::ForwardKind::Cancel;
+    }
+    this->carryOut(Dispatch::callerAsked(this->control.state, std::move(asked), this->control.now,
+                                         this->control.random));
+}
+
+std::string GatewayCallers::keepReply(Net::HttpReply reply)
+{
+    std::string token = "h" + std::to_string(++this->lastToken);
+    this->replies.emplace(token, std::move(reply));
+    return token;
+}
+
+void GatewayCallers::sendKept(const std::string &token, const Net::HttpResponse &response)
+{
+    const auto reply = this->replies.find(token);
+    if (reply != this->replies.end()) {
+        reply->second.send(response);
+        this->replies.erase(reply);
+    }
+}
+
+void GatewayCallers::answer(const Dispatch::AnswerRequest &answer)
+{
+    if (this->replies.count(answer.requestId) == 0) {
+        return;
+    }
+    this->control.metrics.count("auburntrail_answers_total",
+                                {{"outcome", Schema::enumName(answer.answer.outcome)},
+                                 {"reason", Schema::enumName(answer.answer.reason)}});
+    this->sendKept(answer.requestId, jobResponse(answer.answer));
+}
+
+void GatewayCallers::answer(const Dispatch::AnswerConfigure &answer)
+{
+    const bool isAccepted = answer.reason == Schema::Reason::None;
+    this->sendKept(answer.requestId, isAccepted ? jsonResponse(Ok, {{"version", answer.version}})
+                                                : failureResponse({answer.reason, answer.detail}));
+}
+
+void GatewayCallers::answer(const Dispatch::AnswerQuery &answer)
+{
+    this->sendKept(answer.requestId,
+                   jsonResponse(answer.answer.ok ? Ok : BadRequest, answer.answer));
+}
+
+bool GatewayCallers::isOwing() const
+{
+    return !this->replies.empty();
+}
+
+} // namespace Gateway
