--- a/Source/Core/Dispatch/GatewayCore.cpp
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -37,8 +37,7 @@
 
 Effect pongTo(const GatewayState &state, const std::string &agent, const Schema::AgentHello &hello)
 {
-    Schema::Frame frame;
-    frame.type = FrameType::GatewayPong;
+    Schema::Frame frame = frameOf(FrameType::GatewayPong);
     Schema::GatewayPong &pong = frame.gatewayPong.emplace();
     pong.instance = state.self.instance;
     pong.sequence = hello.sequence;
--- a/Source/Core/Dispatch/Jobs/Requests.cpp
+++ b/Source/Core/Dispatch/Jobs/Requests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Dispatch/Effects.h"
 #include "Dispatch/Persistence/JobAnswers.h"
 #include "Dispatch/Persistence/Ledger.h"
 
@@ -100,8 +101,7 @@
 
 Schema::Frame forwardFrame(const Request &request)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::Forward;
+    Schema::Frame frame = frameOf(Schema::FrameType::Forward);
     Schema::Forward &forward = frame.forward.emplace();
     forward.requestId = request.id;
     forward.kind = request.kind;
--- a/Source/Core/Dispatch/Jobs/Router.cpp
+++ b/Source/Core/Dispatch/Jobs/Router.cpp
@@ -31,8 +31,7 @@
         // A forwarded request is not forwarded again: two gateways with different tables would pass
         // it to and fro. The sender asks the owner it knows by then.
         const std::optional<Request> taken = takeRequest(state.requests, request.id);
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::ForwardAnswer;
+        Schema::Frame frame = frameOf(Schema::FrameType::ForwardAnswer);
         frame.forwardAnswer.emplace();
         frame.forwardAnswer->requestId = taken->remoteId;
         frame.forwardAnswer->notOwner = true;
--- a/Source/Core/Dispatch/Ownership/Heartbeats.cpp
+++ b/Source/Core/Dispatch/Ownership/Heartbeats.cpp
@@ -63,8 +63,7 @@
     peer.toldVersion = ping.tableVersion;
     peer.toldRevision = state.noticeRevision;
     peer.lastPingMs = now.steadyMs;
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::PeerPing;
+    Schema::Frame frame = frameOf(Schema::FrameType::PeerPing);
     frame.peerPing = std::move(ping);
     return SendToGateway{instance, std::move(frame)};
 }
--- a/Source/Core/Dispatch/Ownership/Transfer.cpp
+++ b/Source/Core/Dispatch/Ownership/Transfer.cpp
@@ -52,8 +52,7 @@
 
 Schema::Frame handoverFrame(const Schema::Handover &handover)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::Handover;
+    Schema::Frame frame = frameOf(Schema::FrameType::Handover);
     frame.handover = handover;
     return frame;
 }
@@ -139,8 +138,7 @@
         append(effects, askAfterReconnection(state, agent));
     }
     if (taken.accepted) {
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::HandoverAccepted;
+        Schema::Frame frame = frameOf(Schema::FrameType::HandoverAccepted);
         frame.handoverAccepted.emplace();
         frame.handoverAccepted->requestId = handover.requestId;
         frame.handoverAccepted->instance = state.self.instance;
--- a/Source/Core/Dispatch/Persistence/Recovery.cpp
+++ b/Source/Core/Dispatch/Persistence/Recovery.cpp
@@ -33,8 +33,7 @@
 Effect askFrame(const GatewayState &state, const std::string &agent, const std::string &requestId,
                 const std::vector<std::int64_t> &shards)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::AskTasks;
+    Schema::Frame frame = frameOf(Schema::FrameType::AskTasks);
     frame.askTasks.emplace();
     frame.askTasks->requestId = requestId;
     frame.askTasks->shards = ownEpochs(state, shards);
@@ -89,8 +88,7 @@
         if (takeover.gatewaysAnswered.count(member.instance) != 0) {
             continue;
         }
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::AskAgents;
+        Schema::Frame frame = frameOf(Schema::FrameType::AskAgents);
         frame.askAgents.emplace();
         frame.askAgents->requestId = takeover.requestId;
         effects.emplace_back(SendToGateway{member.instance, std::move(frame)});
@@ -221,8 +219,7 @@
 Effects agentsAskedFor(const GatewayState &state, const std::string &gateway,
                        const Schema::AskAgents &ask, Common::Moment now)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::KnownAgents;
+    Schema::Frame frame = frameOf(Schema::FrameType::KnownAgents);
     Schema::KnownAgents &known = frame.knownAgents.emplace();
     known.requestId = ask.requestId;
     known.instance = state.self.instance;
--- a/Source/Core/Dispatch/Query/SiteQuery.cpp
+++ b/Source/Core/Dispatch/Query/SiteQuery.cpp
@@ -206,8 +206,7 @@
             continue;
         }
         pending.waitingFor.insert(member.instance);
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::Forward;
+        Schema::Frame frame = frameOf(Schema::FrameType::Forward);
         frame.forward.emplace();
         frame.forward->requestId = pending.requestId;
         frame.forward->kind = Schema::ForwardKind::Query;
@@ -227,8 +226,7 @@
 Effects queryPartAsked(const GatewayState &state, const std::string &gateway,
                        const Schema::Forward &forward, Common::Moment now)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::ForwardAnswer;
+    Schema::Frame frame = frameOf(Schema::FrameType::ForwardAnswer);
     frame.forwardAnswer.emplace();
     frame.forwardAnswer->requestId = forward.requestId;
     const auto parsed = parseQuery(forward.query ? forward.query->text : "");
