--- a/Source/Core/Dispatch/Configuration/ConfigStore.cpp
+++ b/Source/Core/Dispatch/Configuration/ConfigStore.cpp
@@ -4,22 +4,12 @@
 #include <utility>
 
 #include "Dispatch/Configuration/ConfigRules.h"
+#include "Dispatch/Persistence/LogRecords.h"
 
 namespace Dispatch {
 
 namespace {
 
-Schema::LogRecord makeRecord(const ConfigStore &store, Schema::RecordKind kind, Common::Moment now,
-                             Common::Random &random)
-{
-    Schema::LogRecord record;
-    record.id = Common::randomId(random);
-    record.kind = kind;
-    record.instance = store.self;
-    record.wallMs = now.wallMs;
-    return record;
-}
-
 void takeIntoForce(ConfigStore &store, const Schema::Configuration &newer)
 {
     if (newer.version > store.inForce.version) {
@@ -167,7 +157,8 @@
         return {};
     }
     store.snapshotSentMs = now.steadyMs;
-    Schema::LogRecord record = makeRecord(store, Schema::RecordKind::ConfigSnapshot, now, random);
+    Schema::LogRecord record =
+            makeRecord(store.self, Schema::RecordKind::ConfigSnapshot, now, random);
     record.configuration = store.fromLog;
     record.basedOn = store.readOffset;
     return {AppendToLog{LogStream::Config, nextBatch++, {std::move(record)}}};
@@ -215,7 +206,7 @@
     }
     ProposedChange proposal;
     proposal.requestId = requestId;
-    proposal.record = makeRecord(store, Schema::RecordKind::Config, now, random);
+    proposal.record = makeRecord(store.self, Schema::RecordKind::Config, now, random);
     proposal.record.change = change;
     proposal.record.basedOn = basedOn;
     proposal.giveUpAtMs = now.steadyMs + store.settings.verdictTimeoutMs;
--- a/Source/Core/Dispatch/Persistence/Journal.cpp
+++ b/Source/Core/Dispatch/Persistence/Journal.cpp
@@ -3,21 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "Dispatch/Persistence/LogRecords.h"
+
 namespace Dispatch {
 
 namespace {
 
-Schema::LogRecord makeRecord(const JournalState &state, Schema::RecordKind kind, Common::Moment now,
-                             Common::Random &random)
-{
-    Schema::LogRecord record;
-    record.id = Common::randomId(random);
-    record.kind = kind;
-    record.instance = state.self;
-    record.wallMs = now.wallMs;
-    return record;
-}
-
 void withdrawDeclaration(JournalState &state)
 {
     state.unloggedSinceMs = 0;
@@ -53,7 +44,7 @@
         state.marks.pop_front();
         return batch;
     }
-    batch.record = makeRecord(state, Schema::RecordKind::Intents, now, random);
+    batch.record = makeRecord(state.self, Schema::RecordKind::Intents, now, random);
     batch.record.intents.emplace();
     const std::size_t count = std::min(state.held.size(), state.settings.maxBatchIntents);
     for (std::size_t next = 0; next < count; ++next) {
@@ -251,7 +242,7 @@
                             std::vector<Schema::UnloggedWindow> windows, Common::Moment now,
                             Common::Random &random)
 {
-    Schema::LogRecord record = makeRecord(state, Schema::RecordKind::ShardsTaken, now, random);
+    Schema::LogRecord record = makeRecord(state.self, Schema::RecordKind::ShardsTaken, now, random);
     record.shards = std::move(shards);
     record.unloggedWindows = std::move(windows);
     state.marks.push_back(record);
