--- a/Source/Core/Gateway/TransientControl.cpp
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -4,15 +4,6 @@
 
 namespace Gateway {
 
-namespace {
-
-/// Timers may fire late.
-constexpr std::int64_t SettleSlackMs = 170;
-/// A backend server's clock may be slow by one part in so many.
-constexpr std::int64_t ClockRateShare = 50;
-
-} // namespace
-
 TransientControl::TransientControl(Schema::TransientGatewaySettings settings)
     : settings(std::move(settings))
     , discovery(Transient::makeDiscovery(this->settings.peerAddress, this->settings.seeds))
@@ -25,8 +16,8 @@
     this->self.peerPort = peer.port;
     this->self.failureDomain = this->settings.failureDomain;
     this->state.startedMs = this->now.steadyMs;
-    this->state.times.settleMs = this->settings.silenceMs + this->settings.leaseMs
-                                 + this->settings.leaseMs / ClockRateShare + SettleSlackMs;
+    this->state.times.settleMs =
+            Transient::settleTimeMs(this->settings.silenceMs, this->settings.leaseMs);
 }
 
 } // namespace Gateway
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -13,6 +13,9 @@
 
 /// Bounds the work that one round of timers can cost.
 constexpr std::int64_t SweepMs = 20;
+/// A backend server's clock may be slow by one part in so many.
+constexpr std::int64_t ClockRateShare = 50;
+constexpr std::int64_t LateTimersMs = 170;
 
 /// Jobs without an answer for which \a isMeant, in a fixed order, so that a seed replays.
 template <typename Test>
@@ -90,6 +93,11 @@
 
 } // namespace
 
+std::int64_t settleTimeMs(std::int64_t silenceMs, std::int64_t leaseMs)
+{
+    return silenceMs + leaseMs + leaseMs / ClockRateShare + LateTimersMs;
+}
+
 std::string text(double value)
 {
     return std::to_string(static_cast<std::int64_t>(value));
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -40,6 +40,10 @@
     std::int64_t rememberMs = 5000;
 };
 
+/// How long an agent that is gone is waited for, where it acts on what it last heard of a gateway
+/// for \a silenceMs and renews its tasks for \a leaseMs. See GatewayTimes::settleMs.
+std::int64_t settleTimeMs(std::int64_t silenceMs, std::int64_t leaseMs);
+
 /// A submission as it arrives.
 struct Submission
 {
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -385,3 +385,20 @@
     REQUIRE(parked.size() == 1);
     CHECK(parked[0].outcome == JobOutcome::GaveUp);
 }
+
+TEST_CASE("An agent that is gone is waited for until nothing can run there any more")
+{
+    // The agent acts for silenceMs on what it last heard; a renewal at the end of that lasts for
+    // leaseMs, by a clock that is slow by a fiftieth.
+    struct Row
+    {
+        std::int64_t silenceMs;
+        std::int64_t leaseMs;
+        std::int64_t settleMs;
+    };
+    for (const Row &row : {Row{800, 700, 1684}, Row{800, 1000, 1990}, Row{200, 100, 472}}) {
+        CAPTURE(row.silenceMs);
+        CAPTURE(row.leaseMs);
+        CHECK(settleTimeMs(row.silenceMs, row.leaseMs) == row.settleMs);
+    }
+}
