--- a/Source/Core/Dispatch/GatewayCore.cpp
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 
-#include "Dispatch/Owner.h"
-#include "Dispatch/Recovery.h"
-#include "Dispatch/Router.h"
-#include "Dispatch/SiteQuery.h"
-#include "Dispatch/Transfer.h"
+#include "Dispatch/Jobs/JobEnd.h"
+#include "Dispatch/Jobs/Router.h"
+#include "Dispatch/Jobs/TaskReports.h"
+#include "Dispatch/Jobs/TaskStarts.h"
+#include "Dispatch/Ownership/Transfer.h"
+#include "Dispatch/Persistence/Recovery.h"
+#include "Dispatch/Query/SiteQuery.h"
 
 namespace Dispatch {
 
@@ -35,8 +37,7 @@
 
 Effect pongTo(const GatewayState &state, const std::string &agent, const Schema::AgentHello &hello)
 {
-    Schema::Frame frame;
-    frame.type = FrameType::GatewayPong;
+    Schema::Frame frame = frameOf(FrameType::GatewayPong);
     Schema::GatewayPong &pong = frame.gatewayPong.emplace();
     pong.instance = state.self.instance;
     pong.sequence = hello.sequence;
--- a/Source/Core/Dispatch/Requests.cpp
+++ b/Source/Core/Dispatch/Jobs/Requests.cpp
@@ -1,8 +1,10 @@
-#include "Dispatch/Requests.h"
+#include "Dispatch/Jobs/Requests.h"
 
 #include <algorithm>
 
-#include "Dispatch/Ledger.h"
+#include "Dispatch/Effects.h"
+#include "Dispatch/Persistence/JobAnswers.h"
+#include "Dispatch/Persistence/Ledger.h"
 
 namespace Dispatch {
 
@@ -99,8 +101,7 @@
 
 Schema::Frame forwardFrame(const Request &request)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::Forward;
+    Schema::Frame frame = frameOf(Schema::FrameType::Forward);
     Schema::Forward &forward = frame.forward.emplace();
     forward.requestId = request.id;
     forward.kind = request.kind;
--- /dev/null
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -0,0 +1,23 @@
+#include "Gateway/TransientControl.h"
+
+#include <utility>
+
+namespace Gateway {
+
+TransientControl::TransientControl(Schema::TransientGatewaySettings settings)
+    : settings(std::move(settings))
+    , discovery(Transient::makeDiscovery(this->settings.peerAddress, this->settings.seeds))
+    , random(Common::makeRandom())
+    , now(Common::currentMoment())
+{
+    const Net::Address peer = Net::parseAddress(this->settings.peerAddress);
+    this->self.instance = this->settings.name + '-' + Common::randomId(this->random);
+    this->self.host = peer.host;
+    this->self.peerPort = peer.port;
+    this->self.failureDomain = this->settings.failureDomain;
+    this->state.startedMs = this->now.steadyMs;
+    this->state.times.settleMs =
+            Transient::settleTimeMs(this->settings.silenceMs, this->settings.leaseMs);
+}
+
+} // namespace Gateway
