Runner: judge runs by what a new life shows, and start nothing beside an unwanted run

What met it showed the run, and yet all runs were given up. They are judged by the next observation of that life now. - The announcement of a life that was over before this process began counted as a newer one: everything was given up, and the life that is there counted as former, so that the agent took no work for good. An earlier life is met only where the present one does not answer. - While a stop was not taken, renewals ceased, but every start prolonged the lease just the same. Nothing is started meanwhile. - A start that was settled before its answer was forgotten as a grant and raised no fence. - An observation of the millisecond in which a stop was taken counted as asked after it. "What was asked of a former life..." answers the stop that is open there, since nothing starts before. Up to 96 calls may be under way at the backend server: three stops for each run that it has room for.

--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -63,7 +63,12 @@
 
 bool isLate(const RunnerState &state, const Transient::BackendAnnouncement &announcement)
 {
-    if (state.formerLives.count({announcement.id, announcement.startedAtMs}) != 0) {
+    // Of a former life, or of one that was over before this process began. Where the present life
+    // does not answer, any other may have its place: the time of day that lives begin at can jump.
+    const bool isOlder = state.backend && state.backend->startedAtMs != 0
+                         && announcement.startedAtMs < state.backend->startedAtMs;
+    const bool isFormer = state.formerLives.count({announcement.id, announcement.startedAtMs}) != 0;
+    if (state.isAlive && (isOlder || isFormer)) {
         return true;
     }
     return state.backend && state.backend->id == announcement.id
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -26,7 +26,7 @@
 constexpr std::int64_t StopTimeoutMs = 120;
 /// Beyond the wait that an observation asks for.
 constexpr std::int64_t ObserveTimeoutMs = 150;
-constexpr int BackendConnections = 48;
+constexpr int BackendConnections = 96;
 /// One order in twenty may go unanswered for seconds, which says nothing of the connections; a new
 /// one for each call after each of these made 2,700 connections in 44 s.
 constexpr int TimeoutsUntilSuspect = 3;
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -131,6 +131,8 @@
 {
     /// That each renewal grants.
     std::int64_t leaseMs = 700;
+    /// That the backend server grants at most, whatever it is asked for.
+    std::int64_t longestLeaseMs = 1000;
     /// How long an observation waits for an end: a third of the lease, since it renews as well.
     std::int64_t watchMs = 200;
     /// An observation that has not come back so long after its wait is followed by another one on
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -146,6 +146,15 @@
 
 } // namespace
 
+bool hasUnstopped(const RunnerState &state, Common::Moment now)
+{
+    return std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
+        const Run &run = entry.second;
+        return run.phase == RunPhase::Stopping && run.stopTakenMs == 0
+               && now.steadyMs > run.stopAskedMs + state.times.unstoppedMs;
+    });
+}
+
 void fenceOff(RunnerState &state, std::int64_t usedFence)
 {
     if (usedFence == state.fence) {
@@ -174,6 +183,11 @@
                Common::Moment now)
 {
     const Run run = state.runs.at(id);
+    if (run.isStartPending) {
+        // Its answer will find nothing here to judge by.
+        state.grantedMs = std::max(state.grantedMs, run.startSentMs);
+        fenceOff(state, run.startFence);
+    }
     Schema::AttemptState ended;
     ended.task = run.task;
     ended.attempt = run.attempt;
@@ -193,7 +207,8 @@
 Effects startRuns(RunnerState &state, Common::Moment now)
 {
     Effects effects;
-    if (!state.isClean || state.isStopping || !state.isAlive || !state.clockOffsetMs) {
+    if (!state.isClean || state.isStopping || !state.isAlive || !state.clockOffsetMs
+        || hasUnstopped(state, now)) {
         return effects;
     }
     for (const RunId id : startable(state, now)) {
@@ -319,8 +334,8 @@
         if (run.phase == RunPhase::Queued) {
             continue;
         }
-        const bool mayStillStart =
-                !run.isStartKnown && now.steadyMs <= run.startSentMs + state.times.lateStartMs;
+        const bool mayStillStart = !run.isStartKnown && run.stopTakenMs == 0
+                                   && now.steadyMs <= run.startSentMs + state.times.lateStartMs;
         (mayStillStart ? unknown : over).push_back(id);
     }
     for (const RunId id : over) {
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -17,6 +17,11 @@
 /// Where it was raised here since, the next call has it already.
 void passFence(RunnerState &state, std::int64_t usedFence);
 
+/// Whether something goes on that had to end. A lease is for all that runs, and every start and
+/// renewal prolongs it, so none is made and all of it is left to lapse: what was stopped for a lost
+/// gateway or a caller that left runs again elsewhere soon.
+bool hasUnstopped(const RunnerState &state, Common::Moment now);
+
 /// Starts what has room now.
 Effects startRuns(RunnerState &state, Common::Moment now);
 
--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -123,8 +123,8 @@
             run.missed = 0;
             continue;
         }
-        const bool isStopped = run.phase == RunPhase::Stopping && run.stopTakenMs != 0
-                               && sentMs >= run.stopTakenMs;
+        const bool isStopped =
+                run.phase == RunPhase::Stopping && run.stopTakenMs != 0 && sentMs > run.stopTakenMs;
         // Calls overtake each other: only what was asked after the answer came surely saw the run.
         const bool isMissing = run.phase == RunPhase::Running && sentMs >= run.startAnsweredMs
                                && ++run.missed >= MostMissed;
@@ -146,6 +146,7 @@
     effects.emplace_back(
             Transient::Note{"backend_restarted", {{"started_at_ms", std::to_string(startedAtMs)}}});
     const Transient::BackendAnnouncement before = *state.backend;
+    state.formerLives.erase({before.id, startedAtMs});
     state.backend->startedAtMs = startedAtMs;
     // Its own announcements count from the beginning: compared with those of the former life, they
     // would all seem late.
@@ -156,7 +157,12 @@
 
 void becomeClean(RunnerState &state, Effects &effects, const Transient::Observation &seen)
 {
-    if (state.isClean || !seen.active.empty()) {
+    const bool isAllKnown = std::all_of(
+            seen.active.begin(), seen.active.end(), [&state](const Transient::ActiveRun &active) {
+                RunId id = 0;
+                return findRun(state, active.task, active.number, id) != nullptr;
+            });
+    if (state.isClean || !isAllKnown) {
         return;
     }
     state.isClean = true;
@@ -232,17 +238,6 @@
     return state.silentSinceMs != 0 && now.steadyMs > state.silentSinceMs + ms;
 }
 
-/// Whether something goes on that had to end. A lease is for all that runs, so all of it is left to
-/// lapse: what was stopped for a lost gateway or a caller that left runs again elsewhere soon.
-bool hasUnstopped(const RunnerState &state, Common::Moment now)
-{
-    return std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
-        const Run &run = entry.second;
-        return run.phase == RunPhase::Stopping && run.stopTakenMs == 0
-               && now.steadyMs > run.stopAskedMs + state.times.unstoppedMs;
-    });
-}
-
 void becomeSilent(RunnerState &state, Effects &effects, ObserveOutcome outcome, Common::Moment now)
 {
     if (!state.isAlive) {
@@ -311,16 +306,29 @@
     state.isClean = false;
     // The new life has seen no fence; orders to the former one that arrive late are below this one.
     ++state.fence;
-    loseStarted(state, effects, Reason::BackendLost, now);
+    // A start may have reached this life before it was met, with a lease by the former life's
+    // clock.
+    state.grantedMs = std::max(state.grantedMs,
+                               now.steadyMs + state.times.longestLeaseMs - state.times.leaseMs);
+    std::vector<RunId> unanswered;
     for (auto &[id, run] : state.runs) {
-        if (run.phase == RunPhase::Stopping) {
-            // The former life has taken the stop, this one has not.
-            run.isStartPending = false;
-            run.stopTakenMs = 0;
-            run.stopTries = 0;
-            run.nextStopMs = now.steadyMs;
+        if (run.phase == RunPhase::Running) {
+            // Over, unless this life has it: the next observation tells.
+            run.startAnsweredMs = now.steadyMs + 1;
+            run.missed = MostMissed - 1;
+        } else if (run.phase != RunPhase::Queued) {
+            unanswered.push_back(id);
         }
     }
+    for (const RunId id : unanswered) {
+        stopRun(state, effects, id, Reason::BackendLost, now);
+        Run &run = state.runs.at(id);
+        // The former life may have taken the stop, this one has not.
+        run.isStartPending = false;
+        run.stopTakenMs = 0;
+        run.stopTries = 0;
+        run.nextStopMs = now.steadyMs;
+    }
 }
 
 Effects observeMore(RunnerState &state, Common::Moment now)
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -306,6 +306,7 @@
     backendAnnounced(site.state, next, at(1000));
     const auto look = lastOf<CallObserve>(tick(site.state, at(1100)));
     REQUIRE(look.has_value());
+    stopAnswered(site.state, "a.0.0", former.start.number, true, at(1100));
     site.seen(look->watch, 1101, next.startedAtMs);
     const CallStart start = site.order("b.0.0", 1200);
     site.answer(start, 1202);
@@ -465,3 +466,190 @@
     startAnswered(site.state, next.run, next.start.number, {StartOutcome::Unanswered, {}}, at(560));
     CHECK(site.state.fence > raised);
 }
+
+namespace {
+
+/// An answer of the life \a startedAtMs that shows \a active.
+Effects shows(Fixture &site, std::uint64_t watch, std::int64_t nowMs, std::int64_t startedAtMs,
+              const std::vector<Transient::ActiveRun> &active)
+{
+    Transient::ObserveAnswer answer;
+    answer.outcome = ObserveOutcome::Seen;
+    answer.seen.clockMs = nowMs;
+    answer.seen.startedAtMs = startedAtMs;
+    answer.seen.active = active;
+    return observed(site.state, watch, answer, at(nowMs));
+}
+
+std::uint64_t nextLook(Fixture &site, std::int64_t fromMs)
+{
+    for (std::int64_t nowMs = fromMs; nowMs < fromMs + 1000; ++nowMs) {
+        if (const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)))) {
+            return call->watch;
+        }
+    }
+    FAIL("no observation");
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("A run that a new life has taken goes on when that life is met")
+{
+    // A backend server restarts under its id while its agent has nothing to ask. It takes the next
+    // start before it has announced itself. What shows the new life shows the run, too: given up
+    // with the runs of the former life, its task would start elsewhere beside it.
+    for (const bool isMetInAnnouncement : {false, true}) {
+        CAPTURE(isMetInAnnouncement);
+        Fixture site;
+        constexpr std::int64_t BornMs = 4900;
+        const CallStart start = site.order("a.0.0", 5000);
+        site.answer(start, 5003);
+        const std::vector<Transient::ActiveRun> active = {{"a.0.0", start.start.number, 1}};
+        if (isMetInAnnouncement) {
+            Transient::BackendAnnouncement next = *site.state.backend;
+            next.startedAtMs = BornMs;
+            next.sequence = 1;
+            backendAnnounced(site.state, next, at(5005));
+        } else {
+            shows(site, site.asked, 5005, BornMs, active);
+        }
+        CHECK(site.isKnown(start.run));
+        shows(site, nextLook(site, 5010), 5050, BornMs, active);
+        CHECK(site.isKnown(start.run));
+        CHECK(site.state.isClean);
+    }
+}
+
+TEST_CASE("A run that a new life does not have is given up at the first look")
+{
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 5000);
+    site.answer(start, 5003);
+    shows(site, site.asked, 5005, 4900, {});
+    CHECK(site.isKnown(start.run));
+    shows(site, nextLook(site, 5010), 5050, 4900, {});
+    CHECK_FALSE(site.isKnown(start.run));
+}
+
+TEST_CASE("An announcement of a life that was over before this agent began changes nothing")
+{
+    // It was held up on its way while its sender crashed and another life took its place. Taken for
+    // a newer one, it would have all runs given up, and every later announcement of the life that
+    // is there would count as late: the agent would take no work for good.
+    for (const char *id : {"backend-0", "backend-1"}) {
+        CAPTURE(std::string(id));
+        Fixture site;
+        Transient::BackendAnnouncement present = *site.state.backend;
+        present.startedAtMs = 1000;
+        site.state.backend = present;
+        const CallStart start = site.order("a.0.0", 1200);
+        site.answer(start, 1202);
+        Transient::BackendAnnouncement dead = present;
+        dead.id = id;
+        dead.startedAtMs = 500;
+        dead.sequence = 3;
+        backendAnnounced(site.state, dead, at(1250));
+        CHECK(site.isKnown(start.run));
+        present.sequence = 2;
+        present.leaving = true;
+        backendAnnounced(site.state, present, at(1300));
+        CHECK(site.state.backend->id == present.id);
+        CHECK(site.state.backend->leaving);
+    }
+}
+
+TEST_CASE("A life with an earlier start is met where the present one is gone")
+{
+    // The time of day was set back before a backend server began another life: its start seems
+    // older than that of the life before. It counts as soon as the former one answers no more.
+    Fixture site;
+    site.state.backend->startedAtMs = 9000;
+    Transient::BackendAnnouncement next = *site.state.backend;
+    next.id = "backend-2";
+    next.startedAtMs = 4000;
+    next.sequence = 1;
+    backendAnnounced(site.state, next, at(100));
+    CHECK(site.state.backend->id == "backend-1");
+    site.order("a.0.0", 110);
+    site.lookFails(ObserveOutcome::OtherLife, 112);
+    observeInVain(site, ObserveOutcome::OtherLife, 120, 2000);
+    REQUIRE_FALSE(site.state.isAlive);
+    next.sequence = 2;
+    backendAnnounced(site.state, next, at(2000));
+    CHECK(site.state.backend->id == "backend-2");
+}
+
+TEST_CASE("Nothing is started while a stop is not taken")
+{
+    // A start prolongs the lease of all that runs there, as a renewal does. The gateway of a run is
+    // killed, its stops go unanswered, and orders of another gateway wait: started, each would keep
+    // the unwanted run at work after its caller has submitted it again.
+    constexpr std::int64_t LinkLostMs = 300;
+    constexpr std::int64_t ResubmittedMs = 1300;
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    grantReceived(site.state, "gateway-2", 1);
+    gatewayLost(site.state, Gateway, at(LinkLostMs));
+    std::int64_t lastLeaseMs = 0;
+    for (std::int64_t nowMs = LinkLostMs; nowMs < 3000; nowMs += 10) {
+        Effects effects;
+        if (nowMs % 100 == 0) {
+            Schema::TaskOrders orders;
+            orders.sequence = nowMs;
+            orders.echoMs = nowMs;
+            orders.resources.processors = 0.1;
+            orders.targetInMs = 1000;
+            orders.deadlineInMs = 20'000;
+            orders.tasks.push_back({1, "b" + std::to_string(nowMs) + ".0.0"});
+            append(effects, ordersReceived(site.state, "gateway-2", orders, at(nowMs)));
+        }
+        append(effects, tick(site.state, at(nowMs)));
+        if (const auto made = lastOf<CallStart>(effects)) {
+            lastLeaseMs = std::max(lastLeaseMs, made->start.leaseUntilMs);
+            site.answer(*made, nowMs + 2);
+        }
+        if (const auto call = lastOf<CallObserve>(effects)) {
+            site.seen(call->watch, nowMs + 3);
+        }
+    }
+    CHECK(lastLeaseMs < ResubmittedMs);
+}
+
+TEST_CASE("An observation of the millisecond in which a stop was taken proves nothing")
+{
+    // It was asked for before the answer to the stop came in, and may have been carried out before
+    // a start that is late.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.lookFails(ObserveOutcome::Refused, 12);
+    Schema::WithdrawTasks withdraw;
+    withdraw.tasks.push_back({1, "a.0.0"});
+    withdrawReceived(site.state, Gateway, withdraw, at(99));
+    const auto look = lastOf<CallObserve>(tick(site.state, at(99)));
+    REQUIRE(look.has_value());
+    stopAnswered(site.state, "a.0.0", start.start.number, true, at(99));
+    shows(site, look->watch, 102, 1, {});
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("A start that is settled before its answer counts as unanswered")
+{
+    // A task is withdrawn while its start is open; the stop is taken and the run is not shown. The
+    // start may yet be carried out and prolong what else runs there: it stays counted as a grant,
+    // and the fence is above it.
+    Fixture site;
+    const std::int64_t fence = site.state.fence;
+    const CallStart start = site.order("a.0.0", 10);
+    Schema::WithdrawTasks withdraw;
+    withdraw.tasks.push_back({1, "a.0.0"});
+    withdrawReceived(site.state, Gateway, withdraw, at(12));
+    tick(site.state, at(12));
+    site.lookFails(ObserveOutcome::Refused, 13);
+    stopAnswered(site.state, "a.0.0", start.start.number, true, at(15));
+    shows(site, nextLook(site, 16), 121, 1, {});
+    CHECK_FALSE(site.isKnown(start.run));
+    CHECK(site.state.fence > fence);
+    CHECK(site.state.grantedMs >= 10);
+}
