UnitTests: backend servers that refuse, fall silent or begin anew while they work on

The model of a site could lose or delay single calls; what the incidents showed is more: refusals by a backend server that works on, answers lost at once rather than after a timeout, servers that carry calls out and answer none, that hang, that no connection reaches, that begin another life while orders are on their way, whose former life is heard late, and that leave with runs still going. Each is a knob now; all are off unless a test turns them on. The time of day of agents can step back.

The model was wrong in two ways that hid failures. The answer to an observation that waits for an end was given although it had been drawn as lost, so a lost answer to one was never seen. A call whose backend server died before it was carried out ended neither with an answer nor with a timeout. Both now end as they would: each call has one end, its timeout at the latest. A backend server also announces itself every 1.5 s, with a count that starts anew in each life.

--- a/Source/UnitTests/Transient/ModelBackend.cpp
+++ b/Source/UnitTests/Transient/ModelBackend.cpp
@@ -178,6 +178,8 @@
 void restart(ModelBackend &backend, std::int64_t nowMs)
 {
     backend.isUp = true;
+    backend.isLeaving = false;
+    backend.trouble = {};
     backend.startedAtMs = nowMs + 1;
     backend.clockOffsetMs = -nowMs;
     backend.leaseUntilMs = 0;
--- a/Source/UnitTests/Transient/ModelBackend.h
+++ b/Source/UnitTests/Transient/ModelBackend.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,19 @@
 std::string payloadOf(const ModelWork &work);
 ModelWork workOf(const std::string &payload);
 
+/// What is wrong with a backend server that lives and works on.
+struct BackendTrouble
+{
+    /// Of the calls: it refuses them and has done nothing then.
+    double refusedShare = 0;
+    /// It carries calls out and answers none.
+    std::int64_t muteUntilMs = 0;
+    /// It neither carries calls out nor answers them.
+    std::int64_t hungUntilMs = 0;
+    /// No connection can be made.
+    std::int64_t unreachableUntilMs = 0;
+};
+
 struct ModelBackend
 {
     std::string id;
@@ -49,6 +63,10 @@
     /// Every task fails at once.
     bool failsAll = false;
     bool isUp = true;
+    bool isLeaving = false;
+    BackendTrouble trouble;
+    /// What the life before this one said last.
+    std::optional<Transient::BackendAnnouncement> formerLife;
     std::int64_t startedAtMs = 1;
     std::int64_t clockOffsetMs = 0;
     std::int64_t leaseUntilMs = 0;
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t StartTimeoutMs = 150;
 constexpr std::int64_t StopTimeoutMs = 120;
 constexpr std::int64_t ObserveGraceMs = 150;
+constexpr std::int64_t AnnounceEveryMs = 1500;
 constexpr std::int64_t Never = std::int64_t{1} << 40U;
 constexpr const char *Service = "repair-desk";
 
@@ -105,17 +106,18 @@
     }
 }
 
-void startAtBackend(World &world, int backend, const Transient::RunStart &start,
-                    const std::function<void(Transient::StartAnswer)> &answered)
+Transient::StartAnswer startAtBackend(World &world, int backend, const Transient::RunStart &start)
 {
+    for (ModelBackend &each : world.backends) {
+        advance(each, world.nowMs);
+    }
     ModelBackend &target = backendAt(world, backend);
-    advance(target, world.nowMs);
     const std::size_t before = target.runs.size();
     const Transient::StartAnswer answer = applyStart(target, start, world.nowMs);
     if (target.runs.size() > before) {
         judgeStart(world, backend, start);
     }
-    answered(answer);
+    return answer;
 }
 
 enum class CallFate { Answered, AnswerLost, CarriedOutLate };
@@ -128,70 +130,137 @@
     return happens(world, 0.5) ? CallFate::AnswerLost : CallFate::CarriedOutLate;
 }
 
-/// Runs \a call at the backend server and \a answered, or \a unanswered after the timeout, at the
-/// agent, which may have died meanwhile.
+enum class CallFailure { Unanswered, NotConnected, Refused };
+
+/// A call on its way. Its first end counts, and goes to the process that made it.
+struct Call
+{
+    int agent = 0;
+    std::string instance;
+    /// Life of the backend server that it was meant for.
+    std::int64_t lifeMs = 0;
+    bool isAnswerLost = false;
+    bool isOver = false;
+    std::function<void(CallFailure)> failed;
+};
+
+using CallPtr = std::shared_ptr<Call>;
+
+void endCall(World &world, const CallPtr &call, std::function<void()> event)
+{
+    if (call->isOver) {
+        return;
+    }
+    call->isOver = true;
+    SiteAgent &process = agentAt(world, call->agent);
+    if (process.isUp && process.state.instance == call->instance) {
+        handTo(world, process, std::move(event));
+    }
+}
+
+void failCallIn(World &world, std::int64_t inMs, const CallPtr &call, CallFailure failure)
+{
+    at(world, inMs, [&world, call, failure] {
+        endCall(world, call, [call, failure] { call->failed(failure); });
+    });
+}
+
+void answerCall(World &world, const CallPtr &call, const std::function<void()> &answered)
+{
+    const bool isMute = world.nowMs < backendAt(world, call->agent).trouble.muteUntilMs;
+    if (!call->isAnswerLost && !isMute) {
+        at(world, 1, [&world, call, answered] { endCall(world, call, answered); });
+    }
+}
+
+/// Runs \a carriedOut at the backend server, which ends the call by answerCall or later.
+void arriveAtBackend(World &world, const CallPtr &call, bool isLate,
+                     const std::function<void(const CallPtr &)> &carriedOut)
+{
+    const ModelBackend &target = backendAt(world, call->agent);
+    const bool isOtherLife = target.startedAtMs != call->lifeMs;
+    if (!target.isUp || (isOtherLife && !(isLate && world.lateOrdersReachNextLife))) {
+        // The connection breaks with its end.
+        failCallIn(world, 1, call, CallFailure::Unanswered);
+        return;
+    }
+    if (world.nowMs >= target.trouble.hungUntilMs) {
+        carriedOut(call);
+    }
+}
+
+/// The call fails with \a failed, after the timeout at the latest, at the agent, which may have
+/// died meanwhile.
 void callBackend(World &world, int agent, std::int64_t timeoutMs,
-                 const std::function<std::function<void()>()> &call,
-                 const std::function<void(bool connected)> &unanswered)
+                 const std::function<void(const CallPtr &)> &carriedOut,
+                 const std::function<void(CallFailure)> &failed)
 {
-    const std::string instance = agentAt(world, agent).state.instance;
-    const auto toAgent = [&world, agent, instance](std::function<void()> event) {
-        SiteAgent &process = agentAt(world, agent);
-        if (process.isUp && process.state.instance == instance) {
-            handTo(world, process, std::move(event));
-        }
-    };
-    if (!backendAt(world, agent).isUp) {
-        at(world, 1, [toAgent, unanswered] { toAgent([unanswered] { unanswered(false); }); });
+    const ModelBackend &target = backendAt(world, agent);
+    auto call = std::make_shared<Call>();
+    call->agent = agent;
+    call->instance = agentAt(world, agent).state.instance;
+    call->lifeMs = target.startedAtMs;
+    call->failed = failed;
+    if (!target.isUp || world.nowMs < target.trouble.unreachableUntilMs) {
+        failCallIn(world, 1, call, CallFailure::NotConnected);
+        return;
+    }
+    failCallIn(world, timeoutMs, call, CallFailure::Unanswered);
+    if (target.trouble.refusedShare > 0 && happens(world, target.trouble.refusedShare)) {
+        failCallIn(world, 2, call, CallFailure::Refused);
         return;
     }
     const CallFate fate = drawFate(world);
-    const auto giveUp = [toAgent, unanswered] { toAgent([unanswered] { unanswered(true); }); };
-    if (fate != CallFate::Answered) {
-        at(world, timeoutMs, giveUp);
+    call->isAnswerLost = fate != CallFate::Answered;
+    if (call->isAnswerLost && world.answersAreLostAtOnce) {
+        constexpr std::int64_t MostMs = 3;
+        failCallIn(world, between(world, 1, MostMs), call, CallFailure::Unanswered);
     }
     constexpr std::int64_t LeastLateMs = 2000;
     constexpr std::int64_t MostLateMs = 12'000;
-    const std::int64_t startedAt = backendAt(world, agent).startedAtMs;
-    const std::int64_t delayMs =
-            fate == CallFate::CarriedOutLate ? between(world, LeastLateMs, MostLateMs) : 1;
-    at(world, delayMs, [&world, agent, call, toAgent, fate, startedAt] {
-        const ModelBackend &target = backendAt(world, agent);
-        if (!target.isUp || target.startedAtMs != startedAt) {
-            return;
-        }
-        const std::function<void()> answered = call();
-        if (fate == CallFate::Answered) {
-            at(world, 1, [toAgent, answered] { toAgent(answered); });
-        }
-    });
+    const bool isLate = fate == CallFate::CarriedOutLate;
+    const std::int64_t delayMs = isLate ? between(world, LeastLateMs, MostLateMs) : 1;
+    at(world, delayMs,
+       [&world, call, isLate, carriedOut] { arriveAtBackend(world, call, isLate, carriedOut); });
+}
+
+Transient::StartOutcome startOutcomeOf(CallFailure failure)
+{
+    using Transient::StartOutcome;
+    return failure == CallFailure::Refused        ? StartOutcome::Refused
+           : failure == CallFailure::NotConnected ? StartOutcome::NotConnected
+                                                  : StartOutcome::Unanswered;
+}
+
+Transient::ObserveOutcome observeOutcomeOf(CallFailure failure)
+{
+    using Transient::ObserveOutcome;
+    return failure == CallFailure::Refused        ? ObserveOutcome::Refused
+           : failure == CallFailure::NotConnected ? ObserveOutcome::NotConnected
+                                                  : ObserveOutcome::Unanswered;
 }
 
 void carryOutOne(World &world, int agent, const Runner::CallStart &effect)
 {
+    const auto tell = [&world, agent, effect](const Transient::StartAnswer &answer) {
+        carryOut(world, agent,
+                 Runner::startAnswered(agentAt(world, agent).state, effect.run, effect.start.number,
+                                       answer, moment(world)));
+    };
     callBackend(
             world, agent, StartTimeoutMs,
-            [&world, agent, effect, sentMs = world.nowMs] {
-                Transient::StartAnswer answer;
+            [&world, agent, effect, tell, sentMs = world.nowMs](const CallPtr &call) {
                 Transient::RunStart start = effect.start;
                 if (world.lateLeasesCountFromArrival) {
                     start.leaseUntilMs += world.nowMs - sentMs;
                 }
-                startAtBackend(world, agent, start,
-                               [&answer](const Transient::StartAnswer &given) { answer = given; });
-                return [&world, agent, effect, answer] {
-                    carryOut(world, agent,
-                             Runner::startAnswered(agentAt(world, agent).state, effect.run,
-                                                   effect.start.number, answer, moment(world)));
-                };
+                const Transient::StartAnswer answer = startAtBackend(world, agent, start);
+                answerCall(world, call, [tell, answer] { tell(answer); });
             },
-            [&world, agent, effect](bool connected) {
+            [tell](CallFailure failure) {
                 Transient::StartAnswer answer;
-                answer.outcome = connected ? Transient::StartOutcome::Unanswered
-                                           : Transient::StartOutcome::NotConnected;
-                carryOut(world, agent,
-                         Runner::startAnswered(agentAt(world, agent).state, effect.run,
-                                               effect.start.number, answer, moment(world)));
+                answer.outcome = startOutcomeOf(failure);
+                tell(answer);
             });
 }
 
@@ -204,12 +273,12 @@
     };
     callBackend(
             world, agent, StopTimeoutMs,
-            [&world, agent, effect, fence, tell]() -> std::function<void()> {
+            [&world, agent, effect, fence, tell](const CallPtr &call) {
                 const bool taken = applyStop(backendAt(world, agent), effect.task, effect.number,
                                              fence, world.nowMs);
-                return [tell, taken] { tell(taken); };
+                answerCall(world, call, [tell, taken] { tell(taken); });
             },
-            [tell](bool) { tell(false); });
+            [tell](CallFailure) { tell(false); });
 }
 
 void answerObserve(World &world, int agent, std::uint64_t watch,
@@ -220,56 +289,55 @@
 }
 
 /// Answers as soon as there is an end, or when the wait is over.
-void waitForNews(World &world, int agent, const Runner::CallObserve &effect, std::int64_t fence,
-                 std::int64_t untilMs, const std::string &instance, std::int64_t startedAt)
+void waitForNews(World &world, const CallPtr &call, const Runner::CallObserve &effect,
+                 std::int64_t fence, std::int64_t untilMs)
 {
+    const int agent = call->agent;
     ModelBackend &backend = backendAt(world, agent);
-    if (!backend.isUp || backend.startedAtMs != startedAt) {
+    if (!backend.isUp || backend.startedAtMs != call->lifeMs) {
+        failCallIn(world, 1, call, CallFailure::Unanswered);
         return;
     }
     advance(backend, world.nowMs);
-    if (!hasNews(backend, effect.lastEnd) && world.nowMs < untilMs) {
-        at(world, 1, [&world, agent, effect, fence, untilMs, instance, startedAt] {
-            waitForNews(world, agent, effect, fence, untilMs, instance, startedAt);
+    const bool isHung = world.nowMs < backend.trouble.hungUntilMs;
+    if (isHung || (!hasNews(backend, effect.lastEnd) && world.nowMs < untilMs)) {
+        at(world, 1, [&world, call, effect, fence, untilMs] {
+            waitForNews(world, call, effect, fence, untilMs);
         });
         return;
     }
     const Transient::ObserveAnswer answer =
             applyObserve(backend, fence, effect.lastEnd, 0, world.nowMs);
-    at(world, 1, [&world, agent, effect, answer, instance] {
-        SiteAgent &process = agentAt(world, agent);
-        if (process.isUp && process.state.instance == instance) {
-            handTo(world, process, [&world, agent, effect, answer] {
-                answerObserve(world, agent, effect.watch, answer);
-            });
-        }
+    answerCall(world, call, [&world, agent, effect, answer] {
+        answerObserve(world, agent, effect.watch, answer);
     });
 }
 
 void carryOutOne(World &world, int agent, const Runner::CallObserve &effect)
 {
     const std::int64_t fence = agentAt(world, agent).state.fence;
-    const std::string instance = agentAt(world, agent).state.instance;
     callBackend(
             world, agent, effect.waitMs + ObserveGraceMs,
-            [&world, agent, effect, fence, instance]() -> std::function<void()> {
+            [&world, agent, effect, fence, sentMs = world.nowMs](const CallPtr &call) {
                 ModelBackend &backend = backendAt(world, agent);
                 advance(backend, world.nowMs);
-                const auto first = applyObserve(backend, fence, effect.lastEnd, effect.leaseUntilMs,
-                                                world.nowMs);
-                if (first.outcome != Transient::ObserveOutcome::Seen || effect.waitMs == 0) {
-                    return [&world, agent, effect, first] {
-                        answerObserve(world, agent, effect.watch, first);
-                    };
+                const bool isMoved = world.lateLeasesCountFromArrival && effect.leaseUntilMs != 0;
+                const std::int64_t leaseUntilMs =
+                        effect.leaseUntilMs + (isMoved ? world.nowMs - sentMs : 0);
+                const auto first =
+                        applyObserve(backend, fence, effect.lastEnd, leaseUntilMs, world.nowMs);
+                if (first.outcome == Transient::ObserveOutcome::Seen && effect.waitMs > 0
+                    && backend.startedAtMs == call->lifeMs) {
+                    waitForNews(world, call, effect, fence, world.nowMs + effect.waitMs);
+                    return;
                 }
-                waitForNews(world, agent, effect, fence, world.nowMs + effect.waitMs, instance,
-                            backend.startedAtMs);
-                return [] {};
+                answerCall(world, call, [&world, agent, effect, first] {
+                    answerObserve(world, agent, effect.watch, first);
+                });
             },
-            [&world, agent, effect](bool connected) {
+            [&world, agent, effect](CallFailure failure) {
                 Transient::ObserveAnswer answer;
-                answer.outcome = connected ? Transient::ObserveOutcome::Unanswered
-                                           : Transient::ObserveOutcome::NotConnected;
+                answer.outcome = observeOutcomeOf(failure);
                 answerObserve(world, agent, effect.watch, answer);
             });
 }
@@ -692,6 +760,35 @@
     });
 }
 
+Transient::BackendAnnouncement announcementOf(const World &world, int index)
+{
+    const ModelBackend &backend = world.backends[static_cast<std::size_t>(index)];
+    Transient::BackendAnnouncement announcement;
+    announcement.id = backend.id;
+    announcement.service = Service;
+    announcement.address = "127.0.0.1:9000";
+    announcement.resources.processors = backend.processors;
+    announcement.resources.memoryMb = 1 << 20;
+    announcement.startedAtMs = backend.startedAtMs;
+    announcement.leaving = backend.isLeaving;
+    // Its count starts anew with each life.
+    announcement.sequence = world.nowMs + 2 - backend.startedAtMs;
+    return announcement;
+}
+
+void announceBackend(World &world, int backend, const Transient::BackendAnnouncement &announcement)
+{
+    SiteAgent &agent = agentAt(world, backend);
+    if (!agent.isUp) {
+        return;
+    }
+    handTo(world, agent, [&world, backend, announcement] {
+        carryOut(world, backend,
+                 Runner::backendAnnounced(agentAt(world, backend).state, announcement,
+                                          moment(world)));
+    });
+}
+
 void step(World &world)
 {
     ++world.nowMs;
@@ -722,24 +819,15 @@
     }
     for (std::size_t agent = 0; agent < world.agents.size(); ++agent) {
         driveAgent(world, static_cast<int>(agent));
+        const ModelBackend &backend = world.backends[agent];
+        if (backend.isUp && (world.nowMs - backend.startedAtMs) % AnnounceEveryMs == 0) {
+            announceBackend(world, static_cast<int>(agent),
+                            announcementOf(world, static_cast<int>(agent)));
+        }
     }
     driveCallers(world);
 }
 
-Transient::BackendAnnouncement announcementOf(const World &world, int index)
-{
-    const ModelBackend &backend = world.backends[static_cast<std::size_t>(index)];
-    Transient::BackendAnnouncement announcement;
-    announcement.id = backend.id;
-    announcement.service = Service;
-    announcement.address = "127.0.0.1:9000";
-    announcement.resources.processors = backend.processors;
-    announcement.resources.memoryMb = 1 << 20;
-    announcement.startedAtMs = backend.startedAtMs;
-    announcement.sequence = world.nowMs;
-    return announcement;
-}
-
 } // namespace
 
 std::unique_ptr<World> makeWorld(std::uint64_t seed, int gateways, int agents,
@@ -861,7 +949,7 @@
     state.name = "agent-" + std::to_string(agent);
     state.instance = state.name + '-' + std::to_string(++world.lastNumber);
     state.service = Service;
-    state.fence = world.safeguards.fence ? static_cast<std::int64_t>(world.lastNumber) : 1;
+    state.fence = world.safeguards.fence ? world.nowMs + world.wallClockStepMs : 1;
     if (!world.safeguards.grants) {
         state.times.grantMs = Never;
     }
@@ -883,30 +971,53 @@
 
 void restartBackend(World &world, int backend)
 {
-    if (backendAt(world, backend).isUp) {
+    ModelBackend &restarted = backendAt(world, backend);
+    if (restarted.isUp) {
         return;
     }
-    restart(backendAt(world, backend), world.nowMs);
-    SiteAgent &agent = agentAt(world, backend);
-    const auto announcement = announcementOf(world, backend);
-    if (agent.isUp) {
-        handTo(world, agent, [&world, backend, announcement] {
-            carryOut(world, backend,
-                     Runner::backendAnnounced(agentAt(world, backend).state, announcement,
-                                              moment(world)));
-        });
+    restarted.formerLife = announcementOf(world, backend);
+    restart(restarted, world.nowMs);
+    announceBackend(world, backend, announcementOf(world, backend));
+}
+
+void replaceBackend(World &world, int backend)
+{
+    crashBackend(world, backend);
+    restartBackend(world, backend);
+}
+
+void announceFormerLife(World &world, int backend)
+{
+    const ModelBackend &target = backendAt(world, backend);
+    if (target.isUp && target.formerLife) {
+        announceBackend(world, backend, *target.formerLife);
     }
 }
 
 void backendLeaves(World &world, int backend)
 {
-    auto announcement = announcementOf(world, backend);
-    announcement.leaving = true;
-    if (agentAt(world, backend).isUp) {
-        carryOut(world, backend,
-                 Runner::backendAnnounced(agentAt(world, backend).state, announcement,
-                                          moment(world)));
+    backendAt(world, backend).isLeaving = true;
+    announceBackend(world, backend, announcementOf(world, backend));
+}
+
+void backendEnds(World &world, int backend, std::int64_t afterMs)
+{
+    const ModelBackend &ending = backendAt(world, backend);
+    if (!ending.isUp) {
+        return;
     }
+    SiteAgent &agent = agentAt(world, backend);
+    if (agent.isUp) {
+        handTo(world, agent, [&world, backend, id = ending.id] {
+            carryOut(world, backend,
+                     Runner::backendLeft(agentAt(world, backend).state, id, moment(world)));
+        });
+    }
+    at(world, afterMs, [&world, backend, lifeMs = ending.startedAtMs] {
+        if (backendAt(world, backend).startedAtMs == lifeMs) {
+            crashBackend(world, backend);
+        }
+    });
 }
 
 void resetLink(World &world, int gateway, int agent)
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -107,6 +107,13 @@
     double unansweredShare = 0;
     /// Time that a late order grants counts from its arrival.
     bool lateLeasesCountFromArrival = false;
+    /// The connection ends within 3 ms where an answer is lost; otherwise the caller waits for its
+    /// timeout.
+    bool answersAreLostAtOnce = false;
+    /// A late order to a former life is carried out by the one that has its place.
+    bool lateOrdersReachNextLife = false;
+    /// By how much the time of day of agents was set. Their fences start from it.
+    std::int64_t wallClockStepMs = 0;
     Safeguards safeguards;
 
     /// Promises found broken, in the order they broke.
@@ -133,7 +140,14 @@
 void freezeAgent(World &world, int agent, std::int64_t forMs);
 void crashBackend(World &world, int backend);
 void restartBackend(World &world, int backend);
+/// Crashes, and another life has its place at once.
+void replaceBackend(World &world, int backend);
+/// A message that the former life had sent arrives.
+void announceFormerLife(World &world, int backend);
+/// Says that it will leave, and works on.
 void backendLeaves(World &world, int backend);
+/// Says that it has left; what runs there runs on for \a afterMs.
+void backendEnds(World &world, int backend, std::int64_t afterMs);
 /// The connection breaks, and both ends see it.
 void resetLink(World &world, int gateway, int agent);
 /// The connection swallows what is sent on it.
