UnitTests: a backend server's clock starts at zero with each life

It started below zero, and so below the lease that nothing had been granted yet: what ran there did not lapse for 20 s. The model let runs go on that must end, which shows up as two runs at a time that no backend server would have made.

--- a/Source/UnitTests/Transient/ModelBackend.cpp
+++ b/Source/UnitTests/Transient/ModelBackend.cpp
@@ -181,7 +181,8 @@
     backend.isLeaving = false;
     backend.trouble = {};
     backend.startedAtMs = nowMs + 1;
-    backend.clockOffsetMs = -nowMs;
+    // Its clock starts anew.
+    backend.clockOffsetMs -= clockOf(backend, nowMs);
     backend.leaseUntilMs = 0;
     backend.fence = 0;
     backend.lastEnd = 0;
