UnitTests: a late answer of a former life gives up what runs

An agent takes an answer in by the life it names: one of a former life that comes in after the next one was announced counts as yet another life, and everything is given up. Red: the run is not known any more. The mend belongs to Core/Runner.

--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -217,3 +217,30 @@
                   RenewedMs + LeaseMs + 100);
     CHECK_FALSE(site.isKnown(start.run));
 }
+
+TEST_CASE("An answer of a former life changes nothing for the one that has its place"
+          * doctest::skip())
+{
+    // An observation was answered by a life that ended then; the agent takes the answer in only
+    // after the next life has been announced and has begun a task. It takes the answer for yet
+    // another life, which knows nothing of the task, and gives it up while it runs.
+    Fixture site;
+    site.answer(site.order("a.0.0", 10), 12);
+    const auto former = lastOf<CallObserve>(tick(site.state, at(100)));
+    REQUIRE(former.has_value());
+    constexpr std::int64_t NextLifeMs = 2000;
+    Transient::BackendAnnouncement next = *site.state.backend;
+    next.startedAtMs = NextLifeMs;
+    next.sequence = 1;
+    backendAnnounced(site.state, next, at(NextLifeMs));
+    Transient::ObserveAnswer clean;
+    clean.outcome = ObserveOutcome::Seen;
+    clean.seen.startedAtMs = NextLifeMs;
+    const auto look = lastOf<CallObserve>(tick(site.state, at(NextLifeMs + 50)));
+    REQUIRE(look.has_value());
+    observed(site.state, look->watch, clean, at(NextLifeMs + 52));
+    const CallStart start = site.order("b.0.0", NextLifeMs + 60);
+    site.answer(start, NextLifeMs + 62);
+    site.seen(former->watch, NextLifeMs + 70);
+    CHECK(site.isKnown(start.run));
+}
