UnitTests: a backend server that has left while its tasks run on

The agent takes all runs to be over as soon as its backend server says that it has left, though it works on until it ends. The mend belongs to Core/Runner.

--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -258,3 +258,17 @@
     REQUIRE(world->callers.back().isAnswered);
     checkPromises(*world);
 }
+
+TEST_CASE("A backend server has left while its tasks run on" * doctest::skip())
+{
+    // It says that it has left and ends some 30 ms later; what runs there runs on until then. Its
+    // agent takes everything to be over at once, and the gateway has the tasks start elsewhere:
+    // each runs twice at a time until the end comes.
+    auto world = readySite(13, 1, 2);
+    const std::size_t caller = submit(*world, 0, Long, 8, 8000);
+    runFor(*world, 200);
+    backendEnds(*world, 0, 30);
+    runFor(*world, 4000);
+    checkSucceeded(*world, caller);
+    checkPromises(*world);
+}
