UnitTests: a former life heard after the one that has its place

An announcement counts as late only by the sequence within one life. One of a former life that was held up is taken for another life, and all that runs in the present one is given up. The mend belongs to Core/Runner.

--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -272,3 +272,22 @@
     checkSucceeded(*world, caller);
     checkPromises(*world);
 }
+
+TEST_CASE("A former life of a backend server is heard after the one that has its place"
+          * doctest::skip())
+{
+    // A message of the former life was delayed; the new life has been announced and has begun
+    // tasks by the time it arrives. The agent takes the late one for yet another life, which knows
+    // nothing of these tasks: it gives them up while they run, and they start elsewhere as well.
+    auto world = readySite(14, 1, 2);
+    crashBackend(*world, 0);
+    runFor(*world, 2000);
+    restartBackend(*world, 0);
+    runFor(*world, 300);
+    const std::size_t caller = submit(*world, 0, Long, 8, 8000);
+    runFor(*world, 100);
+    announceFormerLife(*world, 0);
+    runFor(*world, 4000);
+    checkSucceeded(*world, caller);
+    checkPromises(*world);
+}
