UnitTests: a gateway loses power, and an agent within its grant

The grant (800 ms) and the lease (714 ms by a slow clock) together last longer than the 1,300 ms after which a caller submits again. Red in one of 25 cases. The mend belongs to Core/Runner.

--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -291,3 +291,24 @@
     checkSucceeded(*world, caller);
     checkPromises(*world);
 }
+
+TEST_CASE("A gateway loses power and then an agent dies: its caller submits again elsewhere"
+          * doctest::skip())
+{
+    // The agent acts for the dead gateway until its grant lapses, and dies just before that. What
+    // it had started runs on for the lease that it renewed last. The caller saw its connection
+    // break and submits the same job again elsewhere, before that lease has lapsed.
+    constexpr std::int64_t BetweenMs = 690;
+    for (std::int64_t afterMs = 200; afterMs < 450; afterMs += 10) {
+        CAPTURE(afterMs);
+        auto world = readySite(15, 2, 2);
+        submit(*world, 0, {3000, 1, false}, 4, 8000);
+        runFor(*world, afterMs);
+        killGateway(*world, 0, false);
+        startGateway(*world, 0);
+        runFor(*world, BetweenMs);
+        killAgent(*world, 0, false);
+        runFor(*world, 4000);
+        checkPromises(*world);
+    }
+}
