UnitTests: a backend server that refuses stops and takes renewals

The agent renews the lease of runs that it wants to stop and cannot. The mend belongs to Core/Runner.

--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -312,3 +312,29 @@
         checkPromises(*world);
     }
 }
+
+TEST_CASE("A backend server refuses stops and takes renewals after a gateway was killed"
+          * doctest::skip())
+{
+    // The agent wants to stop what the dead gateway had ordered. Its backend server refuses most
+    // calls: no stop for a second, but now and then an observation, and each renews the lease of
+    // everything that runs there. The caller submits again elsewhere, and its tasks start while the
+    // former ones run on.
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        auto world = readySite(seed, 3, 4);
+        submit(*world, 0, {3000, 1, false}, 8, 8000);
+        runFor(*world, 100);
+        killGateway(*world, 0, true);
+        startGateway(*world, 0);
+        for (ModelBackend &backend : world->backends) {
+            backend.trouble.refusedShare = 0.8;
+        }
+        runFor(*world, ResubmitMs);
+        for (ModelBackend &backend : world->backends) {
+            backend.trouble.refusedShare = 0;
+        }
+        runFor(*world, 3000);
+        checkPromises(*world);
+    }
+}
