UnitTests: an unanswered start given up while no connection can be made

What lapses is what was started. A start that was not answered may be carried out seconds later; where its lease counts from its arrival it runs beside the one elsewhere. The mend belongs to Core/Runner.

--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -338,3 +338,19 @@
         checkPromises(*world);
     }
 }
+
+TEST_CASE("An unanswered start is given up while no connection can be made" * doctest::skip())
+{
+    // The start is on its way for seconds, and its stop cannot be delivered. After a lease the
+    // agent takes everything there to have lapsed, the unanswered start, too, and the task starts
+    // elsewhere. Then the late start is carried out, with a lease that counts from its arrival.
+    auto world = readySite(16, 1, 2);
+    world->lateLeasesCountFromArrival = true;
+    world->unansweredShare = 0.5;
+    submit(*world, 0, {14'000, 1, false}, 12, 20'000);
+    runFor(*world, 10);
+    world->unansweredShare = 0;
+    world->backends[0].trouble.unreachableUntilMs = world->nowMs + 1500;
+    runFor(*world, 14'000);
+    checkPromises(*world);
+}
