UnitTests: safeguards of an agent that no test missed

Mutation trials showed that the tests stay green without: one run of a task at a time at an agent, run numbers that rise, stops that count as proof only once taken and observed afterwards, two missing observations sent after the start, deadlines at the agent, and runs that are stopped when a grant lapses. Each has a test now that goes red without it.

--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -68,8 +68,25 @@
         return observed(this->state, watch, answer, at(nowMs));
     }
 
+    /// An observation comes back that shows nothing at all.
+    void seenEmpty(std::uint64_t watch, std::int64_t nowMs)
+    {
+        Transient::ObserveAnswer answer;
+        answer.outcome = ObserveOutcome::Seen;
+        answer.seen.clockMs = nowMs;
+        answer.seen.startedAtMs = 1;
+        observed(this->state, watch, answer, at(nowMs));
+    }
+
     /// The start that the order leads to.
     CallStart order(const std::string &task, std::int64_t nowMs)
+    {
+        const auto start = lastOf<CallStart>(this->orderFrom(Gateway, task, nowMs));
+        REQUIRE(start.has_value());
+        return *start;
+    }
+
+    Effects orderFrom(const std::string &gateway, const std::string &task, std::int64_t nowMs)
     {
         Schema::TaskOrders orders;
         orders.sequence = ++this->sequence;
@@ -79,11 +96,9 @@
         orders.targetInMs = 10'000;
         orders.deadlineInMs = 20'000;
         orders.tasks.push_back({1, task});
-        Effects effects = ordersReceived(this->state, Gateway, orders, at(nowMs));
+        Effects effects = ordersReceived(this->state, gateway, orders, at(nowMs));
         append(effects, tick(this->state, at(nowMs)));
-        const auto start = lastOf<CallStart>(effects);
-        REQUIRE(start.has_value());
-        return *start;
+        return effects;
     }
 
     void answer(const CallStart &start, std::int64_t nowMs)
@@ -218,6 +233,109 @@
     CHECK_FALSE(site.isKnown(start.run));
 }
 
+TEST_CASE("A task waits while another run of it is left at the agent")
+{
+    // A caller's connection breaks and it submits again at another gateway, which orders the task
+    // at the agent that still runs it for the first gateway. The second run has to wait until the
+    // first is over: the backend server would work on both.
+    Fixture site;
+    const CallStart first = site.order("a.0.0", 10);
+    site.answer(first, 12);
+    CHECK_FALSE(lastOf<CallStart>(site.orderFrom("gateway-2", "a.0.0", 20)).has_value());
+    gatewayLost(site.state, Gateway, at(30));
+    const auto stop = lastOf<CallStop>(tick(site.state, at(30)));
+    REQUIRE(stop.has_value());
+    CHECK_FALSE(lastOf<CallStart>(tick(site.state, at(31))).has_value());
+    stopAnswered(site.state, stop->task, stop->number, true, at(32));
+    // What was asked before the stop was taken proves nothing: the answer may be older.
+    site.seen(site.state.watches.begin()->first, 34);
+    CHECK(site.isKnown(first.run));
+    const auto proof = lastOf<CallObserve>(tick(site.state, at(60)));
+    REQUIRE(proof.has_value());
+    site.seen(proof->watch, 62);
+    CHECK_FALSE(site.isKnown(first.run));
+    CHECK(lastOf<CallStart>(tick(site.state, at(63))).has_value());
+}
+
+TEST_CASE("An observation that overtook a start does not give the run up")
+{
+    // The start is slow; an observation that was sent after it is carried out before it and does
+    // not show the run. The run is there all the same.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.seenEmpty(site.state.watches.begin()->first, 11);
+    const auto look = lastOf<CallObserve>(tick(site.state, at(40)));
+    REQUIRE(look.has_value());
+    site.answer(start, 45);
+    site.seenEmpty(look->watch, 46);
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("Observations from before a start do not give the run up")
+{
+    // Answers come late, two of them at once, and after a start that none of them can show.
+    Fixture site;
+    const CallStart former = site.order("a.0.0", 10);
+    site.answer(former, 12);
+    const std::uint64_t first = site.state.watches.begin()->first;
+    const auto second = lastOf<CallObserve>(tick(site.state, at(260)));
+    REQUIRE(second.has_value());
+    const CallStart start = site.order("b.0.0", 270);
+    site.answer(start, 272);
+    site.seenEmpty(first, 274);
+    site.seenEmpty(second->watch, 275);
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("A gateway whose grant has lapsed has nothing running any more")
+{
+    // The gateway lost power, and its link breaks for nobody. Its callers submit again elsewhere
+    // 1.3 s later; the agent has to stop what it had ordered without being told.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    constexpr std::int64_t LapsesMs = 810;
+    site.state.grants[Gateway] = LapsesMs;
+    CHECK_FALSE(lastOf<CallStop>(tick(site.state, at(LapsesMs - 1))).has_value());
+    const auto stop = lastOf<CallStop>(tick(site.state, at(LapsesMs)));
+    REQUIRE(stop.has_value());
+    CHECK(stop->task == "a.0.0");
+}
+
+TEST_CASE("A run past its deadline is stopped by its agent alone")
+{
+    // The gateway's withdrawal is lost with its link. Its caller gives up at the deadline and
+    // submits again elsewhere: nothing of the job may run by then.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    CHECK_FALSE(lastOf<CallStop>(tick(site.state, at(19'990))).has_value());
+    const auto stop = lastOf<CallStop>(tick(site.state, at(20'011)));
+    REQUIRE(stop.has_value());
+    CHECK(stop->number == start.start.number);
+}
+
+TEST_CASE("A task that comes back gets a higher run number")
+{
+    // It was stopped here with run 1, whose start may still be on its way. Submitted again at
+    // another gateway it comes as attempt 1 again: run 1 would be rejected for good, or taken for
+    // the one that is on its way.
+    Fixture site;
+    const CallStart first = site.order("a.0.0", 10);
+    Transient::StartAnswer unanswered;
+    startAnswered(site.state, first.run, first.start.number, unanswered, at(160));
+    REQUIRE(lastOf<CallStop>(tick(site.state, at(160))).has_value());
+    // It is not there yet, and nothing bars it: its start may be carried out any time.
+    site.seen(site.state.watches.begin()->first, 161);
+    CHECK(site.isKnown(first.run));
+    stopAnswered(site.state, "a.0.0", first.start.number, true, at(162));
+    const auto proof = lastOf<CallObserve>(tick(site.state, at(190)));
+    REQUIRE(proof.has_value());
+    site.seen(proof->watch, 192);
+    REQUIRE_FALSE(site.isKnown(first.run));
+    CHECK(site.order("a.0.0", 1500).start.number > first.start.number);
+}
+
 TEST_CASE("An answer of a former life changes nothing for the one that has its place"
           * doctest::skip())
 {
