UnitTests: an end of a job's former life told again to its next life

Attempts start at 1 in each life of a job's id, so that an end which an agent repeats on a new link fits the next life's attempt at the same agent. Red: the task is ordered a second time while it runs. The mend belongs to Core/Transient.

--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -17,17 +17,20 @@
 /// A gateway with one agent that has room for \a processors.
 struct Fixture
 {
-    explicit Fixture(double processors = 8)
+    explicit Fixture(double processors = 8) { this->announce("agent", 0, processors); }
+
+    /// The agent \a name, with nothing running.
+    Effects announce(const std::string &name, std::int64_t nowMs, double processors = 8)
     {
         Schema::AgentAnnouncement announcement;
-        announcement.instance = "agent-1";
-        announcement.name = "agent";
+        announcement.instance = name + "-1";
+        announcement.name = name;
         announcement.service = "desk";
         announcement.accepting = true;
         announcement.clean = true;
         announcement.resources.processors = processors;
         announcement.resources.memoryMb = 1000;
-        agentAnnounced(this->state, announcement, at(0), this->random);
+        return agentAnnounced(this->state, announcement, at(nowMs), this->random);
     }
 
     Submission submission(const std::string &id, std::vector<StepRequest> steps)
@@ -385,3 +388,22 @@
     REQUIRE(parked.size() == 1);
     CHECK(parked[0].outcome == JobOutcome::GaveUp);
 }
+
+TEST_CASE("An end of a job's former life is told again after its next life has begun"
+          * doctest::skip())
+{
+    // The caller has gone and has submitted again; the second submission waits until nothing of the
+    // first is left. The agent's link is back: it holds nothing, so the second life begins and is
+    // ordered there. Then the agent repeats how the first life's attempt ended. Taken for the end
+    // of the second life's, it has the task ordered once more while it runs.
+    Fixture site;
+    const Submission first = site.submission("job", {stepOf(1)});
+    CHECK(orderedTasks(jobSubmitted(site.state, first, at(1), site.random)).size() == 1);
+    callerGone(site.state, first.token, at(50));
+    const Submission second = site.submission("job", {stepOf(1)});
+    REQUIRE(orderedTasks(jobSubmitted(site.state, second, at(60), site.random)).empty());
+    agentLinkLost(site.state, "agent-1", at(70));
+    REQUIRE(orderedTasks(site.announce("agent", 100)).size() == 1);
+    site.announce("other", 101);
+    CHECK(orderedTasks(site.report("job.0.0", 1, AttemptPhase::Failed, 102)).empty());
+}
