--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -248,6 +248,7 @@
     CHECK_FALSE(lastOf<CallStart>(tick(site.state, at(31))).has_value());
     stopAnswered(site.state, stop->task, stop->number, true, at(32));
     // What was asked before the stop was taken proves nothing: the answer may be older.
+    REQUIRE(site.state.watches.size() == 1);
     site.seen(site.state.watches.begin()->first, 34);
     CHECK(site.isKnown(first.run));
     const auto proof = lastOf<CallObserve>(tick(site.state, at(60)));
@@ -257,13 +258,44 @@
     CHECK(lastOf<CallStart>(tick(site.state, at(63))).has_value());
 }
 
+TEST_CASE("An agent that has not seen its backend server free starts nothing")
+{
+    // A new process finds a run of the former one, whose task may be on its way to another agent
+    // or back to this one. It gives orders back until the run has been stopped and is gone.
+    Fixture site;
+    site.state.isClean = false;
+    const Effects effects = site.orderFrom(Gateway, "a.0.0", 30);
+    CHECK_FALSE(lastOf<CallStart>(effects).has_value());
+    const auto told = lastOf<ReportAttempt>(effects);
+    REQUIRE(told.has_value());
+    CHECK(told->state.phase == Schema::AttemptPhase::NotStarted);
+    const auto look = lastOf<CallObserve>(effects);
+    REQUIRE(look.has_value());
+    Transient::ObserveAnswer found;
+    found.outcome = ObserveOutcome::Seen;
+    found.seen.startedAtMs = 1;
+    found.seen.active.push_back({"a.0.0", 1, 10});
+    CHECK(lastOf<CallStop>(observed(site.state, look->watch, found, at(32))).has_value());
+    CHECK_FALSE(site.state.isClean);
+}
+
+TEST_CASE("A fence that is too low is raised until it is obeyed")
+{
+    // The time of day was set back before the agent started. Its backend server obeys none of its
+    // calls and may still obey late ones of the former process.
+    Fixture site;
+    site.order("a.0.0", 10);
+    const std::int64_t before = site.state.fence;
+    observeInVain(site, ObserveOutcome::Fenced, 30, 40);
+    CHECK(site.state.fence >= before + FenceStep);
+}
+
 TEST_CASE("An observation that overtook a start does not give the run up")
 {
     // The start is slow; an observation that was sent after it is carried out before it and does
     // not show the run. The run is there all the same.
     Fixture site;
     const CallStart start = site.order("a.0.0", 10);
-    site.seenEmpty(site.state.watches.begin()->first, 11);
     const auto look = lastOf<CallObserve>(tick(site.state, at(40)));
     REQUIRE(look.has_value());
     site.answer(start, 45);
@@ -277,13 +309,14 @@
     Fixture site;
     const CallStart former = site.order("a.0.0", 10);
     site.answer(former, 12);
-    const std::uint64_t first = site.state.watches.begin()->first;
-    const auto second = lastOf<CallObserve>(tick(site.state, at(260)));
+    const auto first = lastOf<CallObserve>(tick(site.state, at(30)));
+    const auto second = lastOf<CallObserve>(tick(site.state, at(280)));
+    REQUIRE(first.has_value());
     REQUIRE(second.has_value());
-    const CallStart start = site.order("b.0.0", 270);
-    site.answer(start, 272);
-    site.seenEmpty(first, 274);
-    site.seenEmpty(second->watch, 275);
+    const CallStart start = site.order("b.0.0", 290);
+    site.answer(start, 292);
+    site.seenEmpty(first->watch, 294);
+    site.seenEmpty(second->watch, 295);
     CHECK(site.isKnown(start.run));
 }
 
@@ -326,6 +359,7 @@
     startAnswered(site.state, first.run, first.start.number, unanswered, at(160));
     REQUIRE(lastOf<CallStop>(tick(site.state, at(160))).has_value());
     // It is not there yet, and nothing bars it: its start may be carried out any time.
+    REQUIRE(site.state.watches.size() == 1);
     site.seen(site.state.watches.begin()->first, 161);
     CHECK(site.isKnown(first.run));
     stopAnswered(site.state, "a.0.0", first.start.number, true, at(162));
