--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -279,6 +279,25 @@
     CHECK_FALSE(site.state.isClean);
 }
 
+TEST_CASE("The end of an earlier run does not end the one that has its task")
+{
+    // A stopped run is listed as ended only after the task has come back and started here anew.
+    Fixture site;
+    site.state.numbers["a.0.0"] = {1, 5};
+    const CallStart start = site.order("a.0.0", 10);
+    REQUIRE(start.start.number == 2);
+    site.answer(start, 12);
+    const auto look = lastOf<CallObserve>(tick(site.state, at(30)));
+    REQUIRE(look.has_value());
+    Transient::ObserveAnswer listed;
+    listed.outcome = ObserveOutcome::Seen;
+    listed.seen.startedAtMs = 1;
+    listed.seen.active.push_back({"a.0.0", 2, 10});
+    listed.seen.ended.push_back({1, "a.0.0", 1, Transient::RunEnd::Stopped});
+    observed(site.state, look->watch, listed, at(32));
+    CHECK(site.isKnown(start.run));
+}
+
 TEST_CASE("A fence that is too low is raised until it is obeyed")
 {
     // The time of day was set back before the agent started. Its backend server obeys none of its
