UnitTests: leases that a start renews, and silence before a quiet time

The test of a question that failed before a quiet time never made that question: the first observation was not due yet. It asks for it now, and requires that it failed.

--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -201,9 +201,10 @@
     constexpr std::int64_t QuietMs = 7000;
     Fixture site;
     const CallStart refused = site.order("a.0.0", 10);
-    observeInVain(site, ObserveOutcome::Refused, 20, 30);
+    observeInVain(site, ObserveOutcome::Refused, 20, 60);
+    REQUIRE(site.state.silentSinceMs != 0);
     startAnswered(site.state, refused.run, refused.start.number, {StartOutcome::Refused, {}},
-                  at(31));
+                  at(61));
     REQUIRE_FALSE(site.isKnown(refused.run));
     tick(site.state, at(100));
     const CallStart start = site.order("b.0.0", QuietMs);
@@ -415,3 +416,25 @@
     site.seen(former->watch, NextLifeMs + 70);
     CHECK(site.isKnown(start.run));
 }
+
+TEST_CASE("A start that was answered renews what runs beside it")
+{
+    // No observation comes through for most of a lease; then a start does, taken or not, and with
+    // it everything there has a lease from then on. What ran before is not over before that ends.
+    for (const StartOutcome outcome : {StartOutcome::Started, StartOutcome::NumberUsed}) {
+        CAPTURE(Common::nameOf(Transient::StartOutcomeNames, outcome));
+        Fixture site;
+        const CallStart first = site.order("a.0.0", 10);
+        site.answer(first, 12);
+        observeInVain(site, ObserveOutcome::NotConnected, 20, 690);
+        constexpr std::int64_t RenewedMs = 695;
+        const CallStart second = site.order("b.0.0", RenewedMs);
+        startAnswered(site.state, second.run, second.start.number, {outcome, RenewedMs},
+                      at(RenewedMs + 2));
+        observeInVain(site, ObserveOutcome::NotConnected, 700, RenewedMs + LeaseMs);
+        CHECK(site.isKnown(first.run));
+        observeInVain(site, ObserveOutcome::NotConnected, RenewedMs + LeaseMs,
+                      RenewedMs + LeaseMs + 100);
+        CHECK_FALSE(site.isKnown(first.run));
+    }
+}
