UnitTests: observations under way fail with those after them

An observation made with an order stayed unanswered for good and hid what the tests of silence and of leases renewed by starts look for: with it under way nothing was asked, and it counted as a grant.

--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -113,10 +113,22 @@
     std::int64_t sequence = 0;
 };
 
+/// Those under way fail, too.
+void failPending(Fixture &site, ObserveOutcome outcome, std::int64_t nowMs)
+{
+    const std::map<std::uint64_t, Watch> pending = site.state.watches;
+    for (const auto &[id, watch] : pending) {
+        Transient::ObserveAnswer failed;
+        failed.outcome = outcome;
+        observed(site.state, id, failed, at(nowMs));
+    }
+}
+
 /// Every observation of the time ends with \a outcome. Returns the last lease that was asked for.
 std::int64_t observeInVain(Fixture &site, ObserveOutcome outcome, std::int64_t fromMs,
                            std::int64_t untilMs)
 {
+    failPending(site, outcome, fromMs);
     std::int64_t leaseUntilMs = 0;
     for (std::int64_t nowMs = fromMs; nowMs < untilMs; nowMs += 10) {
         const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)));
