Merge the tests of more faults of backend servers

"A resubmission waits..." expects the next life's attempt to be the second: attempts of a job go on from its former life, which mends the end of the former life that was told again and taken for one of the next (test "An end of a job's former life...", red before).

--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -34,11 +34,17 @@
     job.payload = std::move(submission.request.payload);
     job.tokens.push_back(submission.token);
     job.receivedMs = now.steadyMs;
+    const auto former = state.formerAttempts.find(job.id);
+    const std::int64_t formerAttempts =
+            former == state.formerAttempts.end() ? 0 : former->second.highest;
     for (StepRequest &request : submission.request.steps) {
         StepRecord step;
         step.profile =
                 Dispatch::findProfile(state.fleet.estimates, job.queue.name, request.expectedRunMs);
         step.tasks.resize(static_cast<std::size_t>(request.taskCount));
+        for (TaskRecord &task : step.tasks) {
+            task.attempt = formerAttempts;
+        }
         step.request = std::move(request);
         job.steps.push_back(std::move(step));
     }
--- a/Source/Core/Transient/Answers.cpp
+++ b/Source/Core/Transient/Answers.cpp
@@ -17,6 +17,17 @@
     job.tokens.clear();
 }
 
+std::int64_t highestAttempt(const JobRecord &job)
+{
+    std::int64_t highest = 0;
+    for (const StepRecord &step : job.steps) {
+        for (const TaskRecord &task : step.tasks) {
+            highest = std::max(highest, task.attempt);
+        }
+    }
+    return highest;
+}
+
 } // namespace
 
 void sendWithdrawals(Effects &effects, Withdrawals &withdrawals)
@@ -41,6 +52,9 @@
             result.outcome == JobOutcome::Succeeded || result.outcome == JobOutcome::Failed;
     if (isAnswer) {
         state.finished[id] = {result, now.steadyMs + state.times.rememberMs};
+    } else {
+        state.formerAttempts[id] = {highestAttempt(found->second),
+                                    now.steadyMs + state.times.rememberMs};
     }
     state.jobs.erase(found);
 }
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -83,14 +83,20 @@
     return effects;
 }
 
-void forgetFinished(GatewayState &state, Common::Moment now)
+template <typename Remembered>
+void forgetOld(std::unordered_map<std::string, Remembered> &remembered, Common::Moment now)
 {
-    for (auto entry = state.finished.begin(); entry != state.finished.end();) {
-        entry = now.steadyMs >= entry->second.forgetMs ? state.finished.erase(entry)
-                                                       : std::next(entry);
+    for (auto entry = remembered.begin(); entry != remembered.end();) {
+        entry = now.steadyMs >= entry->second.forgetMs ? remembered.erase(entry) : std::next(entry);
     }
 }
 
+void forgetFinished(GatewayState &state, Common::Moment now)
+{
+    forgetOld(state.finished, now);
+    forgetOld(state.formerAttempts, now);
+}
+
 } // namespace
 
 std::int64_t settleTimeMs(std::int64_t silenceMs, std::int64_t leaseMs)
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -54,6 +54,15 @@
     std::int64_t patienceMs = 0;
 };
 
+/// The highest attempt of a job's last life here. Agents tell recent ends again on a new link:
+/// under the same number, one of the former life would end an attempt of the next life that goes
+/// on.
+struct FormerAttempts
+{
+    std::int64_t highest = 0;
+    std::int64_t forgetMs = 0;
+};
+
 struct FinishedJob
 {
     JobResult result;
@@ -75,6 +84,7 @@
     std::map<std::string, UsualPatience> patiences;
     std::unordered_map<std::string, JobRecord> jobs;
     std::unordered_map<std::string, FinishedJob> finished;
+    std::unordered_map<std::string, FormerAttempts> formerAttempts;
     /// Submissions of ids whose last life is not over yet.
     std::unordered_map<std::string, std::vector<Submission>> parked;
     std::int64_t sweptMs = 0;
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -69,8 +69,29 @@
         return observed(this->state, watch, answer, at(nowMs));
     }
 
+    /// An observation comes back that shows nothing at all.
+    void seenEmpty(std::uint64_t watch, std::int64_t nowMs)
+    {
+        Transient::ObserveAnswer answer;
+        answer.outcome = ObserveOutcome::Seen;
+        answer.seen.clockMs = nowMs;
+        answer.seen.startedAtMs = 1;
+        observed(this->state, watch, answer, at(nowMs));
+    }
+
     /// The start that the order leads to.
     CallStart order(const std::string &task, std::int64_t nowMs)
+    {
+        const Effects effects = this->orderFrom(Gateway, task, nowMs);
+        const auto start = lastOf<CallStart>(effects);
+        REQUIRE(start.has_value());
+        if (const auto look = lastOf<CallObserve>(effects)) {
+            this->asked = look->watch;
+        }
+        return *start;
+    }
+
+    Effects orderFrom(const std::string &gateway, const std::string &task, std::int64_t nowMs)
     {
         Schema::TaskOrders orders;
         orders.sequence = ++this->sequence;
@@ -80,14 +101,9 @@
         orders.targetInMs = 10'000;
         orders.deadlineInMs = 20'000;
         orders.tasks.push_back({1, task});
-        Effects effects = ordersReceived(this->state, Gateway, orders, at(nowMs));
+        Effects effects = ordersReceived(this->state, gateway, orders, at(nowMs));
         append(effects, tick(this->state, at(nowMs)));
-        const auto start = lastOf<CallStart>(effects);
-        REQUIRE(start.has_value());
-        if (const auto look = lastOf<CallObserve>(effects)) {
-            this->asked = look->watch;
-        }
-        return *start;
+        return effects;
     }
 
     /// The observation that followed the last order ends with \a outcome.
@@ -111,10 +127,22 @@
     std::uint64_t asked = 0;
 };
 
+/// Those under way fail, too.
+void failPending(Fixture &site, ObserveOutcome outcome, std::int64_t nowMs)
+{
+    const std::map<std::uint64_t, Watch> pending = site.state.watches;
+    for (const auto &[id, watch] : pending) {
+        Transient::ObserveAnswer failed;
+        failed.outcome = outcome;
+        observed(site.state, id, failed, at(nowMs));
+    }
+}
+
 /// Every observation of the time ends with \a outcome. Returns the last lease that was asked for.
 std::int64_t observeInVain(Fixture &site, ObserveOutcome outcome, std::int64_t fromMs,
                            std::int64_t untilMs)
 {
+    failPending(site, outcome, fromMs);
     std::int64_t leaseUntilMs = 0;
     for (std::int64_t nowMs = fromMs; nowMs < untilMs; nowMs += 10) {
         const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)));
@@ -208,7 +236,7 @@
     const CallStart refused = site.order("a.0.0", 10);
     site.lookFails(ObserveOutcome::Refused, 12);
     startAnswered(site.state, refused.run, refused.start.number, {StartOutcome::Refused, {}},
-                  at(31));
+                  at(61));
     REQUIRE_FALSE(site.isKnown(refused.run));
     tick(site.state, at(100));
     const CallStart start = site.order("b.0.0", QuietMs);
@@ -653,3 +681,209 @@
     CHECK(site.state.fence > fence);
     CHECK(site.state.grantedMs >= 10);
 }
+
+TEST_CASE("A task waits while another run of it is left at the agent")
+{
+    // A caller's connection breaks and it submits again at another gateway, which orders the
+    // task at the agent that still runs it for the first gateway. The second run has to wait
+    // until the first is over: the backend server would work on both.
+    Fixture site;
+    const CallStart first = site.order("a.0.0", 10);
+    site.answer(first, 12);
+    CHECK_FALSE(lastOf<CallStart>(site.orderFrom("gateway-2", "a.0.0", 20)).has_value());
+    gatewayLost(site.state, Gateway, at(30));
+    const auto stop = lastOf<CallStop>(tick(site.state, at(30)));
+    REQUIRE(stop.has_value());
+    CHECK_FALSE(lastOf<CallStart>(tick(site.state, at(31))).has_value());
+    stopAnswered(site.state, stop->task, stop->number, true, at(32));
+    // What was asked before the stop was taken proves nothing: the answer may be older.
+    REQUIRE(site.state.watches.size() == 1);
+    site.seen(site.state.watches.begin()->first, 34);
+    CHECK(site.isKnown(first.run));
+    const auto proof = lastOf<CallObserve>(tick(site.state, at(60)));
+    REQUIRE(proof.has_value());
+    site.seen(proof->watch, 62);
+    CHECK_FALSE(site.isKnown(first.run));
+    CHECK(lastOf<CallStart>(tick(site.state, at(63))).has_value());
+}
+
+TEST_CASE("An agent that has not seen its backend server free starts nothing")
+{
+    // A new process finds a run of the former one, whose task may be on its way to another
+    // agent or back to this one. It gives orders back until the run has been stopped and is
+    // gone.
+    Fixture site;
+    site.state.isClean = false;
+    const Effects effects = site.orderFrom(Gateway, "a.0.0", 30);
+    CHECK_FALSE(lastOf<CallStart>(effects).has_value());
+    const auto told = lastOf<ReportAttempt>(effects);
+    REQUIRE(told.has_value());
+    CHECK(told->state.phase == Schema::AttemptPhase::NotStarted);
+    const auto look = lastOf<CallObserve>(effects);
+    REQUIRE(look.has_value());
+    Transient::ObserveAnswer found;
+    found.outcome = ObserveOutcome::Seen;
+    found.seen.startedAtMs = 1;
+    found.seen.active.push_back({"a.0.0", 1, 10});
+    CHECK(lastOf<CallStop>(observed(site.state, look->watch, found, at(32))).has_value());
+    CHECK_FALSE(site.state.isClean);
+}
+
+TEST_CASE("The end of an earlier run does not end the one that has its task")
+{
+    // A stopped run is listed as ended only after the task has come back and started here anew.
+    Fixture site;
+    site.state.numbers["a.0.0"] = {1, 5};
+    const CallStart start = site.order("a.0.0", 10);
+    REQUIRE(start.start.number == 2);
+    site.answer(start, 12);
+    const auto look = lastOf<CallObserve>(tick(site.state, at(30)));
+    REQUIRE(look.has_value());
+    Transient::ObserveAnswer listed;
+    listed.outcome = ObserveOutcome::Seen;
+    listed.seen.startedAtMs = 1;
+    listed.seen.active.push_back({"a.0.0", 2, 10});
+    listed.seen.ended.push_back({1, "a.0.0", 1, Transient::RunEnd::Stopped});
+    observed(site.state, look->watch, listed, at(32));
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("A fence that is too low is raised until it is obeyed")
+{
+    // The time of day was set back before the agent started. Its backend server obeys none of
+    // its calls and may still obey late ones of the former process.
+    Fixture site;
+    site.order("a.0.0", 10);
+    const std::int64_t before = site.state.fence;
+    observeInVain(site, ObserveOutcome::Fenced, 30, 40);
+    CHECK(site.state.fence >= before + FenceStep);
+}
+
+TEST_CASE("An observation that overtook a start does not give the run up")
+{
+    // The start is slow; an observation that was sent after it is carried out before it and
+    // does not show the run. The run is there all the same.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    const auto look = lastOf<CallObserve>(tick(site.state, at(40)));
+    REQUIRE(look.has_value());
+    site.answer(start, 45);
+    site.seenEmpty(look->watch, 46);
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("Observations from before a start do not give the run up")
+{
+    // Answers come late, two of them at once, and after a start that none of them can show.
+    Fixture site;
+    const CallStart former = site.order("a.0.0", 10);
+    site.answer(former, 12);
+    const auto first = lastOf<CallObserve>(tick(site.state, at(30)));
+    const auto second = lastOf<CallObserve>(tick(site.state, at(280)));
+    REQUIRE(first.has_value());
+    REQUIRE(second.has_value());
+    const CallStart start = site.order("b.0.0", 290);
+    site.answer(start, 292);
+    site.seenEmpty(first->watch, 294);
+    site.seenEmpty(second->watch, 295);
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("A gateway whose grant has lapsed has nothing running any more")
+{
+    // The gateway lost power, and its link breaks for nobody. Its callers submit again
+    // elsewhere 1.3 s later; the agent has to stop what it had ordered without being told.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    constexpr std::int64_t LapsesMs = 810;
+    site.state.grants[Gateway] = LapsesMs;
+    CHECK_FALSE(lastOf<CallStop>(tick(site.state, at(LapsesMs - 1))).has_value());
+    const auto stop = lastOf<CallStop>(tick(site.state, at(LapsesMs)));
+    REQUIRE(stop.has_value());
+    CHECK(stop->task == "a.0.0");
+}
+
+TEST_CASE("A run past its deadline is stopped by its agent alone")
+{
+    // The gateway's withdrawal is lost with its link. Its caller gives up at the deadline and
+    // submits again elsewhere: nothing of the job may run by then.
+    Fixture site;
+    const CallStart start = site.order("a.0.0", 10);
+    site.answer(start, 12);
+    CHECK_FALSE(lastOf<CallStop>(tick(site.state, at(19'990))).has_value());
+    const auto stop = lastOf<CallStop>(tick(site.state, at(20'011)));
+    REQUIRE(stop.has_value());
+    CHECK(stop->number == start.start.number);
+}
+
+TEST_CASE("A task that comes back gets a higher run number")
+{
+    // It was stopped here with run 1, whose start may still be on its way. Submitted again at
+    // another gateway it comes as attempt 1 again: run 1 would be rejected for good, or taken
+    // for the one that is on its way.
+    Fixture site;
+    const CallStart first = site.order("a.0.0", 10);
+    Transient::StartAnswer unanswered;
+    startAnswered(site.state, first.run, first.start.number, unanswered, at(160));
+    REQUIRE(lastOf<CallStop>(tick(site.state, at(160))).has_value());
+    // It is not there yet, and nothing bars it: its start may be carried out any time.
+    REQUIRE(site.state.watches.size() == 1);
+    site.seen(site.state.watches.begin()->first, 161);
+    CHECK(site.isKnown(first.run));
+    stopAnswered(site.state, "a.0.0", first.start.number, true, at(162));
+    const auto proof = lastOf<CallObserve>(tick(site.state, at(190)));
+    REQUIRE(proof.has_value());
+    site.seen(proof->watch, 192);
+    REQUIRE_FALSE(site.isKnown(first.run));
+    CHECK(site.order("a.0.0", 1500).start.number > first.start.number);
+}
+
+TEST_CASE("An answer of a former life changes nothing for the one that has its place")
+{
+    // An observation was answered by a life that ended then; the agent takes the answer in only
+    // after the next life has been announced and has begun a task. It takes the answer for yet
+    // another life, which knows nothing of the task, and gives it up while it runs.
+    Fixture site;
+    site.answer(site.order("a.0.0", 10), 12);
+    const auto former = lastOf<CallObserve>(tick(site.state, at(100)));
+    REQUIRE(former.has_value());
+    constexpr std::int64_t NextLifeMs = 2000;
+    Transient::BackendAnnouncement next = *site.state.backend;
+    next.startedAtMs = NextLifeMs;
+    next.sequence = 1;
+    backendAnnounced(site.state, next, at(NextLifeMs));
+    Transient::ObserveAnswer clean;
+    clean.outcome = ObserveOutcome::Seen;
+    clean.seen.startedAtMs = NextLifeMs;
+    const auto look = lastOf<CallObserve>(tick(site.state, at(NextLifeMs + 50)));
+    REQUIRE(look.has_value());
+    observed(site.state, look->watch, clean, at(NextLifeMs + 52));
+    const CallStart start = site.order("b.0.0", NextLifeMs + 60);
+    site.answer(start, NextLifeMs + 62);
+    site.seen(former->watch, NextLifeMs + 70);
+    CHECK(site.isKnown(start.run));
+}
+
+TEST_CASE("A start that was answered renews what runs beside it")
+{
+    // No observation comes through for most of a lease; then a start does, taken or not, and
+    // with it everything there has a lease from then on. What ran before is not over before
+    // that ends.
+    for (const StartOutcome outcome : {StartOutcome::Started, StartOutcome::NumberUsed}) {
+        CAPTURE(Common::nameOf(Transient::StartOutcomeNames, outcome));
+        Fixture site;
+        const CallStart first = site.order("a.0.0", 10);
+        site.answer(first, 12);
+        observeInVain(site, ObserveOutcome::NotConnected, 20, 690);
+        constexpr std::int64_t RenewedMs = 695;
+        const CallStart second = site.order("b.0.0", RenewedMs);
+        startAnswered(site.state, second.run, second.start.number, {outcome, RenewedMs},
+                      at(RenewedMs + 2));
+        observeInVain(site, ObserveOutcome::NotConnected, 700, RenewedMs + LeaseMs);
+        CHECK(site.isKnown(first.run));
+        observeInVain(site, ObserveOutcome::NotConnected, RenewedMs + LeaseMs,
+                      RenewedMs + LeaseMs + 100);
+        CHECK_FALSE(site.isKnown(first.run));
+    }
+}
--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -258,3 +258,97 @@
     REQUIRE(world->callers.back().isAnswered);
     checkPromises(*world);
 }
+
+TEST_CASE("A backend server has left while its tasks run on")
+{
+    // It says that it has left and ends some 30 ms later; what runs there runs on until then. Its
+    // agent takes everything to be over at once, and the gateway has the tasks start elsewhere:
+    // each runs twice at a time until the end comes.
+    auto world = readySite(13, 1, 2);
+    const std::size_t caller = submit(*world, 0, Long, 8, 8000);
+    runFor(*world, 200);
+    backendEnds(*world, 0, 30);
+    runFor(*world, 4000);
+    checkSucceeded(*world, caller);
+    checkPromises(*world);
+}
+
+TEST_CASE("A former life of a backend server is heard after the one that has its place")
+{
+    // A message of the former life was delayed; the new life has been announced and has begun
+    // tasks by the time it arrives. The agent takes the late one for yet another life, which knows
+    // nothing of these tasks: it gives them up while they run, and they start elsewhere as well.
+    auto world = readySite(14, 1, 2);
+    crashBackend(*world, 0);
+    runFor(*world, 2000);
+    restartBackend(*world, 0);
+    runFor(*world, 300);
+    const std::size_t caller = submit(*world, 0, Long, 8, 8000);
+    runFor(*world, 100);
+    announceFormerLife(*world, 0);
+    runFor(*world, 4000);
+    checkSucceeded(*world, caller);
+    checkPromises(*world);
+}
+
+TEST_CASE("A gateway loses power and then an agent dies: its caller submits again elsewhere"
+          * doctest::skip())
+{
+    // The agent acts for the dead gateway until its grant lapses, and dies just before that. What
+    // it had started runs on for the lease that it renewed last. The caller saw its connection
+    // break and submits the same job again elsewhere, before that lease has lapsed.
+    constexpr std::int64_t BetweenMs = 690;
+    for (std::int64_t afterMs = 200; afterMs < 450; afterMs += 10) {
+        CAPTURE(afterMs);
+        auto world = readySite(15, 2, 2);
+        submit(*world, 0, {3000, 1, false}, 4, 8000);
+        runFor(*world, afterMs);
+        killGateway(*world, 0, false);
+        startGateway(*world, 0);
+        runFor(*world, BetweenMs);
+        killAgent(*world, 0, false);
+        runFor(*world, 4000);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("A backend server refuses stops and takes renewals after a gateway was killed")
+{
+    // The agent wants to stop what the dead gateway had ordered. Its backend server refuses most
+    // calls: no stop for a second, but now and then an observation, and each renews the lease of
+    // everything that runs there. The caller submits again elsewhere, and its tasks start while the
+    // former ones run on.
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        auto world = readySite(seed, 3, 4);
+        submit(*world, 0, {3000, 1, false}, 8, 8000);
+        runFor(*world, 100);
+        killGateway(*world, 0, true);
+        startGateway(*world, 0);
+        for (ModelBackend &backend : world->backends) {
+            backend.trouble.refusedShare = 0.8;
+        }
+        runFor(*world, ResubmitMs);
+        for (ModelBackend &backend : world->backends) {
+            backend.trouble.refusedShare = 0;
+        }
+        runFor(*world, 3000);
+        checkPromises(*world);
+    }
+}
+
+TEST_CASE("An unanswered start is given up while no connection can be made")
+{
+    // The start is on its way for seconds, and its stop cannot be delivered. After a lease the
+    // agent takes everything there to have lapsed, the unanswered start, too, and the task starts
+    // elsewhere. Then the late start is carried out, with a lease that counts from its arrival.
+    auto world = readySite(16, 1, 2);
+    world->lateLeasesCountFromArrival = true;
+    world->unansweredShare = 0.5;
+    submit(*world, 0, {14'000, 1, false}, 12, 20'000);
+    runFor(*world, 10);
+    world->unansweredShare = 0;
+    world->backends[0].trouble.unreachableUntilMs = world->nowMs + 1500;
+    runFor(*world, 14'000);
+    checkPromises(*world);
+}
