UnitTests/Platform: stand-ins that can be spoiled, as a library

The store keeps topics with offsets, answers long polls when a record comes and forgets its history on command; it can be silent, refuse, be slow or lose answers. The backend server can be silent, refuse, lose answers, carry orders out late (with the lease granted or one that counts anew), turn slow, hang or fail, and tells of each start and end with the time it really had: a run whose lease lapsed ends then, not when somebody next looks. Observations wait in one list instead of a timer of 2 ms each.

--- a/Source/UnitTests/Platform/FakePlatform.cpp
+++ b/Source/UnitTests/Platform/FakePlatform.cpp
@@ -1,5 +1,6 @@
 #include "FakePlatform.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <websocketpp/base64/base64.hpp>
 
@@ -9,7 +10,16 @@
 
 using Json = nlohmann::json;
 
-constexpr const char *Id = "i-1";
+constexpr const char *OperatorsTopic = "keyed.op";
+constexpr const char *GatewaysTopic = "keyed.gateways";
+constexpr const char *LearnedTopic = "keyed.learned";
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t OffsetBytes = 8;
+constexpr unsigned BitsPerByte = 8;
+/// Longer than any caller waits for an answer.
+constexpr std::chrono::seconds Never{8};
+/// Every so many orders or calls meet the fault that strikes some of them.
+constexpr int StruckShare = 4;
 
 std::int64_t nowMs()
 {
@@ -24,6 +34,25 @@
     return response;
 }
 
+std::string bigEndian(std::uint64_t value, std::size_t count)
+{
+    std::string bytes(count, '\0');
+    for (std::size_t index = count; index > 0; --index) {
+        bytes[index - 1] = static_cast<char>(value & 0xffU);
+        value >>= BitsPerByte;
+    }
+    return bytes;
+}
+
+std::size_t readBigEndian(const std::string &bytes, std::size_t at)
+{
+    std::size_t value = 0;
+    for (std::size_t index = at; index < at + LengthBytes; ++index) {
+        value = (value << BitsPerByte) | static_cast<unsigned char>(bytes.at(index));
+    }
+    return value;
+}
+
 std::string wireTask(const std::string &task)
 {
     const std::size_t end = task.find('.');
@@ -82,8 +111,9 @@
 
 } // namespace
 
-Store::Store()
+Store::Store(std::uint16_t port)
     : server(Net::HttpServerBuilder()
+                     .listenOn("127.0.0.1", port)
                      .handler([this](const Net::HttpRequest &request, const Net::HttpReply &reply) {
                          this->answer(request, reply);
                      })
@@ -98,32 +128,65 @@
 
 std::string Store::address() const
 {
-    return "127.0.0.1:" + std::to_string(this->server->port());
+    return "127.0.0.1:" + std::to_string(this->port());
+}
+
+std::uint16_t Store::port() const
+{
+    return this->server->port();
 }
 
 void Store::setQueues(const std::string &text)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->queues = text;
+    this->append(OperatorsTopic, "config", text);
 }
 
 void Store::setSilent(bool silent)
+{
+    this->setFault(StoreFault::Silent, silent);
+}
+
+void Store::setFault(StoreFault fault, bool on)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (on) {
+        this->faults.insert(fault);
+    } else {
+        this->faults.erase(fault);
+    }
+}
+
+void Store::hideGateways()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->isSilent = silent;
+    this->hidesGateways = true;
+}
+
+void Store::forget()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (auto &[name, topic] : this->topics) {
+        topic.firstOffset = this->endOf(topic);
+        topic.records.clear();
+    }
 }
 
 void Store::setLearned(const std::string &key, const std::string &value)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->learnedByKey[key] = value;
+    this->append(LearnedTopic, key, value);
 }
 
 std::string Store::learned(const std::string &key) const
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    const auto found = this->learnedByKey.find(key);
-    return found == this->learnedByKey.end() ? std::string() : found->second;
+    const auto topic = this->topics.find(LearnedTopic);
+    if (topic == this->topics.end()) {
+        return {};
+    }
+    const auto found = topic->second.newest.find(key);
+    return found == topic->second.newest.end() ? std::string() : found->second;
 }
 
 int Store::writes() const
@@ -135,55 +198,162 @@
 void Store::answer(const Net::HttpRequest &request, const Net::HttpReply &reply)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->isSilent) {
-        constexpr std::chrono::seconds Long{5};
-        this->timers.after(Long, [reply] { reply.send({}); });
+    const bool isStruck = ++this->callCount % StruckShare == 0;
+    if (this->faults.count(StoreFault::Silent) > 0) {
+        this->timers.after(Never, [reply] { reply.send({}); });
+        return;
+    }
+    if (this->faults.count(StoreFault::Refusing) > 0) {
+        reply.send(json(503, Json::object()));
+        return;
+    }
+    if (isStruck && this->faults.count(StoreFault::LosingAnswers) > 0) {
+        if (request.path == "/log-append") {
+            this->appendAll(request.query.at("topic"), request.body);
+        }
+        this->timers.after(Never, [reply] { reply.send({}); });
         return;
     }
+    if (this->faults.count(StoreFault::Slow) > 0) {
+        constexpr std::chrono::milliseconds SlowAnswer{400};
+        this->timers.after(SlowAnswer, [this, request, reply] {
+            const std::lock_guard<std::mutex> later(this->mutex);
+            this->serve(request, reply);
+        });
+        return;
+    }
+    this->serve(request, reply);
+}
+
+void Store::serve(const Net::HttpRequest &request, const Net::HttpReply &reply)
+{
     if (request.path == "/log-append") {
         ++this->writeCount;
-        if (request.query.at("topic") == "keyed.learned") {
-            // Length of the record, length of the key, key, value.
-            constexpr std::size_t KeyLengthAt = 4;
-            const auto keyLength = static_cast<unsigned char>(request.body.at(KeyLengthAt));
-            const std::string key = request.body.substr(KeyLengthAt + 1, keyLength);
-            this->learnedByKey[key] = request.body.substr(KeyLengthAt + 1 + keyLength);
-        }
+        this->appendAll(request.query.at("topic"), request.body);
         reply.send(json(200, Json{{"offset", 0}, {"endOffset", 1}}));
         return;
     }
     if (request.path == "/log-read") {
-        constexpr std::chrono::milliseconds Wait{50};
-        this->timers.after(Wait, [reply] {
-            Net::HttpResponse nothing;
-            nothing.body = std::string(16, '\0');
-            reply.send(nothing);
-        });
+        this->read(request, reply);
         return;
     }
-    Json items = Json::array();
-    if (request.query.at("topic") == "keyed.op" && !this->queues.empty()) {
-        items.push_back({{"key", "config"},
-                         {"value", websocketpp::base64_encode(this->queues)},
-                         {"offset", 0}});
+    reply.send(this->newest(request.query.at("topic")));
+}
+
+void Store::append(const std::string &name, const std::string &key, const std::string &value)
+{
+    if (name == GatewaysTopic && this->hidesGateways) {
+        return;
+    }
+    Topic &topic = this->topics[name];
+    topic.newest[key] = value;
+    const std::string content = std::string(1, static_cast<char>(key.size())) + key + value;
+    topic.records.push_back(bigEndian(content.size(), LengthBytes) + content);
+    for (auto reader = this->readers.begin(); reader != this->readers.end();) {
+        if (reader->second.topic == name) {
+            reader->second.reply.send(this->records(topic, reader->second.offset));
+            reader = this->readers.erase(reader);
+        } else {
+            ++reader;
+        }
+    }
+}
+
+void Store::appendAll(const std::string &topic, const std::string &body)
+{
+    // Length of the record, length of the key, key, value.
+    std::size_t at = 0;
+    while (at + LengthBytes < body.size()) {
+        const std::size_t length = readBigEndian(body, at);
+        at += LengthBytes;
+        const std::size_t keyLength = static_cast<unsigned char>(body.at(at));
+        this->append(topic, body.substr(at + 1, keyLength),
+                     body.substr(at + 1 + keyLength, length - 1 - keyLength));
+        at += length;
     }
-    if (request.query.at("topic") == "keyed.learned") {
-        for (const auto &[key, value] : this->learnedByKey) {
+}
+
+void Store::read(const Net::HttpRequest &request, const Net::HttpReply &reply)
+{
+    const std::string &name = request.query.at("topic");
+    const Topic &topic = this->topics[name];
+    const std::int64_t offset = std::stoll(request.query.at("source"));
+    if (offset < topic.firstOffset) {
+        reply.send(json(410, Json{{"startOffset", topic.firstOffset}}));
+        return;
+    }
+    const auto wait = request.query.find("waitMs");
+    const std::int64_t waitMs = wait == request.query.end() ? 0 : std::stoll(wait->second);
+    if (offset < this->endOf(topic) || waitMs == 0) {
+        reply.send(this->records(topic, offset));
+        return;
+    }
+    const std::uint64_t reader = ++this->lastReader;
+    this->readers.emplace(reader, Reader{name, offset, reply});
+    this->timers.after(std::chrono::milliseconds(waitMs), [this, reader] {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->endWait(reader);
+    });
+}
+
+void Store::endWait(std::uint64_t reader)
+{
+    const auto found = this->readers.find(reader);
+    if (found == this->readers.end()) {
+        return;
+    }
+    const Reader &waiting = found->second;
+    waiting.reply.send(this->records(this->topics[waiting.topic], waiting.offset));
+    this->readers.erase(found);
+}
+
+Net::HttpResponse Store::records(const Topic &topic, std::int64_t offset) const
+{
+    Net::HttpResponse response;
+    response.body = bigEndian(static_cast<std::uint64_t>(this->endOf(topic)), OffsetBytes)
+                    + bigEndian(static_cast<std::uint64_t>(topic.firstOffset), OffsetBytes);
+    const std::int64_t first = std::max(offset, topic.firstOffset) - topic.firstOffset;
+    for (auto index = static_cast<std::size_t>(first); index < topic.records.size(); ++index) {
+        response.body += topic.records[index];
+    }
+    return response;
+}
+
+Net::HttpResponse Store::newest(const std::string &name) const
+{
+    Json items = Json::array();
+    std::int64_t end = 0;
+    const auto topic = this->topics.find(name);
+    if (topic != this->topics.end()) {
+        end = this->endOf(topic->second);
+        for (const auto &[key, value] : topic->second.newest) {
             items.push_back(
                     {{"key", key}, {"value", websocketpp::base64_encode(value)}, {"offset", 0}});
         }
     }
-    reply.send(json(200, Json{{"items", items}, {"hasMore", false}, {"endOffset", 1}}));
+    return json(200, Json{{"items", items}, {"hasMore", false}, {"endOffset", end}});
 }
 
-BackendServer::BackendServer()
-    : server(Net::HttpServerBuilder()
-                     .handler([this](const Net::HttpRequest &request, const Net::HttpReply &reply) {
-                         this->answer(request, reply);
-                     })
-                     .build())
+std::int64_t Store::endOf(const Topic &topic) const
 {
-    this->model.startedAtMs = nowMs();
+    return topic.firstOffset + static_cast<std::int64_t>(topic.records.size());
+}
+
+BackendServer::BackendServer(BackendOptions chosen)
+    : options(std::move(chosen))
+{
+    this->passedMs = nowMs();
+    this->model.startedAtMs = Common::currentMoment().wallMs;
+    // Its clock starts near zero, whatever the machine's does.
+    this->model.clockOffsetMs = -TransientSite::clockOf(this->model, this->passedMs);
+    this->server =
+            Net::HttpServerBuilder()
+                    .listenOn("127.0.0.1", this->options.port)
+                    .handler([this](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        this->answer(request, reply);
+                    })
+                    .build();
+    this->tick();
 }
 
 BackendServer::~BackendServer()
@@ -194,7 +364,12 @@
 
 std::string BackendServer::address() const
 {
-    return "127.0.0.1:" + std::to_string(this->server->port());
+    return "127.0.0.1:" + std::to_string(this->port());
+}
+
+std::uint16_t BackendServer::port() const
+{
+    return this->server->port();
 }
 
 bool BackendServer::announce(const std::string &registration, const std::string &service,
@@ -203,9 +378,11 @@
     Net::HttpClient client(1);
     Net::HttpCall call;
     call.method = "PUT";
-    call.url = "http://" + registration + "/instances/" + Id;
+    call.url = "http://" + registration + "/instances/" + this->options.id;
+    call.timeoutMs = 1000;
+    const std::string &announced = this->options.announcedAddress;
     call.body = Json{{"service", service},
-                     {"address", this->address()},
+                     {"address", announced.empty() ? this->address() : announced},
                      {"state", leaving ? "draining" : "ready"},
                      {"capacity", {{"cpu", 8000}, {"memMb", 1000}, {"gpu", 0}}},
                      {"labels", {"a"}},
@@ -216,10 +393,39 @@
     return result.transport == Net::HttpTransport::Answered && result.status == 200;
 }
 
+void BackendServer::sayGone(const std::string &registration)
+{
+    Net::HttpClient client(1);
+    Net::HttpCall call;
+    call.method = "DELETE";
+    call.url = "http://" + registration + "/instances/" + this->options.id;
+    call.timeoutMs = 1000;
+    client.perform(call);
+}
+
+void BackendServer::setFault(BackendFault fault, bool on)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->passTime();
+    if (on) {
+        this->faults.insert(fault);
+    } else {
+        this->faults.erase(fault);
+    }
+    constexpr double SlowSpeed = 0.15;
+    this->model.speed = this->has(BackendFault::Slow) ? SlowSpeed : 1;
+    this->model.failsAll = this->has(BackendFault::Failing);
+}
+
+bool BackendServer::has(BackendFault fault) const
+{
+    return this->faults.count(fault) > 0;
+}
+
 std::size_t BackendServer::running()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    TransientSite::advance(this->model, nowMs());
+    this->passTime();
     return this->model.runs.size();
 }
 
@@ -231,59 +437,201 @@
 
 void BackendServer::answer(const Net::HttpRequest &request, const Net::HttpReply &reply)
 {
-    const Json body = Json::parse(request.body);
-    if (request.path == "/hold") {
-        const std::int64_t waitMs = body.value("waitMs", std::int64_t{0});
-        this->observe(request.body, reply, nowMs() + waitMs);
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const bool isStruck = ++this->orderCount % StruckShare == 0;
+    const auto never = [this, reply] { this->timers.after(Never, [reply] { reply.send({}); }); };
+    if (this->has(BackendFault::Silent)) {
+        never();
         return;
     }
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    TransientSite::advance(this->model, nowMs());
-    const std::string task = ownTask(body.at("task").get<std::string>());
-    const auto number = body.at("runId").get<std::int64_t>();
-    const auto fence = body.at("fencingToken").get<std::int64_t>();
-    const std::int64_t clockMs = TransientSite::clockOf(this->model, nowMs());
-    if (request.path == "/run-stop") {
-        TransientSite::applyStop(this->model, task, number, fence, nowMs());
-        reply.send(json(200, Json{{"clockMs", clockMs}}));
+    if (this->has(BackendFault::Refusing) && request.path == "/run-start") {
+        reply.send(json(503, Json{{"clockMs", TransientSite::clockOf(this->model, nowMs())}}));
         return;
     }
+    const bool isLate = this->has(BackendFault::Late) || this->has(BackendFault::LateWithNewLease);
+    if (isStruck && isLate) {
+        constexpr std::int64_t ShortestMs = 300;
+        constexpr std::int64_t SpreadMs = 5700;
+        constexpr std::int64_t StepMs = 997;
+        const std::int64_t lateMs = ShortestMs + this->orderCount * StepMs % SpreadMs;
+        const Lateness late{lateMs, this->has(BackendFault::LateWithNewLease)};
+        this->timers.after(std::chrono::milliseconds(lateMs), [this, request, reply, late] {
+            const std::lock_guard<std::mutex> later(this->mutex);
+            this->carryOut(request.path, request.body, reply, late);
+        });
+        return;
+    }
+    if (isStruck && this->has(BackendFault::LosingAnswers) && request.path != "/hold") {
+        if (request.path == "/run-start") {
+            this->start(request.body, {});
+        } else {
+            this->stop(request.body);
+        }
+        never();
+        return;
+    }
+    this->carryOut(request.path, request.body, reply, {});
+}
+
+void BackendServer::carryOut(const std::string &path, const std::string &body,
+                             const Net::HttpReply &reply, const Lateness &late)
+{
+    if (path == "/hold") {
+        this->observe(body, reply);
+    } else if (path == "/run-stop") {
+        reply.send(this->stop(body));
+    } else {
+        reply.send(this->start(body, late));
+    }
+}
+
+Net::HttpResponse BackendServer::start(const std::string &text, const Lateness &late)
+{
+    this->passTime();
+    const Json body = Json::parse(text);
     Transient::RunStart start;
-    start.task = task;
-    start.number = number;
-    start.fence = fence;
+    start.task = ownTask(body.at("task").get<std::string>());
+    start.number = body.at("runId").get<std::int64_t>();
+    start.fence = body.at("fencingToken").get<std::int64_t>();
     start.payload = body.at("spec").get<std::string>();
     start.leaseUntilMs = body.at("untilMs").get<std::int64_t>();
+    if (late.hasNewLease) {
+        start.leaseUntilMs += late.byMs;
+    }
+    const std::size_t before = this->model.runs.size();
     const auto outcome = TransientSite::applyStart(this->model, start, nowMs()).outcome;
-    if (outcome == Transient::StartOutcome::Started) {
-        ++this->startCount;
-        reply.send(json(200, Json{{"clockMs", clockMs}}));
-        return;
+    const std::int64_t clockMs = TransientSite::clockOf(this->model, nowMs());
+    if (outcome != Transient::StartOutcome::Started) {
+        return json(409, Json{{"clockMs", clockMs}, {"reason", conflictName(outcome)}});
     }
-    reply.send(json(409, Json{{"clockMs", clockMs}, {"reason", conflictName(outcome)}}));
+    ++this->startCount;
+    if (this->model.runs.size() > before) {
+        this->options.ran({nowMs(), start.task, start.number, std::nullopt, late.byMs > 0});
+    }
+    return json(200, Json{{"clockMs", clockMs}});
 }
 
-void BackendServer::observe(const std::string &text, const Net::HttpReply &reply,
-                            std::int64_t untilMs)
+Net::HttpResponse BackendServer::stop(const std::string &text)
 {
+    this->passTime();
     const Json body = Json::parse(text);
-    const auto lastEnd = body.at("lastSeen").get<std::int64_t>();
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    TransientSite::advance(this->model, nowMs());
-    const auto answer =
-            TransientSite::applyObserve(this->model, body.at("fencingToken").get<std::int64_t>(),
-                                        lastEnd, body.value("untilMs", std::int64_t{0}), nowMs());
-    if (answer.outcome == Transient::ObserveOutcome::Fenced) {
-        reply.send(json(409, Json{{"reason", "fence"}}));
-        return;
+    TransientSite::applyStop(this->model, ownTask(body.at("task").get<std::string>()),
+                             body.at("runId").get<std::int64_t>(),
+                             body.at("fencingToken").get<std::int64_t>(), nowMs());
+    return json(200, Json{{"clockMs", TransientSite::clockOf(this->model, nowMs())}});
+}
+
+void BackendServer::observe(const std::string &text, const Net::HttpReply &reply)
+{
+    this->passTime();
+    const Json body = Json::parse(text);
+    const Waiting observation{body.at("fencingToken").get<std::int64_t>(),
+                              body.at("lastSeen").get<std::int64_t>(),
+                              nowMs() + body.value("waitMs", std::int64_t{0}), reply};
+    TransientSite::applyObserve(this->model, observation.fence, observation.lastEnd,
+                                body.value("untilMs", std::int64_t{0}), nowMs());
+    if (!this->answerObservation(observation)) {
+        this->waiting.push_back(observation);
     }
-    if (TransientSite::hasNews(this->model, lastEnd) || nowMs() >= untilMs) {
-        reply.send(json(200, observationJson(answer.seen)));
-        return;
+}
+
+bool BackendServer::answerObservation(const Waiting &observation)
+{
+    if (observation.fence < this->model.fence) {
+        observation.reply.send(json(409, Json{{"reason", "fence"}}));
+        return true;
+    }
+    const bool hasNews = TransientSite::hasNews(this->model, observation.lastEnd);
+    if (!hasNews && nowMs() < observation.untilMs) {
+        return false;
+    }
+    const auto answer = TransientSite::applyObserve(this->model, observation.fence,
+                                                    observation.lastEnd, 0, nowMs());
+    observation.reply.send(json(200, observationJson(answer.seen)));
+    return true;
+}
+
+void BackendServer::tick()
+{
+    constexpr std::chrono::milliseconds LookAgain{4};
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->passTime();
+        const auto done = [this](const Waiting &entry) { return this->answerObservation(entry); };
+        this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(), done),
+                            this->waiting.end());
+    }
+    this->timers.after(LookAgain, [this] { this->tick(); });
+}
+
+/// Ends runs at their own times, however late this is called: a run whose lease lapsed does not
+/// count as running until somebody looked.
+void BackendServer::passTime()
+{
+    const std::int64_t now = nowMs();
+    if (this->has(BackendFault::Hanging)) {
+        this->stretchRuns(now - this->passedMs);
+    }
+    this->passedMs = now;
+    std::map<std::pair<std::string, std::int64_t>, std::int64_t> dueMs;
+    for (const TransientSite::ModelRun &run : this->model.runs) {
+        dueMs[{run.task, run.number}] = run.endsMs;
+    }
+    constexpr std::int64_t ClockShare = 50;
+    const std::int64_t leftMs = this->model.leaseUntilMs - TransientSite::clockOf(this->model, now);
+    const std::int64_t lapseMs = now + leftMs * ClockShare / (ClockShare - 1);
+    if (lapseMs < now) {
+        TransientSite::advance(this->model, lapseMs + 1);
+    }
+    TransientSite::advance(this->model, now);
+    for (const TransientSite::ModelEnd &end : this->model.ends) {
+        if (end.position <= this->toldEnd) {
+            continue;
+        }
+        this->toldEnd = end.position;
+        const bool hasLapsed = end.end == Transient::RunEnd::LeaseLapsed;
+        const std::int64_t atMs = hasLapsed ? lapseMs : dueMs[{end.task, end.number}];
+        this->options.ran({std::min(atMs, now), end.task, end.number, end.end, false});
+    }
+}
+
+void BackendServer::stretchRuns(std::int64_t byMs)
+{
+    for (TransientSite::ModelRun &run : this->model.runs) {
+        const bool isStopping = run.startedMs < 0;
+        run.endsMs += isStopping ? 0 : byMs;
     }
-    constexpr std::chrono::milliseconds LookAgain{2};
-    this->timers.after(LookAgain,
-                       [this, text, reply, untilMs] { this->observe(text, reply, untilMs); });
+}
+
+std::string jobBody(const CallerJob &job)
+{
+    const TransientSite::ModelWork work{job.runMs, 1, job.fails};
+    return Json{{"bestEffort", true},
+                {"spec", TransientSite::payloadOf(work)},
+                {"steps", {{{"count", job.tasks}, {"cpu", 1000}, {"estimateMs", job.runMs}}}}}
+            .dump();
+}
+
+std::string patienceHeader(std::int64_t ms)
+{
+    return "X-Auburntrail-Deadline-Ms: " + std::to_string(ms);
+}
+
+std::string queueRecord(std::int64_t version, const std::string &service,
+                        const std::vector<QueueRoute> &routes)
+{
+    Json record{{"version", version}, {"routes", Json::array()}};
+    for (const QueueRoute &route : routes) {
+        record["routes"].push_back({{"name", "checks" + route.path},
+                                    {"host", "desk.example"},
+                                    {"pathPrefix", route.path},
+                                    {"service", service},
+                                    {"priority", route.priority},
+                                    {"maxAttempts", 2},
+                                    {"slackFactor", 1.6},
+                                    {"targetLatencyMs", 2000}});
+    }
+    return record.dump();
 }
 
 std::uint16_t freePort()
@@ -296,17 +644,7 @@
 
 std::string oneQueue(std::int64_t version, const std::string &service)
 {
-    return Json{{"version", version},
-                {"routes",
-                 {{{"name", "checks"},
-                   {"host", "desk.example"},
-                   {"pathPrefix", "/checks/"},
-                   {"service", service},
-                   {"priority", 1},
-                   {"maxAttempts", 2},
-                   {"slackFactor", 1.6},
-                   {"targetLatencyMs", 2000}}}}}
-            .dump();
+    return queueRecord(version, service, {{"/checks/", 1}});
 }
 
 } // namespace FakePlatform
--- a/Source/UnitTests/Platform/FakePlatform.h
+++ b/Source/UnitTests/Platform/FakePlatform.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "Common/Common.h"
 #include "Net/Net.h"
@@ -14,63 +18,207 @@
 /// the real daemons.
 namespace FakePlatform {
 
-/// Holds one configuration and the newest records of what gateways have learned; reads wait a
-/// little and find nothing more.
+/// What is wrong with the store.
+enum class StoreFault { Silent, Refusing, Slow, LosingAnswers };
+
+constexpr Common::NameTable<StoreFault, 4> StoreFaultNames{{{StoreFault::Silent, "silent"},
+                                                            {StoreFault::Refusing, "refuse"},
+                                                            {StoreFault::Slow, "slow"},
+                                                            {StoreFault::LosingAnswers, "lose"}}};
+
+/// Keeps topics of records with keys, from offset 0 on, and the newest record of each key.
 class Store
 {
 public:
-    Store();
+    /// \a port 0 takes a free one.
+    explicit Store(std::uint16_t port = 0);
     ~Store();
     Store(const Store &) = delete;
     Store &operator=(const Store &) = delete;
 
     std::string address() const;
+    std::uint16_t port() const;
     void setQueues(const std::string &text);
     void setSilent(bool silent);
+    void setFault(StoreFault fault, bool on);
+    /// From now on takes no address of a gateway in, though it says so.
+    void hideGateways();
+    /// Drops the history; the newest record of each key stays.
+    void forget();
     int writes() const;
     void setLearned(const std::string &key, const std::string &value);
     /// Empty where nobody has written it.
     std::string learned(const std::string &key) const;
 
 private:
+    struct Topic
+    {
+        std::int64_t firstOffset = 0;
+        /// As they stand on the wire, from firstOffset on.
+        std::vector<std::string> records;
+        std::map<std::string, std::string> newest;
+    };
+
+    /// A read that waits for a record.
+    struct Reader
+    {
+        std::string topic;
+        std::int64_t offset = 0;
+        Net::HttpReply reply;
+    };
+
     void answer(const Net::HttpRequest &request, const Net::HttpReply &reply);
+    void serve(const Net::HttpRequest &request, const Net::HttpReply &reply);
+    void append(const std::string &topic, const std::string &key, const std::string &value);
+    void appendAll(const std::string &topic, const std::string &body);
+    void read(const Net::HttpRequest &request, const Net::HttpReply &reply);
+    Net::HttpResponse records(const Topic &topic, std::int64_t offset) const;
+    Net::HttpResponse newest(const std::string &topic) const;
+    std::int64_t endOf(const Topic &topic) const;
+    void endWait(std::uint64_t reader);
 
     mutable std::mutex mutex;
-    std::string queues;
-    std::map<std::string, std::string> learnedByKey;
-    bool isSilent = false;
+    std::map<std::string, Topic> topics;
+    std::map<std::uint64_t, Reader> readers;
+    std::uint64_t lastReader = 0;
+    std::set<StoreFault> faults;
+    bool hidesGateways = false;
     int writeCount = 0;
+    int callCount = 0;
     Common::TimerThread timers;
     std::unique_ptr<Net::HttpServer> server;
 };
 
+/// What is wrong with a backend server.
+enum class BackendFault {
+    Silent,
+    Refusing,
+    LosingAnswers,
+    Late,
+    LateWithNewLease,
+    Slow,
+    Hanging,
+    Failing
+};
+
+constexpr Common::NameTable<BackendFault, 8> BackendFaultNames{
+        {{BackendFault::Silent, "silent"},
+         {BackendFault::Refusing, "refuse"},
+         {BackendFault::LosingAnswers, "lose"},
+         {BackendFault::Late, "late"},
+         {BackendFault::LateWithNewLease, "late-new-lease"},
+         {BackendFault::Slow, "slow"},
+         {BackendFault::Hanging, "hang"},
+         {BackendFault::Failing, "fail"}}};
+
+/// A run began or ended on a backend server.
+struct RunEvent
+{
+    std::int64_t steadyMs = 0;
+    std::string task;
+    std::int64_t number = 0;
+    /// Empty for a start.
+    std::optional<Transient::RunEnd> end;
+    /// The order was carried out long after it had come.
+    bool isLate = false;
+};
+
+struct BackendOptions
+{
+    std::string id = "i-1";
+    /// 0 takes a free one.
+    std::uint16_t port = 0;
+    /// Where others reach it; its own address where empty.
+    std::string announcedAddress;
+    /// Runs in order, each once, under a lock of the server's.
+    std::function<void(const RunEvent &)> ran = [](const RunEvent &) {};
+};
+
 /// TransientSite::ModelBackend on the real clock.
 class BackendServer
 {
 public:
-    BackendServer();
+    explicit BackendServer(BackendOptions options = {});
     ~BackendServer();
     BackendServer(const BackendServer &) = delete;
     BackendServer &operator=(const BackendServer &) = delete;
 
     std::string address() const;
+    std::uint16_t port() const;
     /// Tells the agent at \a registration of itself. False where it does not acknowledge.
     bool announce(const std::string &registration, const std::string &service, bool leaving);
+    /// Tells the agent that it ends.
+    void sayGone(const std::string &registration);
+    void setFault(BackendFault fault, bool on);
     std::size_t running();
     int starts();
 
 private:
+    /// Of an order that is carried out long after it has come.
+    struct Lateness
+    {
+        std::int64_t byMs = 0;
+        /// The time that it grants counts from when it is carried out.
+        bool hasNewLease = false;
+    };
+
+    /// An observation that waits for an end.
+    struct Waiting
+    {
+        std::int64_t fence = 0;
+        std::int64_t lastEnd = 0;
+        std::int64_t untilMs = 0;
+        Net::HttpReply reply;
+    };
+
     void answer(const Net::HttpRequest &request, const Net::HttpReply &reply);
-    void observe(const std::string &body, const Net::HttpReply &reply, std::int64_t untilMs);
+    void carryOut(const std::string &path, const std::string &body, const Net::HttpReply &reply,
+                  const Lateness &late);
+    Net::HttpResponse start(const std::string &body, const Lateness &late);
+    Net::HttpResponse stop(const std::string &body);
+    void observe(const std::string &body, const Net::HttpReply &reply);
+    bool answerObservation(const Waiting &waiting);
+    void tick();
+    void passTime();
+    void stretchRuns(std::int64_t byMs);
+    bool has(BackendFault fault) const;
 
+    BackendOptions options;
     std::mutex mutex;
     TransientSite::ModelBackend model;
+    std::set<BackendFault> faults;
+    std::vector<Waiting> waiting;
+    std::int64_t toldEnd = 0;
+    std::int64_t passedMs = 0;
     int startCount = 0;
+    int orderCount = 0;
     std::int64_t sequence = 0;
     Common::TimerThread timers;
     std::unique_ptr<Net::HttpServer> server;
 };
 
+/// A job of one step, as a caller submits it.
+struct CallerJob
+{
+    std::int64_t runMs = 0;
+    int tasks = 1;
+    bool fails = false;
+};
+
+std::string jobBody(const CallerJob &job);
+/// A header line that tells how long the caller waits.
+std::string patienceHeader(std::int64_t ms);
+
+struct QueueRoute
+{
+    std::string path;
+    std::int64_t priority = 1;
+};
+
+/// A configuration with these queues at host "desk.example".
+std::string queueRecord(std::int64_t version, const std::string &service,
+                        const std::vector<QueueRoute> &routes);
+
 /// A port that nothing listens on at the moment.
 std::uint16_t freePort();
 
