StandIn: block the stop signals before logging starts

The asynchronous log sink starts a thread at once. It had no signal blocked, so SIGTERM was delivered to it and ended the process by its default action: a stand-in never stopped gracefully, and its exit status was 143. Threads inherit the mask, so blocking first is enough.

--- a/Source/Core/StandIn/DaemonProcess.h
+++ b/Source/Core/StandIn/DaemonProcess.h
@@ -36,8 +36,9 @@
 template <typename Build>
 void runDaemon(const char *name, const DaemonOptions &options, Build build)
 {
-    Common::startLogging(name, options.logLevel);
+    // Logging has a thread of its own, which would take the signal and end the process by it.
     blockStopSignals();
+    Common::startLogging(name, options.logLevel);
     const auto server = build();
     writePortFile(options.portFile, server->port());
     Common::logEvent(Common::LogLevel::Info, "started", {{"url", server->url()}});
