--- a/Source/Soak/Processes.cpp
+++ b/Source/Soak/Processes.cpp
@@ -31,7 +31,16 @@
     }
     arguments.push_back(nullptr);
     const pid_t parent = getpid();
+    // Until it runs its own program the child has this one's handlers, which would swallow a
+    // signal.
+    sigset_t all;
+    sigset_t former;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &former);
     const pid_t child = fork();
+    if (child != 0) {
+        pthread_sigmask(SIG_SETMASK, &former, nullptr);
+    }
     if (child < 0) {
         throw std::runtime_error("can't start " + this->command[0]);
     }
@@ -45,6 +54,9 @@
     if (getppid() != parent) {
         _exit(CannotRun);
     }
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        std::signal(number, SIG_DFL);
+    }
     sigset_t none;
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
