--- a/Source/Soak/Site.cpp
+++ b/Source/Soak/Site.cpp
@@ -247,7 +247,7 @@
             station.thawMs = NeverMs;
             station.process->signal(SIGCONT);
         }
-        if (station.stoppingSinceMs != 0 && now >= station.stoppingSinceMs + GraceMs
+        if (station.stoppingSinceMs != 0 && now >= station.stoppingSinceMs + GoneMs
             && station.process->isRunning()) {
             if (!station.hasBeenFrozen) {
                 this->found.push_back({Promise::GracefulStop, now, name + " outstayed its grace"});
@@ -299,7 +299,7 @@
         station.process->signal(SIGCONT);
         station.process->signal(SIGTERM);
     }
-    const std::int64_t untilMs = nowMs() + GraceMs + 1000;
+    const std::int64_t untilMs = nowMs() + GoneMs;
     bool isRunning = true;
     while (isRunning && nowMs() < untilMs) {
         constexpr std::chrono::milliseconds Pause{20};
--- a/Source/Soak/Site.h
+++ b/Source/Soak/Site.h
@@ -44,8 +44,10 @@
     int life = 0;
 };
 
-/// The platform gives 6 s; on a busy machine a process that has stopped may take a while to go.
-constexpr std::int64_t GraceMs = 7000;
+/// For a graceful stop.
+constexpr std::int64_t GraceMs = 6000;
+/// On a busy machine a process that has stopped may take a while to go.
+constexpr std::int64_t GoneMs = GraceMs + 1000;
 
 class Site
 {
--- a/Source/Soak/Soak.cpp
+++ b/Source/Soak/Soak.cpp
@@ -20,7 +20,7 @@
 constexpr std::int64_t MsPerSecond = 1000;
 /// Of all processes and their first answers, on a busy machine.
 constexpr std::int64_t StartMs = 60'000;
-constexpr std::int64_t RecoveryMs = 15'000;
+constexpr std::int64_t RecoveryMs = 20'000;
 /// The last requests are answered within their patience and one submission more.
 constexpr std::int64_t LastAnswersMs = 12'000;
 
@@ -118,10 +118,10 @@
         std::this_thread::sleep_for(Tick);
     }
 
-    /// Until a second and a half has been served at every gateway.
+    /// Until three seconds have been served at every gateway.
     bool waitServed(std::int64_t withinMs)
     {
-        constexpr std::int64_t WindowMs = 1500;
+        constexpr std::int64_t WindowMs = 3000;
         constexpr std::int64_t LookMs = 200;
         const std::int64_t fromMs = nowMs();
         std::int64_t nextLookMs = fromMs + WindowMs;
