--- a/Source/Core/Daemon/Daemon.h
+++ b/Source/Core/Daemon/Daemon.h
@@ -63,8 +63,8 @@
 int serve(const std::string &name, const std::string &logLevel, const Options &options, Build build,
           PortsOf portsOf)
 {
-    // The log has a thread of its own, which would take the stop signal and end the process at once,
-    // with every request in progress.
+    // The log has a thread of its own, which would take the stop signal and end the process at
+    // once, with every request in progress.
     blockSignals();
     Common::startLogging(name, logLevel);
     decltype(build()) daemon;
