Runner: renew nothing that nobody wants, and start no task beside such a run

Cause: an agent's new process found runs of the former one, and their stops went unanswered (a backend server that refused or lost them). Every look renewed their lease with everything else there; gateways had the tasks started elsewhere once the former process counted as over, 1.7 s after it was heard last. Nothing is renewed where no wanted run is, nor while such a run is there for more than 150 ms; a task waits while a run of it that nobody wants is shown. What is not shown any more is forgotten at once, so that one lost look cannot hold renewals up for good. "What must end is not renewed..." wants the lease to end with the last look before the link was lost now, 150 ms earlier than before.

--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -160,6 +160,12 @@
     std::int64_t usedMs = 0;
 };
 
+struct Stray
+{
+    std::int64_t firstSeenMs = 0;
+    std::int64_t nextStopMs = 0;
+};
+
 struct RecentEnd
 {
     Schema::AttemptState state;
@@ -206,8 +212,8 @@
     /// Observations are made more often for a while after one was lost.
     std::int64_t lossyUntilMs = 0;
     std::int64_t nextWatchMs = 0;
-    /// Runs that the backend server shows and nobody here wants: next time to stop them.
-    std::map<std::pair<std::string, std::int64_t>, std::int64_t> strays;
+    /// By task and number: runs that the backend server shows and nobody here wants.
+    std::map<std::pair<std::string, std::int64_t>, Stray> strays;
     std::int64_t forgotNumbersMs = 0;
 
     /// By the gateway's instance: until when this agent may act for it. A gateway repeats the time
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -148,11 +148,15 @@
 
 bool hasUnstopped(const RunnerState &state, Common::Moment now)
 {
-    return std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
-        const Run &run = entry.second;
-        return run.phase == RunPhase::Stopping && run.stopTakenMs == 0
-               && now.steadyMs > run.stopAskedMs + state.times.unstoppedMs;
-    });
+    const bool hasStray =
+            std::any_of(state.strays.begin(), state.strays.end(), [&](const auto &entry) {
+                return now.steadyMs > entry.second.firstSeenMs + state.times.unstoppedMs;
+            });
+    return hasStray || std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
+               const Run &run = entry.second;
+               return run.phase == RunPhase::Stopping && run.stopTakenMs == 0
+                      && now.steadyMs > run.stopAskedMs + state.times.unstoppedMs;
+           });
 }
 
 void fenceOff(RunnerState &state, std::int64_t usedFence)
--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -70,14 +70,26 @@
     }
 }
 
+bool isShown(const Transient::Observation &seen, const std::string &task, std::int64_t number)
+{
+    return std::any_of(seen.active.begin(), seen.active.end(),
+                       [&](const Transient::ActiveRun &active) {
+                           return active.number == number && active.task == task;
+                       });
+}
+
 void stopStray(RunnerState &state, Effects &effects, const Transient::ActiveRun &active,
                Common::Moment now)
 {
-    std::int64_t &nextMs = state.strays[{active.task, active.number}];
-    if (now.steadyMs < nextMs) {
+    const auto [entry, isNew] = state.strays.try_emplace({active.task, active.number});
+    Stray &stray = entry->second;
+    if (isNew) {
+        stray.firstSeenMs = now.steadyMs;
+    }
+    if (now.steadyMs < stray.nextStopMs) {
         return;
     }
-    nextMs = now.steadyMs + StrayRetryMs;
+    stray.nextStopMs = now.steadyMs + StrayRetryMs;
     effects.emplace_back(Transient::Note{"stray_run_stopped",
                                          {{"task", active.task},
                                           {"run", std::to_string(active.number)},
@@ -98,20 +110,13 @@
         run->percent = active.percent;
         run->isStartKnown = true;
     }
-    // What was stopped is gone: nothing has to be asked again.
-    if (seen.active.empty()) {
-        state.strays.clear();
+    // What is not shown any more has ended.
+    for (auto entry = state.strays.begin(); entry != state.strays.end();) {
+        entry = isShown(seen, entry->first.first, entry->first.second) ? std::next(entry)
+                                                                       : state.strays.erase(entry);
     }
 }
 
-bool isActive(const Transient::Observation &seen, const Run &run)
-{
-    return std::any_of(seen.active.begin(), seen.active.end(),
-                       [&run](const Transient::ActiveRun &active) {
-                           return active.number == run.number && active.task == run.task;
-                       });
-}
-
 /// Runs that the backend server does not show any more, though it was asked after they had started
 /// or after it had taken their stop in.
 void settleMissing(RunnerState &state, Effects &effects, const Transient::Observation &seen,
@@ -119,7 +124,7 @@
 {
     std::vector<RunId> gone;
     for (auto &[id, run] : state.runs) {
-        if (isActive(seen, run)) {
+        if (isShown(seen, run.task, run.number)) {
             run.missed = 0;
             continue;
         }
@@ -171,6 +176,16 @@
     effects.emplace_back(Announce{});
 }
 
+/// Whether anything there is to go on. What a former process left is not: renewed while its stops
+/// went unanswered, it ran on beside its successor at another agent.
+bool hasWanted(const RunnerState &state)
+{
+    return std::any_of(state.runs.begin(), state.runs.end(), [](const auto &entry) {
+        const RunPhase phase = entry.second.phase;
+        return phase == RunPhase::Starting || phase == RunPhase::Running;
+    });
+}
+
 /// The observation was carried out, or may have been: that a refused one has done nothing is known
 /// of starts only.
 void renewed(RunnerState &state, const Watch &watch)
@@ -361,7 +376,7 @@
     // A backend server that carries calls out without answering would go on for ever with what this
     // agent takes to have lapsed.
     const bool isSilent = isSilentFor(state, lapseMs(state), now);
-    const bool isRenewal = !isSilent && !hasUnstopped(state, now);
+    const bool isRenewal = !isSilent && hasWanted(state) && !hasUnstopped(state, now);
     call.leaseUntilMs = isRenewal ? leaseUntilMs(state, now) : 0;
     const bool isWaiting = state.isClean && state.isAlive;
     const bool isLossy = now.steadyMs < state.lossyUntilMs;
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -472,7 +472,9 @@
         }
     }
     CHECK(leaseUntilMs < ResubmittedMs);
-    CHECK(leaseUntilMs > LinkLostMs + LeaseMs);
+    // Nothing else is wanted there: not even the first look after the loss renews.
+    CHECK(leaseUntilMs <= LinkLostMs + LeaseMs);
+    CHECK(leaseUntilMs > LinkLostMs + LeaseMs - 50);
 }
 
 TEST_CASE("After an unanswered call nothing sent before it is obeyed")
@@ -887,3 +889,44 @@
         CHECK_FALSE(site.isKnown(first.run));
     }
 }
+
+TEST_CASE("What a former process left is not renewed while its stops go unanswered")
+{
+    // An agent's new process finds a run that nobody here wants. Its stops are lost; each look
+    // would prolong the lease, and gateways have the task started elsewhere once the former process
+    // counts as over.
+    for (const bool hasOwnRun : {false, true}) {
+        CAPTURE(hasOwnRun);
+        Fixture site;
+        std::vector<Transient::ActiveRun> active;
+        if (hasOwnRun) {
+            const CallStart own = site.order("z.0.0", 5);
+            site.answer(own, 6);
+            active.push_back({"z.0.0", own.start.number, 10});
+        }
+        active.push_back({"a.0.0", 1, 10});
+        site.state.isClean = hasOwnRun;
+        std::int64_t leaseUntilMs = 0;
+        for (std::int64_t nowMs = 10; nowMs < 3000; nowMs += 10) {
+            if (const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)))) {
+                leaseUntilMs = std::max(leaseUntilMs, call->leaseUntilMs);
+                shows(site, call->watch, nowMs + 1, 1, active);
+            }
+        }
+        // The first look is 26 ms after the start; 150 ms are for a stop to be taken.
+        CHECK(leaseUntilMs <= (hasOwnRun ? 26 + 150 + 20 + LeaseMs : 0));
+        shows(site, nextLook(site, 3000), 3100, 1, {});
+        CHECK(site.state.strays.empty());
+    }
+}
+
+TEST_CASE("A task waits while a run of it that nobody wants is left")
+{
+    Fixture site;
+    const CallStart other = site.order("z.0.0", 10);
+    site.answer(other, 12);
+    shows(site, nextLook(site, 14), 40, 1, {{"z.0.0", other.start.number, 10}, {"a.0.0", 1, 10}});
+    CHECK_FALSE(lastOf<CallStart>(site.orderFrom(Gateway, "a.0.0", 42)).has_value());
+    shows(site, nextLook(site, 43), 90, 1, {{"z.0.0", other.start.number, 10}});
+    CHECK(lastOf<CallStart>(tick(site.state, at(91))).has_value());
+}
