Runner: look until what nobody wants is gone

Cause: starts are held back beside a run that nobody wants, but with no run of its own the agent asked nothing more, and never learned that the other had ended: it started nothing for good. It looks until none is shown, and a new life begins without any. Both new tests fail before.

--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -27,7 +27,7 @@
 
 bool isWatchNeeded(const RunnerState &state)
 {
-    return !state.isClean || state.acknowledgedEnd < state.lastEnd
+    return !state.isClean || state.acknowledgedEnd < state.lastEnd || !state.strays.empty()
            || std::any_of(state.runs.begin(), state.runs.end(),
                           [](const auto &entry) { return entry.second.phase != RunPhase::Queued; });
 }
@@ -315,6 +315,7 @@
     }
     // What was asked of the former life must not be taken for an answer of this one.
     state.watches.clear();
+    state.strays.clear();
     state.silentSinceMs = 0;
     state.lastEnd = 0;
     state.acknowledgedEnd = 0;
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -930,3 +930,40 @@
     shows(site, nextLook(site, 43), 90, 1, {{"z.0.0", other.start.number, 10}});
     CHECK(lastOf<CallStart>(tick(site.state, at(91))).has_value());
 }
+
+TEST_CASE("An agent looks until what nobody wants is gone")
+{
+    // A run that nobody wants is shown by the last look that was needed. It ends; without another
+    // look the agent would hold all starts back for it, and its callers would wait for good.
+    Fixture site;
+    const CallStart own = site.order("z.0.0", 10);
+    site.answer(own, 12);
+    Transient::ObserveAnswer ended;
+    ended.outcome = ObserveOutcome::Seen;
+    ended.seen.clockMs = 40;
+    ended.seen.startedAtMs = 1;
+    ended.seen.active = {{"a.0.0", 1, 10}};
+    ended.seen.ended = {{1, "z.0.0", own.start.number, Transient::RunEnd::Succeeded}};
+    observed(site.state, nextLook(site, 14), ended, at(40));
+    REQUIRE_FALSE(site.isKnown(own.run));
+    ended.seen.ended.clear();
+    observed(site.state, nextLook(site, 41), ended, at(100));
+    shows(site, nextLook(site, 101), 200, 1, {});
+    CHECK(site.state.strays.empty());
+    CHECK(lastOf<CallStart>(site.orderFrom(Gateway, "b.0.0", 1000)).has_value());
+}
+
+TEST_CASE("What nobody wanted of a former life holds nothing up in the next")
+{
+    Fixture site;
+    const CallStart own = site.order("z.0.0", 10);
+    site.answer(own, 12);
+    shows(site, nextLook(site, 14), 40, 1, {{"z.0.0", own.start.number, 10}, {"a.0.0", 1, 10}});
+    REQUIRE_FALSE(site.state.strays.empty());
+    Transient::BackendAnnouncement next = *site.state.backend;
+    next.id = "backend-2";
+    next.startedAtMs = 900;
+    next.sequence = 1;
+    backendAnnounced(site.state, next, at(1000));
+    CHECK(site.state.strays.empty());
+}
