--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -203,7 +203,7 @@
 
 TEST_CASE("A lost answer after a quiet time gives nothing up")
 {
-    // Callers had every answer in time, and yet one task ran three times at once. Its agent had had
+    // Callers had every answer in time, and yet one task had two runs at a time. Its agent had had
     // nothing to do, and so nothing to ask, for seconds. It started the task and looked; the answer
     // to that look was lost within 3 ms. The time without an answer counted as silence of the
     // backend server, every run was given up, and the gateway had the task start elsewhere 8 ms
