Runner: tell from the strays whether a backend server is clean

Each observation was searched for runs that nobody here wants twice, once to stop them and once to see whether any was left. The first search leaves them in the state, without those that are not shown any more; the second goes.

--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -160,14 +160,9 @@
     beginLife(state, effects, before, now);
 }
 
-void becomeClean(RunnerState &state, Effects &effects, const Transient::Observation &seen)
+void becomeClean(RunnerState &state, Effects &effects)
 {
-    const bool isAllKnown = std::all_of(
-            seen.active.begin(), seen.active.end(), [&state](const Transient::ActiveRun &active) {
-                RunId id = 0;
-                return findRun(state, active.task, active.number, id) != nullptr;
-            });
-    if (state.isClean || !isAllKnown) {
+    if (state.isClean || !state.strays.empty()) {
         return;
     }
     state.isClean = true;
@@ -216,7 +211,7 @@
     }
     takeActive(state, effects, seen, now);
     settleMissing(state, effects, seen, watch.sentMs, now);
-    becomeClean(state, effects, seen);
+    becomeClean(state, effects);
     if (!state.isAlive) {
         state.isAlive = true;
         effects.emplace_back(Transient::Note{"backend_regained", {}});
