Gateway: refusals of callers are made in one place

What is refused on the HTTP thread after the end of the control thread built status, detail and Retry-After by itself, beside the function that does so for all other refusals. Both call one now.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -34,6 +34,16 @@
     return {};
 }
 
+/// Tells the caller when to come back where that helps.
+Net::HttpResponse refusal(int status, const std::string &detail)
+{
+    Net::HttpResponse response = Platform::encodeRefusal(status, detail);
+    if (status == Unavailable) {
+        response.retryAfterSeconds = RetrySeconds;
+    }
+    return response;
+}
+
 } // namespace
 
 TransientCallers::TransientCallers(TransientControl &control, TransientMailbox &mailbox,
@@ -120,8 +130,7 @@
 {
     const std::lock_guard<std::mutex> lock(this->intakeMutex);
     if (this->isRefusing) {
-        Net::HttpResponse response = Platform::encodeRefusal(Unavailable, EndingDetail);
-        response.retryAfterSeconds = RetrySeconds;
+        Net::HttpResponse response = refusal(Unavailable, EndingDetail);
         response.closesConnection = true;
         reply.send(response);
         return;
@@ -242,11 +251,7 @@
                       {"queues_version", this->control.queues.version},
                       {"reason", Schema::enumName(reason)},
                       {"detail", detail}});
-    Net::HttpResponse response = Platform::encodeRefusal(status, detail);
-    if (status == Unavailable) {
-        response.retryAfterSeconds = RetrySeconds;
-    }
-    this->reply(asked.reply, std::move(response));
+    this->reply(asked.reply, refusal(status, detail));
 }
 
 void TransientCallers::reply(const Net::HttpReply &reply, Net::HttpResponse response)
