Schema: one function begins every frame

Dispatch had a function for it, eight places in the agent, the gateway's links, the runner and the transient jobs set the type of an empty frame by themselves. The function stands beside the frames' types now and serves all.

--- a/Source/Core/Agent/Reports.cpp
+++ b/Source/Core/Agent/Reports.cpp
@@ -66,7 +66,7 @@
     report.states = std::move(states);
     endpoint.toldWindow = window;
     SendToGateway send{endpoint.link, {}};
-    send.frame.type = Schema::FrameType::TaskStates;
+    send.frame = frameOf(Schema::FrameType::TaskStates);
     send.frame.taskStates = std::move(report);
     return send;
 }
@@ -265,7 +265,7 @@
         const std::int64_t sequence = nextHello(state.links, endpoint, now);
         endpoint.toldWindow = windows.at(endpoint.link);
         SendToGateway send{endpoint.link, {}};
-        send.frame.type = Schema::FrameType::AgentHello;
+        send.frame = frameOf(Schema::FrameType::AgentHello);
         send.frame.agentHello = makeHello(state, sequence, endpoint.toldWindow);
         effects.emplace_back(std::move(send));
     }
--- a/Source/Core/Dispatch/Effects.h
+++ b/Source/Core/Dispatch/Effects.h
@@ -78,12 +78,4 @@
 
 using Common::append;
 
-/// An empty frame of \a type, to be filled by the sender.
-inline Schema::Frame frameOf(Schema::FrameType type)
-{
-    Schema::Frame frame;
-    frame.type = type;
-    return frame;
-}
-
 } // namespace Dispatch
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -125,8 +125,7 @@
 
 void TransientLinks::sendQueues(Net::LinkId id)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::QueueTable;
+    Schema::Frame frame = frameOf(Schema::FrameType::QueueTable);
     frame.queueTable = this->control.queues;
     this->hub->send(id, frame);
 }
@@ -178,8 +177,7 @@
 void TransientLinks::announceTo(Net::LinkId id, PeerLink &link)
 {
     link.sentMs = this->control.now.steadyMs;
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::GatewayAnnouncement;
+    Schema::Frame frame = frameOf(Schema::FrameType::GatewayAnnouncement);
     frame.gatewayAnnouncement = Schema::GatewayAnnouncement{};
     frame.gatewayAnnouncement->gateway = this->control.self;
     frame.gatewayAnnouncement->others = this->liveGateways();
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -324,8 +324,7 @@
 
 void RunnerDaemon::Implementation::announceTo(Net::LinkId id, GatewayLink &link)
 {
-    Schema::Frame frame;
-    frame.type = Schema::FrameType::AgentAnnouncement;
+    Schema::Frame frame = frameOf(Schema::FrameType::AgentAnnouncement);
     frame.agentAnnouncement = announcementFor(this->state, link.instance, this->now);
     link.toldProcessors = frame.agentAnnouncement->load.committedProcessors;
     this->sendTo(id, link, frame);
@@ -547,8 +546,7 @@
         if (link.instance.empty() || !this->isReportDue(link, processors)) {
             continue;
         }
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::AgentReport;
+        Schema::Frame frame = frameOf(Schema::FrameType::AgentReport);
         frame.agentReport = Schema::AgentReport{};
         frame.agentReport->load = loadFor(this->state, link.instance, this->now);
         frame.agentReport->states = std::move(link.unsent);
--- a/Source/Core/Schema/Schema.h
+++ b/Source/Core/Schema/Schema.h
@@ -21,4 +21,12 @@
     return nlohmann::json(value).template get<std::string>();
 }
 
+/// An empty frame of \a type, to be filled by the sender.
+inline Frame frameOf(FrameType type)
+{
+    Frame frame;
+    frame.type = type;
+    return frame;
+}
+
 } // namespace Schema
--- a/Source/Core/Transient/Answers.cpp
+++ b/Source/Core/Transient/Answers.cpp
@@ -33,8 +33,7 @@
 void sendWithdrawals(Effects &effects, Withdrawals &withdrawals)
 {
     for (auto &[agent, tasks] : withdrawals) {
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::WithdrawTasks;
+        Schema::Frame frame = frameOf(Schema::FrameType::WithdrawTasks);
         frame.withdrawTasks = Schema::WithdrawTasks{};
         frame.withdrawTasks->tasks = std::move(tasks);
         effects.emplace_back(SendToAgent{agent, std::move(frame)});
--- a/Source/Core/Transient/Orders.cpp
+++ b/Source/Core/Transient/Orders.cpp
@@ -97,8 +97,7 @@
         orders.sequence =
                 ordered(agent, orders.resources.processors * static_cast<double>(tasks), tasks);
         orders.echoMs = agent.load.sentMs;
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::TaskOrders;
+        Schema::Frame frame = frameOf(Schema::FrameType::TaskOrders);
         frame.taskOrders = std::move(orders);
         effects.emplace_back(SendToAgent{agent.announced.instance, std::move(frame)});
     }
