Net: an answer to a caller that has left reaches no other caller

Between the look at whether the caller is still there and the queueing, and from the queueing to the writing, the library's thread may close the socket and take another caller under the same number, who then gets the answer.

Each connection now has a mutex: once its caller has gone, no answer is handed over, and what was queued before is flushed while the socket is still open.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -95,6 +95,18 @@
     std::shared_ptr<Gate> gate;
 };
 
+/// What the server keeps of a connection.
+struct ConnectionState
+{
+    std::uint64_t number = 0;
+    bool isRefused = false;
+    /// Whether "100 Continue" was sent for the request being read.
+    bool isContinued = false;
+    /// Guards isGone while an answer is handed to the library.
+    std::mutex mutex;
+    bool isGone = false;
+};
+
 HttpResponse refusal(int status, Schema::Reason reason, const std::string &detail)
 {
     HttpResponse response;
@@ -173,8 +185,10 @@
 
 struct HttpReply::Implementation
 {
-    Implementation(Http::ResponseWriter writer, std::shared_ptr<Gate> gate)
+    Implementation(Http::ResponseWriter writer, std::shared_ptr<ConnectionState> connection,
+                   std::shared_ptr<Gate> gate)
         : writer(std::move(writer))
+        , connection(std::move(connection))
         , gate(std::move(gate))
     {}
     Implementation(const Implementation &) = delete;
@@ -198,6 +212,12 @@
         if (!this->gate->isOpen) {
             return;
         }
+        // The library queues an answer under the number of its socket. Once the caller has gone,
+        // another one may have that number, and would get an answer that it never asked for.
+        const std::lock_guard<std::mutex> connectionLock(this->connection->mutex);
+        if (this->connection->isGone) {
+            return;
+        }
         if (response.retryAfterSeconds > 0) {
             this->writer.headers().add<RetryAfter>(response.retryAfterSeconds);
         }
@@ -233,6 +253,7 @@
     }
 
     Http::ResponseWriter writer;
+    std::shared_ptr<ConnectionState> connection;
     std::shared_ptr<Gate> gate;
     std::atomic<bool> isAnswered = false;
 };
@@ -248,15 +269,7 @@
 
 namespace {
 
-/// What the handler keeps of a connection, in its Pistache::Tcp::Peer.
-struct ConnectionState
-{
-    std::uint64_t number = 0;
-    bool isRefused = false;
-    /// Whether "100 Continue" was sent for the request being read.
-    bool isContinued = false;
-};
-
+/// Under which a Pistache::Tcp::Peer keeps it.
 constexpr const char *ConnectionStateName = "connectionState";
 
 /// Pistache's way into a HttpHandler. It takes the place of the library's own reading of requests,
@@ -278,16 +291,16 @@
 
     void onRequest(const Http::Request &request, Http::ResponseWriter writer) override
     {
-        const std::uint64_t connectionNumber = stateOf(writer.getPeer()).number;
+        const std::shared_ptr<ConnectionState> state = stateOf(writer.getPeer());
         const auto connection = request.headers().tryGet<Http::Header::Connection>();
         const bool isClosing = connection ? connection->control() == Http::ConnectionControl::Close
                                           : request.version() == Http::Version::Http10;
         writer.headers().add<Http::Header::Connection>(
                 isClosing ? Http::ConnectionControl::Close : Http::ConnectionControl::KeepAlive);
         const HttpReply reply(
-                std::make_shared<HttpReply::Implementation>(std::move(writer), this->gate));
+                std::make_shared<HttpReply::Implementation>(std::move(writer), state, this->gate));
         HttpRequest converted = convert(request);
-        converted.connection = connectionNumber;
+        converted.connection = state->number;
         this->handler(std::move(converted), reply);
     }
 
@@ -306,8 +319,15 @@
 
     void onDisconnection(const Peer &peer) override
     {
+        const std::shared_ptr<ConnectionState> state = stateOf(peer);
+        {
+            const std::lock_guard<std::mutex> lock(state->mutex);
+            state->isGone = true;
+        }
+        // While the socket is still open, its number is no other caller's.
+        this->transport()->flush();
         --this->gate->connections;
-        this->disconnected(stateOf(peer).number);
+        this->disconnected(state->number);
     }
 
     /// Shared by the copies of the handler that the library makes, one a thread.
@@ -319,7 +339,7 @@
 
     void onInput(const char *bytes, std::size_t length, const Peer &peer) override
     {
-        if (stateOf(peer).isRefused) {
+        if (stateOf(peer)->isRefused) {
             return;
         }
         Http::RequestParser &parser = *getParser(peer);
@@ -334,7 +354,7 @@
                 this->refuse(peer, Schema::Reason::BodyTooLarge, bodyTooLarge(this->bodyLimit));
             } else if (isWhole) {
                 this->onRequest(parser.request, this->writerFor(peer));
-                stateOf(peer).isContinued = false;
+                stateOf(peer)->isContinued = false;
                 parser.reset();
             } else if (isBodyNext) {
                 sendContinue(peer, parser.request);
@@ -349,9 +369,9 @@
         }
     }
 
-    static ConnectionState &stateOf(const Peer &peer)
+    static std::shared_ptr<ConnectionState> stateOf(const Peer &peer)
     {
-        return *std::static_pointer_cast<ConnectionState>(peer->getData(ConnectionStateName));
+        return std::static_pointer_cast<ConnectionState>(peer->getData(ConnectionStateName));
     }
 
     Http::ResponseWriter writerFor(const Peer &peer)
@@ -370,7 +390,7 @@
     void refuse(const Peer &peer, Schema::Reason reason, const HttpResponse &response)
     {
         this->refused(reason);
-        stateOf(peer).isRefused = true;
+        stateOf(peer)->isRefused = true;
         Http::ResponseWriter writer = this->writerFor(peer);
         writer.headers().add<Http::Header::Connection>(Http::ConnectionControl::Close);
         const auto closeForWriting = [peer] { ::shutdown(peer->fd(), SHUT_WR); };
@@ -384,11 +404,11 @@
     /// the answer.
     static void sendContinue(const Peer &peer, const Http::Request &request)
     {
-        ConnectionState &state = stateOf(peer);
-        if (state.isContinued || !request.headers().has<Http::Header::Expect>()) {
+        const std::shared_ptr<ConnectionState> state = stateOf(peer);
+        if (state->isContinued || !request.headers().has<Http::Header::Expect>()) {
             return;
         }
-        state.isContinued = true;
+        state->isContinued = true;
         static const std::string interimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
         peer->send(Pistache::RawBuffer(interimAnswer, interimAnswer.size()));
     }
