--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -288,7 +288,9 @@
             result.error = transfer.isTooLong ? "answer too long" : curl_easy_strerror(code);
             result.body.clear();
         }
-        this->judgeConnections(originOf(transfer.call.url), result.transport);
+        if (transfer.call.judgesConnections || result.transport == HttpTransport::Answered) {
+            this->judgeConnections(originOf(transfer.call.url), result.transport);
+        }
         curl_multi_remove_handle(this->multi, handle);
         curl_easy_cleanup(handle);
         transfer.done(std::move(result));
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -22,6 +22,9 @@
     std::vector<std::string> headers;
     std::int64_t connectTimeoutMs = 1000;
     std::int64_t timeoutMs = 10000;
+    /// A timeout of it counts against all connections to the server. Not where it is so short that
+    /// it says more of the answer than of the connection.
+    bool judgesConnections = true;
 };
 
 /// How far a call got. Only NotConnected proves that the server never saw the request.
