Runner: see slow backend servers by their progress, forecast waits, learn start limits

Runner/Pace: the progress of what runs gives the time left and the backend server's slowdown, told to gateways from 2 on; what would be late there and not elsewhere is stopped and given back, what waits there as well. Runner/Forecast: the queue played forward, for the most urgent priority and behind all. Runner/StartLimit: mean and deviation of the answers, 30 to 150 ms, doubled without answers. Each can be switched off in the settings.

--- /dev/null
+++ b/Source/Core/Runner/Forecast.cpp
@@ -0,0 +1,89 @@
+#include "Runner/Forecast.h"
+
+#include <functional>
+#include <queue>
+
+#include "Runner/Load.h"
+#include "Runner/Pace.h"
+
+namespace Runner {
+
+namespace {
+
+struct Release
+{
+    double atMs = 0;
+    double processors = 0;
+
+    bool operator>(const Release &other) const { return this->atMs > other.atMs; }
+};
+
+/// The backend server from now on, as its runs end and others take their place.
+struct Timeline
+{
+    std::priority_queue<Release, std::vector<Release>, std::greater<>> releases;
+    double free = 0;
+    double nowMs = 0;
+};
+
+void waitForRoom(Timeline &timeline, double processors)
+{
+    while (timeline.free < processors && !timeline.releases.empty()) {
+        const Release next = timeline.releases.top();
+        timeline.releases.pop();
+        timeline.free += next.processors;
+        timeline.nowMs = next.atMs;
+    }
+}
+
+Timeline timelineOf(const RunnerState &state, Common::Moment now)
+{
+    Timeline timeline;
+    timeline.free = state.backend ? state.backend->resources.processors : 0;
+    for (const auto &[id, run] : state.runs) {
+        if (run.phase != RunPhase::Queued) {
+            timeline.free -= run.resources.processors;
+            timeline.releases.push(
+                    {static_cast<double>(timeLeftMs(run, now)), run.resources.processors});
+        }
+    }
+    return timeline;
+}
+
+double meanProcessors(const RunnerState &state)
+{
+    return state.runs.empty() ? 0
+                              : committedProcessors(state) / static_cast<double>(state.runs.size());
+}
+
+} // namespace
+
+Forecast forecastOf(const RunnerState &state, Common::Moment now)
+{
+    const double slowdown = slowdownOf(state, now);
+    const double needed = meanProcessors(state);
+    Timeline timeline = timelineOf(state, now);
+    Forecast forecast;
+    bool isUrgentKnown = false;
+    for (const RunId id : state.queue) {
+        const Run &run = state.runs.at(id);
+        if (!isUrgentKnown && run.priority > state.urgentPriority) {
+            Timeline urgent = timeline;
+            waitForRoom(urgent, needed);
+            forecast.urgentWaitMs = urgent.nowMs;
+            isUrgentKnown = true;
+        }
+        waitForRoom(timeline, run.resources.processors);
+        timeline.free -= run.resources.processors;
+        timeline.releases.push({timeline.nowMs + static_cast<double>(run.expectedMs) * slowdown,
+                                run.resources.processors});
+    }
+    waitForRoom(timeline, needed);
+    forecast.waitMs = timeline.nowMs;
+    if (!isUrgentKnown) {
+        forecast.urgentWaitMs = forecast.waitMs;
+    }
+    return forecast;
+}
+
+} // namespace Runner
--- a/Source/Core/Runner/Load.cpp
+++ b/Source/Core/Runner/Load.cpp
@@ -2,15 +2,13 @@
 
 #include <algorithm>
 
+#include "Runner/Forecast.h"
+#include "Runner/Pace.h"
+
 namespace Runner {
 
 namespace {
 
-/// Progress below this says too little of a run's length.
-constexpr int TellingPercent = 20;
-constexpr int WholePercent = 100;
-constexpr std::int64_t ShortestLeftMs = 5;
-
 /// Half of what the shortest tasks take.
 constexpr std::int64_t ShortestLoadPauseMs = 25;
 /// Of a site that can bear that pause: its gateways used 0.03 of a core.
@@ -48,18 +46,6 @@
     return Dispatch::fits(whole, occupied(state), needed);
 }
 
-std::int64_t timeLeftMs(const Run &run, Common::Moment now)
-{
-    if (run.phase != RunPhase::Running) {
-        return std::max(run.expectedMs, ShortestLeftMs);
-    }
-    const std::int64_t soFarMs = now.steadyMs - run.startedMs;
-    if (run.percent >= TellingPercent) {
-        return std::max(soFarMs * (WholePercent - run.percent) / run.percent, ShortestLeftMs);
-    }
-    return std::max(run.expectedMs - soFarMs, ShortestLeftMs);
-}
-
 double committedProcessors(const RunnerState &state)
 {
     double processors = 0;
@@ -74,13 +60,19 @@
     Schema::AgentLoad load;
     load.sentMs = now.steadyMs;
     load.committedProcessors = committedProcessors(state);
+    load.slowdown = slowdownOf(state, now);
     double processorMs = 0;
     for (const auto &[id, run] : state.runs) {
-        processorMs += run.resources.processors * static_cast<double>(timeLeftMs(run, now));
+        const double pace = run.phase == RunPhase::Queued ? load.slowdown : 1;
+        processorMs += run.resources.processors * pace * static_cast<double>(timeLeftMs(run, now));
     }
     if (load.committedProcessors > 0) {
         load.meanLeftMs = processorMs / load.committedProcessors;
     }
+    const Forecast forecast = forecastOf(state, now);
+    load.urgentWaitMs = forecast.urgentWaitMs;
+    load.waitMs = forecast.waitMs;
+    load.urgentPriority = state.urgentPriority;
     const auto order = state.lastOrders.find(gateway);
     load.lastOrder = order == state.lastOrders.end() ? 0 : order->second;
     return load;
--- a/Source/Core/Runner/Load.h
+++ b/Source/Core/Runner/Load.h
@@ -11,9 +11,6 @@
 
 bool hasRoom(const RunnerState &state, const Schema::Resources &needed);
 
-/// Time that a run still takes, as far as its progress and the estimate tell.
-std::int64_t timeLeftMs(const Run &run, Common::Moment now);
-
 /// Processors of all tasks that run or wait.
 double committedProcessors(const RunnerState &state);
 
--- /dev/null
+++ b/Source/Core/Runner/Pace.cpp
@@ -0,0 +1,131 @@
+#include "Runner/Pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Runner/Runs.h"
+
+namespace Runner {
+
+namespace {
+
+using Schema::Reason;
+
+/// Until then even a run that stands still may only just have begun.
+constexpr std::int64_t TellingMs = 25;
+/// Part of the expected time after which progress in whole percents tells of the pace.
+constexpr double TellingShare = 0.1;
+constexpr std::int64_t ShortestLeftMs = 5;
+constexpr double WholePercent = 100;
+/// Progress is cut to whole percents: the middle of the step.
+constexpr double HalfPercent = 0.5;
+constexpr double MostRatio = 20;
+/// A slowdown that no run shows any more is forgotten, so that the backend server is tried again.
+constexpr double ForgetHalfLifeMs = 1500;
+/// From here on it is the backend server: declared times are off by less in the mean of its tasks.
+constexpr double SlowFrom = 2;
+/// Stop, proof that it is over, and the way to another backend server.
+constexpr std::int64_t MoveMs = 40;
+/// A task that was slow on so many backend servers is slow by itself.
+constexpr std::int64_t MostMoves = 2;
+
+/// Of the whole run, as its progress at the last observation shows.
+double impliedRunMs(const Run &run)
+{
+    const auto seenMs = static_cast<double>(run.progressSeenMs - run.startedMs);
+    return std::max(seenMs, 1.0) * WholePercent / (run.percent + HalfPercent);
+}
+
+double ratioOf(const Run &run)
+{
+    const double expectedMs = std::max(static_cast<double>(run.expectedMs), 1.0);
+    return std::clamp(impliedRunMs(run) / expectedMs, 1 / MostRatio, MostRatio);
+}
+
+/// By the job itself, at the pace that the backend server should have.
+double ownRunMs(const Run &run, double slowdown)
+{
+    const double ownRatio = std::max(ratioOf(run) / slowdown, 1.0);
+    return static_cast<double>(run.expectedMs) * ownRatio;
+}
+
+bool isBetterElsewhere(const Run &run, double slowdown, Common::Moment now)
+{
+    if (run.attempt > MostMoves || !isPaceKnown(run)) {
+        return false;
+    }
+    const auto leftMs = static_cast<double>(timeLeftMs(run, now));
+    const double elsewhereMs = ownRunMs(run, slowdown) + static_cast<double>(MoveMs);
+    const auto untilTargetMs = static_cast<double>(run.targetMs - now.steadyMs);
+    return leftMs > untilTargetMs && leftMs > 2 * elsewhereMs;
+}
+
+} // namespace
+
+bool isPaceKnown(const Run &run)
+{
+    const auto seenMs = static_cast<double>(run.progressSeenMs - run.startedMs);
+    return run.phase == RunPhase::Running
+           && seenMs >= std::max(static_cast<double>(TellingMs),
+                                 TellingShare * static_cast<double>(run.expectedMs));
+}
+
+std::int64_t timeLeftMs(const Run &run, Common::Moment now)
+{
+    if (run.phase != RunPhase::Running) {
+        return std::max(run.expectedMs, ShortestLeftMs);
+    }
+    const std::int64_t soFarMs = now.steadyMs - run.startedMs;
+    if (!isPaceKnown(run)) {
+        return std::max(run.expectedMs - soFarMs, ShortestLeftMs);
+    }
+    const double boundedMs = ratioOf(run) * static_cast<double>(run.expectedMs);
+    return std::max(static_cast<std::int64_t>(boundedMs) - soFarMs, ShortestLeftMs);
+}
+
+void paceSeen(RunnerState &state, Common::Moment now)
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto &[id, run] : state.runs) {
+        if (isPaceKnown(run)) {
+            sum += std::log(ratioOf(run));
+            count += 1;
+        }
+    }
+    if (count == 0) {
+        return;
+    }
+    // One more that goes as expected: a single run may be long by itself.
+    state.logSlowdown = sum / (count + 1);
+    state.paceSeenMs = now.steadyMs;
+}
+
+double slowdownOf(const RunnerState &state, Common::Moment now)
+{
+    const auto idleMs = static_cast<double>(now.steadyMs - state.paceSeenMs);
+    const double slowdown = std::exp(state.logSlowdown * std::exp2(-idleMs / ForgetHalfLifeMs));
+    return slowdown < SlowFrom ? 1 : slowdown;
+}
+
+Effects moveFromSlow(RunnerState &state, Common::Moment now)
+{
+    Effects effects;
+    const double slowdown = slowdownOf(state, now);
+    if (!state.decisions.movesFromSlow || slowdown <= 1) {
+        return effects;
+    }
+    std::vector<RunId> moving;
+    for (const auto &[id, run] : state.runs) {
+        const bool isWaiting = run.phase == RunPhase::Queued && run.attempt <= MostMoves;
+        if (isWaiting || isBetterElsewhere(run, slowdown, now)) {
+            moving.push_back(id);
+        }
+    }
+    for (const RunId id : moving) {
+        stopRun(state, effects, id, Reason::BackendSlow, now);
+    }
+    return effects;
+}
+
+} // namespace Runner
--- a/Source/Core/Runner/RunQueue.cpp
+++ b/Source/Core/Runner/RunQueue.cpp
@@ -12,7 +12,9 @@
 auto rankOf(const RunnerState &state, RunId id)
 {
     const Run &run = state.runs.at(id);
-    return std::make_tuple(run.priority, run.targetMs - run.expectedMs, id);
+    const bool isOrdered = state.decisions.ordersByUrgency;
+    return std::make_tuple(isOrdered ? run.priority : 0,
+                           isOrdered ? run.targetMs - run.expectedMs : 0, id);
 }
 
 bool hasOtherRun(const RunnerState &state, RunId id)
--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "Runner/Pace.h"
 #include "Runner/RunQueue.h"
 #include "Runner/Watch.h"
 
@@ -173,6 +174,7 @@
     Effects effects;
     grantReceived(state, gateway, orders.echoMs);
     state.lastOrders[gateway] = orders.sequence;
+    state.urgentPriority = std::min(state.urgentPriority, orders.priority);
     for (const Schema::TaskAttempt &attempt : orders.tasks) {
         if (!isAccepting(state)) {
             giveBack(effects, gateway, attempt, AttemptPhase::NotStarted, Reason::AgentDraining);
@@ -241,6 +243,24 @@
     return state.runs.empty() && state.acknowledgedEnd >= state.lastEnd;
 }
 
+void switchOff(RunnerState &state, const std::vector<Schema::AgentDecision> &disabled)
+{
+    using Schema::AgentDecision;
+    for (const AgentDecision decision : disabled) {
+        switch (decision) {
+        case AgentDecision::UrgencyOrder:
+            state.decisions.ordersByUrgency = false;
+            break;
+        case AgentDecision::Moves:
+            state.decisions.movesFromSlow = false;
+            break;
+        case AgentDecision::StartLimits:
+            state.decisions.learnsStartLimit = false;
+            break;
+        }
+    }
+}
+
 Effects tick(RunnerState &state, Common::Moment now)
 {
     Effects effects;
@@ -253,6 +273,7 @@
     for (const std::string &gateway : lapsed) {
         append(effects, gatewayLost(state, gateway, now));
     }
+    append(effects, moveFromSlow(state, now));
     append(effects, driveStops(state, now));
     append(effects, startRuns(state, now));
     append(effects, observeMore(state, now));
--- a/Source/Core/Runner/Runner.h
+++ b/Source/Core/Runner/Runner.h
@@ -34,4 +34,7 @@
 Effects tick(RunnerState &state, Common::Moment now);
 std::int64_t nextWakeMs(const RunnerState &state, Common::Moment now);
 
+/// Switches off what the settings name, so that an operator can see what each decision is worth.
+void switchOff(RunnerState &state, const std::vector<Schema::AgentDecision> &disabled);
+
 } // namespace Runner
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -21,8 +21,6 @@
 using Common::LogLevel;
 using Common::Moment;
 
-/// A start that has no answer by then is settled by a stop: answers take 3 ms, at times 20.
-constexpr std::int64_t StartTimeoutMs = 150;
 constexpr std::int64_t StopTimeoutMs = 120;
 /// Beyond the wait that an observation asks for.
 constexpr std::int64_t ObserveTimeoutMs = 150;
@@ -163,6 +161,7 @@
     this->state.service = this->settings.service;
     this->state.times.leaseMs = this->settings.leaseMs;
     this->state.times.grantMs = this->settings.silenceMs;
+    switchOff(this->state, this->settings.disabledDecisions);
     // A later process has a higher fence, so that orders of the former one that are still on their
     // way do nothing.
     this->state.fence = this->now.wallMs;
@@ -403,8 +402,9 @@
 void RunnerDaemon::Implementation::carryOut(const CallStart &effect)
 {
     Net::HttpCall call = Platform::startCall(this->target(), effect.start);
-    call.timeoutMs = StartTimeoutMs;
-    call.connectTimeoutMs = StartTimeoutMs;
+    call.timeoutMs = effect.timeoutMs;
+    call.connectTimeoutMs = effect.timeoutMs;
+    call.judgesConnections = false;
     this->backend->send(std::move(call), [this, run = effect.run, number = effect.start.number](
                                                  const Net::HttpResult &result) {
         this->mailbox.post(StartEnded{run, number, Platform::decodeStart(result)});
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "Common/Common.h"
+#include "Runner/StartLimit.h"
 #include "Schema/Schema.h"
 #include "Transient/Transient.h"
 
@@ -67,6 +69,8 @@
     std::int64_t startAnsweredMs = 0;
     int startTries = 0;
     int percent = 0;
+    /// When an observation showed that; 0 before.
+    std::int64_t progressSeenMs = 0;
     /// Observations sent after its start that did not show it.
     int missed = 0;
 
@@ -83,6 +87,8 @@
 {
     RunId run = 0;
     Transient::RunStart start;
+    /// Given up without an answer by then.
+    std::int64_t timeoutMs = 0;
 };
 
 struct CallStop
@@ -172,8 +178,19 @@
     std::int64_t endedMs = 0;
 };
 
+/// Baselines: each of these can be switched off.
+struct RunnerDecisions
+{
+    /// By priority and latest start; otherwise in the order of arrival.
+    bool ordersByUrgency = true;
+    bool movesFromSlow = true;
+    bool learnsStartLimit = true;
+};
+
 struct RunnerState
 {
+    RunnerDecisions decisions;
+    StartLimit startLimit;
     std::string name;
     std::string instance;
     std::string failureDomain;
@@ -202,6 +219,8 @@
     std::map<RunId, Run> runs;
     /// Runs in the order they should start.
     std::vector<RunId> queue;
+    /// The lowest that any order had: its tasks go before all others.
+    std::int64_t urgentPriority = std::numeric_limits<std::int64_t>::max();
     /// Highest run number used of each task: a task may come back, also through another gateway.
     std::unordered_map<std::string, KnownNumber> numbers;
 
@@ -215,6 +234,9 @@
     /// By task and number: runs that the backend server shows and nobody here wants.
     std::map<std::pair<std::string, std::int64_t>, Stray> strays;
     std::int64_t forgotNumbersMs = 0;
+    /// Logarithm of the time that runs take here over the expected one, as progress showed it last.
+    double logSlowdown = 0;
+    std::int64_t paceSeenMs = 0;
 
     /// By the gateway's instance: until when this agent may act for it. A gateway repeats the time
     /// at which the agent wrote what it heard last; from that time on the grant counts. So an agent
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -68,6 +68,8 @@
     call.start.payload = run.payload;
     call.start.leaseUntilMs = leaseUntilMs(state, now);
     call.start.fence = state.fence;
+    call.timeoutMs =
+            startLimitMs(state.decisions.learnsStartLimit ? state.startLimit : StartLimit{});
     return call;
 }
 
@@ -243,7 +245,10 @@
     Run &run = found->second;
     run.isStartPending = false;
     run.isStartKnown = answer.outcome != StartOutcome::Unanswered;
-    if (!run.isStartKnown) {
+    if (run.isStartKnown) {
+        startAnswerSeen(state.startLimit, now.steadyMs - run.startSentMs);
+    } else {
+        startUnanswered(state.startLimit);
         fenceOff(state, run.startFence);
     }
     if (mayHaveGranted(answer.outcome)) {
--- a/Source/Core/Runner/Watch.cpp
+++ b/Source/Core/Runner/Watch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Runner/Pace.h"
 #include "Runner/Runs.h"
 
 namespace Runner {
@@ -108,6 +109,7 @@
             continue;
         }
         run->percent = active.percent;
+        run->progressSeenMs = now.steadyMs;
         run->isStartKnown = true;
     }
     // What is not shown any more has ended.
@@ -211,6 +213,7 @@
     }
     takeActive(state, effects, seen, now);
     settleMissing(state, effects, seen, watch.sentMs, now);
+    paceSeen(state, now);
     becomeClean(state, effects);
     if (!state.isAlive) {
         state.isAlive = true;
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -187,6 +187,23 @@
          * Steady clock of the agent when it wrote this; the gateway repeats it in what it sends.
          */
         int64_t sentMs{};
+        /**
+         * By how much tasks take longer there than their orders expect, as their progress shows; 1
+         * where they do not.
+         */
+        double slowdown{};
+        /**
+         * The most urgent priority that this agent has met.
+         */
+        int64_t urgentPriority{};
+        /**
+         * The same for a task of the most urgent priority.
+         */
+        double urgentWaitMs{};
+        /**
+         * Until a task behind all that waits there could start.
+         */
+        double waitMs{};
     };
 
     /**
@@ -262,7 +279,7 @@
     /**
      * Why a job or task was refused, failed or retried. Each has its counter.
      */
-    enum class Reason : int { AgentDraining, AgentLost, AttemptsExhausted, BackendLost, BackendRefused, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerGone, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, GatewayLost, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoBackend, NoConfiguration, NoRoom, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, StartUnanswered, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownQueue, UnknownService, UnknownTeam, UnsupportedJob, Withdrawn };
+    enum class Reason : int { AgentDraining, AgentLost, AttemptsExhausted, BackendLost, BackendRefused, BackendSlow, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerGone, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, GatewayLost, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoBackend, NoConfiguration, NoRoom, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, StartUnanswered, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownQueue, UnknownService, UnknownTeam, UnsupportedJob, Withdrawn };
 
     struct AttemptState {
         int64_t attempt{};
@@ -1274,6 +1291,10 @@
         x.lastOrder = j.at("lastOrder").get<int64_t>();
         x.meanLeftMs = j.at("meanLeftMs").get<double>();
         x.sentMs = j.at("sentMs").get<int64_t>();
+        x.slowdown = j.at("slowdown").get<double>();
+        x.urgentPriority = j.at("urgentPriority").get<int64_t>();
+        x.urgentWaitMs = j.at("urgentWaitMs").get<double>();
+        x.waitMs = j.at("waitMs").get<double>();
     }
 
     inline void to_json(json & j, const AgentLoad & x) {
@@ -1282,6 +1303,10 @@
         j["lastOrder"] = x.lastOrder;
         j["meanLeftMs"] = x.meanLeftMs;
         j["sentMs"] = x.sentMs;
+        j["slowdown"] = x.slowdown;
+        j["urgentPriority"] = x.urgentPriority;
+        j["urgentWaitMs"] = x.urgentWaitMs;
+        j["waitMs"] = x.waitMs;
     }
 
     inline void from_json(const json & j, AgentAnnouncement& x) {
@@ -2353,6 +2378,7 @@
             {"attempts_exhausted", Reason::AttemptsExhausted},
             {"backend_lost", Reason::BackendLost},
             {"backend_refused", Reason::BackendRefused},
+            {"backend_slow", Reason::BackendSlow},
             {"backend_unreachable", Reason::BackendUnreachable},
             {"bad_task_count", Reason::BadTaskCount},
             {"body_too_large", Reason::BodyTooLarge},
@@ -2410,6 +2436,7 @@
             case Reason::AttemptsExhausted: j = "attempts_exhausted"; break;
             case Reason::BackendLost: j = "backend_lost"; break;
             case Reason::BackendRefused: j = "backend_refused"; break;
+            case Reason::BackendSlow: j = "backend_slow"; break;
             case Reason::BackendUnreachable: j = "backend_unreachable"; break;
             case Reason::BadTaskCount: j = "bad_task_count"; break;
             case Reason::BodyTooLarge: j = "body_too_large"; break;
--- a/Source/Core/Schema/Generated/Settings.h
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -199,11 +199,17 @@
         int64_t unloggedAfterMs{};
     };
 
+    enum class AgentDecision : int { Moves, StartLimits, UrgencyOrder };
+
     struct TransientAgentSettings {
         /**
          * IP address and port of the backend server, until it announces another.
          */
         std::string backendAddress{};
+        /**
+         * Decisions that are switched off, to see what each is worth.
+         */
+        std::vector<AgentDecision> disabledDecisions{};
         std::string failureDomain{};
         int64_t heartbeatMs{};
         /**
@@ -245,11 +251,17 @@
         std::string storeAddress{};
     };
 
+    enum class GatewayDecision : int { Admission, AvoidedAgents, CorrectedPredictions, Ejection, Gathering, LearnedMemory, LearnedSpeeds, Paces, Patience, RandomTies, WaitForecasts, WaitWeight };
+
     struct TransientGatewaySettings {
         /**
          * IP address and port for callers.
          */
         std::string callerAddress{};
+        /**
+         * Decisions that are switched off, to see what each is worth.
+         */
+        std::vector<GatewayDecision> disabledDecisions{};
         std::string failureDomain{};
         /**
          * Three beats fit into silenceMs, so that one lost or late beat means nothing.
@@ -328,6 +340,12 @@
     void from_json(const json & j, LogLevel & x);
     void to_json(json & j, const LogLevel & x);
 
+    void from_json(const json & j, AgentDecision & x);
+    void to_json(json & j, const AgentDecision & x);
+
+    void from_json(const json & j, GatewayDecision & x);
+    void to_json(json & j, const GatewayDecision & x);
+
     inline void from_json(const json & j, AgentSettings& x) {
         x.accelerators = j.at("accelerators").get<int64_t>();
         x.backendUrl = j.at("backendUrl").get<std::string>();
@@ -430,6 +448,7 @@
 
     inline void from_json(const json & j, TransientAgentSettings& x) {
         x.backendAddress = j.at("backendAddress").get<std::string>();
+        x.disabledDecisions = j.at("disabledDecisions").get<std::vector<AgentDecision>>();
         x.failureDomain = j.at("failureDomain").get<std::string>();
         x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
         x.host = j.at("host").get<std::string>();
@@ -449,6 +468,7 @@
     inline void to_json(json & j, const TransientAgentSettings & x) {
         j = json::object();
         j["backendAddress"] = x.backendAddress;
+        j["disabledDecisions"] = x.disabledDecisions;
         j["failureDomain"] = x.failureDomain;
         j["heartbeatMs"] = x.heartbeatMs;
         j["host"] = x.host;
@@ -467,6 +487,7 @@
 
     inline void from_json(const json & j, TransientGatewaySettings& x) {
         x.callerAddress = j.at("callerAddress").get<std::string>();
+        x.disabledDecisions = j.at("disabledDecisions").get<std::vector<GatewayDecision>>();
         x.failureDomain = j.at("failureDomain").get<std::string>();
         x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
         x.host = j.at("host").get<std::string>();
@@ -487,6 +508,7 @@
     inline void to_json(json & j, const TransientGatewaySettings & x) {
         j = json::object();
         j["callerAddress"] = x.callerAddress;
+        j["disabledDecisions"] = x.disabledDecisions;
         j["failureDomain"] = x.failureDomain;
         j["heartbeatMs"] = x.heartbeatMs;
         j["host"] = x.host;
@@ -544,4 +566,54 @@
             default: throw std::runtime_error("Unexpected value in enumeration \"LogLevel\": " + std::to_string(static_cast<int>(x)));
         }
     }
+
+    inline void from_json(const json & j, AgentDecision & x) {
+        if (j == "moves") x = AgentDecision::Moves;
+        else if (j == "start_limits") x = AgentDecision::StartLimits;
+        else if (j == "urgency_order") x = AgentDecision::UrgencyOrder;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"AgentDecision\""); }
+    }
+
+    inline void to_json(json & j, const AgentDecision & x) {
+        switch (x) {
+            case AgentDecision::Moves: j = "moves"; break;
+            case AgentDecision::StartLimits: j = "start_limits"; break;
+            case AgentDecision::UrgencyOrder: j = "urgency_order"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"AgentDecision\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, GatewayDecision & x) {
+        if (j == "admission") x = GatewayDecision::Admission;
+        else if (j == "avoided_agents") x = GatewayDecision::AvoidedAgents;
+        else if (j == "corrected_predictions") x = GatewayDecision::CorrectedPredictions;
+        else if (j == "ejection") x = GatewayDecision::Ejection;
+        else if (j == "gathering") x = GatewayDecision::Gathering;
+        else if (j == "learned_memory") x = GatewayDecision::LearnedMemory;
+        else if (j == "learned_speeds") x = GatewayDecision::LearnedSpeeds;
+        else if (j == "paces") x = GatewayDecision::Paces;
+        else if (j == "patience") x = GatewayDecision::Patience;
+        else if (j == "random_ties") x = GatewayDecision::RandomTies;
+        else if (j == "wait_forecasts") x = GatewayDecision::WaitForecasts;
+        else if (j == "wait_weight") x = GatewayDecision::WaitWeight;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"GatewayDecision\""); }
+    }
+
+    inline void to_json(json & j, const GatewayDecision & x) {
+        switch (x) {
+            case GatewayDecision::Admission: j = "admission"; break;
+            case GatewayDecision::AvoidedAgents: j = "avoided_agents"; break;
+            case GatewayDecision::CorrectedPredictions: j = "corrected_predictions"; break;
+            case GatewayDecision::Ejection: j = "ejection"; break;
+            case GatewayDecision::Gathering: j = "gathering"; break;
+            case GatewayDecision::LearnedMemory: j = "learned_memory"; break;
+            case GatewayDecision::LearnedSpeeds: j = "learned_speeds"; break;
+            case GatewayDecision::Paces: j = "paces"; break;
+            case GatewayDecision::Patience: j = "patience"; break;
+            case GatewayDecision::RandomTies: j = "random_ties"; break;
+            case GatewayDecision::WaitForecasts: j = "wait_forecasts"; break;
+            case GatewayDecision::WaitWeight: j = "wait_weight"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"GatewayDecision\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
 }
