Transient: waits weigh more than runs, and count by the agents' forecasts

Sent where it ends first, every task queued there until the queue had eaten the difference, at half the load of the site, too: medians of 50 ms of waiting, in front of them also the urgent lookups (156 ms in all), while eight servers stood idle.

Placement counts a wait three times; admission refuses from the target on in place of 1.2 times it; waits are the agents' forecasts, by priority.

--- a/Source/Core/Gateway/TransientControl.cpp
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -18,6 +18,7 @@
     this->state.startedMs = this->now.steadyMs;
     this->state.times.settleMs =
             Transient::settleTimeMs(this->settings.silenceMs, this->settings.leaseMs);
+    Transient::switchOff(this->state, this->settings.disabledDecisions);
 }
 
 } // namespace Gateway
--- a/Source/Core/Gateway/TransientStore.cpp
+++ b/Source/Core/Gateway/TransientStore.cpp
@@ -70,7 +70,8 @@
 
 void TransientStore::readLearned()
 {
-    if (!Transient::takeReadDue(this->learned, this->control.now)) {
+    if (!this->control.state.remembers
+        || !Transient::takeReadDue(this->learned, this->control.now)) {
         return;
     }
     this->client->readOnce(StoreTopic::Learned, [this](const StoreClient::StoreNews &news) {
@@ -97,7 +98,8 @@
 void TransientStore::writeLearned()
 {
     const TransientControl &control = this->control;
-    if (!Transient::takeWriteDue(this->learned, control.state.fleet, control.now)) {
+    if (!control.state.remembers
+        || !Transient::takeWriteDue(this->learned, control.state.fleet, control.now)) {
         return;
     }
     const Schema::LearnedTimes times =
--- a/Source/Core/Transient/Admission.cpp
+++ b/Source/Core/Transient/Admission.cpp
@@ -44,7 +44,7 @@
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits, const AdmissionQuery &query)
 {
     const double usefulMs = std::min(query.deadlineMs, query.targetMs * limits.mostLateness);
-    if (query.waitMs <= 0 || query.predictedMs * query.stretch <= usefulMs) {
+    if (!limits.refuses || query.waitMs <= 0 || query.predictedMs * query.stretch <= usefulMs) {
         return std::nullopt;
     }
     JobResult refused;
--- a/Source/Core/Transient/Admission.h
+++ b/Source/Core/Transient/Admission.h
@@ -50,7 +50,8 @@
 struct AdmissionLimits
 {
     /// A job that is expected to take more than this many times its target is refused.
-    double mostLateness = 1.2;
+    double mostLateness = 1.0;
+    bool refuses = true;
     /// Baselines for tests: predictions count as they are, and every caller as fresh.
     bool correctsPredictions = true;
     bool countsWaiting = true;
--- a/Source/Core/Transient/Agents.cpp
+++ b/Source/Core/Transient/Agents.cpp
@@ -212,6 +212,7 @@
         agent.inFlight = 0;
         agent.unreported.clear();
         agent.unreportedProcessors = 0;
+        agent.unreportedUrgentProcessors = 0;
     }
     // It was only out of reach: it tells itself what it still holds.
     forgetFormers(state, [&announcement](const FormerAgent &former) {
--- /dev/null
+++ b/Source/Core/Transient/Decisions.cpp
@@ -0,0 +1,61 @@
+#include "Transient/Decisions.h"
+
+namespace Transient {
+
+namespace {
+
+using Schema::GatewayDecision;
+
+void switchOff(GatewayState &state, GatewayDecision decision)
+{
+    FleetDecisions &fleet = state.fleet.decisions;
+    switch (decision) {
+    case GatewayDecision::Admission:
+        state.limits.refuses = false;
+        break;
+    case GatewayDecision::CorrectedPredictions:
+        state.limits.correctsPredictions = false;
+        break;
+    case GatewayDecision::Patience:
+        state.limits.countsWaiting = false;
+        break;
+    case GatewayDecision::Gathering:
+        state.times.gatherMs = 0;
+        break;
+    case GatewayDecision::LearnedMemory:
+        state.remembers = false;
+        break;
+    case GatewayDecision::WaitForecasts:
+        fleet.usesForecasts = false;
+        break;
+    case GatewayDecision::LearnedSpeeds:
+        fleet.learnsSpeeds = false;
+        break;
+    case GatewayDecision::Ejection:
+        fleet.ejects = false;
+        break;
+    case GatewayDecision::Paces:
+        fleet.usesPaces = false;
+        break;
+    case GatewayDecision::WaitWeight:
+        fleet.weighsWaits = false;
+        break;
+    case GatewayDecision::RandomTies:
+        fleet.breaksTies = false;
+        break;
+    case GatewayDecision::AvoidedAgents:
+        fleet.avoidsAgents = false;
+        break;
+    }
+}
+
+} // namespace
+
+void switchOff(GatewayState &state, const std::vector<GatewayDecision> &disabled)
+{
+    for (const GatewayDecision decision : disabled) {
+        switchOff(state, decision);
+    }
+}
+
+} // namespace Transient
--- a/Source/Core/Transient/Fleet.cpp
+++ b/Source/Core/Transient/Fleet.cpp
@@ -57,19 +57,29 @@
 {
     agent.load = load;
     agent.loadAtMs = nowMs;
-    while (!agent.unreported.empty() && agent.unreported.front().first <= load.lastOrder) {
-        agent.unreportedProcessors -= agent.unreported.front().second;
+    while (!agent.unreported.empty() && agent.unreported.front().sequence <= load.lastOrder) {
+        const UnreportedOrder &known = agent.unreported.front();
+        agent.unreportedProcessors -= known.processors;
+        agent.unreportedUrgentProcessors -= known.isUrgent ? known.processors : 0;
         agent.unreported.pop_front();
     }
     if (agent.unreported.empty()) {
         agent.unreportedProcessors = 0;
+        agent.unreportedUrgentProcessors = 0;
     }
 }
 
-std::int64_t ordered(AgentView &agent, double processors, std::int64_t tasks)
+bool isUrgentThere(const AgentView &agent, std::int64_t priority)
 {
-    agent.unreported.emplace_back(++agent.lastSequence, processors);
+    return priority <= agent.load.urgentPriority;
+}
+
+std::int64_t ordered(AgentView &agent, double processors, std::int64_t priority, std::int64_t tasks)
+{
+    const bool isUrgent = isUrgentThere(agent, priority);
+    agent.unreported.push_back({++agent.lastSequence, processors, isUrgent});
     agent.unreportedProcessors += processors;
+    agent.unreportedUrgentProcessors += isUrgent ? processors : 0;
     agent.inFlight += tasks;
     return agent.lastSequence;
 }
@@ -80,10 +90,14 @@
     if (outcome.succeeded && outcome.runMs > 0) {
         Dispatch::learnRun(fleet.estimates, profile, agent.speed,
                            static_cast<double>(outcome.runMs));
+        if (!fleet.decisions.learnsSpeeds) {
+            agent.speed = {};
+        }
     }
     const bool isFast = static_cast<double>(outcome.runMs) < outcome.expectedMs * FastShare;
     const bool isBad = Dispatch::outcomeObserved(agent.health, {outcome.succeeded, isFast});
-    if (!isBad || countEjected(fleet) >= Dispatch::mostEjected(fleet.agents.size())) {
+    if (!isBad || !fleet.decisions.ejects
+        || countEjected(fleet) >= Dispatch::mostEjected(fleet.agents.size())) {
         return false;
     }
     Dispatch::eject(agent.health, nowMs);
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -20,15 +20,24 @@
 /// counted at once and only those of others are known late.
 namespace Transient {
 
+struct UnreportedOrder
+{
+    std::int64_t sequence = 0;
+    double processors = 0;
+    bool isUrgent = false;
+};
+
 struct AgentView
 {
     Schema::AgentAnnouncement announced;
     bool isLinked = false;
     Schema::AgentLoad load;
     std::int64_t lastSequence = 0;
-    /// Orders that the load does not count yet: sequence and processors.
-    std::deque<std::pair<std::int64_t, double>> unreported;
+    /// Orders that the load does not count yet.
+    std::deque<UnreportedOrder> unreported;
     double unreportedProcessors = 0;
+    /// Of the most urgent priority among these.
+    double unreportedUrgentProcessors = 0;
     /// Of tasks being placed whose job is not yet let in.
     double tentativeProcessors = 0;
     std::int64_t loadAtMs = 0;
@@ -55,8 +64,23 @@
     std::int64_t lateStartsOverMs = 0;
 };
 
+/// Baselines: each of these can be switched off.
+struct FleetDecisions
+{
+    /// Waits as the agents forecast them; otherwise from the mean time left.
+    bool usesForecasts = true;
+    /// The pace that backend servers have at present.
+    bool usesPaces = true;
+    bool weighsWaits = true;
+    bool learnsSpeeds = true;
+    bool ejects = true;
+    bool breaksTies = true;
+    bool avoidsAgents = true;
+};
+
 struct Fleet
 {
+    FleetDecisions decisions;
     /// By the agent's name, which it keeps when it starts again. Iterated in the order of names, so
     /// that a seed replays.
     std::map<std::string, AgentView> agents;
@@ -77,8 +101,11 @@
 double freeProcessors(const AgentView &agent);
 
 void loadReported(AgentView &agent, const Schema::AgentLoad &load, std::int64_t nowMs);
+/// Tasks of this priority pass all others that wait at the agent.
+bool isUrgentThere(const AgentView &agent, std::int64_t priority);
 /// Counts an order of \a tasks tasks; returns its sequence.
-std::int64_t ordered(AgentView &agent, double processors, std::int64_t tasks);
+std::int64_t ordered(AgentView &agent, double processors, std::int64_t priority,
+                     std::int64_t tasks);
 
 struct RunOutcome
 {
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -87,6 +87,8 @@
     std::unordered_map<std::string, FormerAttempts> formerAttempts;
     /// Submissions of ids whose last life is not over yet.
     std::unordered_map<std::string, std::vector<Submission>> parked;
+    /// What was learned is kept in the store and read at the start.
+    bool remembers = true;
     std::int64_t sweptMs = 0;
     /// Tasks that wait for an agent.
     int readyTasks = 0;
--- a/Source/Core/Transient/Orders.cpp
+++ b/Source/Core/Transient/Orders.cpp
@@ -34,6 +34,7 @@
         query.service = job.queue.service;
         query.step = &step.request;
         query.runMs = Dispatch::meanRunMs(state.fleet.estimates, step.profile);
+        query.priority = job.queue.priority;
         query.tasksThere = &step.tasksThere;
         for (std::size_t index = 0; index < step.tasks.size(); ++index) {
             const TaskRecord &task = step.tasks[index];
@@ -79,10 +80,10 @@
         task.isStartAnswered = false;
         task.agent = one.placement.agent;
         task.agentInstance = agent.announced.instance;
-        task.expectedMs = one.placement.runMs;
+        task.expectedMs = one.placement.expectedMs;
         const auto [entry, isNew] = byAgent.try_emplace({one.placement.agent, one.step});
         if (isNew) {
-            entry->second = makeOrders(job, step, one.placement.runMs, now);
+            entry->second = makeOrders(job, step, one.placement.expectedMs, now);
         }
         entry->second.tasks.push_back({task.attempt, taskName(job, one.step, one.index)});
     }
@@ -94,8 +95,8 @@
     for (auto &[key, orders] : byAgent) {
         AgentView &agent = state.fleet.agents.at(key.first);
         const auto tasks = static_cast<std::int64_t>(orders.tasks.size());
-        orders.sequence =
-                ordered(agent, orders.resources.processors * static_cast<double>(tasks), tasks);
+        const double processors = orders.resources.processors * static_cast<double>(tasks);
+        orders.sequence = ordered(agent, processors, orders.priority, tasks);
         orders.echoMs = agent.load.sentMs;
         Schema::Frame frame = frameOf(Schema::FrameType::TaskOrders);
         frame.taskOrders = std::move(orders);
--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -10,9 +10,11 @@
 
 /// Tasks of one step take this much longer away from the rack of their data; the platform's figure.
 constexpr double RemoteDataFactor = 1.5;
-/// Ends that are expected within this of each other count as the same, and chance decides: several
+/// Costs within this of each other count as the same, and chance decides: several
 /// gateways would otherwise all choose the same backend server between two reports of its load.
 constexpr double TieMs = 4;
+/// A task that waits makes all wait that come after it, and its wait is less sure than its run.
+constexpr double WaitWeight = 3;
 
 bool hasLabel(const AgentView &agent, const std::string &label)
 {
@@ -46,7 +48,7 @@
                                     std::int64_t nowMs, Common::Random &random)
 {
     std::optional<Placement> best;
-    double bestEndMs = std::numeric_limits<double>::max();
+    double leastCostMs = std::numeric_limits<double>::max();
     std::uint64_t ties = 0;
     for (auto &[name, agent] : fleet.agents) {
         if (!takesWork(agent, query.service, nowMs) || !isAble(agent, *query.step)
@@ -56,18 +58,26 @@
         const double remote = hasLabel(agent, query.step->dataRack) ? 1 : RemoteDataFactor;
         Placement here;
         here.agent = name;
-        here.waitMs = expectedWaitMs(agent, query.step->resources.processors);
+        here.waitMs =
+                fleet.decisions.usesForecasts
+                        ? expectedWaitMs(agent, query.step->resources.processors, query.priority)
+                        : meanWaitMs(agent, query.step->resources.processors);
         here.runMs = query.runMs * Dispatch::speedFactor(agent.speed) * remote;
-        const double endMs = here.waitMs + here.runMs;
-        if (endMs < bestEndMs - TieMs) {
+        here.expectedMs = here.runMs;
+        if (fleet.decisions.usesPaces) {
+            here.runMs *= std::max(agent.load.slowdown, 1.0);
+        }
+        const double weight = fleet.decisions.weighsWaits ? WaitWeight : 1;
+        const double costMs = here.waitMs * weight + here.runMs;
+        if (costMs < leastCostMs - TieMs) {
             best = here;
-            bestEndMs = endMs;
+            leastCostMs = costMs;
             ties = 1;
-        } else if (endMs <= bestEndMs + TieMs) {
+        } else if (costMs <= leastCostMs + TieMs && fleet.decisions.breaksTies) {
             ++ties;
             if (std::uniform_int_distribution<std::uint64_t>(1, ties)(random) == 1) {
                 best = here;
-                bestEndMs = std::min(bestEndMs, endMs);
+                leastCostMs = std::min(leastCostMs, costMs);
             }
         }
     }
@@ -76,7 +86,7 @@
 
 } // namespace
 
-double expectedWaitMs(const AgentView &agent, double processors)
+double meanWaitMs(const AgentView &agent, double processors)
 {
     const double missing = processors - freeProcessors(agent);
     if (missing <= 0) {
@@ -87,10 +97,26 @@
     return missing / agent.announced.resources.processors * std::max(agent.load.meanLeftMs, 1.0);
 }
 
+double expectedWaitMs(const AgentView &agent, double processors, std::int64_t priority)
+{
+    const bool isUrgent = isUrgentThere(agent, priority);
+    const double capacity = agent.announced.resources.processors;
+    const double roomThen = capacity - agent.load.committedProcessors - processors;
+    const double since =
+            agent.tentativeProcessors
+            + (isUrgent ? agent.unreportedUrgentProcessors : agent.unreportedProcessors);
+    const double waitThenMs = isUrgent ? agent.load.urgentWaitMs : agent.load.waitMs;
+    const double beyond = std::max(since - std::max(roomThen, 0.0), 0.0);
+    // What came since stands before it: in the mean time that a task takes, all that is there frees
+    // its processors once.
+    const double sinceMs = beyond / capacity * std::max(agent.load.meanLeftMs, 1.0);
+    return (roomThen >= 0 ? 0 : waitThenMs) + sinceMs;
+}
+
 std::optional<Placement> placeTask(Fleet &fleet, const PlacementQuery &query, std::int64_t nowMs,
                                    Common::Random &random)
 {
-    const auto placement = placeAmong(fleet, query, false, nowMs, random);
+    const auto placement = placeAmong(fleet, query, !fleet.decisions.avoidsAgents, nowMs, random);
     return placement ? placement : placeAmong(fleet, query, true, nowMs, random);
 }
 
--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -11,14 +11,17 @@
 /// On which backend server a task goes.
 ///
 /// Load pattern: backend servers differ in speed by more than two times, and a job ends with its
-/// last task. Each task goes where it is expected to end first, queueing included, so that the fast
-/// backend servers fill first and the tasks of a wide job end together.
+/// last task. Each task goes where it is expected to end first, so that the fast backend servers
+/// fill first and the tasks of a wide job end together. Waits weigh more than runs: where both
+/// count alike, all tasks queue before the fast backend servers until these are no better than the
+/// slow ones, which stand idle meanwhile, and short urgent jobs are late behind that queue.
 namespace Transient {
 
 struct PlacementQuery
 {
     std::string service;
     const StepRequest *step = nullptr;
+    std::int64_t priority = 0;
     /// On a backend server of factor 1.
     double runMs = 0;
     /// Tasks of the step that are already there, by the agent's name.
@@ -31,11 +34,16 @@
 {
     std::string agent;
     double waitMs = 0;
+    /// At the pace that the backend server has now.
     double runMs = 0;
+    /// At the pace that it usually has.
+    double expectedMs = 0;
 };
 
-/// Expected time until \a processors are free there.
-double expectedWaitMs(const AgentView &agent, double processors);
+/// The same without forecasts, from the mean time left.
+double meanWaitMs(const AgentView &agent, double processors);
+/// Expected time until \a processors are free there for a task of this priority.
+double expectedWaitMs(const AgentView &agent, double processors, std::int64_t priority);
 
 std::optional<Placement> placeTask(Fleet &fleet, const PlacementQuery &query, std::int64_t nowMs,
                                    Common::Random &random);
--- a/Source/Core/Transient/Transient.h
+++ b/Source/Core/Transient/Transient.h
@@ -3,6 +3,7 @@
 /// Public header of the decisions on transient jobs: what a gateway does with them, and the types
 /// it shares with the agents and with the adapter for the platform.
 #include "Transient/Backend.h"
+#include "Transient/Decisions.h"
 #include "Transient/Discovery.h"
 #include "Transient/Effects.h"
 #include "Transient/Fleet.h"
--- /dev/null
+++ b/Source/UnitTests/Transient/BackendReplayTest.cpp
@@ -0,0 +1,164 @@
+#include <doctest/doctest.h>
+#include <functional>
+#include <ostream>
+#include <random>
+
+#include "LoadReplay.h"
+
+using namespace TransientSite;
+
+namespace {
+
+constexpr int Gateways = 3;
+constexpr int Agents = 4;
+constexpr std::int64_t SettleMs = 1000;
+constexpr std::int64_t LastAnswersMs = 4000;
+
+/// Targets are 1.6 times the work of a backend server of speed 1, and 60 ms.
+constexpr OfferedWork Usual{{100, 1, false}, 4, 220};
+constexpr OfferedWork Short{{30, 1, false}, 6, 108};
+constexpr OfferedWork Long{{300, 1, false}, 2, 540};
+
+using SwitchOff = std::function<void(World &)>;
+
+void switchOffAtGateways(World &world, Schema::GatewayDecision decision)
+{
+    for (SiteGateway &gateway : world.gateways) {
+        Transient::switchOff(gateway.state, {decision});
+    }
+}
+
+void switchOffAtAgents(World &world, Schema::AgentDecision decision)
+{
+    for (SiteAgent &agent : world.agents) {
+        Runner::switchOff(agent.state, {decision});
+    }
+}
+
+std::unique_ptr<World> makeSite(std::uint64_t seed, const SwitchOff &switchOff)
+{
+    auto world = makeWorld(seed, Gateways, Agents);
+    runFor(*world, SettleMs);
+    switchOff(*world);
+    return world;
+}
+
+/// All that runs on one of four backend servers stands still, and it goes on answering.
+Outcome replayStandstill(const SwitchOff &switchOff, std::uint64_t seed)
+{
+    constexpr double Standstill = 0.001;
+    auto world = makeSite(seed, switchOff);
+    const double capacity = capacityOf(*world);
+    offer(*world, Usual, capacity, 0.4, 2000);
+    const std::size_t first = world->callers.size();
+    world->backends[0].speed = Standstill;
+    offer(*world, Usual, capacity, 0.4, 3000);
+    runFor(*world, LastAnswersMs);
+    return judge(*world, Usual, first);
+}
+
+/// One call in twelve to backend servers goes unanswered.
+Outcome replayUnanswered(const SwitchOff &switchOff, std::uint64_t seed)
+{
+    auto world = makeSite(seed, switchOff);
+    const double capacity = capacityOf(*world);
+    offer(*world, Usual, capacity, 0.4, 2000);
+    const std::size_t first = world->callers.size();
+    world->unansweredShare = 1.0 / 12;
+    offer(*world, Usual, capacity, 0.4, 3000);
+    world->unansweredShare = 0;
+    runFor(*world, LastAnswersMs);
+    return judge(*world, Usual, first);
+}
+
+/// Long jobs fill the backend servers, and short urgent ones come with them.
+Outcome replayUrgent(const SwitchOff &switchOff, std::uint64_t seed)
+{
+    auto world = makeSite(seed, switchOff);
+    const double capacity = capacityOf(*world);
+    std::uniform_real_distribution<double> chance(0, 1);
+    constexpr double ShortShare = 0.2;
+    constexpr double Load = 1.2;
+    const std::int64_t untilMs = world->nowMs + 4000;
+    while (world->nowMs < untilMs) {
+        const bool isShort = chance(world->random) < 0.5;
+        world->queue.name = isShort ? "urgent" : "other";
+        world->queue.priority = isShort ? 0 : 1;
+        const double load = 2 * Load * (isShort ? ShortShare : 1 - ShortShare);
+        offer(*world, isShort ? Short : Long, capacity, load, 1);
+    }
+    runFor(*world, LastAnswersMs);
+    return judge(*world, Short, 0);
+}
+
+/// One of four backend servers is three times as fast as the others, and there is room everywhere.
+Outcome replayUnlikeSpeeds(const SwitchOff &switchOff, std::uint64_t seed)
+{
+    auto world = makeSite(seed, switchOff);
+    for (ModelBackend &backend : world->backends) {
+        backend.speed = 0.8;
+    }
+    world->backends[1].speed = 2.4;
+    const double capacity = capacityOf(*world);
+    offer(*world, Usual, capacity, 0.5, 2000);
+    const std::size_t first = world->callers.size();
+    offer(*world, Usual, capacity, 0.65, 4000);
+    runFor(*world, LastAnswersMs);
+    return judge(*world, Usual, first);
+}
+
+using Replay = std::function<Outcome(const SwitchOff &, std::uint64_t)>;
+
+/// Over eight seeds.
+Outcome total(const Replay &replay, const SwitchOff &switchOff)
+{
+    constexpr std::uint64_t Seeds = 8;
+    Outcome sum;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const Outcome one = replay(switchOff, seed);
+        sum.asked += one.asked;
+        sum.inTime += one.inTime;
+        sum.late += one.late;
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("Load replays: sick, slow and unlike backend servers cost less with the decision")
+{
+    using Schema::AgentDecision;
+    using Schema::GatewayDecision;
+    struct Row
+    {
+        std::string what;
+        Replay replay;
+        SwitchOff without;
+        /// Of those who asked, in time.
+        double leastShare;
+    };
+    const Row rows[] = {
+            {"everything stands still on a backend server", replayStandstill,
+             [](World &world) {
+                 switchOffAtAgents(world, AgentDecision::Moves);
+                 switchOffAtGateways(world, GatewayDecision::Paces);
+             },
+             0.8},
+            {"starts go unanswered", replayUnanswered,
+             [](World &world) { switchOffAtAgents(world, AgentDecision::StartLimits); }, 0.8},
+            {"short urgent jobs come while long ones wait", replayUrgent,
+             [](World &world) { switchOffAtGateways(world, GatewayDecision::WaitForecasts); }, 0.5},
+            {"one backend server is much faster than the others", replayUnlikeSpeeds,
+             [](World &world) { switchOffAtGateways(world, GatewayDecision::WaitWeight); }, 0.9},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        const Outcome with = total(row.replay, [](World &) {});
+        const Outcome without = total(row.replay, row.without);
+        MESSAGE(row.what << ": of " << with.asked << " in time " << with.inTime << ", late "
+                         << with.late << "; without: of " << without.asked << " in time "
+                         << without.inTime << ", late " << without.late);
+        CHECK(with.inTime >= row.leastShare * with.asked);
+        CHECK(without.inTime < row.leastShare * without.asked);
+    }
+}
--- a/Source/UnitTests/Transient/DecisionTest.cpp
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <ostream>
 
@@ -37,6 +39,7 @@
     agent.isLinked = true;
     agent.load.committedProcessors = committed;
     agent.load.meanLeftMs = meanLeftMs;
+    agent.load.waitMs = std::max(committed - processors, 0.0) / processors * meanLeftMs;
     return agent;
 }
 
@@ -206,9 +209,95 @@
 
 TEST_CASE("Waits are expected from what is missing and the time that tasks there take")
 {
-    CHECK(expectedWaitMs(agentOf("a", 64, 50, 300), 6) == doctest::Approx(0));
-    CHECK(expectedWaitMs(agentOf("a", 64, 64, 300), 6.4) == doctest::Approx(30));
-    CHECK(expectedWaitMs(agentOf("a", 64, 128, 300), 6.4) == doctest::Approx(330));
+    CHECK(meanWaitMs(agentOf("a", 64, 50, 300), 6) == doctest::Approx(0));
+    CHECK(meanWaitMs(agentOf("a", 64, 64, 300), 6.4) == doctest::Approx(30));
+    CHECK(meanWaitMs(agentOf("a", 64, 128, 300), 6.4) == doctest::Approx(330));
+}
+
+TEST_CASE("An agent's forecast counts, and what was sent since stands before it")
+{
+    struct Row
+    {
+        const char *what;
+        double committed;
+        std::int64_t priority;
+        double sentSince;
+        std::int64_t sentPriority;
+        double waitMs;
+    };
+    constexpr std::int64_t Urgent = 0;
+    constexpr std::int64_t Other = 1;
+    const Row rows[] = {
+            {"there is room", 50, Other, 0, Other, 0},
+            {"what was sent fits beside it", 50, Other, 8, Other, 0},
+            {"what was sent has taken the room", 50, Other, 32, Other, 75},
+            {"all that waits there", 128, Other, 0, Other, 250},
+            {"urgent tasks pass it", 128, Urgent, 0, Other, 20},
+            {"less urgent ones sent since, too", 128, Urgent, 32, Other, 20},
+            {"but not urgent ones", 128, Urgent, 32, Urgent, 170},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        AgentView agent = agentOf("a", 64, row.committed, 300);
+        agent.load.waitMs = 250;
+        agent.load.urgentWaitMs = 20;
+        agent.load.urgentPriority = Urgent;
+        ordered(agent, row.sentSince, row.sentPriority, 1);
+        CHECK(expectedWaitMs(agent, 6, row.priority) == doctest::Approx(row.waitMs));
+    }
+}
+
+TEST_CASE("A queue before the fast backend server weighs more than a longer run elsewhere")
+{
+    // Where waits and runs count alike, all queue before the fast one until it is no better than
+    // the slow one, which stands idle, and urgent tasks are late behind that queue.
+    struct Row
+    {
+        bool weighsWaits;
+        double waitMs;
+        std::string found;
+    };
+    for (const Row &row : {Row{true, 20, "fast"}, Row{true, 60, "slow"}, Row{false, 60, "fast"}}) {
+        CAPTURE(row.waitMs);
+        Fleet fleet;
+        fleet.decisions.weighsWaits = row.weighsWaits;
+        fleet.agents["fast"] = agentOf("fast", 64, 70, 100);
+        fleet.agents["fast"].load.waitMs = row.waitMs;
+        fleet.agents["slow"] = agentOf("slow", 64, 0, 100);
+        fleet.agents["slow"].speed.logFactor = std::log(2);
+        StepRequest step;
+        step.resources.processors = 6;
+        PlacementQuery query;
+        query.service = "desk";
+        query.step = &step;
+        query.runMs = 100;
+        query.priority = 1;
+        Common::Random random(1);
+        const auto placement = placeTask(fleet, query, 0, random);
+        REQUIRE(placement.has_value());
+        CHECK(placement->agent == row.found);
+    }
+}
+
+TEST_CASE("A backend server counts at the pace that it has now")
+{
+    Fleet fleet;
+    fleet.agents["slowed"] = agentOf("slowed", 64, 0, 100);
+    fleet.agents["slowed"].load.slowdown = 4;
+    fleet.agents["usual"] = agentOf("usual", 64, 0, 100);
+    fleet.agents["usual"].speed.logFactor = std::log(2);
+    StepRequest step;
+    step.resources.processors = 6;
+    PlacementQuery query;
+    query.service = "desk";
+    query.step = &step;
+    query.runMs = 100;
+    Common::Random random(1);
+    const auto placement = placeTask(fleet, query, 0, random);
+    REQUIRE(placement.has_value());
+    CHECK(placement->agent == "usual");
+    fleet.decisions.usesPaces = false;
+    CHECK(placeTask(fleet, query, 0, random)->agent == "slowed");
 }
 
 TEST_CASE("A task goes where it ends first")
@@ -261,8 +350,8 @@
 TEST_CASE("What was sent counts until the agent counts it")
 {
     AgentView agent = agentOf("a", 64, 0, 0);
-    const std::int64_t first = ordered(agent, 12, 2);
-    const std::int64_t second = ordered(agent, 6, 1);
+    const std::int64_t first = ordered(agent, 12, 0, 2);
+    const std::int64_t second = ordered(agent, 6, 0, 1);
     CHECK(committedProcessors(agent) == doctest::Approx(18));
     Schema::AgentLoad load;
     load.committedProcessors = 12;
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -291,6 +291,7 @@
         AgentView &agent = site.state.fleet.agents.at("agent");
         agent.load.committedProcessors = row.committed;
         agent.load.meanLeftMs = 200;
+        agent.load.waitMs = row.committed > agent.announced.resources.processors ? 5000 : 0;
         if (row.stopping) {
             beginStop(site.state, 50, at(row.nowMs));
         }
--- /dev/null
+++ b/Source/UnitTests/Transient/LoadReplay.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "TransientWorld.h"
+
+/// Offers load to a site in virtual time and judges it by what its callers receive.
+namespace TransientSite {
+
+struct OfferedWork
+{
+    ModelWork work;
+    int tasks = 1;
+    std::int64_t targetMs = 0;
+};
+
+struct Outcome
+{
+    int asked = 0;
+    int inTime = 0;
+    int late = 0;
+};
+
+/// Processors of the site, by their speed.
+double capacityOf(const World &world);
+
+/// Offers the share \a load of \a capacity for \a forMs.
+void offer(World &world, const OfferedWork &offered, double capacity, double load,
+           std::int64_t forMs);
+
+/// Of the callers from \a first on that ask for work like \a offered and had not waited before.
+Outcome judge(const World &world, const OfferedWork &offered, std::size_t first,
+              std::int64_t leastPatienceMs = 0);
+
+} // namespace TransientSite
--- a/Source/UnitTests/Transient/LoadReplayTest.cpp
+++ b/Source/UnitTests/Transient/LoadReplayTest.cpp
@@ -1,9 +1,8 @@
 #include <doctest/doctest.h>
 #include <functional>
 #include <ostream>
-#include <random>
 
-#include "TransientWorld.h"
+#include "LoadReplay.h"
 
 using namespace TransientSite;
 
@@ -15,15 +14,8 @@
 constexpr double Capacity = 8 * (2 + 2 * 1.6);
 constexpr int TasksPerJob = 4;
 constexpr ModelWork Work{100, 1, false};
-/// Of the queue: 1.6 times the work of a backend server of speed 1, and 60 ms.
-constexpr std::int64_t TargetMs = 220;
-
-struct Outcome
-{
-    int asked = 0;
-    int inTime = 0;
-    int late = 0;
-};
+/// The target: 1.6 times the work of a backend server of speed 1, and 60 ms.
+constexpr OfferedWork Jobs{Work, TasksPerJob, 220};
 
 void limitAll(World &world, const Transient::AdmissionLimits &limits)
 {
@@ -32,41 +24,6 @@
     }
 }
 
-/// Offers the share \a load of the whole capacity for \a forMs.
-void offer(World &world, double load, std::int64_t forMs)
-{
-    const double jobMs = static_cast<double>(Work.runMs) * TasksPerJob;
-    const double perMs = load * Capacity / jobMs;
-    std::uniform_real_distribution<double> chance(0, 1);
-    const std::int64_t untilMs = world.nowMs + forMs;
-    while (world.nowMs < untilMs) {
-        if (chance(world.random) < perMs) {
-            submit(world, static_cast<int>(world.random() % Gateways), Work, TasksPerJob);
-        }
-        runFor(world, 1);
-    }
-}
-
-/// Of the callers from \a first on that had not waited before.
-Outcome judge(const World &world, std::size_t first, std::int64_t leastPatienceMs)
-{
-    Outcome outcome;
-    for (std::size_t number = first; number < world.callers.size(); ++number) {
-        const Caller &caller = world.callers[number];
-        if (caller.patienceMs < leastPatienceMs) {
-            continue;
-        }
-        ++outcome.asked;
-        if (!caller.isAnswered || caller.result.outcome != Transient::JobOutcome::Succeeded) {
-            continue;
-        }
-        const bool isInTime = caller.answeredMs - caller.submittedMs <= TargetMs;
-        outcome.inTime += isInTime ? 1 : 0;
-        outcome.late += isInTime ? 0 : 1;
-    }
-    return outcome;
-}
-
 /// Half of the backend servers turn four times as slow while more is offered than the others can
 /// do.
 Outcome replaySlowdown(const Transient::AdmissionLimits &limits, std::uint64_t seed)
@@ -74,13 +31,13 @@
     auto world = makeWorld(seed, Gateways, Agents);
     runFor(*world, 1000);
     limitAll(*world, limits);
-    offer(*world, 0.5, 3000);
+    offer(*world, Jobs, Capacity, 0.5, 3000);
     const std::size_t first = world->callers.size();
     world->backends[0].speed /= 4;
     world->backends[1].speed /= 4;
-    offer(*world, 0.9, 4000);
+    offer(*world, Jobs, Capacity, 0.9, 4000);
     runFor(*world, 4000);
-    return judge(*world, first, 0);
+    return judge(*world, Jobs, first);
 }
 
 /// All gateways are gone for a second; its callers come together with the fresh ones.
@@ -90,7 +47,7 @@
     constexpr int Waiting = 120;
     auto world = makeWorld(seed, Gateways, Agents);
     runFor(*world, 1000);
-    offer(*world, 0.6, 3000);
+    offer(*world, Jobs, Capacity, 0.6, 3000);
     runFor(*world, 2000);
     std::vector<Schema::LearnedTimes> learned;
     for (int gateway = 0; gateway < Gateways; ++gateway) {
@@ -115,9 +72,9 @@
             runFor(*world, 5);
         }
     }
-    offer(*world, 0.6, 1500);
+    offer(*world, Jobs, Capacity, 0.6, 1500);
     runFor(*world, 4000);
-    return judge(*world, first, PatienceLeftMs + 1);
+    return judge(*world, Jobs, first, PatienceLeftMs + 1);
 }
 
 using Replay = std::function<Outcome(const Transient::AdmissionLimits &, std::uint64_t)>;
--- /dev/null
+++ b/Source/UnitTests/Transient/PaceTest.cpp
@@ -0,0 +1,219 @@
+#include <doctest/doctest.h>
+#include <ostream>
+#include <string>
+
+#include "Runner/Forecast.h"
+#include "Runner/Load.h"
+#include "Runner/Pace.h"
+#include "Runner/Runner.h"
+#include "Runner/RunQueue.h"
+#include "Runner/StartLimit.h"
+
+using namespace Runner;
+
+namespace {
+
+constexpr std::int64_t Urgent = 0;
+constexpr std::int64_t Other = 1;
+
+Common::Moment at(std::int64_t ms)
+{
+    return {ms, ms};
+}
+
+RunnerState makeState(double processors)
+{
+    RunnerState state;
+    state.backend.emplace();
+    state.backend->resources.processors = processors;
+    state.backend->resources.memoryMb = 1000;
+    state.urgentPriority = Urgent;
+    state.isClean = true;
+    return state;
+}
+
+/// One that began at 1000 and has come so far at 1100.
+Run running(std::int64_t expectedMs, int percent)
+{
+    Run run;
+    run.phase = RunPhase::Running;
+    run.attempt = 1;
+    run.number = 1;
+    run.resources.processors = 1;
+    run.expectedMs = expectedMs;
+    run.startedMs = 1000;
+    run.percent = percent;
+    run.progressSeenMs = 1100;
+    run.targetMs = 1300;
+    run.deadlineMs = 5000;
+    run.isStartKnown = true;
+    return run;
+}
+
+void add(RunnerState &state, Run run)
+{
+    const RunId id = ++state.lastRun;
+    run.task = "job." + std::to_string(id) + ".0";
+    state.runs.emplace(id, run);
+    if (run.phase == RunPhase::Queued) {
+        enqueue(state, id);
+    }
+}
+
+void addWaiting(RunnerState &state, std::int64_t priority, std::int64_t expectedMs)
+{
+    Run run;
+    run.attempt = 1;
+    run.priority = priority;
+    run.expectedMs = expectedMs;
+    run.resources.processors = 1;
+    run.targetMs = 10'000;
+    run.deadlineMs = 20'000;
+    add(state, run);
+}
+
+int countPhase(const RunnerState &state, RunPhase phase)
+{
+    int count = 0;
+    for (const auto &[id, run] : state.runs) {
+        count += run.phase == phase ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("A forecast plays the queue forward in its own order")
+{
+    struct Row
+    {
+        const char *what;
+        int processors;
+        int urgentWaiting;
+        int othersWaiting;
+        double urgentWaitMs;
+        double waitMs;
+    };
+    // Two run, with 100 and 300 ms left; what waits takes 100 ms each.
+    const Row rows[] = {
+            {"there is room", 3, 0, 0, 0, 0},
+            {"full: the first end", 2, 0, 0, 100, 100},
+            {"two wait: the first end and one of these", 2, 0, 2, 100, 300},
+            {"an urgent one waits, too", 2, 1, 2, 200, 300},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        RunnerState state = makeState(row.processors);
+        add(state, running(200, 50));
+        add(state, running(400, 25));
+        for (int task = 0; task < row.othersWaiting; ++task) {
+            addWaiting(state, Other, 100);
+        }
+        for (int task = 0; task < row.urgentWaiting; ++task) {
+            addWaiting(state, Urgent, 100);
+        }
+        const Forecast forecast = forecastOf(state, at(1100));
+        CHECK(forecast.urgentWaitMs == doctest::Approx(row.urgentWaitMs).epsilon(0.05));
+        CHECK(forecast.waitMs == doctest::Approx(row.waitMs).epsilon(0.05));
+    }
+}
+
+TEST_CASE("What its runs show tells that a backend server is slow")
+{
+    struct Row
+    {
+        const char *what;
+        int percent;
+        int runs;
+        bool isSlow;
+    };
+    const Row rows[] = {
+            {"as expected", 50, 4, false},
+            {"one long job among others", 20, 1, false},
+            {"all at a quarter of the pace", 12, 4, true},
+            {"nothing moves", 0, 1, true},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        RunnerState state = makeState(8);
+        for (int run = 0; run < row.runs; ++run) {
+            add(state, running(200, row.percent));
+        }
+        paceSeen(state, at(1100));
+        CHECK((slowdownOf(state, at(1100)) > 1) == row.isSlow);
+        // It is tried again once nothing tells of it any more.
+        CHECK(slowdownOf(state, at(12'000)) == 1);
+    }
+}
+
+TEST_CASE("What would be late on a slow backend server goes elsewhere while that helps")
+{
+    struct Row
+    {
+        const char *what;
+        std::int64_t attempt;
+        std::int64_t targetMs;
+        bool movesFromSlow;
+        bool isStopped;
+    };
+    const Row rows[] = {
+            {"it stands still", 1, 1300, true, true},
+            {"it has been moved twice: it is slow by itself", 3, 1300, true, false},
+            {"it has time to end here", 1, 9000, true, false},
+            {"switched off", 1, 1300, false, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        RunnerState state = makeState(8);
+        state.decisions.movesFromSlow = row.movesFromSlow;
+        Run still = running(200, 0);
+        still.attempt = row.attempt;
+        still.targetMs = row.targetMs;
+        add(state, still);
+        addWaiting(state, Other, 200);
+        paceSeen(state, at(1100));
+        const Effects effects = moveFromSlow(state, at(1100));
+        CHECK(countPhase(state, RunPhase::Stopping) == (row.isStopped ? 1 : 0));
+        // What waits there has done nothing yet and is given back.
+        CHECK(countPhase(state, RunPhase::Queued) == (row.movesFromSlow ? 0 : 1));
+        for (const Effect &effect : effects) {
+            if (const auto *report = std::get_if<ReportAttempt>(&effect)) {
+                CHECK(report->state.phase == Schema::AttemptPhase::NotStarted);
+                CHECK(report->state.reason == Schema::Reason::BackendSlow);
+            }
+        }
+    }
+}
+
+TEST_CASE("A start is given up by what its answers usually take")
+{
+    StartLimit limit;
+    CHECK(startLimitMs(limit) == 150);
+    for (int answer = 0; answer < 50; ++answer) {
+        startAnswerSeen(limit, 3);
+    }
+    CHECK(startLimitMs(limit) == 30);
+    // The agent's instance has turned slow: it must not go on giving up all that it starts.
+    for (int start = 0; start < 6; ++start) {
+        startUnanswered(limit);
+    }
+    CHECK(startLimitMs(limit) == 150);
+    for (int answer = 0; answer < 50; ++answer) {
+        startAnswerSeen(limit, answer % 2 == 0 ? 10 : 30);
+    }
+    CHECK(startLimitMs(limit) > 60);
+    CHECK(startLimitMs(limit) < 120);
+}
+
+TEST_CASE("Settings switch decisions of an agent off")
+{
+    RunnerState state = makeState(8);
+    switchOff(state, {Schema::AgentDecision::Moves, Schema::AgentDecision::StartLimits,
+                      Schema::AgentDecision::UrgencyOrder});
+    CHECK_FALSE(state.decisions.movesFromSlow);
+    CHECK_FALSE(state.decisions.learnsStartLimit);
+    CHECK_FALSE(state.decisions.ordersByUrgency);
+    addWaiting(state, Other, 100);
+    addWaiting(state, Urgent, 100);
+    CHECK(state.queue.front() == 1);
+}
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -16,7 +16,6 @@
 constexpr std::int64_t SilenceMs = 800;
 constexpr std::int64_t RelinkMs = 300;
 constexpr std::int64_t DialMs = 100;
-constexpr std::int64_t StartTimeoutMs = 150;
 constexpr std::int64_t StopTimeoutMs = 120;
 constexpr std::int64_t ObserveGraceMs = 150;
 constexpr std::int64_t AnnounceEveryMs = 1500;
@@ -248,7 +247,7 @@
                                        answer, moment(world)));
     };
     callBackend(
-            world, agent, StartTimeoutMs,
+            world, agent, effect.timeoutMs,
             [&world, agent, effect, tell, sentMs = world.nowMs](const CallPtr &call) {
                 Transient::RunStart start = effect.start;
                 if (world.lateLeasesCountFromArrival) {
