--- a/Source/Core/Runner/Pace.h
+++ b/Source/Core/Runner/Pace.h
@@ -22,7 +22,8 @@
 /// By how much runs take longer there than expected; 1 where they do not, or nothing is known.
 double slowdownOf(const RunnerState &state, Common::Moment now);
 
-/// Stops what would be late here and in time elsewhere, and gives back what waits here.
+/// Where all stands nearly still: stops what would be late here and in time elsewhere, and gives
+/// back what waits here.
 Effects moveFromSlow(RunnerState &state, Common::Moment now);
 
 } // namespace Runner
