UnitTests: load replays are summed over seeds in one place

The loop over eight seeds stood twice, in LoadReplayTest and BackendReplayTest; it is a template beside offer() and judge() now.

--- a/Source/UnitTests/Transient/BackendReplayTest.cpp
+++ b/Source/UnitTests/Transient/BackendReplayTest.cpp
@@ -79,20 +79,6 @@
 
 using Replay = std::function<Outcome(const SwitchOff &, std::uint64_t)>;
 
-/// Over eight seeds.
-Outcome total(const Replay &replay, const SwitchOff &switchOff)
-{
-    constexpr std::uint64_t Seeds = 8;
-    Outcome sum;
-    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        const Outcome one = replay(switchOff, seed);
-        sum.asked += one.asked;
-        sum.inTime += one.inTime;
-        sum.late += one.late;
-    }
-    return sum;
-}
-
 } // namespace
 
 TEST_CASE("Load replays: standstill and urgent jobs cost less with the decision")
@@ -119,7 +105,7 @@
     };
     for (const Row &row : rows) {
         CAPTURE(row.what);
-        const Outcome with = total(row.replay, [](World &) {});
+        const Outcome with = total(row.replay, SwitchOff([](World &) {}));
         const Outcome without = total(row.replay, row.without);
         MESSAGE(row.what << ": of " << with.asked << " in time " << with.inTime << ", late "
                          << with.late << "; without: of " << without.asked << " in time "
--- a/Source/UnitTests/Transient/LoadReplay.h
+++ b/Source/UnitTests/Transient/LoadReplay.h
@@ -33,4 +33,19 @@
 Outcome judge(const World &world, const OfferedWork &offered, std::size_t first,
               std::int64_t leastPatienceMs = 0);
 
+/// What \a replay gives with \a chosen, over eight seeds.
+template <typename Replay, typename Chosen>
+Outcome total(const Replay &replay, const Chosen &chosen)
+{
+    constexpr std::uint64_t Seeds = 8;
+    Outcome sum;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const Outcome one = replay(chosen, seed);
+        sum.asked += one.asked;
+        sum.inTime += one.inTime;
+        sum.late += one.late;
+    }
+    return sum;
+}
+
 } // namespace TransientSite
--- a/Source/UnitTests/Transient/LoadReplayTest.cpp
+++ b/Source/UnitTests/Transient/LoadReplayTest.cpp
@@ -79,20 +79,6 @@
 
 using Replay = std::function<Outcome(const Transient::AdmissionLimits &, std::uint64_t)>;
 
-/// Over eight seeds.
-Outcome total(const Replay &replay, const Transient::AdmissionLimits &limits)
-{
-    constexpr std::uint64_t Seeds = 8;
-    Outcome sum;
-    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        const Outcome one = replay(limits, seed);
-        sum.asked += one.asked;
-        sum.inTime += one.inTime;
-        sum.late += one.late;
-    }
-    return sum;
-}
-
 } // namespace
 
 TEST_CASE("Load replays: callers are served better with the module than without")
@@ -111,7 +97,7 @@
     rows[1].without.countsWaiting = false;
     for (const Row &row : rows) {
         CAPTURE(row.what);
-        const Outcome with = total(row.replay, {});
+        const Outcome with = total(row.replay, Transient::AdmissionLimits{});
         const Outcome without = total(row.replay, row.without);
         MESSAGE(row.what << ": of " << with.asked << " in time " << with.inTime << ", late "
                          << with.late << "; without: of " << without.asked << " in time "
