UnitTests: a reused socket number misleads no answer, the order forced

The new one forces the order: the server takes in that a caller has left, its answer is handed over meanwhile, the next caller is accepted under the number of the same socket, and only then the queue of answers is emptied.

--- a/Source/UnitTests/Net/HttpLeaverTest.cpp
+++ b/Source/UnitTests/Net/HttpLeaverTest.cpp
@@ -2,11 +2,19 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <doctest/doctest.h>
+#include <fcntl.h>
+#include <functional>
+#include <future>
+#include <map>
 #include <mutex>
+#include <netinet/in.h>
 #include <optional>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 #include "Net/HttpServer.h"
@@ -71,8 +79,230 @@
     boost::asio::write(socket, boost::asio::buffer(request));
 }
 
+/// Stops one thread at a point of its own until another one lets it go on.
+class Halt
+{
+public:
+    void pass()
+    {
+        this->reached.set_value();
+        this->released.get_future().wait();
+    }
+
+    void waitUntilReached() { this->reached.get_future().wait(); }
+    void release() { this->released.set_value(); }
+
+private:
+    std::promise<void> reached;
+    std::promise<void> released;
+};
+
+/// Number of the socket on which the server has accepted \a caller; -1 while it has not.
+int acceptedSocket(const Socket &caller)
+{
+    constexpr int MostSockets = 1024;
+    const std::uint16_t port = caller.local_endpoint().port();
+    for (int number = 0; number < MostSockets; ++number) {
+        sockaddr_in peer{};
+        socklen_t length = sizeof peer;
+        const bool isConnected =
+                ::getpeername(number, reinterpret_cast<sockaddr *>(&peer), &length) == 0;
+        if (isConnected && peer.sin_family == AF_INET && ntohs(peer.sin_port) == port) {
+            return number;
+        }
+    }
+    return -1;
+}
+
+/// Returns once the server's listening thread has passed the caller on.
+int waitUntilAccepted(const Socket &caller)
+{
+    constexpr std::chrono::milliseconds PassOnTime{20};
+    while (acceptedSocket(caller) < 0) {
+        std::this_thread::yield();
+    }
+    std::this_thread::sleep_for(PassOnTime);
+    return acceptedSocket(caller);
+}
+
+/// Takes all numbers below \a number that are free, so that the next one to be free is reused next.
+class LowNumbers
+{
+public:
+    explicit LowNumbers(int number)
+    {
+        int taken = -1;
+        do {
+            taken = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+            this->numbers.push_back(taken);
+        } while (taken >= 0 && taken < number);
+    }
+    ~LowNumbers()
+    {
+        for (const int number : this->numbers) {
+            ::close(number);
+        }
+    }
+    LowNumbers(const LowNumbers &) = delete;
+    LowNumbers &operator=(const LowNumbers &) = delete;
+
+private:
+    std::vector<int> numbers;
+};
+
+/// Bytes that reach a caller which has asked nothing.
+std::size_t strayBytes(Socket &caller)
+{
+    constexpr std::chrono::milliseconds StrayTime{100};
+    std::this_thread::sleep_for(StrayTime);
+    return caller.available();
+}
+
 } // namespace
 
+TEST_CASE("A socket number that is reused between an answer and its writing misleads no answer")
+{
+    // The answer is handed over while the server takes in that its caller has left; before it is
+    // written, the next caller is accepted under the number of the same socket.
+    Halt first;
+    Halt leaving;
+    Halt second;
+    const std::map<std::string, Halt *> halts{{"/first", &first}, {"/second", &second}};
+    std::mutex mutex;
+    std::map<std::string, Net::HttpReply> replies;
+    std::promise<void> taken;
+    std::atomic<std::uint64_t> leaverNumber = 0;
+    const auto server =
+            Net::HttpServerBuilder()
+                    .threads(1)
+                    .handler([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        {
+                            // None is dropped here: that would answer it.
+                            const std::lock_guard<std::mutex> lock(mutex);
+                            replies.emplace(request.path, reply);
+                        }
+                        const auto halt = halts.find(request.path);
+                        if (halt != halts.end()) {
+                            halt->second->pass();
+                            return;
+                        }
+                        leaverNumber = request.connection;
+                        taken.set_value();
+                    })
+                    .disconnected([&](std::uint64_t connection) {
+                        if (connection == leaverNumber) {
+                            leaving.pass();
+                        }
+                    })
+                    .build();
+    boost::asio::io_context context;
+    Socket leaver(context);
+    ask(leaver, server->port(), "/leave");
+    taken.get_future().wait();
+    Socket blocker(context);
+    blocker.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+    waitUntilAccepted(blocker);
+    Socket opener(context);
+    Socket early(context, boost::asio::ip::tcp::v4());
+    Socket next(context, boost::asio::ip::tcp::v4());
+    ask(opener, server->port(), "/first");
+    first.waitUntilReached();
+    const int number = acceptedSocket(leaver);
+    const LowNumbers lowNumbers(number);
+    // In one turn the server finds that the leaver has gone, then a request that halts it.
+    leaver.shutdown(Socket::shutdown_both);
+    const std::string request = "GET /second HTTP/1.1\r\nHost: a.example\r\n\r\n";
+    boost::asio::write(blocker, boost::asio::buffer(request));
+    first.release();
+    leaving.waitUntilReached();
+    // New callers are noticed before new answers: this one is there first.
+    early.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+    waitUntilAccepted(early);
+    replies.at("/leave").send({200, "for the caller that has left", "text/plain", 0, false});
+    leaving.release();
+    second.waitUntilReached();
+    next.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+    REQUIRE(waitUntilAccepted(next) == number);
+    second.release();
+    CHECK(strayBytes(next) == 0);
+    CHECK(strayBytes(early) == 0);
+}
+
+TEST_CASE("What is left of an answer to a caller that has left reaches no other caller")
+{
+    // The caller leaves with most of its answer unread; the rest must not go to the next caller
+    // under the number of its socket.
+    std::promise<Net::HttpReply> asked;
+    std::atomic<bool> isGone = false;
+    const auto server =
+            Net::HttpServerBuilder()
+                    .threads(1)
+                    .handler([&](const Net::HttpRequest &, const Net::HttpReply &reply) {
+                        asked.set_value(reply);
+                    })
+                    .disconnected([&](std::uint64_t) { isGone = true; })
+                    .build();
+    boost::asio::io_context context;
+    Socket leaver(context);
+    Socket next(context, boost::asio::ip::tcp::v4());
+    ask(leaver, server->port(), "/leave");
+    constexpr std::size_t MoreThanBuffers = std::size_t{16} << 20U;
+    asked.get_future().get().send({200, std::string(MoreThanBuffers, 'x'), "text/plain", 0, false});
+    while (leaver.available() == 0) {
+        std::this_thread::yield();
+    }
+    const int number = acceptedSocket(leaver);
+    const LowNumbers lowNumbers(number);
+    // With answers unread this resets the connection.
+    leaver.close();
+    const LowNumbers leaverNumber(0);
+    while (!isGone || ::fcntl(number, F_GETFD) != -1) {
+        std::this_thread::yield();
+    }
+    next.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+    REQUIRE(waitUntilAccepted(next) == number);
+    CHECK(strayBytes(next) == 0);
+}
+
+TEST_CASE("A connection ends on the thread that takes its requests")
+{
+    // Only there may its queue of answers be emptied.
+    constexpr int Connections = 24;
+    std::mutex mutex;
+    std::map<std::uint64_t, std::thread::id> askedOn;
+    std::map<std::uint64_t, std::thread::id> endedOn;
+    std::atomic<int> ended = 0;
+    const auto server =
+            Net::HttpServerBuilder()
+                    .threads(4)
+                    .handler([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        {
+                            const std::lock_guard<std::mutex> lock(mutex);
+                            askedOn[request.connection] = std::this_thread::get_id();
+                        }
+                        reply.send({200, "done", "text/plain", 0, false});
+                    })
+                    .disconnected([&](std::uint64_t connection) {
+                        const std::lock_guard<std::mutex> lock(mutex);
+                        endedOn[connection] = std::this_thread::get_id();
+                        ++ended;
+                    })
+                    .build();
+    boost::asio::io_context context;
+    for (int connection = 0; connection < Connections; ++connection) {
+        Socket caller(context);
+        ask(caller, server->port(), "/");
+        while (caller.available() == 0) {
+            std::this_thread::yield();
+        }
+    }
+    while (ended < Connections) {
+        std::this_thread::yield();
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    CHECK(askedOn == endedOn);
+}
+
 TEST_CASE("An answer to a caller that has left reaches no other caller")
 {
     // A caller closes its connection while its answer is handed over; the next caller gets the
