Gateway: answers whose caller had gone are counted and logged

A reply says whether it was handed over; a gateway counts those that were not, and names job and connection.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -26,6 +26,7 @@
 /// An answer at the last moment has to reach its caller.
 constexpr std::int64_t ReturnMs = 20;
 constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
+constexpr const char *UndeliveredAnswers = "auburntrail_answers_undelivered_total";
 
 Common::Outcome<void> decodeBody(CallerAsked &asked, const std::string &body)
 {
@@ -234,9 +235,12 @@
     if (found == this->requests.end()) {
         return;
     }
-    const Net::HttpReply open = found->second.reply;
+    const OpenRequest open = found->second;
     this->requests.erase(found);
-    this->reply(open, Platform::encodeResult(effect.result));
+    if (!this->reply(open.reply, Platform::encodeResult(effect.result))) {
+        Common::logEvent(LogLevel::Info, "answer_undelivered",
+                         {{"job", effect.job}, {"connection", open.connection}});
+    }
 }
 
 void TransientCallers::refuse(const CallerAsked &asked, int status, Reason reason,
@@ -254,10 +258,14 @@
     this->reply(asked.reply, refusal(status, detail));
 }
 
-void TransientCallers::reply(const Net::HttpReply &reply, Net::HttpResponse response)
+bool TransientCallers::reply(const Net::HttpReply &reply, Net::HttpResponse response)
 {
     response.closesConnection = this->control.state.isStopping;
-    reply.send(response);
+    const bool isHandedOver = reply.send(response);
+    if (!isHandedOver) {
+        this->control.metrics.count(UndeliveredAnswers, {});
+    }
+    return isHandedOver;
 }
 
 void TransientCallers::passTime(bool isReady)
--- a/Source/Core/Gateway/TransientCallers.h
+++ b/Source/Core/Gateway/TransientCallers.h
@@ -55,7 +55,8 @@
     void askState(const CallerAsked &asked, const Schema::JobQueue &queue);
     void refuse(const CallerAsked &asked, int status, Schema::Reason reason,
                 const std::string &detail);
-    void reply(const Net::HttpReply &reply, Net::HttpResponse response);
+    /// False where the caller has gone.
+    bool reply(const Net::HttpReply &reply, Net::HttpResponse response);
 
     TransientControl &control;
     TransientMailbox &mailbox;
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -202,21 +202,21 @@
         this->send(response);
     }
 
-    void send(const HttpResponse &response)
+    bool send(const HttpResponse &response)
     {
         if (this->isAnswered.exchange(true)) {
-            return;
+            return false;
         }
         // The writer refers to the endpoint's transport, which is gone after stop().
         const std::shared_lock<std::shared_mutex> lock(this->gate->mutex);
         if (!this->gate->isOpen) {
-            return;
+            return false;
         }
         // The library queues an answer under the number of its socket. Once the caller has gone,
         // another one may have that number, and would get an answer that it never asked for.
         const std::lock_guard<std::mutex> connectionLock(this->connection->mutex);
         if (this->connection->isGone) {
-            return;
+            return false;
         }
         if (response.retryAfterSeconds > 0) {
             this->writer.headers().add<RetryAfter>(response.retryAfterSeconds);
@@ -240,6 +240,7 @@
                       Http::Mime::MediaType::fromString(response.contentType))
                 .then([written](ssize_t) { written(); },
                       [written](const std::exception_ptr &) { written(); });
+        return true;
     }
 
     std::shared_ptr<Pistache::Tcp::Peer> livePeer() const
@@ -262,9 +263,9 @@
     : implementation(std::move(implementation))
 {}
 
-void HttpReply::send(const HttpResponse &response) const
+bool HttpReply::send(const HttpResponse &response) const
 {
-    this->implementation->send(response);
+    return this->implementation->send(response);
 }
 
 namespace {
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -42,7 +42,8 @@
     struct Implementation;
     explicit HttpReply(std::shared_ptr<Implementation> implementation);
 
-    void send(const HttpResponse &response) const;
+    /// False where it is not delivered: the caller has gone, or was answered before.
+    bool send(const HttpResponse &response) const;
 
 private:
     std::shared_ptr<Implementation> implementation;
