--- a/Source/UnitTests/PropertyCheck.h
+++ b/Source/UnitTests/PropertyCheck.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -51,9 +52,34 @@
                                 rc::gen::set(&Made::second, rc::gen::inRange(0U, Range)));
 }
 
-/// \a promisesBroken plays commands with a seed and tells what broke, or nothing.
+/// Leaves out whatever the commands break a promise without.
 template <typename Command, typename PromisesBroken>
-void check(const Search &search, const rc::Gen<Command> &anyCommand, PromisesBroken promisesBroken)
+std::vector<Command> shortest(std::vector<Command> commands, std::uint64_t seed,
+                              PromisesBroken promisesBroken)
+{
+    for (std::size_t length = commands.size(); length > 0;) {
+        bool isShorter = false;
+        for (std::size_t from = 0; from + length <= commands.size();) {
+            std::vector<Command> fewer = commands;
+            const auto first = fewer.begin() + static_cast<std::ptrdiff_t>(from);
+            fewer.erase(first, first + static_cast<std::ptrdiff_t>(length));
+            if (promisesBroken(fewer, seed).empty()) {
+                from += length;
+            } else {
+                commands = std::move(fewer);
+                isShorter = true;
+            }
+        }
+        length = isShorter ? std::min(length, commands.size()) : length / 2;
+    }
+    return commands;
+}
+
+/// \a promisesBroken plays commands with a seed and tells what broke, or nothing; \a tellStory
+/// writes down what happens when they are played.
+template <typename Command, typename PromisesBroken, typename TellStory>
+void check(const Search &search, const rc::Gen<Command> &anyCommand, PromisesBroken promisesBroken,
+           TellStory tellStory)
 {
     constexpr std::size_t Commands = 60;
     rc::detail::TestParams parameters;
@@ -61,15 +87,24 @@
     parameters.maxSuccess = static_cast<int>(
             numberFrom("AUBURNTRAIL_PROPERTY_RUNS", static_cast<std::uint64_t>(search.runs)));
     parameters.maxSize = search.maxSize;
-    // A long search shows what it found first; shrinking it takes many times as long.
-    parameters.disableShrinking = std::getenv("AUBURNTRAIL_PROPERTY_RUNS") != nullptr;
+    // The library shrinks the numbers of the commands as well, which takes too long here.
+    parameters.disableShrinking = true;
+    bool isTold = false;
     const auto property = [&] {
         const auto commands = *rc::gen::container<std::vector<Command>>(Commands, anyCommand);
         const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
         const std::string broken = promisesBroken(commands, seed);
-        if (!broken.empty()) {
+        if (!broken.empty() && !isTold) {
+            isTold = true;
             // At once: a search that is cut off while it shrinks has then still told what it found.
             std::cerr << "seed " << seed << ": " << broken << '\n';
+            const std::vector<Command> fewest = shortest(commands, seed, promisesBroken);
+            std::cerr << "shortest list:";
+            for (const Command &command : fewest) {
+                std::cerr << ' ' << command;
+            }
+            std::cerr << '\n';
+            tellStory(fewest, seed);
         }
         RC_LOG(broken);
         RC_ASSERT(broken.empty());
@@ -82,4 +117,10 @@
     CHECK(result.template is<rc::detail::SuccessResult>());
 }
 
+template <typename Command, typename PromisesBroken>
+void check(const Search &search, const rc::Gen<Command> &anyCommand, PromisesBroken promisesBroken)
+{
+    check(search, anyCommand, promisesBroken, [](const std::vector<Command> &, std::uint64_t) {});
+}
+
 } // namespace PropertyCheck
