--- a/Source/UnitTests/Net/HttpLeaverTest.cpp
+++ b/Source/UnitTests/Net/HttpLeaverTest.cpp
@@ -264,6 +264,35 @@
     CHECK(strayBytes(next) == 0);
 }
 
+TEST_CASE("A caller that does not read its answer holds up no other caller" * doctest::skip())
+{
+    // The thread tries again and again to write the rest, and serves nobody else.
+    constexpr std::size_t MoreThanBuffers = std::size_t{16} << 20U;
+    constexpr std::chrono::seconds LongestWait{2};
+    const auto server =
+            Net::HttpServerBuilder()
+                    .threads(1)
+                    .handler([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        const std::size_t bytes = request.path == "/long" ? MoreThanBuffers : 1;
+                        reply.send({200, std::string(bytes, 'x'), "text/plain", 0, false});
+                    })
+                    .build();
+    boost::asio::io_context context;
+    Socket idle(context);
+    ask(idle, server->port(), "/long");
+    while (idle.available() == 0) {
+        std::this_thread::yield();
+    }
+    Socket other(context);
+    ask(other, server->port(), "/short");
+    const auto until = std::chrono::steady_clock::now() + LongestWait;
+    while (other.available() == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::yield();
+    }
+    CHECK(other.available() > 0);
+    idle.close();
+}
+
 TEST_CASE("A connection ends on the thread that takes its requests")
 {
     // Only there may its queue of answers be emptied.
