--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -57,7 +57,7 @@
     }
     std::string what = note.event;
     for (const auto &[name, value] : note.fields) {
-        what += ' ' + name + '=' + value;
+        what.append(" ").append(name).append("=").append(value);
     }
     record(world, who, what);
 }
