Runner: which starts may still arrive is asked in one place

Found on reading the change again: the condition for an unanswered start of an orphaned job stood twice in one expression, and task names were gathered only to be parsed into jobs afterwards. Jobs are now gathered directly.

--- a/Source/Core/Runner/Orphans.cpp
+++ b/Source/Core/Runner/Orphans.cpp
@@ -22,21 +22,16 @@
     return grant == state.grants.end() || now.steadyMs >= suspectAtMs(state, grant->second);
 }
 
-bool isUnanswered(const Run &run, Common::Moment now)
+/// Its start may still be on the way to the backend server.
+bool mayStillStart(const Run &run)
 {
-    return run.phase == RunPhase::Stopping && !run.isStartKnown && run.stopTakenMs == 0
-           && now.steadyMs >= run.stopAskedMs + UnansweredPatienceMs;
+    return run.phase != RunPhase::Queued && !run.isStartKnown && run.stopTakenMs == 0;
 }
 
-std::vector<std::string> jobsOf(const std::set<std::string> &tasks)
+bool resistsStop(const Run &run, Common::Moment now)
 {
-    std::set<std::string> jobs;
-    for (const std::string &task : tasks) {
-        if (const auto ref = Transient::parseTaskName(task)) {
-            jobs.insert(ref->job);
-        }
-    }
-    return {jobs.begin(), jobs.end()};
+    return run.phase == RunPhase::Stopping
+           && now.steadyMs >= run.stopAskedMs + UnansweredPatienceMs;
 }
 
 Schema::OrphanedJobs orphansOf(const RunnerState &state, Common::Moment now)
@@ -44,17 +39,23 @@
     std::set<std::string> held;
     std::set<std::string> unanswered;
     for (const auto &[id, run] : state.runs) {
-        const bool isOrphaned = isSuspect(state, run.gateway, now);
-        if (isOrphaned) {
-            held.insert(run.task);
+        const bool isHeld = isSuspect(state, run.gateway, now);
+        const bool isUnanswered = mayStillStart(run) && (isHeld || resistsStop(run, now));
+        if (!isHeld && !isUnanswered) {
+            continue;
+        }
+        const auto ref = Transient::parseTaskName(run.task);
+        if (!ref) {
+            continue;
+        }
+        if (isHeld) {
+            held.insert(ref->job);
         }
-        if (isUnanswered(run, now)
-            || (isOrphaned && run.phase != RunPhase::Queued && !run.isStartKnown
-                && run.stopTakenMs == 0)) {
-            unanswered.insert(run.task);
+        if (isUnanswered) {
+            unanswered.insert(ref->job);
         }
     }
-    return {jobsOf(held), jobsOf(unanswered)};
+    return {{held.begin(), held.end()}, {unanswered.begin(), unanswered.end()}};
 }
 
 bool isWider(const std::vector<std::string> &jobs, const std::vector<std::string> &before)
