--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -23,18 +23,6 @@
 
 namespace {
 
-double cpuSeconds()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    constexpr double MicrosPerSecond = 1e6;
-    const auto seconds = [](const timeval &time) {
-        return static_cast<double>(time.tv_sec)
-               + static_cast<double>(time.tv_usec) / MicrosPerSecond;
-    };
-    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
 double residentBytes()
 {
     std::ifstream statm("/proc/self/statm");
@@ -46,6 +34,18 @@
 
 } // namespace
 
+double processCpuSeconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    constexpr double MicrosPerSecond = 1e6;
+    const auto seconds = [](const timeval &time) {
+        return static_cast<double>(time.tv_sec)
+               + static_cast<double>(time.tv_usec) / MicrosPerSecond;
+    };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
 Metrics::Metrics()
     : implementation(std::make_unique<Implementation>())
 {}
@@ -85,7 +85,7 @@
 
 std::string Metrics::expose()
 {
-    this->set("process_cpu_seconds_total", cpuSeconds());
+    this->set("process_cpu_seconds_total", processCpuSeconds());
     this->set("process_resident_memory_bytes", residentBytes());
     return prometheus::TextSerializer().Serialize(this->implementation->registry.Collect());
 }
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -7,6 +7,12 @@
 
 using Common::LogLevel;
 
+namespace {
+
+constexpr std::int64_t TrafficReportIntervalMs = 1000;
+
+} // namespace
+
 TransientLinks::TransientLinks(TransientControl &control, TransientMailbox &mailbox,
                                TransientEffectHandler carryOut)
     : control(control)
@@ -64,6 +70,8 @@
     }
     PeerLink &link = found->second;
     link.lastReceivedMs = this->control.now.steadyMs;
+    this->longestFrameDelayMs = std::max(this->longestFrameDelayMs,
+                                         this->control.now.steadyMs - event.arrivedMs);
     const Schema::Frame &frame = event.frame;
     if (frame.agentAnnouncement) {
         this->agentAnnounced(event.link, *frame.agentAnnouncement);
@@ -229,6 +237,31 @@
     }
     this->closeSilentLinks();
     this->dialGateways();
+    this->reportTraffic();
+}
+
+void TransientLinks::reportTraffic()
+{
+    const std::int64_t nowMs = this->control.now.steadyMs;
+    if (nowMs < this->trafficReportedMs + TrafficReportIntervalMs) {
+        return;
+    }
+    constexpr double MsPerSecond = 1000;
+    const double cpuSeconds = Common::processCpuSeconds();
+    const Net::PeerHubTraffic traffic = this->hub->traffic();
+    std::vector<std::pair<std::string, std::string>> fields{
+            {"after_ms", std::to_string(nowMs - this->trafficReportedMs)},
+            {"cpu_ms", std::to_string(static_cast<std::int64_t>(
+                               (cpuSeconds - this->reportedCpuSeconds) * MsPerSecond))},
+            {"longest_frame_delay_ms", std::to_string(this->longestFrameDelayMs)},
+            {"unsent_bytes", std::to_string(traffic.unsentBytes)}};
+    Common::append(fields, Net::trafficFields(traffic, this->reportedTraffic));
+    Common::logEvent(LogLevel::Info, "peer_traffic", fields);
+    Net::publishTraffic(this->control.metrics, traffic, this->reportedTraffic);
+    this->trafficReportedMs = nowMs;
+    this->reportedTraffic = traffic;
+    this->reportedCpuSeconds = cpuSeconds;
+    this->longestFrameDelayMs = 0;
 }
 
 void TransientLinks::dialGateways()
--- a/Source/Core/Gateway/TransientLinks.h
+++ b/Source/Core/Gateway/TransientLinks.h
@@ -57,6 +57,7 @@
     void announceToAll();
     void closeSilentLinks();
     void dialGateways();
+    void reportTraffic();
     std::vector<Schema::Member> connectedGateways() const;
 
     TransientControl &control;
@@ -64,6 +65,12 @@
     TransientEffectHandler carryOut;
     std::map<Net::LinkId, PeerLink> links;
     std::map<std::string, Net::LinkId> agentLinks;
+    /// When the traffic was last reported, and what had been sent and used until then.
+    std::int64_t trafficReportedMs = 0;
+    Net::PeerHubTraffic reportedTraffic;
+    double reportedCpuSeconds = 0;
+    /// Longest time since the last report that a frame waited for the control thread.
+    std::int64_t longestFrameDelayMs = 0;
     std::unique_ptr<Net::PeerHub> hub;
 };
 
--- a/Source/Core/Net/LinkMessages.h
+++ b/Source/Core/Net/LinkMessages.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <utility>
 
+#include "Common/Clock.h"
 #include "Net/PeerHub.h"
 
 /// Messages to a daemon's control thread about the events of a hub.
@@ -21,6 +23,8 @@
 {
     LinkId link = 0;
     Schema::Frame frame;
+    /// Steady clock when the hub received it.
+    std::int64_t arrivedMs = 0;
 };
 
 /// Posts every event of a hub to \a mailbox, which must outlive the hub.
@@ -31,7 +35,7 @@
     events.opened = [&mailbox](LinkId link) { mailbox.post(LinkUp{link}); };
     events.closed = [&mailbox](LinkId link) { mailbox.post(LinkDown{link}); };
     events.received = [&mailbox](LinkId link, Schema::Frame frame) {
-        mailbox.post(FrameArrived{link, std::move(frame)});
+        mailbox.post(FrameArrived{link, std::move(frame), Common::currentMoment().steadyMs});
     };
     return events;
 }
--- a/Source/Core/Net/PeerHub.cpp
+++ b/Source/Core/Net/PeerHub.cpp
@@ -193,6 +193,7 @@
         }
         std::optional<Schema::Frame> frame = this->decode(id, bytes);
         if (frame) {
+            this->countFrame(this->receivedByType, frame->type, bytes.size());
             this->events.received(id, std::move(*frame));
         } else {
             ++this->malformedFrames;
@@ -231,6 +232,7 @@
             }
         }
         std::string bytes = encodeFrame(frame);
+        this->countFrame(this->sentByType, frame.type, bytes.size());
         *queued += bytes.size();
         boost::asio::post(this->context, [this, id, bytes = std::move(bytes), queued] {
             this->write(id, bytes);
@@ -259,6 +261,14 @@
         this->updateBuffered(id);
     }
 
+    void countFrame(FrameTrafficByType &traffic, Schema::FrameType type, std::size_t bytes)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        FrameTraffic &counted = traffic[type];
+        ++counted.frames;
+        counted.bytes += bytes;
+    }
+
     void updateBuffered(LinkId id)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
@@ -353,6 +363,8 @@
     std::atomic<LinkId> lastLink = 0;
     std::mutex mutex;
     std::map<LinkId, Link> links;
+    FrameTrafficByType sentByType;
+    FrameTrafficByType receivedByType;
     std::atomic<std::uint64_t> framesSent = 0;
     std::atomic<std::uint64_t> bytesSent = 0;
     std::atomic<std::uint64_t> framesReceived = 0;
@@ -402,6 +414,12 @@
     traffic.framesReceived = this->implementation->framesReceived;
     traffic.bytesReceived = this->implementation->bytesReceived;
     traffic.malformedFrames = this->implementation->malformedFrames;
+    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
+    traffic.sent = this->implementation->sentByType;
+    traffic.received = this->implementation->receivedByType;
+    for (const auto &[id, link] : this->implementation->links) {
+        traffic.unsentBytes += *link.queuedBytes + *link.bufferedBytes;
+    }
     return traffic;
 }
 
--- a/Source/Core/Net/PeerHub.h
+++ b/Source/Core/Net/PeerHub.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -23,6 +24,15 @@
     std::function<void(LinkId)> closed;
 };
 
+/// Frames of one type and their bytes, without WebSocket headers.
+struct FrameTraffic
+{
+    std::uint64_t frames = 0;
+    std::uint64_t bytes = 0;
+};
+
+using FrameTrafficByType = std::map<Schema::FrameType, FrameTraffic>;
+
 /// Traffic of a hub since its start.
 struct PeerHubTraffic
 {
@@ -31,6 +41,10 @@
     std::uint64_t framesReceived = 0;
     std::uint64_t bytesReceived = 0;
     std::uint64_t malformedFrames = 0;
+    FrameTrafficByType sent;
+    FrameTrafficByType received;
+    /// Bytes of all links that are not written to their connections yet.
+    std::uint64_t unsentBytes = 0;
 };
 
 /// Links to gateways and agents, served on a thread of its own. The hub neither reconnects nor
