Transient: a forecast of a wait is reckoned from when it was made

A report says how long a task would wait there at that moment; a gateway took it for the wait at any later one.

The time since the report is taken off, at most a heartbeat and its way: an agent that has said nothing for longer may be frozen, and its tasks with it.

--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -18,6 +18,8 @@
 /// A waiting task delays all tasks that come after it, and its wait is less certain than its run
 /// time.
 constexpr double WaitWeight = 3;
+/// A heartbeat and its way. An agent whose report is older is away: its tasks may not go on.
+constexpr std::int64_t LongestReportAgeMs = 300;
 
 bool hasLabel(const AgentView &agent, const std::string &label)
 {
@@ -61,10 +63,10 @@
         const double remote = hasLabel(agent, query.step->dataRack) ? 1 : RemoteDataFactor;
         Placement candidate;
         candidate.agent = name;
-        candidate.waitMs =
-                fleet.decisions.usesForecasts
-                        ? expectedWaitMs(agent, query.step->resources.processors, query.priority)
-                        : meanWaitMs(agent, query.step->resources.processors);
+        candidate.waitMs = fleet.decisions.usesForecasts
+                                   ? expectedWaitMs(agent, query.step->resources.processors,
+                                                    query.priority, nowMs)
+                                   : meanWaitMs(agent, query.step->resources.processors);
         candidate.runMs = query.runMs * Dispatch::speedFactor(agent.speed) * remote;
         candidate.expectedMs = candidate.runMs;
         if (fleet.decisions.usesPaces) {
@@ -100,7 +102,8 @@
     return missing / agent.announced.resources.processors * std::max(agent.load.meanLeftMs, 1.0);
 }
 
-double expectedWaitMs(const AgentView &agent, double processors, std::int64_t priority)
+double expectedWaitMs(const AgentView &agent, double processors, std::int64_t priority,
+                      std::int64_t nowMs)
 {
     const bool isUrgent = hasUrgentPriority(agent, priority);
     const double capacity = agent.announced.resources.processors;
@@ -108,11 +111,14 @@
     const double addedProcessors =
             agent.tentativeProcessors
             + (isUrgent ? agent.unreportedUrgentProcessors : agent.unreportedProcessors);
-    const double reportedWaitMs = isUrgent ? agent.load.urgentWaitMs : agent.load.waitMs;
+    const auto ageMs = static_cast<double>(std::min(nowMs - agent.loadAtMs, LongestReportAgeMs));
+    const double reportedWaitMs =
+            std::max((isUrgent ? agent.load.urgentWaitMs : agent.load.waitMs) - ageMs, 0.0);
     const double excessProcessors = std::max(addedProcessors - std::max(reportedRoom, 0.0), 0.0);
     // Tasks placed since the report come before this one. Within the mean remaining time of a
     // task, all tasks of the backend server free their processors once.
-    const double addedWaitMs = excessProcessors / capacity * std::max(agent.load.meanLeftMs, 1.0);
+    const double addedWaitMs =
+            excessProcessors / capacity * std::max(agent.load.meanLeftMs - ageMs, 1.0);
     return (reportedRoom >= 0 ? 0 : reportedWaitMs) + addedWaitMs;
 }
 
--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -46,8 +46,9 @@
 /// tasks there still take, without the agent's own forecasts.
 double meanWaitMs(const AgentView &agent, double processors);
 /// Expected time until \a processors are free at the agent for a task of this priority, according
-/// to the agent's forecasts and the tasks placed there since its last report.
-double expectedWaitMs(const AgentView &agent, double processors, std::int64_t priority);
+/// to the agent's forecasts, less the time since its last report, and the tasks placed there since.
+double expectedWaitMs(const AgentView &agent, double processors, std::int64_t priority,
+                      std::int64_t nowMs);
 
 /// Returns the best placement, or nothing if no agent can take the task now.
 std::optional<Placement> placeTask(Fleet &fleet, const PlacementQuery &query, std::int64_t nowMs,
--- a/Source/UnitTests/Transient/DecisionTest.cpp
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -228,6 +228,7 @@
         double sentSince;
         std::int64_t sentPriority;
         double waitMs;
+        std::int64_t reportedMsAgo = 0;
     };
     constexpr std::int64_t Urgent = 0;
     constexpr std::int64_t Other = 1;
@@ -239,6 +240,9 @@
             {"urgent tasks pass it", 128, Urgent, 0, Other, 20},
             {"less urgent ones sent since, too", 128, Urgent, 32, Other, 20},
             {"but not urgent ones", 128, Urgent, 32, Urgent, 170},
+            {"what waited a while ago", 128, Other, 0, Other, 150, 100},
+            {"what has ended since", 128, Urgent, 0, Other, 0, 100},
+            {"what was sent waits for less", 50, Other, 32, Other, 75, 100},
     };
     for (const Row &row : rows) {
         CAPTURE(row.what);
@@ -247,7 +251,8 @@
         agent.load.urgentWaitMs = 20;
         agent.load.urgentPriority = Urgent;
         countOrder(agent, row.sentSince, row.sentPriority, 1);
-        CHECK(expectedWaitMs(agent, 6, row.priority) == doctest::Approx(row.waitMs));
+        CHECK(expectedWaitMs(agent, 6, row.priority, agent.loadAtMs + row.reportedMsAgo)
+              == doctest::Approx(row.waitMs));
     }
 }
 
