Runner: what an agent reports is decided in one place, links of the model may be narrow

The daemon and the model of a site each decided when a report is due, and differed: the model reported every 25 ms while anything ran, the daemon on a change of the load. Reports.h decides for both.

"Each safeguard...", row "orphans": the row did not bite any more, since the last grant of its gateway is now as old as in the daemon (up to 500 ms instead of 275) and lapses before the agents die. Its gateway sends orders shortly before it loses power, so that the agents report and its grant is fresh; without the safeguard tasks run twice again, with it none. The checks are the same.

--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <map>
 #include <utility>
 #include <variant>
@@ -11,6 +10,7 @@
 #include "Net/Net.h"
 #include "platform/Platform.h"
 #include "Runner/Observation.h"
+#include "Runner/Reports.h"
 #include "Runner/Runner.h"
 #include "StoreClient/StoreClient.h"
 
@@ -31,9 +31,6 @@
 /// A lost connection may be restored at once if its gateway still runs, so tasks of the gateway
 /// continue for this long. This is far below the time after which callers submit again.
 constexpr std::int64_t ReconnectGraceMs = 300;
-/// A change of the load by more than this share of the processors is reported at once, but not more
-/// often than loadReportIntervalMs() allows.
-constexpr double SignificantLoadShare = 0.1;
 /// Interval of reading the gateways' addresses from the store while no gateway is connected.
 constexpr std::int64_t StoreReadIntervalMs = 2000;
 
@@ -81,11 +78,7 @@
     /// Empty until the gateway has announced itself.
     std::string instance;
     std::int64_t lastReceivedMs = 0;
-    std::int64_t sentMs = 0;
-    double reportedProcessors = 0;
-    /// The last change of the orphaned jobs that was sent to the gateway.
-    std::uint64_t reportedOrphansChange = 0;
-    std::vector<Schema::AttemptState> unsent;
+    GatewayReports reports;
 };
 
 } // namespace
@@ -123,8 +116,7 @@
     void closeSilentLinks();
     void readGatewaysFromStore();
     void sendReports();
-    bool isReportDue(const GatewayLink &link, double processors) const;
-    void sendTo(Net::LinkId id, GatewayLink &link, const Schema::Frame &frame);
+    void sendTo(Net::LinkId id, const Schema::Frame &frame);
     Net::HttpResponse handleRegistration(const Net::HttpRequest &request);
     Platform::BackendTarget target() const;
     std::int64_t nextWake() const;
@@ -162,6 +154,7 @@
     this->state.failureDomain = this->settings.failureDomain;
     this->state.service = this->settings.service;
     this->state.times.leaseMs = this->settings.leaseMs;
+    this->state.times.heartbeatMs = this->settings.heartbeatMs;
     this->state.times.grantMs = this->settings.silenceMs;
     this->state.times.suspectMs = Transient::suspectTimeMs(this->settings.leaseMs);
     switchOff(this->state, this->settings.disabledDecisions);
@@ -242,7 +235,7 @@
     std::int64_t next = nextWakeMs(this->state, this->now);
     for (const auto &[id, link] : this->links) {
         if (!link.instance.empty()) {
-            next = std::min(next, link.sentMs + this->settings.heartbeatMs);
+            next = std::min(next, link.reports.sentMs + this->settings.heartbeatMs);
         }
     }
     for (const auto &[instance, sinceMs] : this->disconnectedGateways) {
@@ -319,24 +312,18 @@
     const auto recentEnds = this->state.recentEnds.find(link.instance);
     if (recentEnds != this->state.recentEnds.end()) {
         for (const RecentEnd &end : recentEnds->second) {
-            link.unsent.push_back(end.state);
+            link.reports.unsent.push_back(end.state);
         }
     }
 }
 
 void RunnerDaemon::Implementation::announceTo(Net::LinkId id, GatewayLink &link)
 {
-    Schema::Frame frame = frameOf(Schema::FrameType::AgentAnnouncement);
-    frame.agentAnnouncement = announcementFor(this->state, link.instance, this->now);
-    link.reportedProcessors = frame.agentAnnouncement->load.committedProcessors;
-    link.reportedOrphansChange = this->state.orphansChange;
-    this->sendTo(id, link, frame);
+    this->sendTo(id, makeAnnouncement(this->state, link.reports, link.instance, this->now));
 }
 
-void RunnerDaemon::Implementation::sendTo(Net::LinkId id, GatewayLink &link,
-                                          const Schema::Frame &frame)
+void RunnerDaemon::Implementation::sendTo(Net::LinkId id, const Schema::Frame &frame)
 {
-    link.sentMs = this->now.steadyMs;
     if (!this->hub->send(id, frame)) {
         // The content of the frame is sent again on the next connection.
         this->metrics.count("auburntrail_frames_undeliverable_total", {{"to", "gateway"}});
@@ -450,7 +437,7 @@
                          {"reason", Schema::enumName(effect.state.reason)}});
     for (auto &[id, link] : this->links) {
         if (link.instance == effect.gateway) {
-            link.unsent.push_back(effect.state);
+            link.reports.unsent.push_back(effect.state);
             return;
         }
     }
@@ -532,38 +519,13 @@
             });
 }
 
-bool RunnerDaemon::Implementation::isReportDue(const GatewayLink &link, double processors) const
-{
-    if (isUrgent(link.unsent) || link.reportedOrphansChange < this->state.urgentOrphansChange
-        || this->now.steadyMs >= link.sentMs + this->settings.heartbeatMs) {
-        return true;
-    }
-    if (!this->state.backend
-        || this->now.steadyMs < link.sentMs + loadReportIntervalMs(this->links.size())) {
-        return false;
-    }
-    const double change = std::abs(processors - link.reportedProcessors);
-    return change > this->state.backend->resources.processors * SignificantLoadShare;
-}
-
 void RunnerDaemon::Implementation::sendReports()
 {
-    const double processors = committedProcessors(this->state);
     for (auto &[id, link] : this->links) {
-        if (link.instance.empty() || !this->isReportDue(link, processors)) {
-            continue;
-        }
-        Schema::Frame frame = frameOf(Schema::FrameType::AgentReport);
-        frame.agentReport = Schema::AgentReport{};
-        frame.agentReport->load = loadFor(this->state, link.instance, this->now);
-        frame.agentReport->states = std::move(link.unsent);
-        link.unsent.clear();
-        link.reportedProcessors = frame.agentReport->load.committedProcessors;
-        if (link.reportedOrphansChange != this->state.orphansChange) {
-            frame.agentReport->orphans = this->state.orphans;
-            link.reportedOrphansChange = this->state.orphansChange;
+        if (!link.instance.empty()
+            && isReportDue(this->state, link.reports, this->links.size(), this->now)) {
+            this->sendTo(id, makeReport(this->state, link.reports, link.instance, this->now));
         }
-        this->sendTo(id, link, frame);
     }
 }
 
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -162,6 +162,8 @@
     /// An unanswered start has taken effect by then or never will: orders have been carried out up
     /// to 12 s late; the rest is slack.
     std::int64_t lateStartMs = 13'500;
+    /// Longest time without a frame to a gateway.
+    std::int64_t heartbeatMs = 250;
     /// How long a gateway's grant lasts; see RunnerState::grants.
     std::int64_t grantMs = Transient::GrantMs;
     /// A gateway whose last echoed message is this old is suspect: from then on its jobs are
--- a/Source/UnitTests/Transient/SafeguardTest.cpp
+++ b/Source/UnitTests/Transient/SafeguardTest.cpp
@@ -65,13 +65,18 @@
     runFor(world, 12'000);
 }
 
-/// A gateway loses power, and two agents lose power just before its grants lapse.
+/// A gateway loses power shortly after its last orders, and two agents lose power just before its
+/// grants lapse.
 void losePowerInTurn(World &world, std::int64_t afterMs)
 {
     constexpr std::int64_t BetweenMs = 690;
     constexpr std::int64_t AfterwardsMs = 4000;
+    constexpr std::int64_t LastOrdersMs = 100;
     submit(world, 0, Long, 8, 8000);
     runFor(world, afterMs);
+    // Agents report the changed load: the last grant of the gateway counts from then on.
+    submit(world, 0, Long, 8, 8000);
+    runFor(world, LastOrdersMs);
     killGateway(world, 0, false);
     startGateway(world, 0);
     runFor(world, BetweenMs);
@@ -131,7 +136,7 @@
     rows[3].off.fence = false;
     rows[4].off.orphans = false;
     for (const Row &row : rows) {
-        CAPTURE(row.what);
+        CAPTURE(std::string(row.what));
         CHECK(countViolations({}, row.scenario, row.timesMs) == 0);
         CHECK(countViolations(row.off, row.scenario, row.timesMs) > 0);
     }
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -4,6 +4,7 @@
 #include <ostream>
 #include <random>
 
+#include "Net/Codec.h"
 #include "Runner/Observation.h"
 
 namespace TransientSite {
@@ -99,6 +100,20 @@
     }
 }
 
+/// Time until \a frame has passed the link after all that was sent before it.
+std::int64_t passLink(const World &world, double &freeMs, const Frame &frame)
+{
+    /// Headers of WebSocket, TCP and IP.
+    constexpr std::size_t HeaderBytes = 50;
+    if (world.linkBytesPerMs <= 0) {
+        return 0;
+    }
+    const auto bytes = static_cast<double>(Net::encodeFrame(frame).size() + HeaderBytes);
+    const auto nowMs = static_cast<double>(world.nowMs);
+    freeMs = std::max(freeMs, nowMs) + bytes / world.linkBytesPerMs;
+    return static_cast<std::int64_t>(freeMs - nowMs);
+}
+
 bool isPartitioned(const World &world, int gateway, int agent)
 {
     return world.partitions.count({gateway, agent}) != 0;
@@ -381,7 +396,7 @@
     for (std::size_t gateway = 0; gateway < world.gateways.size(); ++gateway) {
         SiteLink &link = linkOf(world, static_cast<int>(gateway), agent);
         if (link.agentUp && link.gatewayInstance == effect.gateway) {
-            link.unsent.push_back(effect.state);
+            link.reports.unsent.push_back(effect.state);
         }
     }
 }
@@ -390,12 +405,13 @@
 /// connection has been closed or replaced when the gateway handles it.
 void sendToGateway(World &world, int gateway, int agent, const Frame &frame)
 {
-    SiteLink &link = linkOf(world, gateway, agent);
-    link.agentSentMs = world.nowMs;
+    const SiteLink &link = linkOf(world, gateway, agent);
     if (link.isSilent || isPartitioned(world, gateway, agent)) {
         return;
     }
-    scheduleEvent(world, 2, [&world, gateway, agent, frame, number = link.number] {
+    const std::int64_t delayMs =
+            2 + passLink(world, gatewayAt(world, gateway).inboundFreeMs, frame);
+    scheduleEvent(world, delayMs, [&world, gateway, agent, frame, number = link.number] {
         SiteGateway &process = gatewayAt(world, gateway);
         if (!process.isUp) {
             return;
@@ -425,11 +441,8 @@
 void announce(World &world, int gateway, int agent)
 {
     SiteLink &link = linkOf(world, gateway, agent);
-    Frame frame;
-    frame.type = FrameType::AgentAnnouncement;
-    frame.agentAnnouncement = Runner::announcementFor(agentAt(world, agent).state,
-                                                      link.gatewayInstance, moment(world));
-    link.reportedOrphansChange = agentAt(world, agent).state.orphansChange;
+    Frame frame = Runner::makeAnnouncement(agentAt(world, agent).state, link.reports,
+                                           link.gatewayInstance, moment(world));
     if (!world.safeguards.cleanStart) {
         frame.agentAnnouncement->clean = true;
     }
@@ -454,6 +467,7 @@
     for (const Runner::Effect &effect : effects) {
         if (const auto *logLine = std::get_if<Transient::LogLine>(&effect)) {
             writeTrace(world, agentAt(world, agent).state.instance, *logLine);
+            world.lostGateways += logLine->event == "gateway_lost" ? 1 : 0;
         }
         std::visit([&world, agent](const auto &one) { carryOutOne(world, agent, one); }, effect);
     }
@@ -476,7 +490,7 @@
         const auto recentEnds = process.state.recentEnds.find(instance);
         if (recentEnds != process.state.recentEnds.end()) {
             for (const Runner::RecentEnd &end : recentEnds->second) {
-                link.unsent.push_back(end.state);
+                link.reports.unsent.push_back(end.state);
             }
         }
     } else if (frame.taskOrders && !link.gatewayInstance.empty()) {
@@ -496,7 +510,9 @@
     if (link.isSilent || isPartitioned(world, gateway, agent) || !link.gatewayUp) {
         return;
     }
-    scheduleEvent(world, 2, [&world, gateway, agent, frame, number = link.number] {
+    const std::int64_t delayMs =
+            2 + passLink(world, gatewayAt(world, gateway).outboundFreeMs, frame);
+    scheduleEvent(world, delayMs, [&world, gateway, agent, frame, number = link.number] {
         SiteAgent &process = agentAt(world, agent);
         if (!process.isUp) {
             return;
@@ -510,6 +526,27 @@
     });
 }
 
+Schema::Member memberOf(const World &world, std::size_t gateway)
+{
+    Schema::Member member;
+    member.instance = world.gateways[gateway].instance;
+    member.host = "127.0.0." + std::to_string(gateway + 1);
+    member.peerPort = 8081;
+    member.failureDomain = "tunis";
+    return member;
+}
+
+std::vector<Schema::Member> otherGateways(const World &world, int gateway)
+{
+    std::vector<Schema::Member> others;
+    for (std::size_t index = 0; index < world.gateways.size(); ++index) {
+        if (static_cast<int>(index) != gateway && world.gateways[index].isUp) {
+            others.push_back(memberOf(world, index));
+        }
+    }
+    return others;
+}
+
 void sendHeartbeat(World &world, int gateway, int agent)
 {
     SiteLink &link = linkOf(world, gateway, agent);
@@ -518,7 +555,8 @@
     Frame frame;
     frame.type = FrameType::GatewayAnnouncement;
     frame.gatewayAnnouncement = Schema::GatewayAnnouncement{};
-    frame.gatewayAnnouncement->gateway.instance = process.instance;
+    frame.gatewayAnnouncement->gateway = memberOf(world, static_cast<std::size_t>(gateway));
+    frame.gatewayAnnouncement->others = otherGateways(world, gateway);
     const Transient::AgentView *view =
             link.announced ? Transient::findAgent(process.state.fleet,
                                                   agentAt(world, agent).state.instance)
@@ -589,7 +627,7 @@
         agentAt(world, agent).disconnectedGateways[link.gatewayInstance] = world.nowMs;
     }
     link.gatewayInstance.clear();
-    link.unsent.clear();
+    link.reports.unsent.clear();
 }
 
 void closeGatewayEnd(World &world, int gateway, int agent)
@@ -716,26 +754,10 @@
     if (!agentRuns || !link.agentUp || link.gatewayInstance.empty()) {
         return;
     }
-    const bool isDue =
-            Runner::isUrgent(link.unsent)
-            || link.reportedOrphansChange < process.state.urgentOrphansChange
-            || world.nowMs >= link.agentSentMs + HeartbeatMs
-            || (world.nowMs
-                        >= link.agentSentMs + Runner::loadReportIntervalMs(world.gateways.size())
-                && !process.state.runs.empty());
-    if (isDue) {
-        Frame frame;
-        frame.type = FrameType::AgentReport;
-        frame.agentReport = Schema::AgentReport{};
-        frame.agentReport->load =
-                Runner::loadFor(process.state, link.gatewayInstance, moment(world));
-        if (link.reportedOrphansChange != process.state.orphansChange) {
-            frame.agentReport->orphans = process.state.orphans;
-            link.reportedOrphansChange = process.state.orphansChange;
-        }
-        frame.agentReport->states = std::move(link.unsent);
-        link.unsent.clear();
-        sendToGateway(world, gateway, agent, frame);
+    if (Runner::isReportDue(process.state, link.reports, world.gateways.size(), moment(world))) {
+        sendToGateway(world, gateway, agent,
+                      Runner::makeReport(process.state, link.reports, link.gatewayInstance,
+                                         moment(world)));
     }
 }
 
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -11,6 +11,7 @@
 
 #include "Common/Common.h"
 #include "ModelBackend.h"
+#include "Runner/Reports.h"
 #include "Runner/Runner.h"
 #include "Transient/Transient.h"
 
@@ -50,13 +51,11 @@
     bool isSilent = false;
     std::int64_t agentLastReceivedMs = 0;
     std::int64_t gatewayLastReceivedMs = 0;
-    std::int64_t agentSentMs = 0;
     std::int64_t gatewaySentMs = 0;
     std::int64_t nextDialMs = 0;
-    std::uint64_t reportedOrphansChange = 0;
     /// Instance of the gateway, from its first announcement; empty before.
     std::string gatewayInstance;
-    std::vector<Schema::AttemptState> unsent;
+    Runner::GatewayReports reports;
 };
 
 struct SiteGateway
@@ -66,6 +65,9 @@
     std::int64_t frozenUntilMs = 0;
     /// When it last sent heartbeats to the other gateways.
     std::int64_t sentMs = 0;
+    /// When all that has been sent to it, and by it, has passed the link of its machine.
+    double inboundFreeMs = 0;
+    double outboundFreeMs = 0;
     Transient::GatewayState state;
     std::vector<std::function<void()>> heldEvents;
 };
@@ -119,6 +121,9 @@
     bool answersAreLostAtOnce = false;
     /// A late order to a previous incarnation is executed by the present one.
     bool lateOrdersReachNextIncarnation = false;
+    /// What the link of each gateway's machine carries in each direction; 0 for no limit. Agents
+    /// have no limit.
+    double linkBytesPerMs = 0;
     /// By how much the time of day of the agents' machines was changed. The fence of a new agent
     /// process is taken from that time.
     std::int64_t wallClockStepMs = 0;
@@ -131,6 +136,8 @@
     std::vector<std::string> violations;
     std::set<std::string> finallyRefused;
     int starts = 0;
+    /// How often an agent took a gateway for lost.
+    int lostGateways = 0;
 };
 
 std::unique_ptr<World> makeWorld(std::uint64_t seed, int gateways, int agents,
