--- a/Source/UnitTests/Transient/ModelBackend.cpp
+++ b/Source/UnitTests/Transient/ModelBackend.cpp
@@ -36,8 +36,10 @@
 
 std::string payloadOf(const ModelWork &work)
 {
-    return std::to_string(work.runMs) + ' ' + std::to_string(work.processors)
-           + (work.fails ? " fail" : "");
+    std::string payload = std::to_string(work.runMs) + ' ' + std::to_string(work.processors)
+                          + (work.fails ? " fail" : "");
+    payload.resize(std::max(payload.size(), work.payloadBytes), ' ');
+    return payload;
 }
 
 ModelWork workOf(const std::string &payload)
--- a/Source/UnitTests/Transient/ModelBackend.h
+++ b/Source/UnitTests/Transient/ModelBackend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -38,6 +39,8 @@
     std::int64_t runMs = 0;
     double processors = 1;
     bool fails = false;
+    /// Payloads that are shorter are filled with blanks.
+    std::size_t payloadBytes = 0;
 };
 
 std::string payloadOf(const ModelWork &work);
