Transient, Gateway: heartbeats do not repeat the list of all gateways

Callers saw refusals and late answers in the failure domains that have only weak gateways, and on narrow links no service at all. On links of 2 Mbit/s heartbeats waited for over 0.8 s behind it, agents stopped the tasks of live gateways, and these ordered them again.

A list goes out when a gateway was added, at most every 100 ms, and every 5 s. Orders count as a sign of life, as agents always took them.

--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -25,6 +25,7 @@
     this->hub = std::make_unique<Net::PeerHub>(Net::eventsTo(this->mailbox));
     const Net::Address own = Net::parseAddress(this->control.settings.peerAddress);
     this->control.self.peerPort = this->hub->listen(own.host, own.port);
+    this->gateways.self = this->control.self;
 }
 
 void TransientLinks::stop()
@@ -52,6 +53,7 @@
         Transient::dialEnded(this->control.discovery, link.address, this->control.now);
     }
     if (link.gateway) {
+        Transient::removeConnected(this->gateways, *link.gateway);
         Common::logEvent(LogLevel::Info, "gateway_unlinked", {{"gateway", link.gateway->instance}});
     }
     const auto agent = this->agentLinks.find(link.agent);
@@ -118,7 +120,7 @@
             Transient::gatewayConnected(this->control.discovery, link.address, this->control.now);
         }
     }
-    const bool isNewGateway = !link.gateway;
+    Transient::addConnected(this->gateways, announcement.gateway);
     link.gateway = announcement.gateway;
     Transient::addGateway(this->control.discovery, Transient::addressOf(announcement.gateway),
                           this->control.now);
@@ -129,10 +131,6 @@
     if (announcement.queuesVersion < this->control.queues.version) {
         this->sendQueues(id);
     }
-    if (isNewGateway) {
-        // Agents learn the address of a new gateway from the other gateways, and dial it.
-        this->announceToAll();
-    }
 }
 
 void TransientLinks::sendQueues(Net::LinkId id)
@@ -166,6 +164,10 @@
 {
     const auto link = this->agentLinks.find(effect.agent);
     if (link != this->agentLinks.end() && this->hub->send(link->second, effect.frame)) {
+        if (effect.frame.taskOrders) {
+            // Orders grant the agent as much time as a heartbeat.
+            this->links.at(link->second).told.sentMs = this->control.now.steadyMs;
+        }
         return;
     }
     this->control.metrics.count("auburntrail_frames_undeliverable_total", {{"to", "agent"}});
@@ -175,24 +177,11 @@
     }
 }
 
-std::vector<Schema::Member> TransientLinks::connectedGateways() const
-{
-    std::vector<Schema::Member> connected;
-    for (const auto &[id, link] : this->links) {
-        if (link.gateway) {
-            connected.push_back(*link.gateway);
-        }
-    }
-    return connected;
-}
-
 void TransientLinks::announceTo(Net::LinkId id, PeerLink &link)
 {
-    link.sentMs = this->control.now.steadyMs;
     Schema::Frame frame = frameOf(Schema::FrameType::GatewayAnnouncement);
-    frame.gatewayAnnouncement = Schema::GatewayAnnouncement{};
-    frame.gatewayAnnouncement->gateway = this->control.self;
-    frame.gatewayAnnouncement->others = this->connectedGateways();
+    frame.gatewayAnnouncement =
+            Transient::makeHeartbeat(this->gateways, link.told, this->control.now);
     frame.gatewayAnnouncement->queuesVersion = this->control.queues.version;
     if (link.gateway) {
         auto orphans = Transient::orphansToRelay(this->control.state, this->control.now);
@@ -218,20 +207,11 @@
     }
 }
 
-void TransientLinks::announceToAll()
-{
-    for (auto &[id, link] : this->links) {
-        if (link.isOpen) {
-            this->announceTo(id, link);
-        }
-    }
-}
-
 void TransientLinks::runPeriodicWork()
 {
     const std::int64_t nowMs = this->control.now.steadyMs;
     for (auto &[id, link] : this->links) {
-        if (link.isOpen && nowMs >= link.sentMs + this->control.settings.heartbeatMs) {
+        if (link.isOpen && nowMs >= this->nextHeartbeatMs(link)) {
             this->announceTo(id, link);
         }
     }
@@ -277,12 +257,18 @@
     }
 }
 
+std::int64_t TransientLinks::nextHeartbeatMs(const PeerLink &link) const
+{
+    return Transient::nextHeartbeatMs(link.told, this->gateways,
+                                      this->control.settings.heartbeatMs);
+}
+
 std::int64_t TransientLinks::nextWakeMs() const
 {
     std::int64_t next = Transient::nextDialMs(this->control.discovery);
     for (const auto &[id, link] : this->links) {
         if (link.isOpen) {
-            next = std::min(next, link.sentMs + this->control.settings.heartbeatMs);
+            next = std::min(next, this->nextHeartbeatMs(link));
             next = std::min(next, link.lastReceivedMs + this->control.settings.silenceMs + 1);
         }
     }
--- a/Source/Core/Gateway/TransientLinks.h
+++ b/Source/Core/Gateway/TransientLinks.h
@@ -47,24 +47,24 @@
         std::string agent;
         std::optional<Schema::Member> gateway;
         std::int64_t lastReceivedMs = 0;
-        std::int64_t sentMs = 0;
+        Transient::ToldPeer told;
     };
 
     void agentAnnounced(Net::LinkId id, const Schema::AgentAnnouncement &announcement);
     void gatewayAnnounced(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
     void sendQueues(Net::LinkId id);
     void announceTo(Net::LinkId id, PeerLink &link);
-    void announceToAll();
     void closeSilentLinks();
+    std::int64_t nextHeartbeatMs(const PeerLink &link) const;
     void dialGateways();
     void reportTraffic();
-    std::vector<Schema::Member> connectedGateways() const;
 
     TransientControl &control;
     TransientMailbox &mailbox;
     TransientEffectHandler carryOut;
     std::map<Net::LinkId, PeerLink> links;
     std::map<std::string, Net::LinkId> agentLinks;
+    Transient::ConnectedGateways gateways;
     /// When the traffic was last reported, and what had been sent and used until then.
     std::int64_t trafficReportedMs = 0;
     Net::PeerHubTraffic reportedTraffic;
--- a/Source/Core/Transient/Transient.h
+++ b/Source/Core/Transient/Transient.h
@@ -7,6 +7,7 @@
 #include "Transient/Discovery.h"
 #include "Transient/Effects.h"
 #include "Transient/Fleet.h"
+#include "Transient/Heartbeats.h"
 #include "Transient/Job.h"
 #include "Transient/Jobs.h"
 #include "Transient/Learned.h"
--- a/Source/UnitTests/Transient/DecisionTest.cpp
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -90,6 +90,37 @@
     }
 }
 
+TEST_CASE("A heartbeat lists the gateways only when the peer does not know them")
+{
+    // Guards against heartbeats whose length grows with the number of gateways.
+    const auto member = [](const std::string &instance) {
+        Schema::Member gateway;
+        gateway.instance = instance;
+        return gateway;
+    };
+    ConnectedGateways gateways;
+    gateways.self = member("self");
+    addConnected(gateways, member("b"));
+    ToldPeer told;
+    struct Row
+    {
+        std::int64_t atMs;
+        std::size_t listed;
+    };
+    for (const Row &row : {Row{1000, 1}, Row{1250, 0}, Row{5999, 0}, Row{6000, 1}, Row{6250, 0}}) {
+        CAPTURE(row.atMs);
+        CHECK(makeHeartbeat(gateways, told, {row.atMs, row.atMs}).others.size() == row.listed);
+    }
+    CHECK(nextHeartbeatMs(told, gateways, 250) == 6500);
+    addConnected(gateways, member("b"));
+    CHECK(nextHeartbeatMs(told, gateways, 250) == 6500);
+    addConnected(gateways, member("c"));
+    CHECK(nextHeartbeatMs(told, gateways, 250) == 6100);
+    CHECK(makeHeartbeat(gateways, told, {6300, 6300}).others.size() == 2);
+    removeConnected(gateways, member("b"));
+    CHECK(nextHeartbeatMs(told, gateways, 250) == 6550);
+}
+
 TEST_CASE("Discovery dials seeds forever and other gateways for a limited time")
 {
     Discovery discovery = makeDiscovery("10.0.0.1:1", {"10.0.0.1:1", "10.0.0.2:1"});
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -122,6 +122,16 @@
 void carryOut(World &world, int gateway, const Transient::Effects &effects);
 void carryOut(World &world, int agent, const Runner::Effects &effects);
 
+Schema::Member memberOf(const std::string &instance, int gateway)
+{
+    Schema::Member member;
+    member.instance = instance;
+    member.host = "127.0.0." + std::to_string(gateway + 1);
+    member.peerPort = 8081;
+    member.failureDomain = "tunis";
+    return member;
+}
+
 /// Reports a violation where the task already runs, or where its job was refused for good.
 void checkStart(World &world, int backendIndex, const Transient::RunStart &start)
 {
@@ -526,37 +536,14 @@
     });
 }
 
-Schema::Member memberOf(const World &world, std::size_t gateway)
-{
-    Schema::Member member;
-    member.instance = world.gateways[gateway].instance;
-    member.host = "127.0.0." + std::to_string(gateway + 1);
-    member.peerPort = 8081;
-    member.failureDomain = "tunis";
-    return member;
-}
-
-std::vector<Schema::Member> otherGateways(const World &world, int gateway)
-{
-    std::vector<Schema::Member> others;
-    for (std::size_t index = 0; index < world.gateways.size(); ++index) {
-        if (static_cast<int>(index) != gateway && world.gateways[index].isUp) {
-            others.push_back(memberOf(world, index));
-        }
-    }
-    return others;
-}
-
 void sendHeartbeat(World &world, int gateway, int agent)
 {
     SiteLink &link = linkOf(world, gateway, agent);
     SiteGateway &process = gatewayAt(world, gateway);
-    link.gatewaySentMs = world.nowMs;
     Frame frame;
     frame.type = FrameType::GatewayAnnouncement;
-    frame.gatewayAnnouncement = Schema::GatewayAnnouncement{};
-    frame.gatewayAnnouncement->gateway = memberOf(world, static_cast<std::size_t>(gateway));
-    frame.gatewayAnnouncement->others = otherGateways(world, gateway);
+    frame.gatewayAnnouncement =
+            Transient::makeHeartbeat(process.connected, link.told, moment(world));
     const Transient::AgentView *view =
             link.announced ? Transient::findAgent(process.state.fleet,
                                                   agentAt(world, agent).state.instance)
@@ -591,6 +578,9 @@
 {
     for (std::size_t agent = 0; agent < world.agents.size(); ++agent) {
         if (world.agents[agent].state.instance == effect.agent) {
+            if (effect.frame.taskOrders) {
+                linkOf(world, gateway, static_cast<int>(agent)).told.sentMs = world.nowMs;
+            }
             sendToAgent(world, gateway, static_cast<int>(agent), effect.frame);
         }
     }
@@ -748,7 +738,8 @@
     if (agentRuns && !link.agentUp && world.nowMs >= link.nextDialMs) {
         dial(world, gateway, agent);
     }
-    if (gatewayRuns && link.gatewayUp && world.nowMs >= link.gatewaySentMs + HeartbeatMs) {
+    if (gatewayRuns && link.gatewayUp
+        && world.nowMs >= Transient::nextHeartbeatMs(link.told, peer.connected, HeartbeatMs)) {
         sendHeartbeat(world, gateway, agent);
     }
     if (!agentRuns || !link.agentUp || link.gatewayInstance.empty()) {
@@ -1000,6 +991,9 @@
     }
     process.isUp = false;
     writeTrace(world, process.instance, closesConnections ? "killed" : "powered off");
+    for (SiteGateway &other : world.gateways) {
+        Transient::removeConnected(other.connected, process.connected.self);
+    }
     process.heldEvents.clear();
     for (std::size_t agent = 0; agent < world.agents.size(); ++agent) {
         SiteLink &link = linkOf(world, gateway, static_cast<int>(agent));
@@ -1023,6 +1017,13 @@
     process.instance =
             "gateway-" + std::to_string(gateway) + '-' + std::to_string(++world.lastNumber);
     process.state.startedMs = world.nowMs;
+    process.connected.self = memberOf(process.instance, gateway);
+    for (SiteGateway &other : world.gateways) {
+        if (other.isUp && !other.instance.empty() && other.instance != process.instance) {
+            Transient::addConnected(process.connected, other.connected.self);
+            Transient::addConnected(other.connected, process.connected.self);
+        }
+    }
     if (!world.safeguards.settling) {
         process.state.times.settleMs = 0;
     }
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -51,7 +51,7 @@
     bool isSilent = false;
     std::int64_t agentLastReceivedMs = 0;
     std::int64_t gatewayLastReceivedMs = 0;
-    std::int64_t gatewaySentMs = 0;
+    Transient::ToldPeer told;
     std::int64_t nextDialMs = 0;
     /// Instance of the gateway, from its first announcement; empty before.
     std::string gatewayInstance;
@@ -63,6 +63,7 @@
     std::string instance;
     bool isUp = true;
     std::int64_t frozenUntilMs = 0;
+    Transient::ConnectedGateways connected;
     /// When it last sent heartbeats to the other gateways.
     std::int64_t sentMs = 0;
     /// When all that has been sent to it, and by it, has passed the link of its machine.
