Transient, Gateway: queue tables go only to gateways that stay behind

A gateway sends its table to one whose announced version makes no progress for 0.5 s (0.2 s where it has none). A gateway that is cut off from the store still learns within a second of the first table it misses; the operators' bound is 2 s.

--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -128,7 +128,9 @@
     Transient::updateRelayedOrphans(
             this->control.state, announcement.gateway.instance,
             announcement.orphans.value_or(std::vector<Schema::OrphanedJob>{}), this->control.now);
-    if (announcement.queuesVersion < this->control.queues.version) {
+    Transient::observeQueuesVersion(link.queues, announcement.queuesVersion,
+                                    this->control.queues.version, this->control.now);
+    if (Transient::takeQueuesDue(link.queues, this->control.now)) {
         this->sendQueues(id);
     }
 }
@@ -153,11 +155,6 @@
                       {"source", source}});
     this->control.metrics.set("auburntrail_queues_version",
                               static_cast<double>(this->control.queues.version));
-    for (const auto &[id, link] : this->links) {
-        if (link.gateway) {
-            this->sendQueues(id);
-        }
-    }
 }
 
 void TransientLinks::sendTo(const Transient::SendToAgent &effect)
--- a/Source/Core/Gateway/TransientLinks.h
+++ b/Source/Core/Gateway/TransientLinks.h
@@ -29,8 +29,8 @@
     void on(const Net::FrameArrived &event);
 
     void sendTo(const Transient::SendToAgent &effect);
-    /// Replaces the queue table by \a newer, if that is newer, and sends it to the other gateways.
-    /// \a source is where it comes from, for the log.
+    /// Replaces the queue table by \a newer, if that is newer. \a source is where it comes from, for
+    /// the log.
     void takeQueues(Schema::QueueTable newer, const std::string &source);
     void runPeriodicWork();
     /// Time on the steady clock when runPeriodicWork() is next due.
@@ -48,6 +48,7 @@
         std::optional<Schema::Member> gateway;
         std::int64_t lastReceivedMs = 0;
         Transient::ToldPeer told;
+        Transient::QueuesPeer queues;
     };
 
     void agentAnnounced(Net::LinkId id, const Schema::AgentAnnouncement &announcement);
--- a/Source/Core/Transient/Queues.cpp
+++ b/Source/Core/Transient/Queues.cpp
@@ -1,9 +1,20 @@
 #include "Transient/Queues.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Transient {
 
+namespace {
+
+/// Longer than a gateway needs to read a new table from the store.
+constexpr std::int64_t ReadFromStoreMs = 500;
+/// A gateway without any table serves nobody.
+constexpr std::int64_t FirstReadFromStoreMs = 200;
+constexpr std::int64_t RepeatMs = 1000;
+
+} // namespace
+
 bool takeQueues(Schema::QueueTable &inForce, Schema::QueueTable newer)
 {
     if (newer.version <= inForce.version) {
@@ -13,6 +24,34 @@
     return true;
 }
 
+void observeQueuesVersion(QueuesPeer &peer, std::int64_t announced, std::int64_t inForce,
+                          Common::Moment now)
+{
+    const bool hasProgressed = announced > peer.version;
+    peer.version = std::max(peer.version, announced);
+    if (inForce <= peer.version) {
+        peer.behindSinceMs.reset();
+        peer.sentMs.reset();
+    } else if (hasProgressed || !peer.behindSinceMs) {
+        peer.behindSinceMs = now.steadyMs;
+    }
+}
+
+bool takeQueuesDue(QueuesPeer &peer, Common::Moment now)
+{
+    if (!peer.behindSinceMs) {
+        return false;
+    }
+    const std::int64_t readMs = peer.version == 0 ? FirstReadFromStoreMs : ReadFromStoreMs;
+    const bool hadTime = now.steadyMs >= *peer.behindSinceMs + readMs;
+    const bool isOnTheWay = peer.sentMs && now.steadyMs < *peer.sentMs + RepeatMs;
+    if (!hadTime || isOnTheWay) {
+        return false;
+    }
+    peer.sentMs = now.steadyMs;
+    return true;
+}
+
 const Schema::JobQueue *findQueue(const Schema::QueueTable &queues, const std::string &host,
                                   const std::string &path)
 {
--- a/Source/UnitTests/Transient/DecisionTest.cpp
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -90,6 +90,29 @@
     }
 }
 
+TEST_CASE("A gateway that stays behind is sent the queue table, one that reads the store is not")
+{
+    // Guards against tables that every gateway sends to all others with each change.
+    struct Row
+    {
+        std::int64_t atMs;
+        std::int64_t announced;
+        std::int64_t inForce;
+        bool isSent;
+    };
+    QueuesPeer peer;
+    for (const Row &row :
+         {Row{0, 0, 0, false}, Row{100, 0, 5, false}, Row{299, 0, 5, false}, Row{300, 0, 5, true},
+          Row{500, 5, 5, false}, Row{9000, 5, 6, false}, Row{9250, 6, 7, false},
+          Row{9700, 6, 8, false}, Row{9750, 6, 8, true}, Row{10'000, 6, 8, false},
+          Row{10'750, 6, 8, true}, Row{11'000, 8, 8, false}}) {
+        CAPTURE(row.atMs);
+        const Common::Moment now{row.atMs, row.atMs};
+        observeQueuesVersion(peer, row.announced, row.inForce, now);
+        CHECK(takeQueuesDue(peer, now) == row.isSent);
+    }
+}
+
 TEST_CASE("A heartbeat lists the gateways only when the peer does not know them")
 {
     // Guards against heartbeats whose length grows with the number of gateways.
