--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -26,6 +26,7 @@
     const Net::Address own = Net::parseAddress(this->control.settings.peerAddress);
     this->control.self.peerPort = this->hub->listen(own.host, own.port);
     this->gateways.self = this->control.self;
+    this->trafficReportedMs = Common::currentMoment().steadyMs;
 }
 
 void TransientLinks::stop()
