Transient: the forecast of a wait is not reduced by its age, the mean remaining time is

The forecast is of a queue that other gateways keep filling: it does not shrink by the time that passes, and the gateways with the longest interval of reports let in most of what then was late, in all failure domains.

What runs at a backend server when it is reported does go on: the mean remaining time is still reckoned from the report, which "A backend server that leaves gets nothing new" needs.

--- a/Source/Core/Transient/Admission.h
+++ b/Source/Core/Transient/Admission.h
@@ -57,7 +57,8 @@
 {
     /// A job that is expected to take more than this many times its target latency is refused.
     double maxLateness = 1.0;
-    /// Orders that wait longer for the link of this machine delay the heartbeats behind them.
+    /// No job is admitted while orders wait longer for the link of this machine: the heartbeats
+    /// behind them would be late.
     double maxLinkWaitMs = 150;
     bool refuses = true;
     /// Baselines for comparison when false: predictions are not corrected, and callers count as
--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -112,8 +112,8 @@
             agent.tentativeProcessors
             + (isUrgent ? agent.unreportedUrgentProcessors : agent.unreportedProcessors);
     const auto ageMs = static_cast<double>(std::min(nowMs - agent.loadAtMs, LongestReportAgeMs));
-    const double reportedWaitMs =
-            std::max((isUrgent ? agent.load.urgentWaitMs : agent.load.waitMs) - ageMs, 0.0);
+    // Not reduced by its age: other gateways keep the queue filled.
+    const double reportedWaitMs = isUrgent ? agent.load.urgentWaitMs : agent.load.waitMs;
     const double excessProcessors = std::max(addedProcessors - std::max(reportedRoom, 0.0), 0.0);
     // Tasks placed since the report come before this one. Within the mean remaining time of a
     // task, all tasks of the backend server free their processors once.
--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -46,7 +46,7 @@
 /// tasks there still take, without the agent's own forecasts.
 double meanWaitMs(const AgentView &agent, double processors);
 /// Expected time until \a processors are free at the agent for a task of this priority, according
-/// to the agent's forecasts, less the time since its last report, and the tasks placed there since.
+/// to the agent's forecasts and the tasks placed there since its last report.
 double expectedWaitMs(const AgentView &agent, double processors, std::int64_t priority,
                       std::int64_t nowMs);
 
--- a/Source/UnitTests/Transient/DecisionTest.cpp
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -341,8 +341,7 @@
             {"urgent tasks pass it", 128, Urgent, 0, Other, 20},
             {"less urgent ones sent since, too", 128, Urgent, 32, Other, 20},
             {"but not urgent ones", 128, Urgent, 32, Urgent, 170},
-            {"what waited a while ago", 128, Other, 0, Other, 150, 100},
-            {"what has ended since", 128, Urgent, 0, Other, 0, 100},
+            {"what waited a while ago", 128, Other, 0, Other, 250, 100},
             {"what was sent waits for less", 50, Other, 32, Other, 75, 100},
     };
     for (const Row &row : rows) {
