PeerHub: a hub that stops ends connections whose handshake is under way

A peer whose link opened in the moment in which the other hub stopped kept an open link to nobody: no closed event, until the stopped hub was destroyed. "A hub that stops ends its peers' links" failed by it. Cause: stop() disconnected what is in links, and an accepted connection came there only when the server's open handler ran. The answer to the handshake is on the wire before that: if stop()'s handler is queued in between, it sees no link, and the open handler never runs, because the io_context is stopped. The connection of a peer that had not sent its whole handshake stayed open for the same reason.

The hub now keeps each connection from its accept (tcp_pre_init, called in the accept's handler) until it is open, and stop() terminates these too. Those not yet accepted are reset by the kernel when the listening socket closes. terminate() shuts the socket down before it returns, so that context.stop() right after it leaves nothing unexecuted.

--- a/Source/Core/Net/PeerHub.cpp
+++ b/Source/Core/Net/PeerHub.cpp
@@ -5,9 +5,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <future>
+#include <iterator>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <websocketpp/client.hpp>
@@ -71,7 +74,11 @@
         prepare(this->server);
         prepare(this->client);
         this->server.set_reuse_addr(true);
+        this->server.set_tcp_pre_init_handler([this](const websocketpp::connection_hdl &handle) {
+            this->startHandshake(handle);
+        });
         this->server.set_open_handler([this](const websocketpp::connection_hdl &handle) {
+            this->handshakes.erase(handle);
             this->accepted(this->server.get_con_from_hdl(handle));
         });
         this->thread = std::thread([this] { this->context.run(); });
@@ -141,6 +148,15 @@
         this->events.opened(id);
     }
 
+    /// Called for every connection that the server accepts, before anything is read from it.
+    void startHandshake(const websocketpp::connection_hdl &started)
+    {
+        for (auto handle = this->handshakes.begin(); handle != this->handshakes.end();) {
+            handle = handle->expired() ? this->handshakes.erase(handle) : std::next(handle);
+        }
+        this->handshakes.insert(started);
+    }
+
     void accepted(const ServerEndpoint::connection_ptr &connection)
     {
         const LinkId id = ++this->lastLink;
@@ -336,6 +352,7 @@
                 this->server.stop_listening(ignored);
             }
             this->disconnectAll();
+            this->endHandshakes();
             this->context.stop();
         });
         this->thread.join();
@@ -353,6 +370,20 @@
         }
     }
 
+    /// A peer may have the answer to its handshake, and count its link as open, before the open
+    /// handler has run here. No handler runs after the stop to end its connection.
+    void endHandshakes()
+    {
+        for (const websocketpp::connection_hdl &handle : this->handshakes) {
+            websocketpp::lib::error_code expired;
+            const auto connection = this->server.get_con_from_hdl(handle, expired);
+            if (connection) {
+                connection->terminate(websocketpp::lib::error_code());
+            }
+        }
+        this->handshakes.clear();
+    }
+
     PeerHubEvents events;
     /// Outlives the endpoints, because their connections refer to it.
     boost::asio::io_context context;
@@ -363,6 +394,8 @@
     std::atomic<LinkId> lastLink = 0;
     std::mutex mutex;
     std::map<LinkId, Link> links;
+    /// Accepted connections that are no links yet. Used on the hub's thread only.
+    std::set<websocketpp::connection_hdl, std::owner_less<websocketpp::connection_hdl>> handshakes;
     FrameTrafficByType sentByType;
     FrameTrafficByType receivedByType;
     std::atomic<std::uint64_t> framesSent = 0;
--- a/Source/UnitTests/Net/PeerHubTest.cpp
+++ b/Source/UnitTests/Net/PeerHubTest.cpp
@@ -1,6 +1,10 @@
+#include <sys/socket.h>
+#include <sys/time.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <doctest/doctest.h>
@@ -73,6 +77,40 @@
     return frame;
 }
 
+const std::string Handshake = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+                              "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+                              "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
+/// A connection to a hub on which the test itself speaks.
+class RawPeer
+{
+public:
+    RawPeer(std::uint16_t port, const std::string &bytes)
+        : socket(this->context)
+    {
+        this->socket.connect({boost::asio::ip::address_v4::loopback(), port});
+        boost::asio::write(this->socket, boost::asio::buffer(bytes));
+    }
+
+    /// Reads until the hub ends the connection. False if nothing is received for 2 s.
+    bool isEnded()
+    {
+        const timeval receiveTimeout{2, 0};
+        ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout,
+                     sizeof receiveTimeout);
+        char buffer[4096];
+        ssize_t count = 1;
+        while (count > 0) {
+            count = ::recv(this->socket.native_handle(), buffer, sizeof buffer, 0);
+        }
+        return count == 0 || errno == ECONNRESET;
+    }
+
+private:
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket;
+};
+
 /// A link between two hubs, open at both ends.
 struct Pair
 {
@@ -144,6 +182,56 @@
     CHECK_THROWS_AS(next.hub.listen("192.0.2.1", 1), std::runtime_error);
 }
 
+TEST_CASE("A hub that stops ends connections whose handshake is under way")
+{
+    // A stopped hub keeps such a connection open, and its peer waits for a process that is gone.
+    for (const std::size_t sent : {std::size_t{0}, std::size_t{1}, Handshake.size() - 1}) {
+        CAPTURE(sent);
+        RecordingHub server;
+        RecordingHub client;
+        const std::uint16_t port = server.hub.listen("127.0.0.1", 0);
+        RawPeer peer(port, Handshake.substr(0, sent));
+        // Connections are accepted in order: once this link is open, the peer's is accepted.
+        client.hub.connect("127.0.0.1", port);
+        REQUIRE(server.waitUntil([&] { return !server.openLinks.empty(); }));
+        server.hub.stop();
+        CHECK(peer.isEnded());
+        CHECK(server.openLinks.size() == 1);
+        CHECK(server.closedLinks.empty());
+    }
+}
+
+TEST_CASE("A hub ends a peer's connection at whatever moment of the handshake it stops")
+{
+    // The peer has the handshake's answer before the hub's own thread counts the link as open. A
+    // hub that stops in between leaves the peer with an open link to nobody.
+    constexpr int Rounds = 500;
+    for (int round = 0; round < Rounds; ++round) {
+        CAPTURE(round);
+        RecordingHub server;
+        RawPeer peer(server.hub.listen("127.0.0.1", 0), Handshake);
+        const auto moment = std::chrono::steady_clock::now() + std::chrono::microseconds(round);
+        while (std::chrono::steady_clock::now() < moment) {
+        }
+        server.hub.stop();
+        REQUIRE(peer.isEnded());
+    }
+}
+
+TEST_CASE("A peer whose handshake fails is no link")
+{
+    // The user of the hub has not heard of the link, and must not be told that it has closed.
+    RecordingHub server;
+    RecordingHub client;
+    const std::uint16_t port = server.hub.listen("127.0.0.1", 0);
+    RawPeer peer(port, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(peer.isEnded());
+    client.hub.connect("127.0.0.1", port);
+    REQUIRE(server.waitUntil([&] { return !server.openLinks.empty(); }));
+    CHECK(server.openLinks.size() == 1);
+    CHECK(server.closedLinks.empty());
+}
+
 TEST_CASE("An attempt that does not become a link ends in time")
 {
     // The other end accepts the TCP connection and sends nothing, or does not listen at all. The
@@ -171,15 +259,12 @@
     // A WebSocket client that does not send CBOR connects to the hub. Its link is closed, while the
     // link of a correct process stays open.
     Pair pair;
-    const std::string handshake = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
-                                  "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-                                  "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
     // Binary frame of three bytes, masked with zeros.
     const std::string frame("\x82\x83\0\0\0\0abc", 9);
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket(context);
     socket.connect({boost::asio::ip::address_v4::loopback(), pair.port});
-    boost::asio::write(socket, boost::asio::buffer(handshake + frame + frame));
+    boost::asio::write(socket, boost::asio::buffer(Handshake + frame + frame));
     CHECK(pair.server.waitUntil([&] { return pair.server.closedLinks.size() == 1; }));
     CHECK(pair.server.hub.traffic().malformedFrames == 1);
     REQUIRE(pair.client.hub.send(pair.link, acknowledgement("after", 1)));
