--- a/Source/AuburntrailFakeLog/Main.cpp
+++ b/Source/AuburntrailFakeLog/Main.cpp
@@ -1,7 +1,5 @@
 #include <CLI/CLI.hpp>
-#include <exception>
 
-#include "Common/Common.h"
 #include "StandIn/StandIn.h"
 
 namespace {
@@ -46,15 +44,9 @@
 
 int main(int argumentCount, char **arguments)
 {
-    CLI::App app("Stand-in for the platform's append-only log service");
     Options options;
-    addOptions(app, options);
-    CLI11_PARSE(app, argumentCount, arguments);
-    try {
-        run(options);
-        return 0;
-    } catch (const std::exception &error) {
-        Common::logEvent(Common::LogLevel::Error, "failed", {{"error", error.what()}});
-        return 1;
-    }
+    return StandIn::runProgram(argumentCount, arguments,
+                               {"Stand-in for the platform's append-only log service",
+                                [&](CLI::App &app) { addOptions(app, options); },
+                                [&] { run(options); }});
 }
--- a/Source/Core/StandIn/DaemonProcess.cpp
+++ b/Source/Core/StandIn/DaemonProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <exception>
 #include <stdexcept>
 
 #include "Daemon/Daemon.h"
@@ -54,4 +55,18 @@
     }
 }
 
+int runProgram(int argumentCount, char **arguments, const DaemonProgram &program)
+{
+    CLI::App app(program.description);
+    program.addOptions(app);
+    CLI11_PARSE(app, argumentCount, arguments);
+    try {
+        program.run();
+        return 0;
+    } catch (const std::exception &error) {
+        Common::logEvent(Common::LogLevel::Error, "failed", {{"error", error.what()}});
+        return 1;
+    }
+}
+
 } // namespace StandIn
--- a/Source/Core/StandIn/DaemonProcess.h
+++ b/Source/Core/StandIn/DaemonProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "Common/Log.h"
@@ -33,6 +34,17 @@
 /// nothing if \a path is empty. Throws std::runtime_error if the file can't be written.
 void writePortFile(const std::string &path, std::uint16_t port);
 
+/// The command line of a stand-in daemon, and the function that runs it.
+struct DaemonProgram
+{
+    std::string description;
+    std::function<void(CLI::App &)> addOptions;
+    std::function<void()> run;
+};
+
+/// Parses the command line and runs the daemon. Returns the exit code; an exception is logged.
+int runProgram(int argumentCount, char **arguments, const DaemonProgram &program);
+
 /// Runs the server that \a build returns until the process receives SIGTERM or SIGINT.
 template <typename Build>
 void runDaemon(const char *name, const DaemonOptions &options, Build build)
