StandIn: one service serves what the fake backend server and the fake log share

Address, start and stop, the lock around each request, /control and /control/stats, and the accessors and builder settings of both servers stood twice. FakeServer.h has them as templates over the service and its faults, FakeService.h the functions behind them, included only by the two servers. Each server keeps its own requests; what it drops when it stops is its dropUnanswered(). The interfaces and paths stay the same, no test was changed.

--- a/Source/Core/StandIn/FakeBackendServer.cpp
+++ b/Source/Core/StandIn/FakeBackendServer.cpp
@@ -1,10 +1,8 @@
 #include "StandIn/FakeBackendServer.h"
 
-#include <mutex>
 #include <vector>
 
-#include "Net/HttpServer.h"
-#include "StandIn/Replies.h"
+#include "StandIn/FakeService.h"
 
 namespace StandIn {
 
@@ -12,7 +10,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t MaxBodyBytes = 16U << 20U;
 constexpr double MicrosecondsPerMillisecond = 1000;
 
 struct RunRequest
@@ -64,37 +61,31 @@
 
 } // namespace
 
-struct FakeBackendServer::Implementation
+struct FakeBackendService : FakeService
 {
     void handle(const Net::HttpRequest &request, const Net::HttpReply &reply);
     void handleRun(const Net::HttpRequest &request, const Net::HttpReply &reply);
-    void handleControl(const Net::HttpRequest &request, const Net::HttpReply &reply);
     void begin(const FakeTask &task, const Net::HttpReply &reply);
     void end(const FakeTask &task, bool hasFailed, const Net::HttpReply &reply);
     void answer(const Net::HttpReply &reply, Net::HttpResponse response);
     void changeControl(const FakeBackendControl &control);
-    void stop();
+    const FakeBackendControl &control() const { return this->backend.control; }
+    nlohmann::json stats() const { return backendStats(this->backend); }
+    void dropUnanswered();
 
-    std::mutex mutex;
     FakeBackend backend;
     std::vector<WithheldAnswer> withheld;
     std::vector<HangingTask> hanging;
-    bool stopping = false;
-    std::string host;
-    Common::TimerThread timers;
-    std::unique_ptr<Net::HttpServer> server;
 };
 
-void FakeBackendServer::Implementation::handle(const Net::HttpRequest &request,
-                                               const Net::HttpReply &reply)
+void FakeBackendService::handle(const Net::HttpRequest &request, const Net::HttpReply &reply)
 {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->stopping) {
-        reply.send(reasonResponse(HttpStatus::Unavailable, "stopping"));
+    if (request.path == "/control/starts") {
+        reply.send(jsonResponse(backendStarts(this->backend)));
         return;
     }
     if (request.path.compare(0, 8, "/control") == 0) {
-        this->handleControl(request, reply);
+        handleControl(*this, request, reply);
         return;
     }
     if (request.path == "/health") {
@@ -110,8 +101,7 @@
     reply.send(reasonResponse(HttpStatus::NotFound, "no such path"));
 }
 
-void FakeBackendServer::Implementation::handleRun(const Net::HttpRequest &request,
-                                                  const Net::HttpReply &reply)
+void FakeBackendService::handleRun(const Net::HttpRequest &request, const Net::HttpReply &reply)
 {
     if (this->backend.control.silent) {
         // No task is started. The refusal is sent when the fault "silent" is switched off.
@@ -136,35 +126,7 @@
             });
 }
 
-void FakeBackendServer::Implementation::handleControl(const Net::HttpRequest &request,
-                                                      const Net::HttpReply &reply)
-{
-    if (request.path == "/control/stats") {
-        reply.send(jsonResponse(backendStats(this->backend)));
-        return;
-    }
-    if (request.path == "/control/starts") {
-        reply.send(jsonResponse(backendStarts(this->backend)));
-        return;
-    }
-    if (request.method == "GET") {
-        reply.send(jsonResponse(controlJson(this->backend.control)));
-        return;
-    }
-    Common::handle(
-            [&]() -> Common::Outcome<void> {
-                BOOST_LEAF_AUTO(control, changedControl(this->backend.control,
-                                                        Json::parse(request.body, nullptr, false)));
-                this->changeControl(control);
-                reply.send(jsonResponse(controlJson(this->backend.control)));
-                return {};
-            },
-            [&](const Common::Failure &failed) {
-                reply.send(reasonResponse(HttpStatus::BadRequest, "malformed", failed.detail));
-            });
-}
-
-void FakeBackendServer::Implementation::begin(const FakeTask &task, const Net::HttpReply &reply)
+void FakeBackendService::begin(const FakeTask &task, const Net::HttpReply &reply)
 {
     const FakeBackendControl &control = this->backend.control;
     if (control.hang) {
@@ -180,8 +142,7 @@
     });
 }
 
-void FakeBackendServer::Implementation::end(const FakeTask &task, bool hasFailed,
-                                            const Net::HttpReply &reply)
+void FakeBackendService::end(const FakeTask &task, bool hasFailed, const Net::HttpReply &reply)
 {
     endTask(this->backend, task, hasFailed);
     if (hasFailed) {
@@ -191,8 +152,7 @@
     this->answer(reply, jsonResponse({{"result", task.result}}));
 }
 
-void FakeBackendServer::Implementation::answer(const Net::HttpReply &reply,
-                                               Net::HttpResponse response)
+void FakeBackendService::answer(const Net::HttpReply &reply, Net::HttpResponse response)
 {
     if (this->backend.control.silent) {
         this->withheld.push_back({reply, std::move(response)});
@@ -201,7 +161,7 @@
     reply.send(response);
 }
 
-void FakeBackendServer::Implementation::changeControl(const FakeBackendControl &control)
+void FakeBackendService::changeControl(const FakeBackendControl &control)
 {
     this->backend.control = control;
     if (!control.hang) {
@@ -218,96 +178,30 @@
     }
 }
 
-void FakeBackendServer::Implementation::stop()
-{
-    {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        this->stopping = true;
-        this->withheld.clear();
-        this->hanging.clear();
-    }
-    this->timers.stop();
-    this->server->stop();
-}
-
-FakeBackendServer::FakeBackendServer(std::unique_ptr<Implementation> implementation)
-    : implementation(std::move(implementation))
-{}
-
-FakeBackendServer::~FakeBackendServer()
+void FakeBackendService::dropUnanswered()
 {
-    this->implementation->stop();
+    this->withheld.clear();
+    this->hanging.clear();
 }
 
-std::uint16_t FakeBackendServer::port() const
-{
-    return this->implementation->server->port();
-}
-
-std::string FakeBackendServer::url() const
-{
-    return "http://" + this->implementation->host + ':' + std::to_string(this->port());
-}
-
-FakeBackendControl FakeBackendServer::control() const
-{
-    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
-    return this->implementation->backend.control;
-}
-
-void FakeBackendServer::setControl(const FakeBackendControl &control)
-{
-    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
-    this->implementation->changeControl(control);
-}
+template class FakeServer<FakeBackendService, FakeBackendControl>;
 
-nlohmann::json FakeBackendServer::stats() const
-{
-    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
-    return backendStats(this->implementation->backend);
-}
+FakeBackendServer::FakeBackendServer(std::unique_ptr<FakeBackendService> service)
+    : FakeServer(std::move(service))
+{}
 
 nlohmann::json FakeBackendServer::starts() const
 {
-    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
-    return backendStarts(this->implementation->backend);
-}
-
-FakeBackendServerBuilder &FakeBackendServerBuilder::listenOn(std::string host, std::uint16_t port)
-{
-    this->host = std::move(host);
-    this->port = port;
-    return *this;
-}
-
-FakeBackendServerBuilder &FakeBackendServerBuilder::threads(int count)
-{
-    this->threadCount = count;
-    return *this;
-}
-
-FakeBackendServerBuilder &FakeBackendServerBuilder::control(const FakeBackendControl &control)
-{
-    this->initialControl = control;
-    return *this;
+    const std::lock_guard<std::mutex> lock(this->service->mutex);
+    return backendStarts(this->service->backend);
 }
 
 std::unique_ptr<FakeBackendServer> FakeBackendServerBuilder::build()
 {
-    auto implementation = std::make_unique<FakeBackendServer::Implementation>();
-    FakeBackendServer::Implementation &state = *implementation;
-    state.host = this->host;
-    state.backend.control = this->initialControl;
-    state.server = Net::HttpServerBuilder()
-                           .listenOn(this->host, this->port)
-                           .threads(this->threadCount)
-                           .maxBodyBytes(MaxBodyBytes)
-                           .handler([&state](const Net::HttpRequest &request,
-                                             const Net::HttpReply &reply) {
-                               state.handle(request, reply);
-                           })
-                           .build();
-    return std::unique_ptr<FakeBackendServer>(new FakeBackendServer(std::move(implementation)));
+    auto service = std::make_unique<FakeBackendService>();
+    service->backend.control = this->initialControl;
+    startService(*service, this->address);
+    return std::unique_ptr<FakeBackendServer>(new FakeBackendServer(std::move(service)));
 }
 
 } // namespace StandIn
--- a/Source/Core/StandIn/FakeBackendServer.h
+++ b/Source/Core/StandIn/FakeBackendServer.h
@@ -1,14 +1,15 @@
 #pragma once
 
-#include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <string>
 
 #include "StandIn/FakeBackendState.h"
+#include "StandIn/FakeServer.h"
 
 namespace StandIn {
 
+struct FakeBackendService;
+
 /// HTTP interface of the stand-in backend server, served on its own threads:
 ///   POST /run              a Schema::RunTask -> 200 with {"result":"..."} after the run time;
 ///                          500 task_failed: it ran and failed; 412 not_after_passed, 503 no_slot,
@@ -18,41 +19,22 @@
 ///   GET  /control/stats    counters, and every task that started more than once
 ///   GET  /control/starts   every task that started
 /// The body of each answer other than 200 is {"reason":"..."}, with a "detail" where there is one.
-class FakeBackendServer
+class FakeBackendServer : public FakeServer<FakeBackendService, FakeBackendControl>
 {
 public:
-    ~FakeBackendServer();
-    FakeBackendServer(const FakeBackendServer &) = delete;
-    FakeBackendServer &operator=(const FakeBackendServer &) = delete;
-
-    std::uint16_t port() const;
-    std::string url() const;
-    FakeBackendControl control() const;
-    void setControl(const FakeBackendControl &control);
-    nlohmann::json stats() const;
     nlohmann::json starts() const;
 
 private:
     friend class FakeBackendServerBuilder;
-    struct Implementation;
-    explicit FakeBackendServer(std::unique_ptr<Implementation> implementation);
-    std::unique_ptr<Implementation> implementation;
+    explicit FakeBackendServer(std::unique_ptr<FakeBackendService> service);
 };
 
 class FakeBackendServerBuilder
+    : public FakeServerBuilder<FakeBackendServerBuilder, FakeBackendControl>
 {
 public:
-    FakeBackendServerBuilder &listenOn(std::string host, std::uint16_t port);
-    FakeBackendServerBuilder &threads(int count);
-    FakeBackendServerBuilder &control(const FakeBackendControl &control);
     /// Starts listening and serving. Throws std::runtime_error if the address can't be bound.
     std::unique_ptr<FakeBackendServer> build();
-
-private:
-    std::string host = "127.0.0.1";
-    std::uint16_t port = 0;
-    int threadCount = 1;
-    FakeBackendControl initialControl;
 };
 
 } // namespace StandIn
--- a/Source/Core/StandIn/FakeLogServer.cpp
+++ b/Source/Core/StandIn/FakeLogServer.cpp
@@ -1,13 +1,11 @@
 #include "StandIn/FakeLogServer.h"
 
 #include <algorithm>
-#include <mutex>
 #include <optional>
 #include <string_view>
 #include <vector>
 
-#include "Net/HttpServer.h"
-#include "StandIn/Replies.h"
+#include "StandIn/FakeService.h"
 
 namespace StandIn {
 
@@ -16,7 +14,6 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr std::size_t MaxBodyBytes = 16U << 20U;
 constexpr std::int64_t DefaultReadRecords = 500;
 constexpr std::int64_t MaxReadRecords = 5000;
 constexpr std::int64_t MaxWaitMs = 60000;
@@ -102,10 +99,9 @@
 
 } // namespace
 
-struct FakeLogServer::Implementation
+struct FakeLogService : FakeService
 {
     void handle(const Net::HttpRequest &request, const Net::HttpReply &reply);
-    void handleControl(const Net::HttpRequest &request, const Net::HttpReply &reply);
     void handleStream(const StreamRoute &route, const Net::HttpRequest &request,
                       const Net::HttpReply &reply);
     void append(const std::string &stream, std::vector<std::string> records,
@@ -119,28 +115,19 @@
     void answer(const Net::HttpReply &reply, Net::HttpResponse response);
     void answerDuringOutage(const Net::HttpReply &reply);
     void hold(const Net::HttpReply &reply);
-    void stop();
+    const FakeLogControl &control() const { return this->log.control; }
+    nlohmann::json stats() const { return logStats(this->log); }
+    void dropUnanswered();
 
-    std::mutex mutex;
     FakeLog log;
     std::map<std::uint64_t, WaitingRead> waiting;
     std::uint64_t nextWaiting = 0;
-    bool stopping = false;
-    std::string host;
-    Common::TimerThread timers;
-    std::unique_ptr<Net::HttpServer> server;
 };
 
-void FakeLogServer::Implementation::handle(const Net::HttpRequest &request,
-                                           const Net::HttpReply &reply)
+void FakeLogService::handle(const Net::HttpRequest &request, const Net::HttpReply &reply)
 {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->stopping) {
-        reply.send(reasonResponse(HttpStatus::Unavailable, "stopping"));
-        return;
-    }
     if (request.path == "/control" || request.path == "/control/stats") {
-        this->handleControl(request, reply);
+        handleControl(*this, request, reply);
         return;
     }
     if (this->log.control.outage) {
@@ -155,33 +142,8 @@
     this->handleStream(*route, request, reply);
 }
 
-void FakeLogServer::Implementation::handleControl(const Net::HttpRequest &request,
-                                                  const Net::HttpReply &reply)
-{
-    if (request.path == "/control/stats") {
-        reply.send(jsonResponse(logStats(this->log)));
-        return;
-    }
-    if (request.method == "GET") {
-        reply.send(jsonResponse(controlJson(this->log.control)));
-        return;
-    }
-    Common::handle(
-            [&]() -> Common::Outcome<void> {
-                BOOST_LEAF_AUTO(control, changedControl(this->log.control,
-                                                        Json::parse(request.body, nullptr, false)));
-                this->changeControl(control);
-                reply.send(jsonResponse(controlJson(this->log.control)));
-                return {};
-            },
-            [&](const Common::Failure &failed) {
-                reply.send(reasonResponse(HttpStatus::BadRequest, "malformed", failed.detail));
-            });
-}
-
-void FakeLogServer::Implementation::handleStream(const StreamRoute &route,
-                                                 const Net::HttpRequest &request,
-                                                 const Net::HttpReply &reply)
+void FakeLogService::handleStream(const StreamRoute &route, const Net::HttpRequest &request,
+                                  const Net::HttpReply &reply)
 {
     Common::handle(
             [&]() -> Common::Outcome<void> {
@@ -201,9 +163,8 @@
             });
 }
 
-void FakeLogServer::Implementation::append(const std::string &stream,
-                                           std::vector<std::string> records,
-                                           const Net::HttpReply &reply)
+void FakeLogService::append(const std::string &stream, std::vector<std::string> records,
+                            const Net::HttpReply &reply)
 {
     const std::int64_t nowMs = steadyNow();
     if (!admitAppend(this->log, nowMs)) {
@@ -217,9 +178,8 @@
     });
 }
 
-void FakeLogServer::Implementation::commit(const std::string &stream,
-                                           std::vector<std::string> records,
-                                           const Net::HttpReply &reply)
+void FakeLogService::commit(const std::string &stream, std::vector<std::string> records,
+                            const Net::HttpReply &reply)
 {
     const auto count = static_cast<std::int64_t>(records.size());
     const std::int64_t first = commitAppend(this->log, stream, std::move(records), steadyNow());
@@ -239,7 +199,7 @@
     this->answer(reply, reasonResponse(HttpStatus::InternalError, "answer lost"));
 }
 
-void FakeLogServer::Implementation::read(const ReadRequest &read, const Net::HttpReply &reply)
+void FakeLogService::read(const ReadRequest &read, const Net::HttpReply &reply)
 {
     const FakeLogBatch batch =
             readStream(this->log, read.stream, read.from, read.maximum, steadyNow());
@@ -255,7 +215,7 @@
     });
 }
 
-void FakeLogServer::Implementation::wakeReads(const std::string &stream)
+void FakeLogService::wakeReads(const std::string &stream)
 {
     std::vector<std::uint64_t> ids;
     for (const auto &[id, waitingRead] : this->waiting) {
@@ -268,7 +228,7 @@
     }
 }
 
-void FakeLogServer::Implementation::endWait(std::uint64_t id)
+void FakeLogService::endWait(std::uint64_t id)
 {
     const auto found = this->waiting.find(id);
     if (found == this->waiting.end()) {
@@ -285,7 +245,7 @@
                                                        read.maximum, steadyNow())));
 }
 
-void FakeLogServer::Implementation::changeControl(const FakeLogControl &control)
+void FakeLogService::changeControl(const FakeLogControl &control)
 {
     this->log.control = control;
     if (!control.outage) {
@@ -297,7 +257,7 @@
     this->waiting.clear();
 }
 
-void FakeLogServer::Implementation::answer(const Net::HttpReply &reply, Net::HttpResponse response)
+void FakeLogService::answer(const Net::HttpReply &reply, Net::HttpResponse response)
 {
     const std::int64_t delayMs = this->log.control.delayMs;
     if (delayMs == 0) {
@@ -308,7 +268,7 @@
                        [reply, response = std::move(response)] { reply.send(response); });
 }
 
-void FakeLogServer::Implementation::answerDuringOutage(const Net::HttpReply &reply)
+void FakeLogService::answerDuringOutage(const Net::HttpReply &reply)
 {
     if (this->log.control.outageMode == OutageMode::Refuse) {
         reply.send(reasonResponse(HttpStatus::Unavailable, "outage"));
@@ -317,73 +277,23 @@
     this->hold(reply);
 }
 
-void FakeLogServer::Implementation::hold(const Net::HttpReply &reply)
+void FakeLogService::hold(const Net::HttpReply &reply)
 {
     this->timers.after(HoldTime, [reply] {
         reply.send(reasonResponse(HttpStatus::InternalError, "answer lost"));
     });
 }
 
-void FakeLogServer::Implementation::stop()
-{
-    {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        this->stopping = true;
-        this->waiting.clear();
-    }
-    this->timers.stop();
-    this->server->stop();
-}
-
-FakeLogServer::FakeLogServer(std::unique_ptr<Implementation> implementation)
-    : implementation(std::move(implementation))
-{}
-
-FakeLogServer::~FakeLogServer()
-{
-    this->implementation->stop();
-}
-
-std::uint16_t FakeLogServer::port() const
-{
-    return this->implementation->server->port();
-}
-
-std::string FakeLogServer::url() const
-{
-    return "http://" + this->implementation->host + ':' + std::to_string(this->port());
-}
-
-FakeLogControl FakeLogServer::control() const
-{
-    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
-    return this->implementation->log.control;
-}
-
-void FakeLogServer::setControl(const FakeLogControl &control)
-{
-    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
-    this->implementation->changeControl(control);
-}
-
-nlohmann::json FakeLogServer::stats() const
+void FakeLogService::dropUnanswered()
 {
-    const std::lock_guard<std::mutex> lock(this->implementation->mutex);
-    return logStats(this->implementation->log);
+    this->waiting.clear();
 }
 
-FakeLogServerBuilder &FakeLogServerBuilder::listenOn(std::string host, std::uint16_t port)
-{
-    this->host = std::move(host);
-    this->port = port;
-    return *this;
-}
+template class FakeServer<FakeLogService, FakeLogControl>;
 
-FakeLogServerBuilder &FakeLogServerBuilder::threads(int count)
-{
-    this->threadCount = count;
-    return *this;
-}
+FakeLogServer::FakeLogServer(std::unique_ptr<FakeLogService> service)
+    : FakeServer(std::move(service))
+{}
 
 FakeLogServerBuilder &FakeLogServerBuilder::seed(std::uint64_t value)
 {
@@ -391,29 +301,13 @@
     return *this;
 }
 
-FakeLogServerBuilder &FakeLogServerBuilder::control(const FakeLogControl &control)
-{
-    this->initialControl = control;
-    return *this;
-}
-
 std::unique_ptr<FakeLogServer> FakeLogServerBuilder::build()
 {
-    auto implementation = std::make_unique<FakeLogServer::Implementation>();
-    FakeLogServer::Implementation &state = *implementation;
-    state.host = this->host;
-    state.log.control = this->initialControl;
-    state.log.random.seed(this->randomSeed);
-    state.server = Net::HttpServerBuilder()
-                           .listenOn(this->host, this->port)
-                           .threads(this->threadCount)
-                           .maxBodyBytes(MaxBodyBytes)
-                           .handler([&state](const Net::HttpRequest &request,
-                                             const Net::HttpReply &reply) {
-                               state.handle(request, reply);
-                           })
-                           .build();
-    return std::unique_ptr<FakeLogServer>(new FakeLogServer(std::move(implementation)));
+    auto service = std::make_unique<FakeLogService>();
+    service->log.control = this->initialControl;
+    service->log.random.seed(this->randomSeed);
+    startService(*service, this->address);
+    return std::unique_ptr<FakeLogServer>(new FakeLogServer(std::move(service)));
 }
 
 } // namespace StandIn
