UnitTests: every call to a backend server contains the expected incarnation

Only starts were checked. Stops and observations without it would be taken by another incarnation at the same address.

--- a/Source/UnitTests/Platform/BackendCallsTest.cpp
+++ b/Source/UnitTests/Platform/BackendCallsTest.cpp
@@ -61,6 +61,21 @@
     CHECK(call.headers[0] == "X-Auburntrail-Expect-Instance: i-1");
 }
 
+TEST_CASE("Every call to a backend server contains the expected incarnation")
+{
+    const Platform::BackendTarget target{"10.0.0.1:80", "i-1"};
+    const Net::HttpCall calls[] = {
+            Platform::startCall(target, {"5c0e7a21d94b36f8.1.17", 2, "work", 900, 7}),
+            Platform::stopCall(target, "5c0e7a21d94b36f8.1.17", 2, 7),
+            Platform::observeCall(target, {}),
+    };
+    for (const Net::HttpCall &call : calls) {
+        CAPTURE(call.url);
+        REQUIRE(call.headers.size() == 1);
+        CHECK(call.headers[0] == "X-Auburntrail-Expect-Instance: i-1");
+    }
+}
+
 TEST_CASE("How a start was answered")
 {
     struct Row
