Net: chunked bodies that arrive in pieces no longer hold a thread

What callers saw: after a chunked body that arrived in pieces of 1 or 7 bytes, no caller of that HTTP thread was served any more.

Cause: the library's decoder does not return when a piece ends at some places.

Change: ChunkedBody decodes such bodies and finds their end; the library gets the head only. So a connection is kept after a chunked body, and what follows it is answered.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <pistache/peer.h>
@@ -12,6 +13,7 @@
 #include <string_view>
 #include <sys/socket.h>
 
+#include "Net/ChunkedBody.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpConnection.h"
 #include "Net/RequestBoundary.h"
@@ -117,15 +119,17 @@
 
     std::shared_ptr<HttpConnection> connection;
     RequestBoundary boundary;
+    /// Set while a chunked body is read.
+    std::optional<ChunkedBody> chunks;
     /// Whether "100 Continue" was sent for the request being read.
     bool isContinued = false;
 };
 
 /// Reads requests from the library and passes them to their HttpConnection. Replaces the library's
-/// own reading of requests, which discards a request that arrives together with the one before, and
-/// which keeps scanning a body that is too long: 4 MB of it occupied a thread for seconds, and the
-/// caller received no answer. Here such a connection is answered once, and no further input is
-/// parsed.
+/// own reading of requests, which discards a request that arrives together with the one before,
+/// does not return from some chunked bodies, and keeps scanning a body that is too long: 4 MB of it
+/// occupied a thread for seconds, and the caller received no answer. Here such a connection is
+/// answered once, and no further input is parsed.
 class RequestHandler : public Http::Handler
 {
 public:
@@ -170,8 +174,13 @@
         CallerState &state = *stateOf(peer);
         std::string_view input(bytes, length);
         while (!input.empty() && !state.connection->isInputIgnored()) {
+            Http::RequestParser &parser = *getParser(peer);
+            if (state.chunks) {
+                input.remove_prefix(this->readChunks(state, parser, input));
+                continue;
+            }
             const std::size_t taken = state.boundary.take(input);
-            this->read(state, *getParser(peer), input.substr(0, taken));
+            this->read(state, parser, input.substr(0, taken));
             input.remove_prefix(taken);
         }
     }
@@ -208,6 +217,25 @@
         }
     }
 
+    /// Returns the number of bytes that belong to the body.
+    std::size_t readChunks(CallerState &state, Http::RequestParser &parser, std::string_view input)
+    {
+        std::size_t taken = input.size();
+        try {
+            taken = state.chunks->take(input);
+        } catch (const std::runtime_error &error) {
+            this->refuse(state, Schema::Reason::Malformed, malformedRequest(error.what()));
+            return taken;
+        }
+        if (state.chunks->data().size() > this->bodyLimit()) {
+            this->refuse(state, Schema::Reason::BodyTooLarge, bodyTooLarge(this->bodyLimit()));
+        } else if (state.chunks->isComplete()) {
+            passOn(state, parser.request);
+            parser.reset();
+        }
+        return taken;
+    }
+
     static std::shared_ptr<CallerState> stateOf(const Peer &peer)
     {
         return std::static_pointer_cast<CallerState>(peer->getData(CallerStateName));
@@ -229,7 +257,11 @@
                                           : request.version() == Http::Version::Http10;
         ReceivedRequest received;
         received.request = convert(request);
-        received.isLast = isClosing || state.boundary.isBodyUnknown();
+        received.isLast = isClosing;
+        if (state.chunks) {
+            received.request.body = state.chunks->data();
+        }
+        state.chunks.reset();
         state.boundary.reset();
         state.isContinued = false;
         state.connection->receive(std::move(received));
@@ -243,7 +275,7 @@
             if (announced) {
                 state.boundary.expectBody(announced->value());
             } else {
-                state.boundary.expectUnknownBody();
+                state.chunks.emplace();
             }
         }
         // Some callers, such as curl's command line, send an Expect header before a long body and
--- a/Source/Core/Net/RequestBoundary.cpp
+++ b/Source/Core/Net/RequestBoundary.cpp
@@ -15,9 +15,6 @@
     if (this->part == Part::Head) {
         return this->takeHead(input);
     }
-    if (this->part == Part::UnknownBody) {
-        return input.size();
-    }
     const std::size_t taken = std::min(this->bodyLeft, input.size());
     this->bodyLeft -= taken;
     return taken;
@@ -49,16 +46,6 @@
     this->bodyLeft = length;
 }
 
-void RequestBoundary::expectUnknownBody()
-{
-    this->part = Part::UnknownBody;
-}
-
-bool RequestBoundary::isBodyUnknown() const
-{
-    return this->part == Part::UnknownBody;
-}
-
 void RequestBoundary::reset()
 {
     *this = RequestBoundary();
--- a/Source/Core/Net/RequestBoundary.h
+++ b/Source/Core/Net/RequestBoundary.h
@@ -21,16 +21,11 @@
     /// Called after the head: the body has \a length bytes.
     void expectBody(std::size_t length);
 
-    /// Called after the head: the end of the body cannot be known, and all input is taken for it.
-    void expectUnknownBody();
-
-    bool isBodyUnknown() const;
-
     /// The request is complete; the next one follows.
     void reset();
 
 private:
-    enum class Part { Head, Body, UnknownBody };
+    enum class Part { Head, Body };
 
     std::size_t takeHead(std::string_view input);
 
