Net: callers that read are not dropped for the sake of those that do not

What callers saw, in a review of the limits on unread answers: of six callers that read 16 MiB each with pauses, five were reset for memory; one that read 30 kB every 100 ms was reset as stalled.

Cause: the limit counted whole answers and took the one that was written to longest ago, be it by a millisecond; progress was noticed only when the socket became writable, for which a large part of its buffer has to be free.

Before a decision the socket is asked how much of its buffer the caller's side has accepted.

--- a/Source/Core/Net/AnswerWriter.cpp
+++ b/Source/Core/Net/AnswerWriter.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <linux/sockios.h>
 #include <map>
 #include <mutex>
+#include <sys/ioctl.h>
 #include <thread>
 #include <unistd.h>
 #include <utility>
@@ -25,8 +27,28 @@
     std::shared_ptr<HttpConnection> connection;
     boost::asio::posix::stream_descriptor descriptor;
     UnreadAnswer answer;
+    /// Bytes in the socket's buffer that the caller's side had not accepted when last looked at.
+    int queuedBytes = 0;
 };
 
+int queuedBytesOf(Watched &watched)
+{
+    int queued = 0;
+    ::ioctl(watched.descriptor.native_handle(), SIOCOUTQ, &queued);
+    return queued;
+}
+
+/// Notes what the caller's side has accepted. The socket becomes writable only when a large part of
+/// its buffer is free: a slow reader would appear to have stalled.
+void updateProgress(Watched &watched, std::int64_t nowMs)
+{
+    const int queued = queuedBytesOf(watched);
+    if (queued < watched.queuedBytes) {
+        watched.answer.lastProgressMs = nowMs;
+    }
+    watched.queuedBytes = queued;
+}
+
 } // namespace
 
 struct AnswerWriter::Implementation
@@ -59,6 +81,7 @@
             return;
         }
         const WriteResult result = connection->writeMore();
+        const std::size_t left = connection->unwrittenBytes();
         if (result == WriteResult::Complete || result == WriteResult::Failed) {
             return;
         }
@@ -67,10 +90,13 @@
         if (found == this->watched.end()) {
             return;
         }
+        Watched &entry = found->second;
         if (result == WriteResult::Partial) {
-            found->second.answer.lastProgressMs = Common::currentMoment().steadyMs;
+            entry.answer.lastProgressMs = Common::currentMoment().steadyMs;
+            entry.answer.bytes = left;
+            entry.queuedBytes = queuedBytesOf(entry);
         }
-        this->waitUntilWritable(found->second);
+        this->waitUntilWritable(entry);
     }
 
     std::shared_ptr<HttpConnection> connectionOf(std::uint64_t number)
@@ -80,11 +106,12 @@
         return found == this->watched.end() ? nullptr : found->second.connection;
     }
 
-    std::vector<UnreadAnswer> unreadAnswers()
+    std::vector<UnreadAnswer> unreadAnswers(std::int64_t nowMs)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
         std::vector<UnreadAnswer> unread;
-        for (const auto &entry : this->watched) {
+        for (auto &entry : this->watched) {
+            updateProgress(entry.second, nowMs);
             unread.push_back(entry.second.answer);
         }
         return unread;
@@ -96,15 +123,15 @@
     {
         const std::int64_t nowMs = Common::currentMoment().steadyMs;
         for (const DroppedAnswer &answer :
-             answersToDrop(this->unreadAnswers(), this->limits, nowMs)) {
+             answersToDrop(this->unreadAnswers(nowMs), this->limits, nowMs)) {
             this->drop(answer);
         }
-        const std::vector<UnreadAnswer> remaining = this->unreadAnswers();
+        const std::vector<UnreadAnswer> remaining = this->unreadAnswers(nowMs);
         if (remaining.empty()) {
             return;
         }
         this->timer.expires_after(
-                std::chrono::milliseconds(nextStallMs(remaining, this->limits) - nowMs));
+                std::chrono::milliseconds(nextDropMs(remaining, this->limits, nowMs) - nowMs));
         this->timer.async_wait([this](const boost::system::error_code &failed) {
             if (!failed) {
                 this->enforceLimits();
@@ -174,7 +201,8 @@
         }
         const UnreadAnswer answer{number, bytes, Common::currentMoment().steadyMs};
         const auto added = writer.watched.emplace(
-                number, Watched{std::move(connection), std::move(descriptor), answer});
+                number, Watched{std::move(connection), std::move(descriptor), answer, 0});
+        added.first->second.queuedBytes = queuedBytesOf(added.first->second);
         writer.waitUntilWritable(added.first->second);
     }
     this->post([&writer] { writer.enforceLimits(); });
--- a/Source/Core/Net/AnswerWriter.h
+++ b/Source/Core/Net/AnswerWriter.h
@@ -23,8 +23,8 @@
     AnswerWriter &operator=(const AnswerWriter &) = delete;
 
     /// Calls writeMore() of \a connection whenever \a socket accepts bytes, until remove(). Takes
-    /// over the socket and closes it in the end. The rest of the answer occupies \a bytes. False if
-    /// the system cannot watch the socket, or the writer has stopped.
+    /// over the socket and closes it in the end. \a bytes are left to write. False if the system
+    /// cannot watch the socket, or the writer has stopped.
     bool add(std::shared_ptr<HttpConnection> connection, int socket, std::size_t bytes);
 
     /// Closes the socket that was taken over for \a connection.
--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -40,6 +40,16 @@
     return {text.data() + offset, text.size() - offset};
 }
 
+/// Bytes that a request takes while it waits, but for its query.
+std::size_t sizeOf(const HttpRequest &request)
+{
+    std::size_t bytes = request.path.size() + request.body.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
 } // namespace
 
 void HttpServerState::addUnwritten(int change)
@@ -120,7 +130,7 @@
         }
         this->ignoresInput = received.isLast;
         if (this->isBusy) {
-            const std::size_t bytes = this->waitingBytes + received.request.body.size();
+            const std::size_t bytes = this->waitingBytes + sizeOf(received.request);
             if (this->waiting.size() == MaxWaitingRequests || bytes > this->server->bodyLimit) {
                 // The connection ends after the answers that are due, which tells the caller that
                 // this request was not processed.
@@ -158,7 +168,7 @@
         }
         next = std::move(this->waiting.front());
         this->waiting.pop_front();
-        this->waitingBytes -= next.request.body.size();
+        this->waitingBytes -= sizeOf(next.request);
     }
     this->handle(std::move(next));
 }
@@ -203,7 +213,7 @@
 /// Leaves the rest of the outgoing answer to the AnswerWriter. The caller holds the mutex.
 bool HttpConnection::watch()
 {
-    const std::size_t bytes = this->outgoing->head.size() + this->outgoing->body.size();
+    const std::size_t bytes = this->outgoing->left();
     const int duplicate = ::fcntl(this->socket, F_DUPFD_CLOEXEC, 0);
     if (duplicate < 0 || !this->server->writer.add(this->shared_from_this(), duplicate, bytes)) {
         this->resetConnection();
@@ -214,6 +224,12 @@
     return true;
 }
 
+std::size_t HttpConnection::unwrittenBytes()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->outgoing ? this->outgoing->left() : 0;
+}
+
 WriteResult HttpConnection::writeMore()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -90,6 +90,9 @@
     /// Writes what the socket accepts. Called by the AnswerWriter.
     WriteResult writeMore();
 
+    /// What is left to write of the answer.
+    std::size_t unwrittenBytes();
+
     /// Gives the answer up and resets the connection, so that the caller does not take what it has
     /// received for the whole answer. False if there is nothing left to write.
     bool abort();
@@ -105,6 +108,8 @@
         std::string head;
         std::string body;
         std::size_t written = 0;
+
+        std::size_t left() const { return this->head.size() + this->body.size() - this->written; }
     };
 
     void handle(ReceivedRequest received);
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -52,7 +52,8 @@
     std::shared_ptr<Implementation> implementation;
 };
 
-/// Called on one of the server's threads for each request; must not block. Requests on the same
+/// Called on one of the server's threads for each request, also at the same time on several ones;
+/// must not block. Requests on the same
 /// connection are handed on one at a time, the next one when the answer to the one before is
 /// written.
 using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
