Net: a failing request handler is logged and answered once

A request that waits behind an unfinished answer is handed on by the writer's thread. An exception of its handler ended the process there (SIGABRT in a review), and on the library's thread it gave two answers to one request, 500 and a 400 that says that nothing has run.

The connection catches it, logs request_handler_failed; the reply that was not sent answers with status 500, once.

--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -10,6 +10,8 @@
 #include <sys/uio.h>
 #include <utility>
 
+#include "Common/Log.h"
+
 namespace Net {
 
 namespace {
@@ -153,9 +155,15 @@
         return;
     }
     received.request.connection = this->connectionNumber;
-    this->server->handler(std::move(received.request),
-                          HttpReply(std::make_shared<HttpReply::Implementation>(
-                                  this->shared_from_this(), this->server)));
+    try {
+        this->server->handler(std::move(received.request),
+                              HttpReply(std::make_shared<HttpReply::Implementation>(
+                                      this->shared_from_this(), this->server)));
+    } catch (const std::exception &error) {
+        // The reply that was not sent has answered with status 500.
+        Common::logEvent(Common::LogLevel::Error, "request_handler_failed",
+                         {{"connection", this->connectionNumber}, {"detail", error.what()}});
+    }
 }
 
 void HttpConnection::handleNext()
--- a/Source/UnitTests/Net/HttpPipelineTest.cpp
+++ b/Source/UnitTests/Net/HttpPipelineTest.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -246,3 +247,28 @@
     CHECK(answered == static_cast<std::size_t>(processed) + 1);
     CHECK(answered < Sent);
 }
+
+TEST_CASE("A failing handler ends the process, or leaves a request without exactly one answer")
+{
+    // The second request waits behind the first, and is handed on by another thread than the first.
+    const auto server =
+            Net::HttpServerBuilder()
+                    .handler([](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        if (request.path == "/fail") {
+                            throw std::runtime_error("the handler fails");
+                        }
+                        reply.send({200, "ok", "text/plain", 0, false});
+                    })
+                    .build();
+    const std::string fail = RawCaller::requestOf("/fail");
+    const std::string next = RawCaller::requestOf("/next", "Connection: close\r\n");
+    for (const std::string &requests : {fail + next, RawCaller::requestOf("/a") + fail + next}) {
+        RawCaller caller(server->port());
+        caller.send(requests);
+        const std::string answers = caller.readToEnd();
+        const std::size_t failed = answers.find("500 Internal Server Error");
+        CHECK(failed != std::string::npos);
+        CHECK(answers.find("HTTP/1.1", failed + 1) != std::string::npos);
+        CHECK(answers.find("400 Bad Request") == std::string::npos);
+    }
+}
