Net, UnitTests: clean under the linter, the outgoing answer is a type of its own

The linter's compiler rejects an optional of a nested type with default values while the class is incomplete (HttpConnection.cpp), and reported two names and two loops in tests. OutgoingAnswer stands beside the class now; nothing else changes.

--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -42,6 +42,11 @@
     return {text.data() + offset, text.size() - offset};
 }
 
+std::size_t bytesLeft(const OutgoingAnswer &answer)
+{
+    return answer.head.size() + answer.body.size() - answer.written;
+}
+
 /// Bytes that a request takes while it waits, but for its query.
 std::size_t sizeOf(const HttpRequest &request)
 {
@@ -221,7 +226,7 @@
 /// Leaves the rest of the outgoing answer to the AnswerWriter. The caller holds the mutex.
 bool HttpConnection::watch()
 {
-    const std::size_t bytes = this->outgoing->left();
+    const std::size_t bytes = bytesLeft(*this->outgoing);
     const int duplicate = ::fcntl(this->socket, F_DUPFD_CLOEXEC, 0);
     if (duplicate < 0 || !this->server->writer.add(this->shared_from_this(), duplicate, bytes)) {
         this->resetConnection();
@@ -235,7 +240,7 @@
 std::size_t HttpConnection::unwrittenBytes()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    return this->outgoing ? this->outgoing->left() : 0;
+    return this->outgoing ? bytesLeft(*this->outgoing) : 0;
 }
 
 WriteResult HttpConnection::writeMore()
@@ -258,7 +263,7 @@
 WriteResult HttpConnection::writeOutgoing()
 {
     const int target = this->watchedSocket >= 0 ? this->watchedSocket : this->socket;
-    Outgoing &answer = *this->outgoing;
+    OutgoingAnswer &answer = *this->outgoing;
     const std::size_t total = answer.head.size() + answer.body.size();
     const std::size_t before = answer.written;
     while (answer.written < total && answer.written < before + MaxBytesPerTurn) {
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -51,6 +51,14 @@
     bool isLast = false;
 };
 
+/// An answer, and how much of it is written.
+struct OutgoingAnswer
+{
+    std::string head;
+    std::string body;
+    std::size_t written = 0;
+};
+
 enum class WriteResult {
     /// Nothing is left to write.
     Complete,
@@ -102,16 +110,6 @@
     void disconnected();
 
 private:
-    /// An answer, and how much of it is written.
-    struct Outgoing
-    {
-        std::string head;
-        std::string body;
-        std::size_t written = 0;
-
-        std::size_t left() const { return this->head.size() + this->body.size() - this->written; }
-    };
-
     void handle(ReceivedRequest received);
     void handleNext();
     WriteResult writeOutgoing();
@@ -131,7 +129,7 @@
     bool isBusy = false;
     std::deque<ReceivedRequest> waiting;
     std::size_t waitingBytes = 0;
-    std::optional<Outgoing> outgoing;
+    std::optional<OutgoingAnswer> outgoing;
     /// A duplicate of the socket while the AnswerWriter has the rest of the outgoing answer, or -1.
     /// Unlike the library's, it stays open when the caller ends its sending.
     int watchedSocket = -1;
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -53,9 +53,8 @@
 };
 
 /// Called on one of the server's threads for each request, also at the same time on several ones;
-/// must not block. Requests on the same
-/// connection are handed on one at a time, the next one when the answer to the one before is
-/// written.
+/// must not block. Requests on the same connection are handed on one at a time, the next one when
+/// the answer to the one before is written.
 using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
 
 /// Called on one of the server's threads for each request that is refused without a
--- a/Source/UnitTests/Net/HttpPipelineTest.cpp
+++ b/Source/UnitTests/Net/HttpPipelineTest.cpp
@@ -262,8 +262,11 @@
                     .build();
     const std::string fail = RawCaller::requestOf("/fail");
     const std::string next = RawCaller::requestOf("/next", "Connection: close\r\n");
-    for (const std::string &requests : {fail + next, RawCaller::requestOf("/a") + fail + next}) {
+    for (const std::string &before : {std::string(), RawCaller::requestOf("/a")}) {
         RawCaller caller(server->port());
+        std::string requests = before;
+        requests += fail;
+        requests += next;
         caller.send(requests);
         const std::string answers = caller.readToEnd();
         const std::size_t failed = answers.find("500 Internal Server Error");
--- a/Source/UnitTests/Net/HttpUnreadTest.cpp
+++ b/Source/UnitTests/Net/HttpUnreadTest.cpp
@@ -342,6 +342,7 @@
         std::this_thread::sleep_for(Pause);
     }
     std::vector<std::thread> threads;
+    threads.reserve(readers.size());
     std::atomic<int> whole = 0;
     for (const std::unique_ptr<RawCaller> &reader : readers) {
         threads.emplace_back([&whole, &reader] {
--- a/Source/UnitTests/Net/RawCaller.cpp
+++ b/Source/UnitTests/Net/RawCaller.cpp
@@ -84,18 +84,18 @@
 /// Takes the next whole answer out of what was received.
 bool RawCaller::takeAnswer(std::string &body)
 {
-    static const std::string HeadEnd = "\r\n\r\n";
-    static const std::string LengthName = "Content-Length: ";
+    static const std::string headEnd = "\r\n\r\n";
+    static const std::string lengthName = "Content-Length: ";
     constexpr std::size_t MaxDigits = 20;
-    const std::size_t head = this->received.find(HeadEnd);
+    const std::size_t head = this->received.find(headEnd);
     if (head == std::string::npos) {
         return false;
     }
-    const std::size_t length = this->received.find(LengthName);
+    const std::size_t length = this->received.find(lengthName);
     REQUIRE(length < head);
     const std::size_t bytes =
-            std::stoul(this->received.substr(length + LengthName.size(), MaxDigits));
-    const std::size_t start = head + HeadEnd.size();
+            std::stoul(this->received.substr(length + lengthName.size(), MaxDigits));
+    const std::size_t start = head + headEnd.size();
     if (this->received.size() < start + bytes) {
         return false;
     }
