UnitTests: the two losses of power share their steps

losePowerInNeighbourhood repeated losePowerInTurn but for the agents that die. Ordering and losing power are functions now, which both call; scenarios, times and checks stay as they were. "Each safeguard..." and "An agent is away..." pass, 13 assertions as before; the formatter and the linter are clean on the file.

--- a/Source/UnitTests/Transient/SafeguardTest.cpp
+++ b/Source/UnitTests/Transient/SafeguardTest.cpp
@@ -66,37 +66,22 @@
     runFor(world, 12'000);
 }
 
-/// A gateway loses power shortly after its last orders, and two agents lose power just before its
-/// grants lapse.
-void losePowerInTurn(World &world, std::int64_t afterMs)
+/// A gateway orders tasks, and the agents' grants count from its last orders on.
+void orderTwice(World &world, std::int64_t betweenMs)
 {
-    constexpr std::int64_t BetweenMs = 690;
-    constexpr std::int64_t AfterwardsMs = 4000;
     constexpr std::int64_t LastOrdersMs = 100;
     submit(world, 0, Long, 8, 8000);
-    runFor(world, afterMs);
+    runFor(world, betweenMs);
     // Agents report the changed load: the last grant of the gateway counts from then on.
     submit(world, 0, Long, 8, 8000);
     runFor(world, LastOrdersMs);
-    killGateway(world, 0, false);
-    startGateway(world, 0);
-    runFor(world, BetweenMs);
-    killAgent(world, 0, false);
-    killAgent(world, 1, false);
-    runFor(world, AfterwardsMs);
 }
 
-/// The same, where only some agents are connected to the gateway, and all of them lose power.
-void losePowerInNeighbourhood(World &world, std::int64_t afterMs)
+/// The gateway loses power, and \a agents do just before its grants lapse.
+void losePower(World &world, const std::set<int> &agents)
 {
     constexpr std::int64_t BetweenMs = 690;
     constexpr std::int64_t AfterwardsMs = 4000;
-    constexpr std::int64_t LastOrdersMs = 100;
-    submit(world, 0, Long, 8, 8000);
-    runFor(world, afterMs);
-    submit(world, 0, Long, 8, 8000);
-    runFor(world, LastOrdersMs);
-    const std::set<int> agents = world.gateways[0].openAgents;
     killGateway(world, 0, false);
     startGateway(world, 0);
     runFor(world, BetweenMs);
@@ -106,6 +91,20 @@
     runFor(world, AfterwardsMs);
 }
 
+/// A gateway loses power shortly after its last orders, and then two agents.
+void losePowerInTurn(World &world, std::int64_t afterMs)
+{
+    orderTwice(world, afterMs);
+    losePower(world, {0, 1});
+}
+
+/// The same, where only some agents are connected to the gateway, and all of them lose power.
+void losePowerInNeighbourhood(World &world, std::int64_t afterMs)
+{
+    orderTwice(world, afterMs);
+    losePower(world, std::set<int>(world.gateways[0].openAgents));
+}
+
 /// The longest ones exceed the time after which an unanswered start can no longer take effect. The
 /// tasks that are ordered in the sockets of a frozen agent run elsewhere by then.
 const std::vector<std::int64_t> LongTimesMs{900, 2000, 3500, 13'800, 14'200, 14'600};
