--- a/Source/Core/Transient/Heartbeats.h
+++ b/Source/Core/Transient/Heartbeats.h
@@ -10,8 +10,8 @@
 ///
 /// Load pattern: heartbeats go to every connected agent and gateway four times a second. With a
 /// list of all gateways in each, 12 gateways sent 900 kB/s each to 78 peers before the first job.
-/// When all processes start together, a list of all gateways for each one that is added cost each
-/// of 55 gateways half a core and 5 to 10 MB/s.
+/// When all processes start together, a list of all gateways for each one that is added takes half
+/// a core of each of 55 gateways.
 namespace Transient {
 
 /// What a peer has been told on its present connection.
