UnitTests: the agent whose calls a test answers is in files of its own

RunnerTest.cpp held it beside fifty tests, and tests in other files could not use it. It moves to RunnerFixture; withdrawing a task, which two tests spelled out, becomes one of its functions.

--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -1,164 +1,6 @@
-#include <doctest/doctest.h>
-#include <optional>
-#include <ostream>
+#include "RunnerFixture.h"
 
-#include "Runner/Observation.h"
-#include "Runner/Runner.h"
-#include "Runner/Runs.h"
-
-using namespace Runner;
-using Transient::ObserveOutcome;
-using Transient::StartOutcome;
-
-namespace {
-
-constexpr std::int64_t LeaseMs = 700;
-constexpr const char *Gateway = "gateway-1";
-
-Common::Moment at(std::int64_t ms)
-{
-    return {ms, ms};
-}
-
-template <typename Wanted>
-std::optional<Wanted> lastOf(const Effects &effects)
-{
-    std::optional<Wanted> last;
-    for (const Effect &effect : effects) {
-        if (const auto *found = std::get_if<Wanted>(&effect)) {
-            last = *found;
-        }
-    }
-    return last;
-}
-
-/// An agent whose backend server has no runs, as an observation has shown.
-struct Fixture
-{
-    Fixture()
-    {
-        this->state.instance = "agent-1";
-        this->state.service = "desk";
-        this->state.times.leaseMs = LeaseMs;
-        this->state.times.grantMs = 1'000'000;
-        Transient::BackendAnnouncement backend;
-        backend.id = "backend-1";
-        backend.service = "desk";
-        backend.resources.processors = 8;
-        backend.resources.memoryMb = 1000;
-        backend.startedAtMs = 1;
-        backend.sequence = 1;
-        backendAnnounced(this->state, backend, at(1));
-        grantReceived(this->state, Gateway, 1);
-        const auto first = lastOf<CallObserve>(tick(this->state, at(1)));
-        REQUIRE(first.has_value());
-        this->seen(first->observation, 2);
-    }
-
-    /// Answers an observation that shows all runs that the agent counts as running.
-    Effects seen(std::uint64_t observation, std::int64_t nowMs, std::int64_t startedAtMs = 1)
-    {
-        Transient::ObserveAnswer answer;
-        answer.outcome = ObserveOutcome::Observed;
-        answer.seen.clockMs = nowMs;
-        answer.seen.startedAtMs = startedAtMs;
-        for (const auto &[id, run] : this->state.runs) {
-            if (run.phase == RunPhase::Running) {
-                answer.seen.active.push_back({run.task, run.number, 10});
-            }
-        }
-        return observeAnswered(this->state, observation, answer, at(nowMs));
-    }
-
-    /// Answers an observation without any runs.
-    void answerEmptyObservation(std::uint64_t observation, std::int64_t nowMs)
-    {
-        Transient::ObserveAnswer answer;
-        answer.outcome = ObserveOutcome::Observed;
-        answer.seen.clockMs = nowMs;
-        answer.seen.startedAtMs = 1;
-        observeAnswered(this->state, observation, answer, at(nowMs));
-    }
-
-    /// Orders a task and returns the start that follows.
-    CallStart order(const std::string &task, std::int64_t nowMs)
-    {
-        const Effects effects = this->orderFrom(Gateway, task, nowMs);
-        const auto start = lastOf<CallStart>(effects);
-        REQUIRE(start.has_value());
-        if (const auto observeCall = lastOf<CallObserve>(effects)) {
-            this->requested = observeCall->observation;
-        }
-        return *start;
-    }
-
-    Effects orderFrom(const std::string &gateway, const std::string &task, std::int64_t nowMs)
-    {
-        Schema::TaskOrders orders;
-        orders.sequence = ++this->sequence;
-        orders.echoMs = nowMs;
-        orders.resources.processors = 1;
-        orders.expectedRunMs = 5000;
-        orders.targetInMs = 10'000;
-        orders.deadlineInMs = 20'000;
-        orders.tasks.push_back({1, task});
-        Effects effects = ordersReceived(this->state, gateway, orders, at(nowMs));
-        append(effects, tick(this->state, at(nowMs)));
-        return effects;
-    }
-
-    /// Ends the observation that followed the last order with \a outcome.
-    void failLastObservation(ObserveOutcome outcome, std::int64_t nowMs)
-    {
-        Transient::ObserveAnswer failed;
-        failed.outcome = outcome;
-        observeAnswered(this->state, this->requested, failed, at(nowMs));
-    }
-
-    void answer(const CallStart &start, std::int64_t nowMs)
-    {
-        startAnswered(this->state, start.run, start.start.number, {StartOutcome::Started, nowMs},
-                      at(nowMs));
-    }
-
-    bool isKnown(RunId run) const { return this->state.runs.count(run) != 0; }
-
-    RunnerState state;
-    std::int64_t sequence = 0;
-    std::uint64_t requested = 0;
-};
-
-/// Ends all pending observations with \a outcome.
-void failPending(Fixture &site, ObserveOutcome outcome, std::int64_t nowMs)
-{
-    const std::map<std::uint64_t, PendingObservation> pending = site.state.pendingObservations;
-    for (const auto &[id, observation] : pending) {
-        Transient::ObserveAnswer failed;
-        failed.outcome = outcome;
-        observeAnswered(site.state, id, failed, at(nowMs));
-    }
-}
-
-/// Ends every observation between \a fromMs and \a untilMs with \a outcome. Returns the latest
-/// lease end that they requested; 0 if none requested a lease.
-std::int64_t failObservations(Fixture &site, ObserveOutcome outcome, std::int64_t fromMs,
-                              std::int64_t untilMs)
-{
-    failPending(site, outcome, fromMs);
-    std::int64_t leaseUntilMs = 0;
-    for (std::int64_t nowMs = fromMs; nowMs < untilMs; nowMs += 10) {
-        const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)));
-        if (call) {
-            leaseUntilMs = std::max(leaseUntilMs, call->leaseUntilMs);
-            Transient::ObserveAnswer failed;
-            failed.outcome = outcome;
-            observeAnswered(site.state, call->observation, failed, at(nowMs + 1));
-        }
-    }
-    return leaseUntilMs;
-}
-
-} // namespace
+using namespace RunnerSite;
 
 TEST_CASE("A pending start is not ended together with lapsed runs")
 {
@@ -663,9 +505,7 @@
     Fixture site;
     const CallStart start = site.order("a.0.0", 10);
     site.failLastObservation(ObserveOutcome::Refused, 12);
-    Schema::WithdrawTasks withdraw;
-    withdraw.tasks.push_back({1, "a.0.0"});
-    withdrawReceived(site.state, Gateway, withdraw, at(99));
+    site.withdraw("a.0.0", 99);
     const auto observeCall = lastOf<CallObserve>(tick(site.state, at(99)));
     REQUIRE(observeCall.has_value());
     stopAnswered(site.state, "a.0.0", start.start.number, true, at(99));
@@ -681,9 +521,7 @@
     Fixture site;
     const std::int64_t fence = site.state.fence;
     const CallStart start = site.order("a.0.0", 10);
-    Schema::WithdrawTasks withdraw;
-    withdraw.tasks.push_back({1, "a.0.0"});
-    withdrawReceived(site.state, Gateway, withdraw, at(12));
+    site.withdraw("a.0.0", 12);
     tick(site.state, at(12));
     site.failLastObservation(ObserveOutcome::Refused, 13);
     stopAnswered(site.state, "a.0.0", start.start.number, true, at(15));
