UnitTests: the safeguard "fence" is played at all times of the new process

Its row replaces an agent 0.1 to 1.5 s after it was killed, in five worlds. The row has all nine times now, 0.1 to 3.5 s, on both sides of the check.

--- a/Source/UnitTests/Transient/SafeguardTest.cpp
+++ b/Source/UnitTests/Transient/SafeguardTest.cpp
@@ -159,7 +159,7 @@
     Row rows[] = {{"grants", {}, freezeWithOrders, LongTimesMs, {}},
                   {"settling", {}, breakLinks, AllTimesMs, {}},
                   {"clean start", {}, replaceAgent, AllTimesMs, {}},
-                  {"fence", {}, replaceAgentWithLateOrders, ShortTimesMs, {}},
+                  {"fence", {}, replaceAgentWithLateOrders, AllTimesMs, {}},
                   {"orphans", {}, losePowerInTurn, HeartbeatTimesMs, {}},
                   {"relays", {}, losePowerInNeighbourhood, HeartbeatTimesMs, FewLinks}};
     rows[0].off.grants = false;
