Runner: a task stays where its lost start may still arrive

A start is lost and given up; its stop is accepted, an observation does not show the run, and the task goes elsewhere. Then the backend server crashes and begins again under its id while its agent is frozen, and the start arrives there, 2 to 12 s late.

Cause, by the trace of the shortened list (17 commands): stop and observation are true, but of the incarnation that gave them. The next one knows neither run number nor fence. The task was set free on that word for as long as its start could still arrive.

Ruled out by trials: a header that names the incarnation.

A crash that lets the lost start through ends that run as well. The run is not reported as started meanwhile, so that the gateway of a lost agent waits for it as for any unanswered start; other gateways are told likewise when its gateway is suspect. After a crash it waits until the next incarnation has answered under a higher fence and what it lists of the task has ended. A start that was seen to take effect, or was meant for another id, holds nothing back. A stop for a stronger reason replaces that of a lost start.

Failed before: "A lost start reaches the next incarnation..." (two runs in 9 of 40 cases), the list in "Command lists...", three of the four tests of UnansweredStartTest.

--- a/Source/Core/Runner/Observation.cpp
+++ b/Source/Core/Runner/Observation.cpp
@@ -54,10 +54,11 @@
     }
     state.lastEnd = end.position;
     RunId id = 0;
-    const Run *run = findRun(state, end.task, end.number, id);
+    Run *run = findRun(state, end.task, end.number, id);
     if (run == nullptr) {
         return;
     }
+    run->isStartKnown = true;
     switch (end.end) {
     case RunEnd::Succeeded:
         finishRun(state, effects, id, AttemptPhase::Succeeded, Reason::None, now);
@@ -68,7 +69,7 @@
     default: {
         const Reason reason =
                 run->phase == RunPhase::Stopping ? run->stopReason : Reason::LeaseLapsed;
-        finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
+        finishOrRestart(state, effects, id, reason, now);
     }
     }
 }
@@ -122,8 +123,10 @@
     }
 }
 
-/// Finishes the runs that the backend server no longer lists, although the observation was sent
-/// after their start was answered or after their stop was accepted.
+/// Ends the runs that the backend server no longer lists, although the observation was sent after
+/// their start was answered or after their stop was accepted. As long as another run of the same
+/// task is listed, such as a late start that was meant for a previous incarnation, a run does not
+/// end: its task would start again beside that one.
 void finishMissingRuns(RunnerState &state, Effects &effects, const Transient::Observation &seen,
                        std::int64_t sentMs, Common::Moment now)
 {
@@ -133,6 +136,9 @@
             run.missedObservations = 0;
             continue;
         }
+        if (hasStray(state, run.task)) {
+            continue;
+        }
         const bool isStopped = run.phase == RunPhase::Stopping && run.stopAcceptedMs != 0
                                && sentMs > run.stopAcceptedMs;
         // Calls can overtake each other: only an observation that was sent after the answer to the
@@ -147,7 +153,7 @@
         const Run &run = state.runs.at(id);
         const Reason reason =
                 run.phase == RunPhase::Stopping ? run.stopReason : Reason::BackendLost;
-        finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
+        finishOrRestart(state, effects, id, reason, now);
     }
 }
 
@@ -311,6 +317,12 @@
 
 } // namespace
 
+bool hasStray(const RunnerState &state, const std::string &task)
+{
+    return std::any_of(state.strays.begin(), state.strays.end(),
+                       [&](const auto &entry) { return entry.first.first == task; });
+}
+
 void beginIncarnation(RunnerState &state, Effects &effects,
                       const Transient::BackendAnnouncement &before, Common::Moment now)
 {
@@ -333,8 +345,14 @@
     state.leaseGrantSentMs =
             std::max(state.leaseGrantSentMs,
                      now.steadyMs + state.times.longestLeaseMs - state.times.leaseMs);
+    const bool takesOldCalls = state.backend->id == before.id;
     std::vector<RunId> unanswered;
     for (auto &[id, run] : state.runs) {
+        if (!takesOldCalls) {
+            // Every call names the backend server's id, and one with another id rejects it.
+            run.isStartKnown = true;
+            run.earlierStartSentMs = 0;
+        }
         if (run.phase == RunPhase::Running) {
             // The run is over unless the next observation lists it.
             run.startAnsweredMs = now.steadyMs + 1;
--- a/Source/Core/Runner/Observation.h
+++ b/Source/Core/Runner/Observation.h
@@ -13,6 +13,9 @@
 /// Sends the next observation if one is needed and due.
 Effects observeIfDue(RunnerState &state, Common::Moment now);
 
+/// Whether the backend server lists a run of the task that matches no started run here.
+bool hasStray(const RunnerState &state, const std::string &task);
+
 /// Handles a new incarnation of the backend server, which has no knowledge of earlier runs, stops
 /// and calls.
 void beginIncarnation(RunnerState &state, Effects &effects,
--- a/Source/Core/Runner/Orphans.cpp
+++ b/Source/Core/Runner/Orphans.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "Runner/Runs.h"
+
 namespace Runner {
 
 namespace {
@@ -40,7 +42,8 @@
     std::set<std::string> unanswered;
     for (const auto &[id, run] : state.runs) {
         const bool isHeld = isSuspect(state, run.gateway, now);
-        const bool isUnanswered = mayStillStart(run) && (isHeld || isStopUnconfirmed(run, now));
+        const bool isUnanswered = isHeld ? mayStillStart(run) || mayStartLate(state, run, now)
+                                         : mayStillStart(run) && isStopUnconfirmed(run, now);
         if (!isHeld && !isUnanswered) {
             continue;
         }
--- a/Source/Core/Runner/Pace.cpp
+++ b/Source/Core/Runner/Pace.cpp
@@ -123,6 +123,9 @@
     }
     std::vector<RunId> moving;
     for (const auto &[id, run] : state.runs) {
+        if (mayStartLate(state, run, now)) {
+            continue;
+        }
         const bool isWaiting = run.phase == RunPhase::Queued && run.attempt <= MaxMoves;
         if (isWaiting || isBetterElsewhere(run, slowdown, now)) {
             moving.push_back(id);
--- a/Source/Core/Runner/RunQueue.cpp
+++ b/Source/Core/Runner/RunQueue.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "Runner/Load.h"
+#include "Runner/Observation.h"
 
 namespace Runner {
 
@@ -20,12 +21,11 @@
 bool hasOtherRun(const RunnerState &state, RunId id)
 {
     const std::string &task = state.runs.at(id).task;
-    const bool isStray = std::any_of(state.strays.begin(), state.strays.end(),
-                                     [&](const auto &entry) { return entry.first.first == task; });
-    return isStray || std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
-               return entry.first != id && entry.second.phase != RunPhase::Queued
-                      && entry.second.task == task;
-           });
+    return hasStray(state, task)
+           || std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
+                  return entry.first != id && entry.second.phase != RunPhase::Queued
+                         && entry.second.task == task;
+              });
 }
 
 } // namespace
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -66,6 +66,9 @@
     /// The backend server has answered the start, or listed the run in an observation. Until then
     /// the start may still be in transit.
     bool isStartKnown = false;
+    /// When the last earlier start of this attempt was sent that may still be in transit; 0 if
+    /// there is none.
+    std::int64_t earlierStartSentMs = 0;
     std::int64_t startedMs = 0;
     /// When the answer to the start was received; 0 before.
     std::int64_t startAnsweredMs = 0;
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -21,6 +21,8 @@
 /// Pause after a start for which the backend server had no room. Either its free resources differ
 /// from what is known here, or a stop is still in progress, which takes 50 ms at most.
 constexpr std::int64_t NoRoomRetryMs = 50;
+/// Pause after a refused start of a task that has to stay with this agent.
+constexpr std::int64_t RefusedRetryMs = 50;
 
 Transient::LogLine runLogLine(const char *event, const Run &run, Common::Moment now,
                               std::vector<std::pair<std::string, std::string>> more)
@@ -38,11 +40,33 @@
 void requeue(RunnerState &state, RunId id, std::int64_t notBeforeMs)
 {
     Run &run = state.runs.at(id);
+    if (!run.isStartKnown) {
+        run.earlierStartSentMs = run.startSentMs;
+    }
     run.phase = RunPhase::Queued;
     run.notBeforeMs = notBeforeMs;
     enqueue(state, id);
 }
 
+/// Whether the task of a run that ended for this reason should run again.
+bool isTaskWanted(Reason endReason)
+{
+    return endReason == Reason::StartUnanswered || endReason == Reason::BackendLost
+           || endReason == Reason::LeaseLapsed;
+}
+
+/// The answer to a pending start will be ignored, since its run is over. Its possible effects are
+/// therefore accounted for now.
+void dropPendingStart(RunnerState &state, Run &run)
+{
+    if (!run.isStartPending) {
+        return;
+    }
+    run.isStartPending = false;
+    state.leaseGrantSentMs = std::max(state.leaseGrantSentMs, run.startSentMs);
+    raiseUnansweredFence(state, run.startFence);
+}
+
 std::int64_t nextNumber(const RunnerState &state, const Run &run)
 {
     const auto known = state.usedNumbers.find(run.task);
@@ -77,7 +101,8 @@
 void skipNumbers(RunnerState &state, const Run &run, Common::Moment now)
 {
     UsedNumber &known = state.usedNumbers[run.task];
-    known.number = std::max(known.number, run.number) + (std::int64_t{1} << run.startTries);
+    const int doublings = std::min(run.startTries, MaxStartTries);
+    known.number = std::max(known.number, run.number) + (std::int64_t{1} << doublings);
     known.usedMs = now.steadyMs;
 }
 
@@ -101,11 +126,14 @@
     run.phase = RunPhase::Running;
     run.startedMs = run.startSentMs;
     run.startAnsweredMs = now.steadyMs;
-    Schema::AttemptState started;
-    started.task = run.task;
-    started.attempt = run.attempt;
-    started.phase = AttemptPhase::Running;
-    effects.emplace_back(ReportAttempt{run.gateway, started});
+    if (!mayStartLate(state, run, now)) {
+        // When this agent is lost, the gateway waits for late starts of unreported runs only.
+        Schema::AttemptState started;
+        started.task = run.task;
+        started.attempt = run.attempt;
+        started.phase = AttemptPhase::Running;
+        effects.emplace_back(ReportAttempt{run.gateway, started});
+    }
     effects.emplace_back(
             runLogLine("run_started", run, now,
                        {{"tries", std::to_string(run.startTries)},
@@ -121,7 +149,8 @@
     effects.emplace_back(runLogLine(
             "start_denied", run, now,
             {{"why", std::string(Common::nameOf(Transient::StartOutcomeNames, outcome))}}));
-    const bool triesLeft = run.startTries < MaxStartTries;
+    const bool staysHere = mayStartLate(state, run, now);
+    const bool triesLeft = staysHere || run.startTries < MaxStartTries;
     switch (outcome) {
     case StartOutcome::NumberUsed:
         skipNumbers(state, run, now);
@@ -138,6 +167,10 @@
     case StartOutcome::LeaseTooShort:
         break;
     default:
+        if (staysHere && outcome != StartOutcome::Malformed) {
+            requeue(state, id, now.steadyMs + RefusedRetryMs);
+            return;
+        }
         finishRun(state, effects, id, AttemptPhase::NotStarted, Reason::BackendRefused, now);
         return;
     }
@@ -188,24 +221,49 @@
     return state.clockOffsetMs ? now.steadyMs + *state.clockOffsetMs + state.times.leaseMs : 0;
 }
 
+bool mayStartLate(const RunnerState &state, const Run &run, Common::Moment now)
+{
+    const bool isUnanswered = run.phase == RunPhase::Stopping && !run.isStartKnown;
+    const std::int64_t sentMs = isUnanswered ? run.startSentMs : run.earlierStartSentMs;
+    return sentMs != 0 && now.steadyMs <= sentMs + state.times.lateStartMs;
+}
+
+void finishOrRestart(RunnerState &state, Effects &effects, RunId id, Reason reason,
+                     Common::Moment now)
+{
+    Run &run = state.runs.at(id);
+    const bool canRestart = isTaskWanted(reason) && now.steadyMs < run.deadlineMs
+                            && !state.isStopping && !state.backend->leaving;
+    if (!canRestart || !mayStartLate(state, run, now)) {
+        finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
+        return;
+    }
+    effects.emplace_back(
+            runLogLine("run_restarting", run, now, {{"reason", Schema::enumName(reason)}}));
+    dropPendingStart(state, run);
+    requeue(state, id, now.steadyMs);
+    run.startedMs = 0;
+    run.startAnsweredMs = 0;
+    run.percent = 0;
+    run.progressSeenMs = 0;
+    run.stopReason = Reason::None;
+    run.stopAcceptedMs = 0;
+}
+
 void finishRun(RunnerState &state, Effects &effects, RunId id, AttemptPhase phase, Reason reason,
                Common::Moment now)
 {
+    dropPendingStart(state, state.runs.at(id));
     const Run run = state.runs.at(id);
-    if (run.isStartPending) {
-        // The answer to the start will be ignored, since the run is removed here. Its possible
-        // effects are therefore accounted for now.
-        state.leaseGrantSentMs = std::max(state.leaseGrantSentMs, run.startSentMs);
-        raiseUnansweredFence(state, run.startFence);
-    }
+    const bool mayHaveRun = run.earlierStartSentMs != 0;
     Schema::AttemptState ended;
     ended.task = run.task;
     ended.attempt = run.attempt;
-    ended.phase = phase;
+    ended.phase = phase == AttemptPhase::NotStarted && mayHaveRun ? AttemptPhase::Stopped : phase;
     ended.reason = reason;
     ended.runMs = run.startedMs == 0 ? 0 : now.steadyMs - run.startedMs;
     effects.emplace_back(runLogLine("run_ended", run, now,
-                                    {{"phase", Schema::enumName(phase)},
+                                    {{"phase", Schema::enumName(ended.phase)},
                                      {"reason", Schema::enumName(reason)},
                                      {"run_ms", std::to_string(ended.runMs)}}));
     effects.emplace_back(ReportAttempt{run.gateway, ended});
@@ -288,6 +346,9 @@
         return;
     }
     if (run.phase == RunPhase::Stopping) {
+        if (isTaskWanted(run.stopReason)) {
+            run.stopReason = reason;
+        }
         return;
     }
     effects.emplace_back(
@@ -352,7 +413,9 @@
         }
         const bool mayStillStart = !run.isStartKnown && run.stopAcceptedMs == 0
                                    && now.steadyMs <= run.startSentMs + state.times.lateStartMs;
-        (mayStillStart ? unknown : over).push_back(id);
+        const bool isWanted = run.phase != RunPhase::Stopping || isTaskWanted(run.stopReason);
+        const bool staysHere = isWanted && mayStartLate(state, run, now);
+        (mayStillStart || staysHere ? unknown : over).push_back(id);
     }
     for (const RunId id : over) {
         finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -33,6 +33,19 @@
 void stopAnswered(RunnerState &state, const std::string &task, std::int64_t number, bool accepted,
                   Common::Moment now);
 
+/// Whether a start of the run that was never answered may still take effect. A stop that the
+/// backend server has accepted prevents that in its present incarnation only: the next one, under
+/// the same id, takes the start if it arrives before the agent's first call. When such tasks went
+/// elsewhere, they had two runs at the same time. They stay with this agent instead, where a crash
+/// of the backend server ends their run as well, and where the gateway waits for late starts if the
+/// agent is lost.
+bool mayStartLate(const RunnerState &state, const Run &run, Common::Moment now);
+
+/// Handles the end of a run that has neither succeeded nor failed: queues it again if its task is
+/// still wanted and has to stay with this agent, and finishes it otherwise.
+void finishOrRestart(RunnerState &state, Effects &effects, RunId id, Schema::Reason reason,
+                     Common::Moment now);
+
 /// Removes the run and reports its end to its gateway.
 void finishRun(RunnerState &state, Effects &effects, RunId id, Schema::AttemptPhase phase,
                Schema::Reason reason, Common::Moment now);
@@ -45,10 +58,10 @@
 /// Begins to stop runs past their deadline, and sends the stops that are due.
 Effects sendDueStops(RunnerState &state, Common::Moment now);
 
-/// Finishes all started runs, since none of them is running any more. The exception is a start that
-/// was never answered: it may still take effect, and finishing its run at once made the task run
-/// twice at the same time. Such a run is stopped instead, until the backend server confirms the
-/// stop or the start can no longer take effect.
+/// Finishes all started runs, since none of them is running any more. The exception are runs with a
+/// start that was never answered: it may still take effect, and finishing the run at once made the
+/// task run twice at the same time. Such a run is stopped instead, until the backend server
+/// confirms the stop or the start can no longer take effect.
 void endLostRuns(RunnerState &state, Effects &effects, Schema::Reason reason, Common::Moment now);
 
 /// End of a lease that is granted now, on the backend server's clock; 0 while that is not known.
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -458,9 +458,15 @@
              "power_off_gateway(55,268) wait(580,407) start_gateways(239,283) "
              "restart_backends(133,300) set_clocks_back(289,46) hang_backend(591,70) "
              "wait(420,113) leave_backend(490,413)"},
+            {"a lost start reaches the next incarnation while the agent is frozen", 157'591,
+             "kill_agent(104,111) start_agents(99,90) submit(121,274) submit(122,229) "
+             "mute_backend(9,219) freeze_gateway(105,438) reset_link(287,466) "
+             "leave_backend(179,153) end_backend(62,63) lose_answers(488,22) wait(412,331) "
+             "submit_long(413,299) submit_long(89,310) wait(469,488) freeze_agent(483,8) "
+             "crash_backend(115,440) late_orders_reach_next_life(76,310)"},
     };
     for (const Row &row : rows) {
-        CAPTURE(row.what);
+        CAPTURE(std::string(row.what));
         CHECK(findViolations(parseCommands(row.commands), row.seed) == "");
     }
 }
--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -357,3 +357,42 @@
     runFor(*world, 14'000);
     checkInvariants(*world);
 }
+
+TEST_CASE("A lost start reaches the next incarnation of a backend server whose agent is away")
+{
+    // The agent has stopped the lost start, but only the incarnation that ended knows that. The
+    // next one, under the same id, takes the start before the agent can raise its fence. If the
+    // task ran at another backend server by then, it would run twice at a time.
+    using AgentLeaves = void (*)(World &);
+    struct Row
+    {
+        const char *what;
+        AgentLeaves leaves;
+    };
+    constexpr std::int64_t AwayMs = 4000;
+    const Row rows[] = {{"frozen", [](World &world) { freezeAgent(world, 0, AwayMs); }},
+                        {"killed", [](World &world) { killAgent(world, 0, true); }}};
+    for (const Row &row : rows) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(std::string(row.what));
+            CAPTURE(seed);
+            auto world = readySite(seed, 1, 3);
+            world->lateOrdersReachNextIncarnation = true;
+            world->unansweredShare = 0.6;
+            submit(*world, 0, {14'000, 1, false}, 12, 20'000);
+            runFor(*world, 300);
+            world->unansweredShare = 0;
+            runFor(*world, 600);
+            row.leaves(*world);
+            crashBackend(*world, 0);
+            runFor(*world, 100);
+            restartBackend(*world, 0);
+            runFor(*world, AwayMs);
+            if (!world->agents[0].isUp) {
+                startAgent(*world, 0);
+            }
+            runFor(*world, 10'000);
+            checkInvariants(*world);
+        }
+    }
+}
--- /dev/null
+++ b/Source/UnitTests/Transient/UnansweredStartTest.cpp
@@ -0,0 +1,195 @@
+#include <functional>
+
+#include "RunnerFixture.h"
+
+using namespace RunnerSite;
+
+namespace {
+
+constexpr const char *Task = "a.0.0";
+constexpr std::int64_t NextBornMs = 1000;
+
+/// Ticks until the agent sends an observation, and answers it with \a active runs.
+void observe(Fixture &site, std::int64_t fromMs, const std::vector<Transient::ActiveRun> &active,
+             std::int64_t startedAtMs = 1)
+{
+    constexpr std::int64_t LimitMs = 500;
+    failPending(site, ObserveOutcome::Unanswered, fromMs);
+    for (std::int64_t ms = fromMs; ms < fromMs + LimitMs; ms += 5) {
+        const auto call = lastOf<CallObserve>(observeIfDue(site.state, at(ms)));
+        if (call) {
+            Transient::ObserveAnswer answer;
+            answer.outcome = ObserveOutcome::Observed;
+            answer.seen.clockMs = ms;
+            answer.seen.startedAtMs = startedAtMs;
+            answer.seen.active = active;
+            observeAnswered(site.state, call->observation, answer, at(ms + 1));
+            return;
+        }
+    }
+    FAIL("no observation");
+}
+
+/// Leaves the start unanswered. Its stop is accepted and an observation shows nothing of it.
+void loseStart(Fixture &site, const CallStart &start, std::int64_t nowMs)
+{
+    startAnswered(site.state, start.run, start.start.number, {StartOutcome::Unanswered, {}},
+                  at(nowMs));
+    REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(nowMs))).has_value());
+    stopAnswered(site.state, Task, start.start.number, true, at(nowMs + 2));
+    observe(site, nowMs + 10, {});
+}
+
+/// The next start of the task; none if it is not at this agent any more.
+std::optional<CallStart> nextStart(Fixture &site, std::int64_t nowMs)
+{
+    return lastOf<CallStart>(startRuns(site.state, at(nowMs)));
+}
+
+bool isReportedAsRunning(const Effects &effects)
+{
+    const auto report = lastOf<ReportAttempt>(effects);
+    return report && report->state.phase == Schema::AttemptPhase::Running;
+}
+
+Transient::BackendAnnouncement nextIncarnation(const Fixture &site, const std::string &id)
+{
+    Transient::BackendAnnouncement next = *site.state.backend;
+    next.id = id;
+    next.startedAtMs = NextBornMs;
+    next.sequence = 1;
+    return next;
+}
+
+} // namespace
+
+TEST_CASE("A task whose start was unanswered runs again at the same backend server")
+{
+    // Guards against a task that runs elsewhere when the next incarnation takes its lost start.
+    Fixture site;
+    const CallStart lost = site.order(Task, 10);
+    loseStart(site, lost, 160);
+    const auto next = nextStart(site, 200);
+    REQUIRE(next.has_value());
+    CHECK(next->start.number > lost.start.number);
+    CHECK(next->start.fence > lost.start.fence);
+    // If the agent is lost, its gateway waits for late starts of tasks not reported as running.
+    const Effects answered = startAnswered(site.state, next->run, next->start.number,
+                                           {StartOutcome::Started, 202}, at(202));
+    CHECK(site.state.runs.at(next->run).phase == RunPhase::Running);
+    CHECK_FALSE(isReportedAsRunning(answered));
+}
+
+TEST_CASE("A task stays at a backend server for as long as a lost start may arrive there")
+{
+    // Guards against two runs at a time, and against waiting for a start that cannot arrive.
+    struct Row
+    {
+        const char *what;
+        bool stays;
+        /// What happens to the next start of the task, which was sent at 200 ms.
+        std::function<void(Fixture &, const CallStart &)> happens;
+    };
+    const auto reject = [](StartOutcome outcome) {
+        return [outcome](Fixture &site, const CallStart &start) {
+            startAnswered(site.state, start.run, start.start.number, {outcome, {}}, at(210));
+        };
+    };
+    const Row rows[] = {
+            {"it is refused", true, reject(StartOutcome::Refused)},
+            {"no connection can be made", true, reject(StartOutcome::NotConnected)},
+            {"another incarnation answers", true, reject(StartOutcome::OtherIncarnation)},
+            {"it is malformed, as the lost one is", false, reject(StartOutcome::Malformed)},
+            {"it is lost, too", true,
+             [](Fixture &site, const CallStart &start) { loseStart(site, start, 350); }},
+            {"its run is missing", true,
+             [](Fixture &site, const CallStart &start) {
+                 site.answer(start, 202);
+                 observe(site, 250, {});
+                 observe(site, 600, {});
+             }},
+            {"all calls go unanswered for a second", true,
+             [](Fixture &site, const CallStart &start) {
+                 site.answer(start, 202);
+                 failObservations(site, ObserveOutcome::Unanswered, 210, 3000);
+             }},
+            {"the time in which orders are carried out late has passed", false,
+             [](Fixture &site, const CallStart &start) {
+                 site.answer(start, 202);
+                 failObservations(site, ObserveOutcome::Unanswered, 210, 15'000);
+             }},
+            {"its caller leaves", false,
+             [](Fixture &site, const CallStart &start) {
+                 startAnswered(site.state, start.run, start.start.number,
+                               {StartOutcome::Refused, {}}, at(210));
+                 site.withdraw(Task, 220);
+             }},
+            {"its caller leaves while it is stopped", false,
+             [](Fixture &site, const CallStart &start) {
+                 startAnswered(site.state, start.run, start.start.number,
+                               {StartOutcome::Unanswered, {}}, at(350));
+                 site.withdraw(Task, 355);
+                 REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(360))).has_value());
+                 stopAnswered(site.state, Task, start.start.number, true, at(362));
+                 observe(site, 370, {});
+             }},
+            {"the backend server is replaced by one with another id", false,
+             [](Fixture &site, const CallStart &start) {
+                 site.answer(start, 202);
+                 backendAnnounced(site.state, nextIncarnation(site, "backend-2"), at(250));
+                 observe(site, 260, {}, NextBornMs);
+             }},
+            {"the next incarnation has the same id", true,
+             [](Fixture &site, const CallStart &start) {
+                 site.answer(start, 202);
+                 backendAnnounced(site.state, nextIncarnation(site, "backend-1"), at(250));
+                 observe(site, 260, {}, NextBornMs);
+             }},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        Fixture site;
+        loseStart(site, site.order(Task, 10), 160);
+        const auto next = nextStart(site, 200);
+        REQUIRE(next.has_value());
+        row.happens(site, *next);
+        CHECK(site.isKnown(next->run) == row.stays);
+    }
+}
+
+TEST_CASE("A task whose lost start was carried out goes elsewhere after its stop")
+{
+    // Guards against keeping a task for a start that has arrived already.
+    Fixture site;
+    const CallStart start = site.order(Task, 10);
+    startAnswered(site.state, start.run, start.start.number, {StartOutcome::Unanswered, {}},
+                  at(160));
+    observe(site, 161, {{Task, start.start.number, 3}});
+    REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(170))).has_value());
+    stopAnswered(site.state, Task, start.start.number, true, at(172));
+    observe(site, 180, {});
+    CHECK_FALSE(site.isKnown(start.run));
+}
+
+TEST_CASE("A task waits until the late start that the next incarnation took has ended")
+{
+    // Guards against a second run beside a lost start that came before the agent's first call.
+    Fixture site;
+    const CallStart lost = site.order(Task, 10);
+    loseStart(site, lost, 160);
+    const auto next = nextStart(site, 200);
+    REQUIRE(next.has_value());
+    site.answer(*next, 202);
+    backendAnnounced(site.state, nextIncarnation(site, "backend-1"), at(1000));
+    const std::vector<Transient::ActiveRun> late{{Task, lost.start.number, 5}};
+    observe(site, 1001, late, NextBornMs);
+    CHECK_FALSE(nextStart(site, 1010).has_value());
+    observe(site, 1050, late, NextBornMs);
+    CHECK(site.state.runs.at(next->run).phase == RunPhase::Running);
+    CHECK_FALSE(nextStart(site, 1100).has_value());
+    observe(site, 1150, {}, NextBornMs);
+    const auto again = nextStart(site, 1200);
+    REQUIRE(again.has_value());
+    CHECK(again->start.number > next->start.number);
+    CHECK(again->start.fence > lost.start.fence);
+}
