UnitTests: each part of what keeps a task with a lost start is shown to be needed

Of nine parts of the change three could be taken out without a failing test: that such a task is not moved from a backend server on which runs stand still, that a listed end shows that the start has arrived, and that other gateways are told when its gateway is suspect. Each has its check now, which fails without that part and passes with it. No product change.

--- a/Source/UnitTests/Transient/UnansweredStartTest.cpp
+++ b/Source/UnitTests/Transient/UnansweredStartTest.cpp
@@ -1,5 +1,7 @@
 #include <functional>
 
+#include "Runner/Orphans.h"
+#include "Runner/Pace.h"
 #include "RunnerFixture.h"
 
 using namespace RunnerSite;
@@ -9,9 +11,10 @@
 constexpr const char *Task = "a.0.0";
 constexpr std::int64_t NextBornMs = 1000;
 
-/// Ticks until the agent sends an observation, and answers it with \a active runs.
+/// Lets time pass until the agent sends an observation, and answers it with \a active and \a ended
+/// runs.
 void observe(Fixture &site, std::int64_t fromMs, const std::vector<Transient::ActiveRun> &active,
-             std::int64_t startedAtMs = 1)
+             std::int64_t startedAtMs = 1, const std::vector<Transient::EndedRun> &ended = {})
 {
     constexpr std::int64_t LimitMs = 500;
     failPending(site, ObserveOutcome::Unanswered, fromMs);
@@ -23,6 +26,7 @@
             answer.seen.clockMs = ms;
             answer.seen.startedAtMs = startedAtMs;
             answer.seen.active = active;
+            answer.seen.ended = ended;
             observeAnswered(site.state, call->observation, answer, at(ms + 1));
             return;
         }
@@ -102,6 +106,15 @@
             {"it is malformed, as the lost one is", false, reject(StartOutcome::Malformed)},
             {"it is lost, too", true,
              [](Fixture &site, const CallStart &start) { loseStart(site, start, 350); }},
+            {"runs stand still there", true,
+             [](Fixture &site, const CallStart &start) {
+                 startAnswered(site.state, start.run, start.start.number,
+                               {StartOutcome::Refused, {}}, at(210));
+                 constexpr double StandstillLog = 2.5;
+                 site.state.logSlowdown = StandstillLog;
+                 site.state.slowdownUpdatedMs = 215;
+                 moveFromSlow(site.state, at(215));
+             }},
             {"its run is missing", true,
              [](Fixture &site, const CallStart &start) {
                  site.answer(start, 202);
@@ -160,15 +173,64 @@
 TEST_CASE("A task whose lost start was carried out goes elsewhere after its stop")
 {
     // Guards against keeping a task for a start that has arrived already.
-    Fixture site;
-    const CallStart start = site.order(Task, 10);
-    startAnswered(site.state, start.run, start.start.number, {StartOutcome::Unanswered, {}},
-                  at(160));
-    observe(site, 161, {{Task, start.start.number, 3}});
-    REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(170))).has_value());
-    stopAnswered(site.state, Task, start.start.number, true, at(172));
-    observe(site, 180, {});
-    CHECK_FALSE(site.isKnown(start.run));
+    struct Row
+    {
+        const char *what;
+        /// Whether an observation lists the run before it ends, and its end afterwards.
+        bool isListed;
+        bool isEndListed;
+        bool stays;
+    };
+    const Row rows[] = {{"nothing shows the run", false, false, true},
+                        {"the run was listed", true, false, false},
+                        {"only its end was listed", false, true, false}};
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        Fixture site;
+        const CallStart start = site.order(Task, 10);
+        const std::int64_t number = start.start.number;
+        startAnswered(site.state, start.run, number, {StartOutcome::Unanswered, {}}, at(160));
+        if (row.isListed) {
+            observe(site, 161, {{Task, number, 3}});
+        }
+        REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(170))).has_value());
+        stopAnswered(site.state, Task, number, true, at(172));
+        std::vector<Transient::EndedRun> ended;
+        if (row.isEndListed) {
+            ended.push_back({1, Task, number, Transient::RunEnd::Stopped});
+        }
+        observe(site, 180, {}, 1, ended);
+        CHECK(site.isKnown(start.run) == row.stays);
+    }
+}
+
+TEST_CASE("A job with a lost start is reported as such when its gateway is suspect")
+{
+    // Guards against gateways that take the job in anew once the leases of a dead agent have
+    // lapsed, while its lost start may still arrive.
+    constexpr std::int64_t SuspectMs = 506;
+    for (const bool isLost : {false, true}) {
+        CAPTURE(isLost);
+        Fixture site;
+        site.state.times.grantMs = 800;
+        site.state.times.suspectMs = SuspectMs;
+        site.state.grants.clear();
+        CallStart start = site.order(Task, 10);
+        if (isLost) {
+            loseStart(site, start, 160);
+            const auto next = nextStart(site, 200);
+            REQUIRE(next.has_value());
+            start = *next;
+        }
+        site.answer(start, 202);
+        Effects effects;
+        updateOrphans(site.state, effects, at(300));
+        CHECK(site.state.orphans.held.empty());
+        CHECK(site.state.orphans.unanswered.empty());
+        updateOrphans(site.state, effects, at(10 + SuspectMs));
+        CHECK(site.state.orphans.held.size() == 1);
+        CHECK(site.state.orphans.unanswered.size() == (isLost ? 1 : 0));
+    }
 }
 
 TEST_CASE("A task waits until the late start that the next incarnation took has ended")
