UnitTests: tests of lost starts share their steps

Four tests spelled out that a start is lost and its task starts again, and three that a stop is accepted. Each is one function now, as is answering a start with an outcome. No product change.

--- a/Source/UnitTests/Transient/UnansweredStartTest.cpp
+++ b/Source/UnitTests/Transient/UnansweredStartTest.cpp
@@ -34,13 +34,22 @@
     FAIL("no observation");
 }
 
-/// Leaves the start unanswered. Its stop is accepted and an observation shows nothing of it.
-void loseStart(Fixture &site, const CallStart &start, std::int64_t nowMs)
+void answerStart(Fixture &site, const CallStart &start, StartOutcome outcome, std::int64_t nowMs)
+{
+    startAnswered(site.state, start.run, start.start.number, {outcome, {}}, at(nowMs));
+}
+
+void acceptStop(Fixture &site, const CallStart &start, std::int64_t nowMs)
 {
-    startAnswered(site.state, start.run, start.start.number, {StartOutcome::Unanswered, {}},
-                  at(nowMs));
     REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(nowMs))).has_value());
     stopAnswered(site.state, Task, start.start.number, true, at(nowMs + 2));
+}
+
+/// Leaves the start unanswered. Its stop is accepted and an observation shows nothing of it.
+void loseStart(Fixture &site, const CallStart &start, std::int64_t nowMs)
+{
+    answerStart(site, start, StartOutcome::Unanswered, nowMs);
+    acceptStop(site, start, nowMs);
     observe(site, nowMs + 10, {});
 }
 
@@ -50,6 +59,22 @@
     return lastOf<CallStart>(startRuns(site.state, at(nowMs)));
 }
 
+/// A start that was lost at 160 ms, and the next one of its task, sent at 200 ms.
+struct Restart
+{
+    CallStart lost;
+    CallStart next;
+};
+
+Restart restartAfterLoss(Fixture &site)
+{
+    const CallStart lost = site.order(Task, 10);
+    loseStart(site, lost, 160);
+    const auto next = nextStart(site, 200);
+    REQUIRE(next.has_value());
+    return {lost, *next};
+}
+
 bool isReportedAsRunning(const Effects &effects)
 {
     const auto report = lastOf<ReportAttempt>(effects);
@@ -71,16 +96,13 @@
 {
     // Guards against a task that runs elsewhere when the next incarnation takes its lost start.
     Fixture site;
-    const CallStart lost = site.order(Task, 10);
-    loseStart(site, lost, 160);
-    const auto next = nextStart(site, 200);
-    REQUIRE(next.has_value());
-    CHECK(next->start.number > lost.start.number);
-    CHECK(next->start.fence > lost.start.fence);
+    const auto [lost, next] = restartAfterLoss(site);
+    CHECK(next.start.number > lost.start.number);
+    CHECK(next.start.fence > lost.start.fence);
     // If the agent is lost, its gateway waits for late starts of tasks not reported as running.
-    const Effects answered = startAnswered(site.state, next->run, next->start.number,
+    const Effects answered = startAnswered(site.state, next.run, next.start.number,
                                            {StartOutcome::Started, 202}, at(202));
-    CHECK(site.state.runs.at(next->run).phase == RunPhase::Running);
+    CHECK(site.state.runs.at(next.run).phase == RunPhase::Running);
     CHECK_FALSE(isReportedAsRunning(answered));
 }
 
@@ -96,7 +118,7 @@
     };
     const auto reject = [](StartOutcome outcome) {
         return [outcome](Fixture &site, const CallStart &start) {
-            startAnswered(site.state, start.run, start.start.number, {outcome, {}}, at(210));
+            answerStart(site, start, outcome, 210);
         };
     };
     const Row rows[] = {
@@ -108,8 +130,7 @@
              [](Fixture &site, const CallStart &start) { loseStart(site, start, 350); }},
             {"runs stand still there", true,
              [](Fixture &site, const CallStart &start) {
-                 startAnswered(site.state, start.run, start.start.number,
-                               {StartOutcome::Refused, {}}, at(210));
+                 answerStart(site, start, StartOutcome::Refused, 210);
                  constexpr double StandstillLog = 2.5;
                  site.state.logSlowdown = StandstillLog;
                  site.state.slowdownUpdatedMs = 215;
@@ -133,17 +154,14 @@
              }},
             {"its caller leaves", false,
              [](Fixture &site, const CallStart &start) {
-                 startAnswered(site.state, start.run, start.start.number,
-                               {StartOutcome::Refused, {}}, at(210));
+                 answerStart(site, start, StartOutcome::Refused, 210);
                  site.withdraw(Task, 220);
              }},
             {"its caller leaves while it is stopped", false,
              [](Fixture &site, const CallStart &start) {
-                 startAnswered(site.state, start.run, start.start.number,
-                               {StartOutcome::Unanswered, {}}, at(350));
+                 answerStart(site, start, StartOutcome::Unanswered, 350);
                  site.withdraw(Task, 355);
-                 REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(360))).has_value());
-                 stopAnswered(site.state, Task, start.start.number, true, at(362));
+                 acceptStop(site, start, 360);
                  observe(site, 370, {});
              }},
             {"the backend server is replaced by one with another id", false,
@@ -162,11 +180,9 @@
     for (const Row &row : rows) {
         CAPTURE(std::string(row.what));
         Fixture site;
-        loseStart(site, site.order(Task, 10), 160);
-        const auto next = nextStart(site, 200);
-        REQUIRE(next.has_value());
-        row.happens(site, *next);
-        CHECK(site.isKnown(next->run) == row.stays);
+        const CallStart next = restartAfterLoss(site).next;
+        row.happens(site, next);
+        CHECK(site.isKnown(next.run) == row.stays);
     }
 }
 
@@ -189,12 +205,11 @@
         Fixture site;
         const CallStart start = site.order(Task, 10);
         const std::int64_t number = start.start.number;
-        startAnswered(site.state, start.run, number, {StartOutcome::Unanswered, {}}, at(160));
+        answerStart(site, start, StartOutcome::Unanswered, 160);
         if (row.isListed) {
             observe(site, 161, {{Task, number, 3}});
         }
-        REQUIRE(lastOf<CallStop>(sendDueStops(site.state, at(170))).has_value());
-        stopAnswered(site.state, Task, number, true, at(172));
+        acceptStop(site, start, 170);
         std::vector<Transient::EndedRun> ended;
         if (row.isEndListed) {
             ended.push_back({1, Task, number, Transient::RunEnd::Stopped});
@@ -215,14 +230,7 @@
         site.state.times.grantMs = 800;
         site.state.times.suspectMs = SuspectMs;
         site.state.grants.clear();
-        CallStart start = site.order(Task, 10);
-        if (isLost) {
-            loseStart(site, start, 160);
-            const auto next = nextStart(site, 200);
-            REQUIRE(next.has_value());
-            start = *next;
-        }
-        site.answer(start, 202);
+        site.answer(isLost ? restartAfterLoss(site).next : site.order(Task, 10), 202);
         Effects effects;
         updateOrphans(site.state, effects, at(300));
         CHECK(site.state.orphans.held.empty());
@@ -237,21 +245,18 @@
 {
     // Guards against a second run beside a lost start that came before the agent's first call.
     Fixture site;
-    const CallStart lost = site.order(Task, 10);
-    loseStart(site, lost, 160);
-    const auto next = nextStart(site, 200);
-    REQUIRE(next.has_value());
-    site.answer(*next, 202);
+    const auto [lost, next] = restartAfterLoss(site);
+    site.answer(next, 202);
     backendAnnounced(site.state, nextIncarnation(site, "backend-1"), at(1000));
     const std::vector<Transient::ActiveRun> late{{Task, lost.start.number, 5}};
     observe(site, 1001, late, NextBornMs);
     CHECK_FALSE(nextStart(site, 1010).has_value());
     observe(site, 1050, late, NextBornMs);
-    CHECK(site.state.runs.at(next->run).phase == RunPhase::Running);
+    CHECK(site.state.runs.at(next.run).phase == RunPhase::Running);
     CHECK_FALSE(nextStart(site, 1100).has_value());
     observe(site, 1150, {}, NextBornMs);
     const auto again = nextStart(site, 1200);
     REQUIRE(again.has_value());
-    CHECK(again->start.number > next->start.number);
+    CHECK(again->start.number > next.start.number);
     CHECK(again->start.fence > lost.start.fence);
 }
