Gateway, StoreClient, Runner: logs tell a stale configuration and a dropped announcement apart

Nothing told how old the table is by which a path is refused, how long a read of the store was under way when it failed, and why an announcement counted as late. request_refused and queues_in_force now say when the store last confirmed the queues, store_lost and store_regained how long the store has not answered, and announcement_late, now a warning, its reason and the incarnation taken for the present one; a gauge and three counters say the same. The handling of announcements stands in Runner/Announcements; no decision changes.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -264,6 +264,8 @@
                       {"host", callerRequest.host},
                       {"path", callerRequest.path},
                       {"queues_version", this->control.queues.version},
+                      {"queues_confirmed_ms_ago",
+                       this->control.now.steadyMs - this->control.queuesConfirmedMs},
                       {"reason", Schema::enumName(reason)},
                       {"detail", detail}});
     this->reply(callerRequest.reply, refusal(status, detail));
--- a/Source/Core/Gateway/TransientControl.cpp
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -18,6 +18,7 @@
     this->self.peerPort = peer.port;
     this->self.failureDomain = this->settings.failureDomain;
     this->state.startedMs = this->now.steadyMs;
+    this->queuesConfirmedMs = this->now.steadyMs;
     this->state.times.settleMs =
             Transient::settleTimeMs(this->settings.silenceMs, this->settings.leaseMs);
     this->state.capacity =
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -42,6 +42,13 @@
     Schema::QueueTable queues;
 };
 
+/// The store has answered a read of the queues, with or without a new table: the table in force
+/// was the newest one when it did.
+struct QueuesConfirmed
+{
+    std::int64_t steadyMs = 0;
+};
+
 struct GatewaysRead
 {
     std::vector<Schema::Member> gateways;
@@ -57,8 +64,8 @@
 {};
 
 using TransientMessage = std::variant<CallerRequest, CallerDisconnected, Net::LinkUp, Net::LinkDown,
-                                      Net::FrameArrived, QueuesRead, GatewaysRead, LearnedTimesRead,
-                                      TransientStopRequested>;
+                                      Net::FrameArrived, QueuesRead, QueuesConfirmed, GatewaysRead,
+                                      LearnedTimesRead, TransientStopRequested>;
 using TransientMailbox = Common::Mailbox<TransientMessage>;
 
 /// Carries out the effects of a decision, immediately and in order.
@@ -74,6 +81,9 @@
     Transient::GatewayState state;
     Transient::Discovery discovery;
     Schema::QueueTable queues;
+    /// When the store last confirmed the queues, on the steady clock; the start of this process
+    /// until then.
+    std::int64_t queuesConfirmedMs = 0;
     Common::Metrics metrics;
     Common::Random random;
     Common::Moment now;
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -41,6 +41,7 @@
     void on(const Net::LinkDown &event) { this->links.on(event); }
     void on(const Net::FrameArrived &event) { this->links.on(event); }
     void on(const QueuesRead &event) { this->links.takeQueues(event.queues, "store"); }
+    void on(const QueuesConfirmed &event);
     void on(const GatewaysRead &event);
     void on(const LearnedTimesRead &event) { this->store.on(event); }
     void on(const TransientStopRequested &event);
@@ -143,6 +144,15 @@
     return control.state.isStopping ? std::min(next, control.now.steadyMs + StoppingTickMs) : next;
 }
 
+void TransientDaemon::Implementation::on(const QueuesConfirmed &event)
+{
+    constexpr double MsPerSecond = 1000;
+    TransientControl &control = this->control;
+    control.queuesConfirmedMs = event.steadyMs;
+    control.metrics.set("auburntrail_queues_confirmed_timestamp_seconds",
+                        static_cast<double>(control.now.wallMs) / MsPerSecond);
+}
+
 void TransientDaemon::Implementation::on(const GatewaysRead &event)
 {
     Transient::addGateways(this->control.discovery, event.gateways, this->control.now);
@@ -184,7 +194,7 @@
 
 void TransientDaemon::Implementation::carryOut(const Transient::LogLine &effect)
 {
-    Common::logEvent(LogLevel::Info, effect.event, effect.fields);
+    Common::logEvent(effect.level, effect.event, effect.fields);
 }
 
 void TransientDaemon::Implementation::runPeriodicWork()
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -148,11 +148,13 @@
     if (!Transient::takeQueues(this->control.queues, std::move(newer))) {
         return;
     }
-    Common::logEvent(LogLevel::Info, "queues_in_force",
-                     {{"version", this->control.queues.version},
-                      {"before", before},
-                      {"queues", this->control.queues.queues.size()},
-                      {"source", source}});
+    Common::logEvent(
+            LogLevel::Info, "queues_in_force",
+            {{"version", this->control.queues.version},
+             {"before", before},
+             {"queues", this->control.queues.queues.size()},
+             {"source", source},
+             {"confirmed_ms_ago", this->control.now.steadyMs - this->control.queuesConfirmedMs}});
     this->control.metrics.set("auburntrail_queues_version",
                               static_cast<double>(this->control.queues.version));
 }
--- a/Source/Core/Gateway/TransientStore.cpp
+++ b/Source/Core/Gateway/TransientStore.cpp
@@ -52,6 +52,9 @@
                                                 {{"detail", failure.detail}});
                            });
         }
+        if (news.available) {
+            this->mailbox.post(QueuesConfirmed{Common::currentMoment().steadyMs});
+        }
     });
 }
 
--- /dev/null
+++ b/Source/Core/Runner/Announcements.cpp
@@ -0,0 +1,136 @@
+#include "Runner/Announcements.h"
+
+#include "Runner/Load.h"
+#include "Runner/Observation.h"
+#include "Runner/Runs.h"
+
+namespace Runner {
+
+namespace {
+
+using Schema::Reason;
+
+/// Why an announcement counts as late.
+enum class Lateness {
+    /// Its incarnation started before the present one.
+    EarlierStart,
+    /// Another incarnation has replaced its own.
+    Replaced,
+    /// A later announcement of the same incarnation was received before.
+    Overtaken
+};
+
+constexpr Common::NameTable<Lateness, 3> LatenessNames{{{Lateness::EarlierStart, "earlier_start"},
+                                                        {Lateness::Replaced, "replaced"},
+                                                        {Lateness::Overtaken, "overtaken"}}};
+
+bool isSameIncarnation(const Transient::BackendAnnouncement &left,
+                       const Transient::BackendAnnouncement &right)
+{
+    return left.id == right.id && left.startedAtMs == right.startedAtMs;
+}
+
+/// Announcements of a previous incarnation, or of one that was over before this process started,
+/// are late. While the present incarnation does not answer, any other one may have replaced it:
+/// start times are wall-clock times, which can jump.
+std::optional<Lateness> latenessOf(const RunnerState &state,
+                                   const Transient::BackendAnnouncement &announcement)
+{
+    const bool isOlder = state.backend && state.backend->startedAtMs != 0
+                         && announcement.startedAtMs < state.backend->startedAtMs;
+    const bool isPrevious =
+            state.previousIncarnations.count({announcement.id, announcement.startedAtMs}) != 0;
+    if (state.isBackendResponsive && isOlder) {
+        return Lateness::EarlierStart;
+    }
+    if (state.isBackendResponsive && isPrevious) {
+        return Lateness::Replaced;
+    }
+    if (state.backend && isSameIncarnation(*state.backend, announcement)
+        && announcement.sequence <= state.backend->sequence) {
+        return Lateness::Overtaken;
+    }
+    return std::nullopt;
+}
+
+void reportLate(const RunnerState &state, Effects &effects,
+                const Transient::BackendAnnouncement &announcement, Lateness lateness)
+{
+    const std::string why(Common::nameOf(LatenessNames, lateness));
+    effects.emplace_back(Transient::CountReason{
+            "auburntrail_runner_announcements_late_" + why + "_total", Reason::None});
+    Transient::LogLine line{"announcement_late",
+                            {{"id", announcement.id},
+                             {"started_at_ms", std::to_string(announcement.startedAtMs)},
+                             {"sequence", std::to_string(announcement.sequence)},
+                             {"leaving", announcement.leaving ? "true" : "false"},
+                             {"why", why}},
+                            Common::LogLevel::Warning};
+    if (state.backend) {
+        line.fields.emplace_back("present_id", state.backend->id);
+        line.fields.emplace_back("present_started_at_ms",
+                                 std::to_string(state.backend->startedAtMs));
+        line.fields.emplace_back("present_sequence", std::to_string(state.backend->sequence));
+    }
+    effects.emplace_back(std::move(line));
+}
+
+} // namespace
+
+Effects backendAnnounced(RunnerState &state, const Transient::BackendAnnouncement &announcement,
+                         Common::Moment now)
+{
+    Effects effects;
+    if (const std::optional<Lateness> lateness = latenessOf(state, announcement)) {
+        reportLate(state, effects, announcement, *lateness);
+        return effects;
+    }
+    const std::optional<Transient::BackendAnnouncement> before = state.backend;
+    const bool wasAccepting = isAccepting(state);
+    state.backend = announcement;
+    const bool isOtherIncarnation =
+            before
+            && (before->id != announcement.id
+                || (announcement.startedAtMs != 0 && before->startedAtMs != 0
+                    && before->startedAtMs != announcement.startedAtMs));
+    if (isOtherIncarnation || !before) {
+        effects.emplace_back(Transient::LogLine{
+                "backend_announced",
+                {{"id", announcement.id},
+                 {"address", announcement.address},
+                 {"started_at_ms", std::to_string(announcement.startedAtMs)},
+                 {"processors", std::to_string(announcement.resources.processors)},
+                 {"sequence", std::to_string(announcement.sequence)}}});
+    }
+    if (isOtherIncarnation) {
+        state.clockOffsetMs.reset();
+        state.isBackendResponsive = true;
+        beginIncarnation(state, effects, *before, now);
+    }
+    if (announcement.leaving && (!before || !before->leaving)) {
+        effects.emplace_back(Transient::LogLine{
+                "backend_leaving",
+                {{"id", announcement.id}, {"queued", std::to_string(state.queue.size())}}});
+        returnQueuedTasks(state, effects, Reason::AgentDraining, now);
+    }
+    if (isOtherIncarnation || !before || wasAccepting != isAccepting(state)) {
+        effects.emplace_back(Announce{});
+    }
+    return effects;
+}
+
+Effects backendLeft(RunnerState &state, const std::string &id, Common::Moment now)
+{
+    Effects effects;
+    if (!state.backend || state.backend->id != id) {
+        return effects;
+    }
+    effects.emplace_back(Transient::LogLine{"backend_left", {{"id", id}}});
+    state.backend->leaving = true;
+    returnQueuedTasks(state, effects, Reason::AgentDraining, now);
+    // Started runs may continue for a moment; they count as over once their lease has expired.
+    effects.emplace_back(Announce{});
+    return effects;
+}
+
+} // namespace Runner
--- /dev/null
+++ b/Source/Core/Runner/Announcements.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Runner/RunnerState.h"
+
+/// Announcements of the backend server: which incarnation is present, and whether it takes tasks.
+namespace Runner {
+
+/// Handles an announcement of the backend server. One that is late, by its incarnation or sequence,
+/// is logged and otherwise ignored.
+Effects backendAnnounced(RunnerState &state, const Transient::BackendAnnouncement &announcement,
+                         Common::Moment now);
+/// Handles the backend server leaving for good: returns all queued tasks and accepts no new ones.
+Effects backendLeft(RunnerState &state, const std::string &id, Common::Moment now);
+
+} // namespace Runner
--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -56,31 +56,6 @@
     effects.emplace_back(ReportAttempt{gateway, state});
 }
 
-void returnQueuedTasks(RunnerState &state, Effects &effects, Reason reason, Common::Moment now)
-{
-    const std::vector<RunId> queued = state.queue;
-    for (const RunId id : queued) {
-        finishRun(state, effects, id, AttemptPhase::NotStarted, reason, now);
-    }
-}
-
-bool isLate(const RunnerState &state, const Transient::BackendAnnouncement &announcement)
-{
-    // Announcements of a previous incarnation, or of one that was over before this process started,
-    // are late. While the current incarnation does not answer, any other one may have replaced it:
-    // start times are wall-clock times, which can jump.
-    const bool isOlder = state.backend && state.backend->startedAtMs != 0
-                         && announcement.startedAtMs < state.backend->startedAtMs;
-    const bool isPrevious =
-            state.previousIncarnations.count({announcement.id, announcement.startedAtMs}) != 0;
-    if (state.isBackendResponsive && (isOlder || isPrevious)) {
-        return true;
-    }
-    return state.backend && state.backend->id == announcement.id
-           && state.backend->startedAtMs == announcement.startedAtMs
-           && announcement.sequence <= state.backend->sequence;
-}
-
 void pruneRecentEnds(RunnerState &state, Common::Moment now)
 {
     for (auto &[gateway, ends] : state.recentEnds) {
@@ -104,66 +79,6 @@
 
 } // namespace
 
-Effects backendAnnounced(RunnerState &state, const Transient::BackendAnnouncement &announcement,
-                         Common::Moment now)
-{
-    Effects effects;
-    if (isLate(state, announcement)) {
-        effects.emplace_back(
-                Transient::LogLine{"announcement_late",
-                                   {{"id", announcement.id},
-                                    {"started_at_ms", std::to_string(announcement.startedAtMs)},
-                                    {"sequence", std::to_string(announcement.sequence)}}});
-        return effects;
-    }
-    const std::optional<Transient::BackendAnnouncement> before = state.backend;
-    const bool wasAccepting = isAccepting(state);
-    state.backend = announcement;
-    const bool isOtherIncarnation =
-            before
-            && (before->id != announcement.id
-                || (announcement.startedAtMs != 0 && before->startedAtMs != 0
-                    && before->startedAtMs != announcement.startedAtMs));
-    if (isOtherIncarnation || !before) {
-        effects.emplace_back(Transient::LogLine{
-                "backend_announced",
-                {{"id", announcement.id},
-                 {"address", announcement.address},
-                 {"started_at_ms", std::to_string(announcement.startedAtMs)},
-                 {"processors", std::to_string(announcement.resources.processors)},
-                 {"sequence", std::to_string(announcement.sequence)}}});
-    }
-    if (isOtherIncarnation) {
-        state.clockOffsetMs.reset();
-        state.isBackendResponsive = true;
-        beginIncarnation(state, effects, *before, now);
-    }
-    if (announcement.leaving && (!before || !before->leaving)) {
-        effects.emplace_back(Transient::LogLine{
-                "backend_leaving",
-                {{"id", announcement.id}, {"queued", std::to_string(state.queue.size())}}});
-        returnQueuedTasks(state, effects, Reason::AgentDraining, now);
-    }
-    if (isOtherIncarnation || !before || wasAccepting != isAccepting(state)) {
-        effects.emplace_back(Announce{});
-    }
-    return effects;
-}
-
-Effects backendLeft(RunnerState &state, const std::string &id, Common::Moment now)
-{
-    Effects effects;
-    if (!state.backend || state.backend->id != id) {
-        return effects;
-    }
-    effects.emplace_back(Transient::LogLine{"backend_left", {{"id", id}}});
-    state.backend->leaving = true;
-    returnQueuedTasks(state, effects, Reason::AgentDraining, now);
-    // Started runs may continue for a moment; they count as over once their lease has expired.
-    effects.emplace_back(Announce{});
-    return effects;
-}
-
 void grantReceived(RunnerState &state, const std::string &gateway, std::int64_t echoMs)
 {
     if (echoMs == 0) {
--- a/Source/Core/Runner/Runner.h
+++ b/Source/Core/Runner/Runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Runner/Announcements.h"
 #include "Runner/Load.h"
 #include "Runner/RunnerDaemon.h"
 #include "Runner/RunnerState.h"
@@ -9,13 +10,6 @@
 /// daemon.
 namespace Runner {
 
-/// Handles an announcement of the backend server. One that is late, by its incarnation or sequence,
-/// is logged and otherwise ignored.
-Effects backendAnnounced(RunnerState &state, const Transient::BackendAnnouncement &announcement,
-                         Common::Moment now);
-/// Handles the backend server leaving for good: returns all queued tasks and accepts no new ones.
-Effects backendLeft(RunnerState &state, const std::string &id, Common::Moment now);
-
 /// Extends the gateway's grant. \a echoMs is the send time of a message of this agent that the
 /// gateway has received; 0 means none.
 void grantReceived(RunnerState &state, const std::string &gateway, std::int64_t echoMs);
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -474,7 +474,7 @@
 
 void RunnerDaemon::Implementation::carryOut(const Transient::LogLine &effect)
 {
-    Common::logEvent(LogLevel::Info, effect.event, effect.fields);
+    Common::logEvent(effect.level, effect.event, effect.fields);
 }
 
 void RunnerDaemon::Implementation::runPeriodicWork()
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -272,6 +272,14 @@
     state.runs.erase(id);
 }
 
+void returnQueuedTasks(RunnerState &state, Effects &effects, Reason reason, Common::Moment now)
+{
+    const std::vector<RunId> queued = state.queue;
+    for (const RunId id : queued) {
+        finishRun(state, effects, id, AttemptPhase::NotStarted, reason, now);
+    }
+}
+
 Effects startRuns(RunnerState &state, Common::Moment now)
 {
     Effects effects;
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -50,6 +50,10 @@
 void finishRun(RunnerState &state, Effects &effects, RunId id, Schema::AttemptPhase phase,
                Schema::Reason reason, Common::Moment now);
 
+/// Returns all tasks that wait for the backend server to their gateways.
+void returnQueuedTasks(RunnerState &state, Effects &effects, Schema::Reason reason,
+                       Common::Moment now);
+
 /// Finishes a queued run at once; begins to stop a started one. Called for a run that is not wanted
 /// any more, or whose state at the backend server is unknown.
 void stopRun(RunnerState &state, Effects &effects, RunId id, Schema::Reason reason,
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -28,6 +28,9 @@
     std::int64_t offset = 0;
     bool isUnavailable = false;
     std::int64_t pauseMs = 0;
+    /// On the steady clock: when the last read was sent, and when one was last answered.
+    std::int64_t sentMs = 0;
+    std::int64_t answeredMs = 0;
 };
 
 std::string topicName(StoreTopic topic)
@@ -35,6 +38,11 @@
     return std::string(Common::nameOf(Platform::StoreTopicNames, topic));
 }
 
+std::int64_t nowMs()
+{
+    return Common::currentMoment().steadyMs;
+}
+
 std::string describe(const Net::HttpResult &result)
 {
     return result.transport == Net::HttpTransport::Answered
@@ -98,6 +106,7 @@
 
 void Client::Implementation::read(Follower &follower)
 {
+    follower.sentMs = nowMs();
     if (follower.readsNewest) {
         this->send(Platform::newestCall(this->settings.address, follower.topic, follower.afterKey),
                    0, [this, &follower](const Net::HttpResult &result) {
@@ -156,8 +165,10 @@
 {
     if (follower.isUnavailable) {
         Common::logEvent(Common::LogLevel::Info, "store_regained",
-                         {{"topic", topicName(follower.topic)}});
+                         {{"topic", topicName(follower.topic)},
+                          {"answered_ms_ago", nowMs() - follower.answeredMs}});
     }
+    follower.answeredMs = nowMs();
     follower.isUnavailable = false;
     follower.pauseMs = 0;
     follower.deliver({true, std::move(records)});
@@ -169,7 +180,10 @@
     if (!follower.isUnavailable) {
         follower.isUnavailable = true;
         Common::logEvent(Common::LogLevel::Warning, "store_lost",
-                         {{"topic", topicName(follower.topic)}, {"why", describe(result)}});
+                         {{"topic", topicName(follower.topic)},
+                          {"why", describe(result)},
+                          {"read_ms", nowMs() - follower.sentMs},
+                          {"answered_ms_ago", nowMs() - follower.answeredMs}});
         follower.deliver({});
     }
     follower.pauseMs = this->nextBackoffMs(follower.pauseMs);
@@ -250,6 +264,7 @@
     auto follower = std::make_unique<Follower>();
     follower->topic = topic;
     follower->deliver = std::move(deliver);
+    follower->answeredMs = nowMs();
     Follower &added = *follower;
     {
         const std::lock_guard<std::mutex> lock(this->implementation->mutex);
--- a/Source/Core/Transient/Effects.h
+++ b/Source/Core/Transient/Effects.h
@@ -47,6 +47,7 @@
 {
     std::string event;
     std::vector<std::pair<std::string, std::string>> fields;
+    Common::LogLevel level = Common::LogLevel::Info;
 };
 
 using Effect = std::variant<SendToAgent, AnswerCaller, CountReason, ObserveSeconds, LogLine>;
