Runner: a leaving that the backend server has announced is not forgotten

Callers saw nothing; the users' backend server got tasks for seconds after its leaving was acknowledged. An incarnation that another one seemed to have replaced, and that was accepted again, stayed in the list of replaced ones: every later announcement of it was dropped as late, each of those that repeat its leaving included, for as long as it answered. The same happened to one whose start time was earlier than the present one's as long as the agent was idle, and a leaving that a later announcement overtook was dropped alone.

An agent now remembers which incarnations have announced their leaving, whatever it makes of the announcement, and takes an accepted incarnation off the list. An announcement that counts as late by its incarnation is followed by an observation, which shows who answers. Whatever waits at an agent whose backend server leaves, or that stops, is returned at each tick: a start that was rejected after the news was queued again and sent.

--- a/Source/Core/Runner/Announcements.cpp
+++ b/Source/Core/Runner/Announcements.cpp
@@ -24,12 +24,6 @@
                                                         {Lateness::Replaced, "replaced"},
                                                         {Lateness::Overtaken, "overtaken"}}};
 
-bool isSameIncarnation(const Transient::BackendAnnouncement &left,
-                       const Transient::BackendAnnouncement &right)
-{
-    return left.id == right.id && left.startedAtMs == right.startedAtMs;
-}
-
 /// Announcements of a previous incarnation, or of one that was over before this process started,
 /// are late. While the present incarnation does not answer, any other one may have replaced it:
 /// start times are wall-clock times, which can jump.
@@ -38,15 +32,14 @@
 {
     const bool isOlder = state.backend && state.backend->startedAtMs != 0
                          && announcement.startedAtMs < state.backend->startedAtMs;
-    const bool isPrevious =
-            state.previousIncarnations.count({announcement.id, announcement.startedAtMs}) != 0;
+    const bool isPrevious = state.previousIncarnations.count(incarnationOf(announcement)) != 0;
     if (state.isBackendResponsive && isOlder) {
         return Lateness::EarlierStart;
     }
     if (state.isBackendResponsive && isPrevious) {
         return Lateness::Replaced;
     }
-    if (state.backend && isSameIncarnation(*state.backend, announcement)
+    if (state.backend && incarnationOf(*state.backend) == incarnationOf(announcement)
         && announcement.sequence <= state.backend->sequence) {
         return Lateness::Overtaken;
     }
@@ -75,19 +68,62 @@
     effects.emplace_back(std::move(line));
 }
 
+/// Returns all waiting tasks to their gateways, since the present incarnation has begun to leave.
+void handleLeaving(RunnerState &state, Effects &effects, Common::Moment now)
+{
+    effects.emplace_back(Transient::LogLine{
+            "backend_leaving",
+            {{"id", state.backend->id}, {"queued", std::to_string(state.queue.size())}}});
+    returnQueuedTasks(state, effects, Reason::AgentDraining, now);
+}
+
+/// A late announcement may contain news all the same. A leaving is final, whatever has overtaken
+/// it. And another incarnation may be the present one, since start times on the wall clock are no
+/// proof of their order: the next observation shows which one answers.
+void handleLate(RunnerState &state, Effects &effects,
+                const Transient::BackendAnnouncement &announcement, Lateness lateness,
+                Common::Moment now)
+{
+    reportLate(state, effects, announcement, lateness);
+    if (lateness != Lateness::Overtaken) {
+        state.isIncarnationDoubted = true;
+        state.nextObserveMs = now.steadyMs;
+        return;
+    }
+    if (announcement.leaving && !state.backend->leaving) {
+        state.backend->leaving = true;
+        handleLeaving(state, effects, now);
+        effects.emplace_back(Announce{});
+    }
+}
+
 } // namespace
 
+void updateLeaving(RunnerState &state)
+{
+    if (state.backend) {
+        state.backend->leaving =
+                state.leavingIncarnations.count(incarnationOf(*state.backend)) != 0;
+    }
+}
+
 Effects backendAnnounced(RunnerState &state, const Transient::BackendAnnouncement &announcement,
                          Common::Moment now)
 {
     Effects effects;
+    if (announcement.leaving) {
+        state.leavingIncarnations.insert(incarnationOf(announcement));
+    }
     if (const std::optional<Lateness> lateness = latenessOf(state, announcement)) {
-        reportLate(state, effects, announcement, *lateness);
+        handleLate(state, effects, announcement, *lateness, now);
         return effects;
     }
     const std::optional<Transient::BackendAnnouncement> before = state.backend;
     const bool wasAccepting = isAccepting(state);
     state.backend = announcement;
+    updateLeaving(state);
+    // Another one seemed to have replaced it. Its further announcements are not late.
+    state.previousIncarnations.erase(incarnationOf(announcement));
     const bool isOtherIncarnation =
             before
             && (before->id != announcement.id
@@ -107,11 +143,8 @@
         state.isBackendResponsive = true;
         beginIncarnation(state, effects, *before, now);
     }
-    if (announcement.leaving && (!before || !before->leaving)) {
-        effects.emplace_back(Transient::LogLine{
-                "backend_leaving",
-                {{"id", announcement.id}, {"queued", std::to_string(state.queue.size())}}});
-        returnQueuedTasks(state, effects, Reason::AgentDraining, now);
+    if (state.backend->leaving && (!before || !before->leaving)) {
+        handleLeaving(state, effects, now);
     }
     if (isOtherIncarnation || !before || wasAccepting != isAccepting(state)) {
         effects.emplace_back(Announce{});
--- a/Source/Core/Runner/Observation.cpp
+++ b/Source/Core/Runner/Observation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Runner/Announcements.h"
 #include "Runner/Pace.h"
 #include "Runner/Runs.h"
 
@@ -30,7 +31,8 @@
 
 bool isObservationNeeded(const RunnerState &state)
 {
-    return !state.isClean || state.acknowledgedEnd < state.lastEnd || !state.strays.empty()
+    return !state.isClean || state.isIncarnationDoubted || state.acknowledgedEnd < state.lastEnd
+           || !state.strays.empty()
            || std::any_of(state.runs.begin(), state.runs.end(),
                           [](const auto &entry) { return entry.second.phase != RunPhase::Queued; });
 }
@@ -166,6 +168,7 @@
     const Transient::BackendAnnouncement before = *state.backend;
     state.previousIncarnations.erase({before.id, startedAtMs});
     state.backend->startedAtMs = startedAtMs;
+    updateLeaving(state);
     // Its announcements are numbered from the beginning. Compared with the sequence of the previous
     // incarnation, they would all seem late.
     constexpr std::int64_t NoneYet = -1;
@@ -210,6 +213,7 @@
     updateClockOffset(state, seen.clockMs, now);
     recordRenewal(state, observation);
     state.silentSinceMs = 0;
+    state.isIncarnationDoubted = false;
     const bool isNewIncarnation = seen.startedAtMs != 0 && state.backend
                                   && state.backend->startedAtMs != 0
                                   && seen.startedAtMs != state.backend->startedAtMs;
@@ -326,7 +330,7 @@
 void beginIncarnation(RunnerState &state, Effects &effects,
                       const Transient::BackendAnnouncement &before, Common::Moment now)
 {
-    state.previousIncarnations.insert({before.id, before.startedAtMs});
+    state.previousIncarnations.insert(incarnationOf(before));
     for (const auto &[id, observation] : state.pendingObservations) {
         recordRenewal(state, observation);
     }
@@ -334,6 +338,7 @@
     state.pendingObservations.clear();
     state.strays.clear();
     state.silentSinceMs = 0;
+    state.isIncarnationDoubted = false;
     state.lastEnd = 0;
     state.acknowledgedEnd = 0;
     state.isClean = false;
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -187,6 +187,14 @@
     std::int64_t nextStopMs = 0;
 };
 
+/// Identifies one process of the backend server, by its id and its start on the wall clock.
+using Incarnation = std::pair<std::string, std::int64_t>;
+
+inline Incarnation incarnationOf(const Transient::BackendAnnouncement &announcement)
+{
+    return {announcement.id, announcement.startedAtMs};
+}
+
 struct RecentEnd
 {
     Schema::AttemptState state;
@@ -215,9 +223,14 @@
     /// Last announcement of the backend server, updated when it leaves or an observation shows a
     /// new incarnation.
     std::optional<Transient::BackendAnnouncement> backend;
-    /// Incarnations that others have replaced, by id and start time: their announcements may arrive
-    /// late.
-    std::set<std::pair<std::string, std::int64_t>> previousIncarnations;
+    /// Incarnations that others have replaced: their announcements may arrive late.
+    std::set<Incarnation> previousIncarnations;
+    /// Incarnations that have announced that they are leaving, whichever counted as the present one
+    /// then. None of them takes tasks again.
+    std::set<Incarnation> leavingIncarnations;
+    /// An announcement of another incarnation was taken for a late one. Until the backend server
+    /// has answered an observation, that incarnation may be the present one.
+    bool isIncarnationDoubted = false;
     /// The backend server's clock minus the steady clock of this process, at the last answer.
     std::optional<std::int64_t> clockOffsetMs;
     std::int64_t fence = 0;
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -48,6 +48,12 @@
     enqueue(state, id);
 }
 
+/// Whether a task may wait here for the backend server.
+bool mayQueue(const RunnerState &state)
+{
+    return !state.isStopping && !state.backend->leaving;
+}
+
 /// Whether the task of a run that ended for this reason should run again.
 bool isTaskWanted(Reason endReason)
 {
@@ -151,6 +157,10 @@
             {{"why", std::string(Common::nameOf(Transient::StartOutcomeNames, outcome))}}));
     const bool staysHere = mayStartLate(state, run, now);
     const bool triesLeft = staysHere || run.startTries < MaxStartTries;
+    if (!mayQueue(state)) {
+        finishRun(state, effects, id, AttemptPhase::NotStarted, Reason::AgentDraining, now);
+        return;
+    }
     switch (outcome) {
     case StartOutcome::NumberUsed:
         skipNumbers(state, run, now);
@@ -232,8 +242,8 @@
                      Common::Moment now)
 {
     Run &run = state.runs.at(id);
-    const bool canRestart = isTaskWanted(reason) && now.steadyMs < run.deadlineMs
-                            && !state.isStopping && !state.backend->leaving;
+    const bool canRestart =
+            isTaskWanted(reason) && now.steadyMs < run.deadlineMs && mayQueue(state);
     if (!canRestart || !mayStartLate(state, run, now)) {
         finishRun(state, effects, id, AttemptPhase::Stopped, reason, now);
         return;
@@ -283,7 +293,11 @@
 Effects startRuns(RunnerState &state, Common::Moment now)
 {
     Effects effects;
-    if (!state.isClean || state.isStopping || !state.isBackendResponsive || !state.clockOffsetMs
+    if (state.backend && !mayQueue(state)) {
+        returnQueuedTasks(state, effects, Reason::AgentDraining, now);
+        return effects;
+    }
+    if (!state.isClean || !state.isBackendResponsive || !state.clockOffsetMs
         || hasOverdueStop(state, now)) {
         return effects;
     }
--- /dev/null
+++ b/Source/UnitTests/Transient/AnnouncementTest.cpp
@@ -0,0 +1,162 @@
+#include <doctest/doctest.h>
+#include <vector>
+
+#include "RunnerFixture.h"
+
+using namespace RunnerSite;
+
+namespace {
+
+constexpr bool Ready = false;
+constexpr bool Leaving = true;
+constexpr std::int64_t StepMs = 10;
+
+/// An announcement after which the incarnation with the start time \a presentStartedAtMs answers
+/// all observations for \a thenMs. With a start time of 0 another backend server answers.
+struct Step
+{
+    const char *id;
+    std::int64_t startedAtMs;
+    std::int64_t sequence;
+    bool leaving;
+    std::int64_t presentStartedAtMs;
+    std::int64_t thenMs;
+};
+
+/// Plays announcements to an agent, and the answers to its observations.
+struct Announcements
+{
+    void play(const Step &step)
+    {
+        Transient::BackendAnnouncement announcement = *this->site.state.backend;
+        announcement.id = step.id;
+        announcement.startedAtMs = step.startedAtMs;
+        announcement.sequence = step.sequence;
+        announcement.leaving = step.leaving;
+        backendAnnounced(this->site.state, announcement, at(this->nowMs));
+        const std::int64_t untilMs = this->nowMs + step.thenMs;
+        for (; this->nowMs < untilMs; this->nowMs += StepMs) {
+            this->answerObservation(step.presentStartedAtMs);
+        }
+    }
+
+    void answerObservation(std::int64_t presentStartedAtMs)
+    {
+        const auto call = lastOf<CallObserve>(tick(this->site.state, at(this->nowMs)));
+        if (!call) {
+            return;
+        }
+        if (presentStartedAtMs != 0) {
+            this->site.seen(call->observation, this->nowMs + 1, presentStartedAtMs);
+            return;
+        }
+        Transient::ObserveAnswer other;
+        other.outcome = ObserveOutcome::OtherIncarnation;
+        observeAnswered(this->site.state, call->observation, other, at(this->nowMs + 1));
+    }
+
+    /// Whether a task that is ordered now is started.
+    bool starts(const char *task)
+    {
+        return lastOf<CallStart>(this->site.orderFrom(Gateway, task, this->nowMs)).has_value();
+    }
+
+    Fixture site;
+    std::int64_t nowMs = 1000;
+};
+
+} // namespace
+
+TEST_CASE("A leaving that was announced is not forgotten, whatever is announced before or after it")
+{
+    // Guards against tasks that start on a backend server long after it was told that its leaving
+    // is known.
+    struct Row
+    {
+        const char *what;
+        std::vector<Step> steps;
+        bool starts = false;
+    };
+    const Row rows[] = {
+            {"it does not leave",
+             {{"backend-1", 900, 1, Ready, 900, 100},
+              {"backend-0", 950, 7, Ready, 0, 1500},
+              {"backend-1", 900, 2, Ready, 900, 100}},
+             true},
+            {"it does not leave, and its time of day was set back",
+             {{"backend-1", 900, 1, Ready, 900, 100}, {"backend-1", 500, 1, Ready, 500, 100}},
+             true},
+            {"the previous one has left",
+             {{"backend-1", 900, 1, Leaving, 900, 100}, {"backend-1", 950, 1, Ready, 950, 100}},
+             true},
+            {"nothing else is announced", {{"backend-1", 1, 2, Leaving, 1, 100}}},
+            {"it is announced again after another one seemed to have replaced it",
+             {{"backend-1", 900, 1, Ready, 900, 100},
+              {"backend-0", 950, 7, Ready, 0, 1500},
+              {"backend-1", 900, 2, Ready, 900, 100},
+              {"backend-1", 900, 3, Leaving, 900, 100}}},
+            {"its time of day was set back before it started under the same id",
+             {{"backend-1", 900, 1, Ready, 900, 100},
+              {"backend-1", 500, 1, Ready, 500, 100},
+              {"backend-1", 500, 2, Leaving, 500, 100}}},
+            {"its leaving arrives before it is known to have replaced the previous one",
+             {{"backend-1", 900, 1, Ready, 900, 100}, {"backend-1", 500, 2, Leaving, 500, 100}}},
+            {"a later announcement overtakes it",
+             {{"backend-1", 1, 8, Ready, 1, 100}, {"backend-1", 1, 7, Leaving, 1, 100}}},
+            {"it is followed by an announcement that was made before it",
+             {{"backend-1", 1, 7, Leaving, 1, 100}, {"backend-1", 1, 8, Ready, 1, 100}}},
+            {"an observation shows another incarnation, then the same one again",
+             {{"backend-1", 900, 2, Leaving, 900, 100},
+              {"backend-1", 1500, 1, Ready, 900, 100},
+              {"backend-1", 900, 1, Ready, 900, 100}}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        Announcements announcements;
+        for (const Step &step : row.steps) {
+            announcements.play(step);
+        }
+        CHECK(announcements.starts("a.0.0") == row.starts);
+    }
+}
+
+TEST_CASE("A task whose start is rejected after its backend server has announced its leaving goes "
+          "elsewhere")
+{
+    // Guards against tasks that are queued again at a backend server that is leaving, or at an
+    // agent that is stopping.
+    struct Row
+    {
+        StartOutcome outcome;
+        bool agentStops;
+    };
+    const Row rows[] = {
+            {StartOutcome::NoRoom, false},       {StartOutcome::NumberUsed, false},
+            {StartOutcome::Fenced, false},       {StartOutcome::LeaseTooShort, false},
+            {StartOutcome::NoRoom, true},        {StartOutcome::NumberUsed, true},
+            {StartOutcome::LeaseTooShort, true},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(Common::nameOf(Transient::StartOutcomeNames, row.outcome));
+        CAPTURE(row.agentStops);
+        Fixture site;
+        const CallStart start = site.order("a.0.0", 10);
+        if (row.agentStops) {
+            beginStop(site.state, at(12));
+        } else {
+            Transient::BackendAnnouncement leaving = *site.state.backend;
+            leaving.leaving = true;
+            ++leaving.sequence;
+            backendAnnounced(site.state, leaving, at(12));
+        }
+        const Effects effects =
+                startAnswered(site.state, start.run, start.start.number, {row.outcome, 14}, at(14));
+        const auto report = lastOf<ReportAttempt>(effects);
+        REQUIRE(report.has_value());
+        CHECK(report->state.phase == Schema::AttemptPhase::NotStarted);
+        CHECK(report->state.reason == Schema::Reason::AgentDraining);
+        for (std::int64_t nowMs = 15; nowMs < 500; nowMs += StepMs) {
+            CHECK_FALSE(lastOf<CallStart>(tick(site.state, at(nowMs))).has_value());
+        }
+    }
+}
