Gateway, StoreClient: a dead connection to the store delays a configuration by less than the users' bound

Callers of a path that the operator had added got 404 up to 11 s later. The gateway waits for a new table by a long poll of 10 s, and a connection that is dead on one side shows nothing until that and 0.8 s more are over, although the store answers every new connection. No peer helps when all gateways are equally behind.

The read after a timeout goes out at once, on a new connection; the pause is for a store that fails then, too. The topic of addresses keeps its 10 s: peers tell those.

The new test of the daemons failed before (the read asked to wait 10,000 ms, and the path was served after 11 s).

--- a/Source/Core/Gateway/TransientStore.cpp
+++ b/Source/Core/Gateway/TransientStore.cpp
@@ -27,10 +27,9 @@
 
 void TransientStore::start()
 {
-    StoreClient::StoreSettings settings;
-    settings.address = this->control.settings.storeAddress;
-    settings.metrics = &this->control.metrics;
-    this->client = std::make_unique<StoreClient::Client>(settings);
+    this->storeSettings.address = this->control.settings.storeAddress;
+    this->storeSettings.metrics = &this->control.metrics;
+    this->client = std::make_unique<StoreClient::Client>(this->storeSettings);
     this->followQueues();
     this->followGateways();
     this->client->write(StoreTopic::Gateways,
@@ -41,28 +40,34 @@
 
 void TransientStore::followQueues()
 {
-    this->client->follow(StoreTopic::Operators, [this](const StoreClient::StoreUpdate &news) {
-        for (const Platform::StoreRecord &record : news.records) {
-            if (record.key != Platform::QueuesKey) {
-                continue;
-            }
-            Common::handle([&] { return postQueues(this->mailbox, record); },
-                           [](const Common::Failure &failure) {
-                               Common::logEvent(LogLevel::Warning, "queues_invalid",
-                                                {{"detail", failure.detail}});
-                           });
-        }
-        if (news.available) {
-            this->mailbox.post(QueuesConfirmed{Common::currentMoment().steadyMs});
-        }
-    });
+    const std::int64_t longPollMs =
+            StoreClient::longPollForAge(this->storeSettings, this->control.settings.queuesMaxAgeMs);
+    this->client->follow(
+            StoreTopic::Operators, longPollMs, [this](const StoreClient::StoreUpdate &news) {
+                for (const Platform::StoreRecord &record : news.records) {
+                    if (record.key != Platform::QueuesKey) {
+                        continue;
+                    }
+                    Common::handle([&] { return postQueues(this->mailbox, record); },
+                                   [](const Common::Failure &failure) {
+                                       Common::logEvent(LogLevel::Warning, "queues_invalid",
+                                                        {{"detail", failure.detail}});
+                                   });
+                }
+                if (news.available) {
+                    this->mailbox.post(QueuesConfirmed{Common::currentMoment().steadyMs});
+                }
+            });
 }
 
 void TransientStore::followGateways()
 {
-    this->client->follow(StoreTopic::Gateways, [this](const StoreClient::StoreUpdate &news) {
-        this->mailbox.post(GatewaysRead{Platform::decodeMembers(news.records)});
-    });
+    // A new gateway is known from its peers, too.
+    this->client->follow(StoreTopic::Gateways, this->storeSettings.longPollMs,
+                         [this](const StoreClient::StoreUpdate &news) {
+                             this->mailbox.post(
+                                     GatewaysRead{Platform::decodeMembers(news.records)});
+                         });
 }
 
 void TransientStore::runPeriodicWork()
--- a/Source/Core/Gateway/TransientStore.h
+++ b/Source/Core/Gateway/TransientStore.h
@@ -30,6 +30,7 @@
     TransientControl &control;
     TransientMailbox &mailbox;
     Transient::LearnedSchedule learned;
+    StoreClient::StoreSettings storeSettings;
     std::unique_ptr<StoreClient::Client> client;
 };
 
--- a/Source/Core/Schema/Generated/Settings.h
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -313,6 +313,11 @@
          * known. Reports of agents are limited by it.
          */
         double processors{};
+        /**
+         * Within this time a new queue table is in force, also if the connection to the store that
+         * it was to come by is dead. The store is read at least this often.
+         */
+        int64_t queuesMaxAgeMs{};
         std::string region{};
         /**
          * Peer addresses of some gateways; the rest are learned from them and from the store.
@@ -526,6 +531,7 @@
         x.peerAddress = j.at("peerAddress").get<std::string>();
         x.probeAddress = j.at("probeAddress").get<std::string>();
         x.processors = j.at("processors").get<double>();
+        x.queuesMaxAgeMs = j.at("queuesMaxAgeMs").get<int64_t>();
         x.region = j.at("region").get<std::string>();
         x.seeds = j.at("seeds").get<std::vector<std::string>>();
         x.silenceMs = j.at("silenceMs").get<int64_t>();
@@ -550,6 +556,7 @@
         j["peerAddress"] = x.peerAddress;
         j["probeAddress"] = x.probeAddress;
         j["processors"] = x.processors;
+        j["queuesMaxAgeMs"] = x.queuesMaxAgeMs;
         j["region"] = x.region;
         j["seeds"] = x.seeds;
         j["silenceMs"] = x.silenceMs;
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -19,6 +19,7 @@
 struct Follower
 {
     StoreTopic topic = StoreTopic::Operators;
+    std::int64_t longPollMs = 0;
     std::function<void(StoreUpdate)> deliver;
     /// Whether the newest records of all keys are read next: at first, and whenever the history has
     /// expired.
@@ -52,6 +53,15 @@
 
 } // namespace
 
+std::int64_t longPollForAge(const StoreSettings &settings, std::int64_t maxAgeMs)
+{
+    // The read after the timeout makes a new connection.
+    constexpr std::int64_t NextReadMs = 100;
+    constexpr std::int64_t MinLongPollMs = 50;
+    const std::int64_t leftMs = maxAgeMs - settings.answerTimeoutMs - NextReadMs;
+    return std::clamp(leftMs, MinLongPollMs, settings.longPollMs);
+}
+
 struct Client::Implementation
 {
     explicit Implementation(StoreSettings settings)
@@ -116,7 +126,7 @@
         return;
     }
     // After a failure, a read without waiting shows soon whether the store answers again.
-    const std::int64_t waitMs = follower.isUnavailable ? 0 : this->settings.longPollMs;
+    const std::int64_t waitMs = follower.isUnavailable ? 0 : follower.longPollMs;
     this->send(Platform::readCall(this->settings.address, follower.topic, follower.offset, waitMs),
                waitMs, [this, &follower](const Net::HttpResult &result) {
                    this->count("read", result);
@@ -177,6 +187,9 @@
 
 void Client::Implementation::retry(Follower &follower, const Net::HttpResult &result)
 {
+    // A read that waited for a record may have failed with its connection alone.
+    const bool readsAtOnce =
+            !follower.isUnavailable && result.transport == Net::HttpTransport::TimedOut;
     if (!follower.isUnavailable) {
         follower.isUnavailable = true;
         Common::logEvent(Common::LogLevel::Warning, "store_lost",
@@ -186,6 +199,10 @@
                           {"answered_ms_ago", nowMs() - follower.answeredMs}});
         follower.deliver({});
     }
+    if (readsAtOnce) {
+        this->read(follower);
+        return;
+    }
     follower.pauseMs = this->nextBackoffMs(follower.pauseMs);
     this->timers.after(this->jittered(follower.pauseMs),
                        [this, &follower] { this->read(follower); });
@@ -259,10 +276,12 @@
     this->stop();
 }
 
-void Client::follow(StoreTopic topic, std::function<void(StoreUpdate)> deliver)
+void Client::follow(StoreTopic topic, std::int64_t longPollMs,
+                    std::function<void(StoreUpdate)> deliver)
 {
     auto follower = std::make_unique<Follower>();
     follower->topic = topic;
+    follower->longPollMs = longPollMs;
     follower->deliver = std::move(deliver);
     follower->answeredMs = nowMs();
     Follower &added = *follower;
--- a/Source/Core/StoreClient/StoreClient.h
+++ b/Source/Core/StoreClient/StoreClient.h
@@ -16,8 +16,8 @@
 {
     /// host:port
     std::string address;
-    /// How long a read may wait for a record. Long, because each read is charged for, and a new
-    /// record is returned at once.
+    /// How long a read may wait for a record, if the age of what was read is not limited. Long,
+    /// because each read is charged for, and a new record is returned at once.
     std::int64_t longPollMs = 10'000;
     /// How long an answer may take beyond longPollMs: three times the answer time of a store that
     /// is sixty times slower than usual. A gateway that starts while the store does not answer
@@ -32,6 +32,11 @@
     Common::Metrics *metrics = nullptr;
 };
 
+/// How long a read may wait for a record, so that every record is delivered within \a maxAgeMs
+/// after it was written, although the connection that it was to come by is dead: the read then ends
+/// by its timeout, and the next one, on another connection, returns the record at once.
+std::int64_t longPollForAge(const StoreSettings &settings, std::int64_t maxAgeMs);
+
 /// Records that were read, or the notice that the store does not answer.
 struct StoreUpdate
 {
@@ -50,8 +55,9 @@
     Client &operator=(const Client &) = delete;
 
     /// Delivers the newest record of each key of \a topic, then every later record, on a thread of
-    /// the client until it stops.
-    void follow(Platform::StoreTopic topic, std::function<void(StoreUpdate)> deliver);
+    /// the client until it stops. Each read waits for a record for \a longPollMs at most.
+    void follow(Platform::StoreTopic topic, std::int64_t longPollMs,
+                std::function<void(StoreUpdate)> deliver);
     /// Reads one page of the newest records and delivers it once. If the read fails, delivers an
     /// update without records whose available is false.
     void readOnce(Platform::StoreTopic topic, std::function<void(StoreUpdate)> deliver);
--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -68,6 +68,7 @@
         settings.maxBodyBytes = 262'144;
         settings.heartbeatMs = 250;
         settings.gatewayLinks = 4;
+        settings.queuesMaxAgeMs = 2000;
         // Long, since the machine that runs the test may be busy.
         settings.silenceMs = 5000;
         settings.leaseMs = 700;
@@ -201,6 +202,21 @@
     CHECK_FALSE(site.isReady());
 }
 
+TEST_CASE("A configuration is read although the connection that it was to come by is dead")
+{
+    // Guards against a gateway that waits on a connection without an end at the store, and serves
+    // an old configuration for as long.
+    constexpr std::int64_t ApplyMs = 2000;
+    Site site;
+    REQUIRE(site.serves());
+    REQUIRE(waitFor([&site] { return site.store.longestQueuesWaitMs() > 0; }));
+    site.store.abandonReaders();
+    site.store.setQueues(FakePlatform::queueRecord(8, Service, {{"/new/", 1}}));
+    CHECK(waitFor([&site] { return site.call("GET", "/new/").status == 200; }));
+    // The gateway tells a dead connection from an idle one only by the end of its wait.
+    CHECK(site.store.longestQueuesWaitMs() < ApplyMs);
+}
+
 TEST_CASE("The caller's connection closes, and what ran for it is stopped")
 {
     // The caller times out after 300 ms. Its tasks would run for 1.5 s. They are stopped well
