Runner: an announcement is acknowledged once the agent has taken note of it

The HTTP thread answered 200 before the control thread had judged the announcement, and went on to do so after that had ended: a leaving could be acknowledged that no process knew of. The answer now follows the judgement; an agent whose work has ended leaves it unanswered, and the backend server announces itself again. The new test of the daemons failed before.

--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -38,6 +38,7 @@
 struct RegistrationReceived
 {
     Platform::Registration registration;
+    Net::HttpReply reply;
 };
 
 struct StartEnded
@@ -119,7 +120,7 @@
     void readGatewaysFromStore();
     void sendReports();
     void sendTo(Net::LinkId id, const Schema::Frame &frame);
-    Net::HttpResponse handleRegistration(const Net::HttpRequest &request);
+    void handleRegistration(const Net::HttpRequest &request, const Net::HttpReply &reply);
     Platform::BackendTarget target() const;
     std::int64_t nextWake() const;
 
@@ -183,7 +184,7 @@
                     .listenOn(address.host, address.port)
                     .dropped(Net::countDrops(this->metrics))
                     .handler([this](const Net::HttpRequest &request, const Net::HttpReply &reply) {
-                        reply.send(this->handleRegistration(request));
+                        this->handleRegistration(request, reply);
                     })
                     .build();
     this->metricsServer = Net::serveMetrics(this->settings.host,
@@ -191,15 +192,17 @@
                                             this->metrics);
 }
 
-/// Runs on the HTTP thread. An announcement is acknowledged before it is processed: the control
-/// thread handles it within milliseconds, and the backend server may call again at any time.
-Net::HttpResponse RunnerDaemon::Implementation::handleRegistration(const Net::HttpRequest &request)
+/// Runs on the HTTP thread. The control thread acknowledges the announcement once it has taken note
+/// of it: a backend server relies on an acknowledged leaving, which no process would know of if the
+/// agent ended before that.
+void RunnerDaemon::Implementation::handleRegistration(const Net::HttpRequest &request,
+                                                      const Net::HttpReply &reply)
 {
-    return Common::handle(
-            [&]() -> Common::Outcome<Net::HttpResponse> {
+    Common::handle(
+            [&]() -> Common::Outcome<void> {
                 BOOST_LEAF_AUTO(registration, Platform::decodeRegistration(request));
-                this->mailbox.post(RegistrationReceived{std::move(registration)});
-                return Net::HttpResponse{200, "{}", "application/json", 0, false};
+                this->mailbox.post(RegistrationReceived{std::move(registration), reply});
+                return {};
             },
             [&](const Common::Failure &failure) {
                 constexpr int BadRequest = 400;
@@ -207,7 +210,7 @@
                                     {{"reason", Schema::enumName(failure.reason)}});
                 Common::logEvent(LogLevel::Warning, "registration_refused",
                                  {{"path", request.path}, {"detail", failure.detail}});
-                return Platform::encodeRefusal(BadRequest, failure.detail);
+                reply.send(Platform::encodeRefusal(BadRequest, failure.detail));
             });
 }
 
@@ -351,9 +354,10 @@
     const Platform::Registration &registration = event.registration;
     if (registration.kind == Platform::RegistrationKind::Leave) {
         this->carryOut(backendLeft(this->state, registration.id, this->now));
-        return;
+    } else {
+        this->carryOut(backendAnnounced(this->state, registration.announcement, this->now));
     }
-    this->carryOut(backendAnnounced(this->state, registration.announcement, this->now));
+    event.reply.send({200, "{}", "application/json", 0, false});
 }
 
 void RunnerDaemon::Implementation::on(const StartEnded &event)
--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -294,6 +294,17 @@
     CHECK(own[0].speeds[0].logFactor == 1.5);
 }
 
+TEST_CASE("An agent that has ended its work acknowledges no announcement")
+{
+    // Guards against a backend server that takes its leaving for known, although no process has
+    // taken note of it: the next one would start tasks there.
+    Site site;
+    REQUIRE(site.serves());
+    site.agent->requestStop();
+    site.agentThread.join();
+    CHECK_FALSE(site.backend.announce(site.registration, Service, true));
+}
+
 TEST_CASE("A backend server that leaves gets nothing new")
 {
     Site site;
