Runner: an agent connects to a gateway behind a proxy once

A gateway is now known at the address at which it answered; where that is its own, as on the platform, nothing changes.

--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -315,6 +315,11 @@
     link.instance = announcement.gateway.instance;
     Schema::Member gateway = announcement.gateway;
     gateway.heardMsAgo = 0;
+    // A gateway behind a proxy gives another address for itself. If both were dialled, it would
+    // take each connection for a replacement of the other, and the agent for lost.
+    const Net::Address dialled = Net::parseAddress(link.address);
+    gateway.host = dialled.host;
+    gateway.peerPort = dialled.port;
     Transient::addGateway(this->discovery, gateway, this->now);
     Transient::gatewayConnected(this->discovery, link.address, this->now);
     std::string &lastHere = this->instanceAt[link.address];
