--- a/Source/UnitTests/Transient/ModelBackend.cpp
+++ b/Source/UnitTests/Transient/ModelBackend.cpp
@@ -178,12 +178,13 @@
     backend.runs = std::move(remaining);
 }
 
-void restart(ModelBackend &backend, std::int64_t nowMs)
+void restart(ModelBackend &backend, std::int64_t nowMs, std::int64_t clockStepMs)
 {
     backend.isUp = true;
     backend.isLeaving = false;
+    backend.leavingKnownMs.reset();
     backend.trouble = {};
-    backend.startedAtMs = nowMs + 1;
+    backend.startedAtMs = nowMs + 1 + clockStepMs;
     // Its clock starts from zero.
     backend.clockOffsetMs -= clockOf(backend, nowMs);
     backend.leaseUntilMs = 0;
--- a/Source/UnitTests/Transient/ModelBackend.h
+++ b/Source/UnitTests/Transient/ModelBackend.h
@@ -68,6 +68,8 @@
     bool failsAll = false;
     bool isUp = true;
     bool isLeaving = false;
+    /// When its agent was first told that it is leaving.
+    std::optional<std::int64_t> leavingKnownMs;
     BackendTrouble trouble;
     /// Last announcement of the previous incarnation.
     std::optional<Transient::BackendAnnouncement> previousAnnouncement;
@@ -98,7 +100,7 @@
 
 /// Ends the runs that are due, and all runs if the lease has lapsed.
 void advance(ModelBackend &backend, std::int64_t nowMs);
-/// Starts the next incarnation, with the same id.
-void restart(ModelBackend &backend, std::int64_t nowMs);
+/// Starts the next incarnation, with the same id. Its time of day is \a clockStepMs ahead.
+void restart(ModelBackend &backend, std::int64_t nowMs, std::int64_t clockStepMs);
 
 } // namespace TransientSite
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -46,10 +46,11 @@
     CountLeasesFromArrival,
     LateOrdersReachNextIncarnation,
     SubmitLong,
+    StepBackendClocks,
     Wait
 };
 
-constexpr Common::NameTable<CommandKind, 36> CommandNames{{
+constexpr Common::NameTable<CommandKind, 37> CommandNames{{
         {CommandKind::Submit, "submit"},
         {CommandKind::Leave, "leave"},
         {CommandKind::KillGateway, "kill_gateway"},
@@ -85,6 +86,7 @@
         {CommandKind::CountLeasesFromArrival, "count_leases_from_arrival"},
         {CommandKind::LateOrdersReachNextIncarnation, "late_orders_reach_next_life"},
         {CommandKind::SubmitLong, "submit_long"},
+        {CommandKind::StepBackendClocks, "step_backend_clocks"},
         {CommandKind::Wait, "wait"},
 }};
 
@@ -171,6 +173,24 @@
             {{TroubleWeight, anyCommandWithTrouble()}, {1, PropertyCheck::anyCommand(kind)}});
 }
 
+/// The same, and more backend servers that leave, start with another time of day, or seem to have
+/// been replaced.
+rc::Gen<Command> anyCommandWithLeavings()
+{
+    using rc::gen::weightedElement;
+    const auto kind = weightedElement<CommandKind>({
+            {3, CommandKind::LeaveBackend},
+            {2, CommandKind::StepBackendClocks},
+            {3, CommandKind::AnnouncePreviousIncarnation},
+            {2, CommandKind::ReplaceBackend},
+            {1, CommandKind::HangBackend},
+            {1, CommandKind::CutOffBackend},
+    });
+    constexpr std::size_t TroubleWeight = 4;
+    return rc::gen::weightedOneOf<Command>(
+            {{TroubleWeight, anyCommandWithTrouble()}, {1, PropertyCheck::anyCommand(kind)}});
+}
+
 int pickIndex(std::size_t count, unsigned number)
 {
     return static_cast<int>(number % count);
@@ -308,6 +328,12 @@
     case CommandKind::SetClocksBack:
         world.wallClockStepMs -= static_cast<std::int64_t>(command.first) * 100;
         break;
+    case CommandKind::StepBackendClocks: {
+        constexpr std::int64_t Middle = 250;
+        constexpr std::int64_t UnitMs = 20;
+        world.backendClockStepMs = (static_cast<std::int64_t>(command.first) - Middle) * UnitMs;
+        break;
+    }
     case CommandKind::LoseMoreAnswers:
         world.unansweredShare = command.first / 2000.0;
         break;
@@ -489,6 +515,13 @@
                                   anyCommandWithIncarnations(), findViolations, printTrace);
 }
 
+TEST_CASE("Random leavings of backend servers violate no invariant of transient jobs")
+{
+    // Guards against starts on a backend server long after it was told that its leaving is known.
+    PropertyCheck::check<Command>({"leavings of backend servers", 60, 100},
+                                  anyCommandWithLeavings(), findViolations, printTrace);
+}
+
 TEST_CASE("Random faults violate no invariant where processes are connected to a few others only")
 {
     // Guards against a resubmission at a gateway that is not connected to the agents of the first.
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -206,6 +206,18 @@
     return answer;
 }
 
+/// A start that was sent long after the agent was told that the backend server is leaving violates
+/// an invariant. One that is executed long after it was sent does not.
+void checkLeaving(World &world, int backend, const Transient::RunStart &start, std::int64_t sentMs)
+{
+    constexpr std::int64_t DrainMs = 2000;
+    const ModelBackend &target = backendAt(world, backend);
+    if (target.leavingKnownMs && sentMs > *target.leavingKnownMs + DrainMs) {
+        world.violations.push_back(std::to_string(world.nowMs)
+                                   + ": start on a leaving backend server: " + start.task);
+    }
+}
+
 enum class CallOutcome { Answered, AnswerLost, ExecutedLate };
 
 CallOutcome drawCallOutcome(World &world)
@@ -345,6 +357,7 @@
                 if (world.lateLeasesCountFromArrival) {
                     start.leaseUntilMs += world.nowMs - sentMs;
                 }
+                checkLeaving(world, agent, start, sentMs);
                 const Transient::StartAnswer answer = startAtBackend(world, agent, start);
                 answerCall(world, call, [handleAnswer, answer] { handleAnswer(answer); });
             },
@@ -1080,17 +1093,27 @@
     return announcement;
 }
 
+/// The agent takes note of the announcement, and acknowledges it.
+void handleAnnouncement(World &world, int backend,
+                        const Transient::BackendAnnouncement &announcement)
+{
+    carryOut(world, backend,
+             Runner::backendAnnounced(agentAt(world, backend).state, announcement, moment(world)));
+    ModelBackend &target = backendAt(world, backend);
+    const bool isPresent = target.startedAtMs == announcement.startedAtMs;
+    if (announcement.leaving && isPresent && !target.leavingKnownMs) {
+        target.leavingKnownMs = world.nowMs;
+    }
+}
+
 void announceBackend(World &world, int backend, const Transient::BackendAnnouncement &announcement)
 {
     SiteAgent &agent = agentAt(world, backend);
     if (!agent.isUp) {
         return;
     }
-    deliver(world, agent, [&world, backend, announcement] {
-        carryOut(world, backend,
-                 Runner::backendAnnounced(agentAt(world, backend).state, announcement,
-                                          moment(world)));
-    });
+    deliver(world, agent,
+            [&world, backend, announcement] { handleAnnouncement(world, backend, announcement); });
 }
 
 void step(World &world)
@@ -1285,8 +1308,7 @@
     if (!world.safeguards.orphans) {
         state.times.suspectMs = Never;
     }
-    carryOut(world, agent,
-             Runner::backendAnnounced(state, announcementOf(world, agent), moment(world)));
+    handleAnnouncement(world, agent, announcementOf(world, agent));
 }
 
 void freezeAgent(World &world, int agent, std::int64_t forMs)
@@ -1309,7 +1331,7 @@
         return;
     }
     restarted.previousAnnouncement = announcementOf(world, backend);
-    restart(restarted, world.nowMs);
+    restart(restarted, world.nowMs, world.backendClockStepMs);
     writeTrace(world, restarted.id, "restarted");
     announceBackend(world, backend, announcementOf(world, backend));
 }
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -170,6 +170,9 @@
     /// By how much the time of day of the agents' machines was changed. The fence of a new agent
     /// process is taken from that time.
     std::int64_t wallClockStepMs = 0;
+    /// By how much the time of day is ahead with which the next incarnations of backend servers
+    /// start.
+    std::int64_t backendClockStepMs = 0;
     Safeguards safeguards;
 
     /// All events are written to it, unless it is null.
