UnitTests: no task starts on a leaving backend server in the random worlds

The worlds played leavings without a check of what starts afterwards, and backend servers whose clocks agreed.

--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -490,6 +490,11 @@
              "leave_backend(179,153) end_backend(62,63) lose_answers(488,22) wait(412,331) "
              "submit_long(413,299) submit_long(89,310) wait(469,488) freeze_agent(483,8) "
              "crash_backend(115,440) late_orders_reach_next_life(76,310)"},
+            {"a backend server leaves whose time of day was behind when it started", 11'096,
+             "step_backend_clocks(745,417) replace_backend(418,423) step_backend_clocks(720,30) "
+             "replace_backend(761,103) leave_backend(462,143) power_off_agent(854,26) "
+             "submit(727,781) wait(684,497) freeze_agent(490,500) wait(778,378) submit(559,809) "
+             "submit_long(399,603) wait(566,559)"},
     };
     for (const Row &row : rows) {
         CAPTURE(std::string(row.what));
