StoreClient, UnitTests: the client derives the length of a poll from the age that its records may have

TransientStore kept a copy of the client's settings only to compute the wait of a read from them and to pass the default of the other topic back to the client that has it. follow() now takes the age that a record may have, or none, and the computation stands inside the client. A test of announcements ends its observations by failPending() in place of a copy of it.

--- a/Source/Core/Gateway/TransientStore.cpp
+++ b/Source/Core/Gateway/TransientStore.cpp
@@ -27,9 +27,10 @@
 
 void TransientStore::start()
 {
-    this->storeSettings.address = this->control.settings.storeAddress;
-    this->storeSettings.metrics = &this->control.metrics;
-    this->client = std::make_unique<StoreClient::Client>(this->storeSettings);
+    StoreClient::StoreSettings settings;
+    settings.address = this->control.settings.storeAddress;
+    settings.metrics = &this->control.metrics;
+    this->client = std::make_unique<StoreClient::Client>(settings);
     this->followQueues();
     this->followGateways();
     this->client->write(StoreTopic::Gateways,
@@ -40,10 +41,9 @@
 
 void TransientStore::followQueues()
 {
-    const std::int64_t longPollMs =
-            StoreClient::longPollForAge(this->storeSettings, this->control.settings.queuesMaxAgeMs);
     this->client->follow(
-            StoreTopic::Operators, longPollMs, [this](const StoreClient::StoreUpdate &news) {
+            StoreTopic::Operators,
+            [this](const StoreClient::StoreUpdate &news) {
                 for (const Platform::StoreRecord &record : news.records) {
                     if (record.key != Platform::QueuesKey) {
                         continue;
@@ -57,17 +57,16 @@
                 if (news.available) {
                     this->mailbox.post(QueuesConfirmed{Common::currentMoment().steadyMs});
                 }
-            });
+            },
+            this->control.settings.queuesMaxAgeMs);
 }
 
 void TransientStore::followGateways()
 {
     // A new gateway is known from its peers, too.
-    this->client->follow(StoreTopic::Gateways, this->storeSettings.longPollMs,
-                         [this](const StoreClient::StoreUpdate &news) {
-                             this->mailbox.post(
-                                     GatewaysRead{Platform::decodeMembers(news.records)});
-                         });
+    this->client->follow(StoreTopic::Gateways, [this](const StoreClient::StoreUpdate &news) {
+        this->mailbox.post(GatewaysRead{Platform::decodeMembers(news.records)});
+    });
 }
 
 void TransientStore::runPeriodicWork()
--- a/Source/Core/Gateway/TransientStore.h
+++ b/Source/Core/Gateway/TransientStore.h
@@ -30,7 +30,6 @@
     TransientControl &control;
     TransientMailbox &mailbox;
     Transient::LearnedSchedule learned;
-    StoreClient::StoreSettings storeSettings;
     std::unique_ptr<StoreClient::Client> client;
 };
 
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -51,17 +51,18 @@
                    : result.error;
 }
 
-} // namespace
-
+/// A read on a dead connection ends by its timeout, and the next one, on another connection,
+/// returns the record at once: both have to end within \a maxAgeMs.
 std::int64_t longPollForAge(const StoreSettings &settings, std::int64_t maxAgeMs)
 {
-    // The read after the timeout makes a new connection.
     constexpr std::int64_t NextReadMs = 100;
     constexpr std::int64_t MinLongPollMs = 50;
     const std::int64_t leftMs = maxAgeMs - settings.answerTimeoutMs - NextReadMs;
     return std::clamp(leftMs, MinLongPollMs, settings.longPollMs);
 }
 
+} // namespace
+
 struct Client::Implementation
 {
     explicit Implementation(StoreSettings settings)
@@ -276,12 +277,13 @@
     this->stop();
 }
 
-void Client::follow(StoreTopic topic, std::int64_t longPollMs,
-                    std::function<void(StoreUpdate)> deliver)
+void Client::follow(StoreTopic topic, std::function<void(StoreUpdate)> deliver,
+                    std::optional<std::int64_t> maxAgeMs)
 {
+    const StoreSettings &settings = this->implementation->settings;
     auto follower = std::make_unique<Follower>();
     follower->topic = topic;
-    follower->longPollMs = longPollMs;
+    follower->longPollMs = maxAgeMs ? longPollForAge(settings, *maxAgeMs) : settings.longPollMs;
     follower->deliver = std::move(deliver);
     follower->answeredMs = nowMs();
     Follower &added = *follower;
--- a/Source/Core/StoreClient/StoreClient.h
+++ b/Source/Core/StoreClient/StoreClient.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,11 +33,6 @@
     Common::Metrics *metrics = nullptr;
 };
 
-/// How long a read may wait for a record, so that every record is delivered within \a maxAgeMs
-/// after it was written, although the connection that it was to come by is dead: the read then ends
-/// by its timeout, and the next one, on another connection, returns the record at once.
-std::int64_t longPollForAge(const StoreSettings &settings, std::int64_t maxAgeMs);
-
 /// Records that were read, or the notice that the store does not answer.
 struct StoreUpdate
 {
@@ -55,9 +51,10 @@
     Client &operator=(const Client &) = delete;
 
     /// Delivers the newest record of each key of \a topic, then every later record, on a thread of
-    /// the client until it stops. Each read waits for a record for \a longPollMs at most.
-    void follow(Platform::StoreTopic topic, std::int64_t longPollMs,
-                std::function<void(StoreUpdate)> deliver);
+    /// the client until it stops. With \a maxAgeMs each record is delivered within that time after
+    /// it was written, although the connection that it was to come by is dead.
+    void follow(Platform::StoreTopic topic, std::function<void(StoreUpdate)> deliver,
+                std::optional<std::int64_t> maxAgeMs = std::nullopt);
     /// Reads one page of the newest records and delivers it once. If the read fails, delivers an
     /// update without records whose available is false.
     void readOnce(Platform::StoreTopic topic, std::function<void(StoreUpdate)> deliver);
--- a/Source/UnitTests/Transient/AnnouncementTest.cpp
+++ b/Source/UnitTests/Transient/AnnouncementTest.cpp
@@ -50,9 +50,7 @@
             this->site.seen(call->observation, this->nowMs + 1, presentStartedAtMs);
             return;
         }
-        Transient::ObserveAnswer other;
-        other.outcome = ObserveOutcome::OtherIncarnation;
-        observeAnswered(this->site.state, call->observation, other, at(this->nowMs + 1));
+        failPending(this->site, ObserveOutcome::OtherIncarnation, this->nowMs + 1);
     }
 
     /// Whether a task that is ordered now is started.
