--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -42,13 +42,18 @@
     Schema::QueueTable queues;
 };
 
-/// The store has answered a read of the queues, with or without a new table: the table in force
-/// was the newest one when it did.
-struct QueuesConfirmed
+/// The store has answered a read of the operators' records, with or without new ones: the queues
+/// and evacuations in force were the present ones when it did.
+struct OperatorsConfirmed
 {
     std::int64_t steadyMs = 0;
 };
 
+struct EvacuationsRead
+{
+    Transient::EvacuationRecords records;
+};
+
 struct GatewaysRead
 {
     std::vector<Schema::Member> gateways;
@@ -63,9 +68,10 @@
 struct TransientStopRequested
 {};
 
-using TransientMessage = std::variant<CallerRequest, CallerDisconnected, Net::LinkUp, Net::LinkDown,
-                                      Net::FrameArrived, QueuesRead, QueuesConfirmed, GatewaysRead,
-                                      LearnedTimesRead, TransientStopRequested>;
+using TransientMessage =
+        std::variant<CallerRequest, CallerDisconnected, Net::LinkUp, Net::LinkDown,
+                     Net::FrameArrived, QueuesRead, EvacuationsRead, OperatorsConfirmed,
+                     GatewaysRead, LearnedTimesRead, TransientStopRequested>;
 using TransientMailbox = Common::Mailbox<TransientMessage>;
 
 /// Carries out the effects of a decision, immediately and in order.
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -41,7 +41,8 @@
     void on(const Net::LinkDown &event) { this->links.on(event); }
     void on(const Net::FrameArrived &event) { this->links.on(event); }
     void on(const QueuesRead &event) { this->links.takeQueues(event.queues, "store"); }
-    void on(const QueuesConfirmed &event);
+    void on(const EvacuationsRead &event);
+    void on(const OperatorsConfirmed &event);
     void on(const GatewaysRead &event);
     void on(const LearnedTimesRead &event) { this->store.on(event); }
     void on(const TransientStopRequested &event);
@@ -51,6 +52,7 @@
     void carryOut(const Transient::AnswerCaller &effect) { this->callers.answer(effect); }
     void carryOut(const Transient::CountReason &effect);
     void carryOut(const Transient::ObserveSeconds &effect);
+    void carryOut(const Transient::SetGauge &effect);
     void carryOut(const Transient::LogLine &effect);
 
     void runPeriodicWork();
@@ -144,11 +146,18 @@
     return control.state.isStopping ? std::min(next, control.now.steadyMs + StoppingTickMs) : next;
 }
 
-void TransientDaemon::Implementation::on(const QueuesConfirmed &event)
+void TransientDaemon::Implementation::on(const EvacuationsRead &event)
+{
+    this->carryOut(Transient::evacuationsRead(this->control.state, event.records, this->control.now,
+                                              this->control.random));
+}
+
+void TransientDaemon::Implementation::on(const OperatorsConfirmed &event)
 {
     constexpr double MsPerSecond = 1000;
     TransientControl &control = this->control;
     control.queuesConfirmedMs = event.steadyMs;
+    Transient::confirmEvacuations(control.state.fleet.evacuations, event.steadyMs);
     control.metrics.set("auburntrail_queues_confirmed_timestamp_seconds",
                         static_cast<double>(control.now.wallMs) / MsPerSecond);
 }
@@ -188,8 +197,12 @@
 {
     static const std::vector<double> bounds{0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75,
                                             1,    1.5, 2,    3,   5,   10,  30};
-    this->control.metrics.observe(effect.histogram, effect.seconds, bounds,
-                                  {{"queue", effect.queue}});
+    this->control.metrics.observe(effect.histogram, effect.seconds, bounds, effect.labels);
+}
+
+void TransientDaemon::Implementation::carryOut(const Transient::SetGauge &effect)
+{
+    this->control.metrics.set(effect.gauge, effect.value);
 }
 
 void TransientDaemon::Implementation::carryOut(const Transient::LogLine &effect)
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -124,6 +124,16 @@
         }
     }
     link.gateway = gateway;
+    if (announcement.evacuations) {
+        this->carryOut(Transient::evacuationsTold(this->control.state, *announcement.evacuations,
+                                                  announcement.gateway.instance, this->control.now,
+                                                  this->control.random));
+    }
+    if (announcement.operatorsReadMsAgo) {
+        Transient::confirmEvacuations(this->control.state.fleet.evacuations,
+                                      this->control.now.steadyMs
+                                              - *announcement.operatorsReadMsAgo);
+    }
     if (announcement.orphanLists) {
         Transient::receiveLists(this->control.state.orphanRelay, link.toldOrphans,
                                 *announcement.orphanLists, this->control.now);
@@ -180,7 +190,8 @@
 {
     Schema::Frame frame = frameOf(Schema::FrameType::GatewayAnnouncement);
     frame.gatewayAnnouncement = Transient::makeHeartbeat(
-            this->control.self, this->control.discovery, link.told, this->control.now);
+            this->control.self, this->control.discovery, this->control.state.fleet.evacuations,
+            link.told, this->control.now);
     frame.gatewayAnnouncement->queuesVersion = this->control.queues.version;
     if (link.gateway) {
         auto lists = Transient::listsFor(this->control.state.orphanRelay, link.toldOrphans,
@@ -276,8 +287,9 @@
 
 std::int64_t TransientLinks::nextHeartbeatMs(const PeerLink &link) const
 {
-    const std::int64_t heartbeatMs = Transient::nextHeartbeatMs(link.told, this->control.discovery,
-                                                                this->control.settings.heartbeatMs);
+    const std::int64_t heartbeatMs = Transient::nextHeartbeatMs(
+            link.told, this->control.discovery, this->control.state.fleet.evacuations,
+            this->control.settings.heartbeatMs);
     if (!link.gateway) {
         return heartbeatMs;
     }
--- a/Source/Core/Gateway/TransientStore.cpp
+++ b/Source/Core/Gateway/TransientStore.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/TransientStore.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "platform/Platform.h"
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr const char *IgnoredCounter = "auburntrail_operator_records_ignored_total";
+
 Common::Outcome<void> postQueues(TransientMailbox &mailbox, const Platform::StoreRecord &record)
 {
     BOOST_LEAF_AUTO(queues, Platform::decodeQueues(record.value));
@@ -31,7 +34,7 @@
     settings.address = this->control.settings.storeAddress;
     settings.metrics = &this->control.metrics;
     this->client = std::make_unique<StoreClient::Client>(settings);
-    this->followQueues();
+    this->followOperators();
     this->followGateways();
     this->client->write(StoreTopic::Gateways,
                         {this->control.settings.name, Platform::encodeMember(this->control.self)});
@@ -39,26 +42,69 @@
     this->readLearned();
 }
 
-void TransientStore::followQueues()
+void TransientStore::followOperators()
 {
+    const Schema::TransientGatewaySettings &settings = this->control.settings;
     this->client->follow(
             StoreTopic::Operators,
-            [this](const StoreClient::StoreUpdate &news) {
-                for (const Platform::StoreRecord &record : news.records) {
-                    if (record.key != Platform::QueuesKey) {
-                        continue;
-                    }
-                    Common::handle([&] { return postQueues(this->mailbox, record); },
-                                   [](const Common::Failure &failure) {
-                                       Common::logEvent(LogLevel::Warning, "queues_invalid",
-                                                        {{"detail", failure.detail}});
-                                   });
-                }
-                if (news.available) {
-                    this->mailbox.post(QueuesConfirmed{Common::currentMoment().steadyMs});
-                }
-            },
-            this->control.settings.queuesMaxAgeMs);
+            [this](const StoreClient::StoreUpdate &news) { this->operatorsRead(news); },
+            std::min(settings.queuesMaxAgeMs, settings.evacuationsMaxAgeMs));
+}
+
+/// Evacuations come first, so that no job of a new queue is placed where nothing may start.
+void TransientStore::operatorsRead(const StoreClient::StoreUpdate &news)
+{
+    if (!news.available) {
+        return;
+    }
+    this->mailbox.post(EvacuationsRead{
+            {Platform::decodeEvacuations(news.records), news.nextOffset, news.isComplete}});
+    for (const Platform::StoreRecord &record : news.records) {
+        switch (Platform::kindOf(record)) {
+        case Platform::OperatorRecordKind::Queues:
+            this->queuesRead(record);
+            break;
+        case Platform::OperatorRecordKind::Evacuation:
+            break;
+        case Platform::OperatorRecordKind::Ignored:
+            this->reportIgnored(record);
+            break;
+        }
+    }
+    this->mailbox.post(OperatorsConfirmed{Common::currentMoment().steadyMs});
+}
+
+void TransientStore::queuesRead(const Platform::StoreRecord &record)
+{
+    Common::handle(
+            [&] { return postQueues(this->mailbox, record); },
+            [this](const Common::Failure &failure) {
+                this->control.metrics.count(IgnoredCounter, {{"kind", "invalid"}});
+                Common::logEvent(LogLevel::Warning, "queues_invalid", {{"detail", failure.detail}});
+            });
+    std::vector<std::string> ignored = Platform::ignoredMembers(record.value);
+    if (ignored == this->ignoredMembers) {
+        return;
+    }
+    for (const std::string &member : ignored) {
+        this->control.metrics.count(IgnoredCounter, {{"kind", "member"}});
+        Common::logEvent(LogLevel::Warning, "queues_member_ignored", {{"member", member}});
+    }
+    this->ignoredMembers = std::move(ignored);
+}
+
+/// An operator who writes a record that this system does not act on would otherwise believe it in
+/// force.
+void TransientStore::reportIgnored(const Platform::StoreRecord &record)
+{
+    const auto [known, isNew] = this->ignoredRecords.try_emplace(record.key, record.offset);
+    if (!isNew && known->second >= record.offset) {
+        return;
+    }
+    known->second = record.offset;
+    this->control.metrics.count(IgnoredCounter, {{"kind", "record"}});
+    Common::logEvent(LogLevel::Warning, "operator_record_ignored",
+                     {{"key", record.key}, {"offset", record.offset}});
 }
 
 void TransientStore::followGateways()
--- a/Source/Core/Gateway/TransientStore.h
+++ b/Source/Core/Gateway/TransientStore.h
@@ -1,15 +1,19 @@
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "Gateway/TransientControl.h"
 #include "StoreClient/StoreClient.h"
 
 namespace Gateway {
 
-/// Access of the daemon for transient jobs to the store. Follows the operators' queues and the
-/// addresses of gateways, writes the address of this one, and reads and writes what gateways have
-/// learned.
+/// Access of the daemon for transient jobs to the store. Follows the operators'
+/// records and the addresses of gateways, writes the address of this one, and reads and writes what
+/// gateways have learned.
 class TransientStore
 {
 public:
@@ -22,7 +26,10 @@
     void stop();
 
 private:
-    void followQueues();
+    void followOperators();
+    void operatorsRead(const StoreClient::StoreUpdate &news);
+    void queuesRead(const Platform::StoreRecord &record);
+    void reportIgnored(const Platform::StoreRecord &record);
     void followGateways();
     void readLearned();
     void writeLearned();
@@ -30,6 +37,10 @@
     TransientControl &control;
     TransientMailbox &mailbox;
     Transient::LearnedSchedule learned;
+    /// Used by the thread that delivers the operators' records: offset of the record of each key
+    /// that was last reported as ignored, and members of the queues that were.
+    std::map<std::string, std::int64_t> ignoredRecords;
+    std::vector<std::string> ignoredMembers;
     std::unique_ptr<StoreClient::Client> client;
 };
 
--- a/Source/Core/Runner/Load.cpp
+++ b/Source/Core/Runner/Load.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Runner/Evacuation.h"
 #include "Runner/Forecast.h"
 #include "Runner/Pace.h"
 
@@ -95,7 +96,7 @@
 bool isAccepting(const RunnerState &state)
 {
     return state.backend && !state.backend->leaving && state.isClean && state.isBackendResponsive
-           && !state.isStopping;
+           && !state.isStopping && !isEvacuated(state);
 }
 
 Schema::AgentAnnouncement announcementFor(const RunnerState &state, const std::string &gateway,
--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "Runner/Evacuation.h"
 #include "Runner/Observation.h"
 #include "Runner/Orphans.h"
 #include "Runner/Pace.h"
@@ -40,22 +41,36 @@
     return run;
 }
 
-void returnTask(Effects &effects, const std::string &gateway, const Schema::TaskAttempt &attempt,
-                AttemptPhase phase, Reason reason)
+void reportTask(Effects &effects, const std::string &gateway, const Schema::TaskAttempt &attempt,
+                AttemptPhase phase, Reason reason, const Transient::LogFields &cause)
 {
     Schema::AttemptState state;
     state.task = attempt.task;
     state.attempt = attempt.attempt;
     state.phase = phase;
     state.reason = reason;
-    effects.emplace_back(Transient::LogLine{"order_given_back",
-                                            {{"task", attempt.task},
-                                             {"attempt", std::to_string(attempt.attempt)},
-                                             {"gateway", gateway},
-                                             {"reason", Schema::enumName(reason)}}});
+    Transient::LogLine line{"order_given_back",
+                            {{"task", attempt.task},
+                             {"attempt", std::to_string(attempt.attempt)},
+                             {"gateway", gateway},
+                             {"reason", Schema::enumName(reason)}}};
+    line.fields.insert(line.fields.end(), cause.begin(), cause.end());
+    effects.emplace_back(std::move(line));
     effects.emplace_back(ReportAttempt{gateway, state});
 }
 
+/// Returns a task that this agent does not accept at present.
+void returnTask(const RunnerState &state, Effects &effects, const std::string &gateway,
+                const Schema::TaskAttempt &attempt, Common::Moment now)
+{
+    const bool isByEvacuation = isEvacuated(state);
+    reportTask(effects, gateway, attempt, AttemptPhase::NotStarted,
+               isByEvacuation ? Reason::FailureDomainEvacuated : Reason::AgentDraining,
+               isByEvacuation
+                       ? Transient::evacuationFields(state.evacuations, state.failureDomain, now)
+                       : Transient::LogFields{});
+}
+
 void pruneRecentEnds(RunnerState &state, Common::Moment now)
 {
     for (auto &[gateway, ends] : state.recentEnds) {
@@ -97,7 +112,7 @@
     state.urgentPriority = std::min(state.urgentPriority, orders.priority);
     for (const Schema::TaskAttempt &attempt : orders.tasks) {
         if (!isAccepting(state)) {
-            returnTask(effects, gateway, attempt, AttemptPhase::NotStarted, Reason::AgentDraining);
+            returnTask(state, effects, gateway, attempt, now);
             continue;
         }
         const RunId id = ++state.lastRun;
@@ -120,7 +135,7 @@
                 });
         if (found == state.runs.end()) {
             // The report of its end is on the way to the gateway, or was lost with a connection.
-            returnTask(effects, gateway, attempt, AttemptPhase::Stopped, Reason::Withdrawn);
+            reportTask(effects, gateway, attempt, AttemptPhase::Stopped, Reason::Withdrawn, {});
             continue;
         }
         const RunId id = found->first;
--- a/Source/Core/Runner/Runner.h
+++ b/Source/Core/Runner/Runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Runner/Announcements.h"
+#include "Runner/Evacuation.h"
 #include "Runner/Load.h"
 #include "Runner/RunnerDaemon.h"
 #include "Runner/RunnerState.h"
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -66,12 +66,18 @@
     std::vector<Schema::Member> gateways;
 };
 
+struct OperatorsRead
+{
+    Transient::EvacuationRecords records;
+    std::int64_t sentMs = 0;
+};
+
 struct StopRequested
 {};
 
-using ControlMessage =
-        std::variant<Net::LinkUp, Net::LinkDown, Net::FrameArrived, RegistrationReceived,
-                     StartEnded, StopEnded, ObserveEnded, GatewaysRead, StopRequested>;
+using ControlMessage = std::variant<Net::LinkUp, Net::LinkDown, Net::FrameArrived,
+                                    RegistrationReceived, StartEnded, StopEnded, ObserveEnded,
+                                    GatewaysRead, OperatorsRead, StopRequested>;
 
 /// A connection to a gateway, from the connection attempt on.
 struct GatewayLink
@@ -100,6 +106,7 @@
     void on(const StopEnded &event);
     void on(const ObserveEnded &event);
     void on(const GatewaysRead &event);
+    void on(const OperatorsRead &event);
     void on(const StopRequested &event);
 
     void carryOut(const Effects &effects);
@@ -109,15 +116,19 @@
     void carryOut(const ReportAttempt &effect);
     void carryOut(const Announce &effect);
     void carryOut(const Transient::CountReason &effect);
+    void carryOut(const Transient::ObserveSeconds &effect);
+    void carryOut(const Transient::SetGauge &effect);
     void carryOut(const Transient::LogLine &effect);
 
     void gatewayAnnounced(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
+    void evacuationsAnnounced(const Schema::GatewayAnnouncement &announcement);
     void announceTo(Net::LinkId id, GatewayLink &link);
     void runPeriodicWork();
     void dialGateways();
     void closeSilentLinks();
     void releaseGateways();
     void readGatewaysFromStore();
+    void readOperatorsFromStore();
     void sendReports();
     void sendTo(Net::LinkId id, const Schema::Frame &frame);
     void handleRegistration(const Net::HttpRequest &request, const Net::HttpReply &reply);
@@ -137,6 +148,8 @@
     std::map<std::string, std::string> instanceAt;
     std::int64_t stopDeadlineMs = 0;
     std::int64_t storeReadMs = 0;
+    Transient::OperatorsReading operatorsReading;
+    Common::Random random = Common::makeRandom();
 
     // Declared last, so that their threads end before the members that they use are destroyed.
     std::unique_ptr<Net::PeerHub> hub;
@@ -154,10 +167,11 @@
                                           this->settings.seeds,
                                           static_cast<std::size_t>(this->settings.gatewayLinks)}))
     , now(Common::currentMoment())
+    , operatorsReading(
+              Transient::scheduleOperatorsReading(this->settings.evacuationsMaxAgeMs, this->now))
 {
-    Common::Random random = Common::makeRandom();
     this->state.name = this->settings.name;
-    this->state.instance = this->settings.name + '-' + Common::randomId(random);
+    this->state.instance = this->settings.name + '-' + Common::randomId(this->random);
     this->state.failureDomain = this->settings.failureDomain;
     this->state.service = this->settings.service;
     this->state.times.leaseMs = this->settings.leaseMs;
@@ -306,6 +320,7 @@
                                                     const Schema::GatewayAnnouncement &announcement)
 {
     Transient::addGateways(this->discovery, announcement.others, this->now);
+    this->evacuationsAnnounced(announcement);
     GatewayLink &link = this->links.at(id);
     link.reports.loadIntervalMs = announcement.loadIntervalMs.value_or(0);
     if (!link.instance.empty()) {
@@ -340,6 +355,19 @@
     }
 }
 
+void RunnerDaemon::Implementation::evacuationsAnnounced(
+        const Schema::GatewayAnnouncement &announcement)
+{
+    if (announcement.evacuations) {
+        this->carryOut(evacuationsTold(this->state, *announcement.evacuations,
+                                       announcement.gateway.instance, this->now));
+    }
+    if (announcement.operatorsReadMsAgo) {
+        Transient::confirmEvacuations(this->state.evacuations,
+                                      this->now.steadyMs - *announcement.operatorsReadMsAgo);
+    }
+}
+
 void RunnerDaemon::Implementation::announceTo(Net::LinkId id, GatewayLink &link)
 {
     this->sendTo(id, makeAnnouncement(this->state, link.reports, link.instance, this->now));
@@ -385,6 +413,11 @@
     Transient::addGateways(this->discovery, event.gateways, this->now);
 }
 
+void RunnerDaemon::Implementation::on(const OperatorsRead &event)
+{
+    this->carryOut(evacuationsRead(this->state, event.records, event.sentMs, this->now));
+}
+
 void RunnerDaemon::Implementation::on(const StopRequested & /*event*/)
 {
     if (this->state.isStopping) {
@@ -481,6 +514,17 @@
     this->metrics.count(effect.counter, {{"reason", Schema::enumName(effect.reason)}});
 }
 
+void RunnerDaemon::Implementation::carryOut(const Transient::ObserveSeconds &effect)
+{
+    static const std::vector<double> bounds{0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10, 30};
+    this->metrics.observe(effect.histogram, effect.seconds, bounds, effect.labels);
+}
+
+void RunnerDaemon::Implementation::carryOut(const Transient::SetGauge &effect)
+{
+    this->metrics.set(effect.gauge, effect.value);
+}
+
 void RunnerDaemon::Implementation::carryOut(const Transient::LogLine &effect)
 {
     Common::logEvent(effect.level, effect.event, effect.fields);
@@ -489,10 +533,12 @@
 void RunnerDaemon::Implementation::runPeriodicWork()
 {
     this->carryOut(tick(this->state, this->now));
+    Transient::ignoreDomains(this->discovery, Transient::anyEvacuated(this->state.evacuations));
     this->closeSilentLinks();
     this->dialGateways();
     this->releaseGateways();
     this->readGatewaysFromStore();
+    this->readOperatorsFromStore();
     this->sendReports();
 }
 
@@ -561,6 +607,23 @@
             });
 }
 
+void RunnerDaemon::Implementation::readOperatorsFromStore()
+{
+    if (!Transient::takeOperatorsReadDue(this->operatorsReading, this->state.evacuations, this->now,
+                                         this->random)) {
+        return;
+    }
+    const std::int64_t sentMs = this->now.steadyMs;
+    this->store->readOnce(
+            Platform::StoreTopic::Operators, [this, sentMs](const StoreClient::StoreUpdate &news) {
+                if (news.available) {
+                    this->mailbox.post(OperatorsRead{{Platform::decodeEvacuations(news.records),
+                                                      news.nextOffset, news.isComplete},
+                                                     sentMs});
+                }
+            });
+}
+
 void RunnerDaemon::Implementation::sendReports()
 {
     for (auto &[id, link] : this->links) {
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -122,7 +122,8 @@
 {};
 
 using Effect = std::variant<CallStart, CallStop, CallObserve, ReportAttempt, Announce,
-                            Transient::CountReason, Transient::LogLine>;
+                            Transient::CountReason, Transient::ObserveSeconds, Transient::SetGauge,
+                            Transient::LogLine>;
 using Effects = std::vector<Effect>;
 using Common::append;
 
@@ -220,6 +221,8 @@
     std::string service;
     RunnerTimes times;
 
+    Transient::Evacuations evacuations;
+
     /// Last announcement of the backend server, updated when it leaves or an observation shows a
     /// new incarnation.
     std::optional<Transient::BackendAnnouncement> backend;
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Runner/Evacuation.h"
 #include "Runner/Load.h"
 #include "Runner/RunQueue.h"
 
@@ -297,6 +298,10 @@
         returnQueuedTasks(state, effects, Reason::AgentDraining, now);
         return effects;
     }
+    if (isEvacuated(state)) {
+        returnEvacuatedTasks(state, effects, now);
+        return effects;
+    }
     if (!state.isClean || !state.isBackendResponsive || !state.clockOffsetMs
         || hasOverdueStop(state, now)) {
         return effects;
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -90,6 +90,13 @@
         std::string backend{};
     };
 
+    /**
+     * No backend server of the failure domain gets new work.
+     */
+    struct Evacuation {
+        std::string failureDomain{};
+    };
+
     struct KeyVersion {
         std::string key{};
         int64_t version{};
@@ -140,6 +147,10 @@
      */
     struct Configuration {
         std::vector<Drain> drains{};
+        /**
+         * Absent in documents of earlier versions.
+         */
+        std::optional<std::vector<Evacuation>> evacuations{};
         std::vector<KeyVersion> keyVersions{};
         Policy policy{};
         std::vector<Service> services{};
@@ -304,7 +315,7 @@
     /**
      * Why a job or task was refused, failed or retried. Each reason has a counter.
      */
-    enum class Reason : int { AgentDraining, AgentLost, AttemptsExhausted, BackendLost, BackendRefused, BackendSlow, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerGone, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, GatewayLost, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoBackend, NoConfiguration, NoRoom, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, StartUnanswered, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownQueue, UnknownService, UnknownTeam, UnsupportedJob, Withdrawn };
+    enum class Reason : int { AgentDraining, AgentLost, AttemptsExhausted, BackendLost, BackendRefused, BackendSlow, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerGone, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, FailureDomainEvacuated, GatewayLost, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoBackend, NoConfiguration, NoRoom, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, StartUnanswered, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownQueue, UnknownService, UnknownTeam, UnsupportedJob, Withdrawn };
 
     struct AttemptState {
         int64_t attempt{};
@@ -437,6 +448,37 @@
         std::string requestId{};
     };
 
+    /**
+     * Whether backend servers of a failure domain get no new work. Of two for the same domain,
+     * the one with the higher version is in force.
+     */
+    struct DomainEvacuation {
+        /**
+         * Upper limit of the time since the operator's request was acknowledged, when this was
+         * sent. Absent if it is not known.
+         */
+        std::optional<int64_t> ageMs{};
+        std::string failureDomain{};
+        bool inForce{};
+        /**
+         * Position in the operators' records up to which this holds; never decreases.
+         */
+        int64_t version{};
+    };
+
+    /**
+     * Evacuations in force and ended ones, if the receiver has not been told of the last change
+     * on this link.
+     */
+    struct EvacuationList {
+        /**
+         * All evacuations in force at this position in the operators' records are listed, unless
+         * they have ended since. Absent if the sender does not know.
+         */
+        std::optional<int64_t> completeAsOf{};
+        std::vector<DomainEvacuation> evacuations{};
+    };
+
     /**
      * A gateway.
      */
@@ -481,12 +523,18 @@
          * this gateway for one lease from that time on; 0 grants nothing.
          */
         int64_t echoMs{};
+        std::optional<EvacuationList> evacuations{};
         Member gateway{};
         /**
          * In a frame to an agent: shortest interval of reports that contain only the load, by what
          * the gateway's machine can carry. Absent if the agent decides alone.
          */
         std::optional<int64_t> loadIntervalMs{};
+        /**
+         * The sender's evacuations were the present ones at this time ago. Absent if the operators'
+         * records have not been read yet.
+         */
+        std::optional<int64_t> operatorsReadMsAgo{};
         /**
          * In a frame to a gateway: lists of orphaned jobs that the receiver has not been told.
          */
@@ -890,13 +938,14 @@
         int64_t writtenMs{};
     };
 
-    enum class ConfigKind : int { Drain, Policy, Service, Team };
+    enum class ConfigKind : int { Drain, Evacuation, Policy, Service, Team };
 
     /**
      * Sets or removes one key. Accepted if no change to its key has a version above basedOn.
      */
     struct ConfigChange {
         std::optional<Drain> drain{};
+        std::optional<Evacuation> evacuation{};
         ConfigKind kind{};
         std::string name{};
         std::optional<Policy> policy{};
@@ -997,6 +1046,9 @@
     void from_json(const json & j, Drain & x);
     void to_json(json & j, const Drain & x);
 
+    void from_json(const json & j, Evacuation & x);
+    void to_json(json & j, const Evacuation & x);
+
     void from_json(const json & j, KeyVersion & x);
     void to_json(json & j, const KeyVersion & x);
 
@@ -1075,6 +1127,12 @@
     void from_json(const json & j, ForwardAnswer & x);
     void to_json(json & j, const ForwardAnswer & x);
 
+    void from_json(const json & j, DomainEvacuation & x);
+    void to_json(json & j, const DomainEvacuation & x);
+
+    void from_json(const json & j, EvacuationList & x);
+    void to_json(json & j, const EvacuationList & x);
+
     void from_json(const json & j, Member & x);
     void to_json(json & j, const Member & x);
 
@@ -1210,6 +1268,15 @@
         j["backend"] = x.backend;
     }
 
+    inline void from_json(const json & j, Evacuation& x) {
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Evacuation & x) {
+        j = json::object();
+        j["failureDomain"] = x.failureDomain;
+    }
+
     inline void from_json(const json & j, KeyVersion& x) {
         x.key = j.at("key").get<std::string>();
         x.version = j.at("version").get<int64_t>();
@@ -1301,6 +1368,7 @@
 
     inline void from_json(const json & j, Configuration& x) {
         x.drains = j.at("drains").get<std::vector<Drain>>();
+        x.evacuations = get_stack_optional<std::vector<Evacuation>>(j, "evacuations");
         x.keyVersions = j.at("keyVersions").get<std::vector<KeyVersion>>();
         x.policy = j.at("policy").get<Policy>();
         x.services = j.at("services").get<std::vector<Service>>();
@@ -1311,6 +1379,9 @@
     inline void to_json(json & j, const Configuration & x) {
         j = json::object();
         j["drains"] = x.drains;
+        if (x.evacuations) {
+            j["evacuations"] = x.evacuations;
+        }
         j["keyVersions"] = x.keyVersions;
         j["policy"] = x.policy;
         j["services"] = x.services;
@@ -1704,6 +1775,36 @@
         j["requestId"] = x.requestId;
     }
 
+    inline void from_json(const json & j, DomainEvacuation& x) {
+        x.ageMs = get_stack_optional<int64_t>(j, "ageMs");
+        x.failureDomain = j.at("failureDomain").get<std::string>();
+        x.inForce = j.at("inForce").get<bool>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const DomainEvacuation & x) {
+        j = json::object();
+        if (x.ageMs) {
+            j["ageMs"] = x.ageMs;
+        }
+        j["failureDomain"] = x.failureDomain;
+        j["inForce"] = x.inForce;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, EvacuationList& x) {
+        x.completeAsOf = get_stack_optional<int64_t>(j, "completeAsOf");
+        x.evacuations = j.at("evacuations").get<std::vector<DomainEvacuation>>();
+    }
+
+    inline void to_json(json & j, const EvacuationList & x) {
+        j = json::object();
+        if (x.completeAsOf) {
+            j["completeAsOf"] = x.completeAsOf;
+        }
+        j["evacuations"] = x.evacuations;
+    }
+
     inline void from_json(const json & j, Member& x) {
         x.failureDomain = j.at("failureDomain").get<std::string>();
         x.heardMsAgo = get_stack_optional<int64_t>(j, "heardMsAgo");
@@ -1740,8 +1841,10 @@
 
     inline void from_json(const json & j, GatewayAnnouncement& x) {
         x.echoMs = j.at("echoMs").get<int64_t>();
+        x.evacuations = get_stack_optional<EvacuationList>(j, "evacuations");
         x.gateway = j.at("gateway").get<Member>();
         x.loadIntervalMs = get_stack_optional<int64_t>(j, "loadIntervalMs");
+        x.operatorsReadMsAgo = get_stack_optional<int64_t>(j, "operatorsReadMsAgo");
         x.orphanLists = get_stack_optional<std::vector<OrphanList>>(j, "orphanLists");
         x.others = j.at("others").get<std::vector<Member>>();
         x.queuesVersion = j.at("queuesVersion").get<int64_t>();
@@ -1750,10 +1853,16 @@
     inline void to_json(json & j, const GatewayAnnouncement & x) {
         j = json::object();
         j["echoMs"] = x.echoMs;
+        if (x.evacuations) {
+            j["evacuations"] = x.evacuations;
+        }
         j["gateway"] = x.gateway;
         if (x.loadIntervalMs) {
             j["loadIntervalMs"] = x.loadIntervalMs;
         }
+        if (x.operatorsReadMsAgo) {
+            j["operatorsReadMsAgo"] = x.operatorsReadMsAgo;
+        }
         if (x.orphanLists) {
             j["orphanLists"] = x.orphanLists;
         }
@@ -2264,6 +2373,7 @@
 
     inline void from_json(const json & j, ConfigChange& x) {
         x.drain = get_stack_optional<Drain>(j, "drain");
+        x.evacuation = get_stack_optional<Evacuation>(j, "evacuation");
         x.kind = j.at("kind").get<ConfigKind>();
         x.name = j.at("name").get<std::string>();
         x.policy = get_stack_optional<Policy>(j, "policy");
@@ -2277,6 +2387,9 @@
         if (x.drain) {
             j["drain"] = x.drain;
         }
+        if (x.evacuation) {
+            j["evacuation"] = x.evacuation;
+        }
         j["kind"] = x.kind;
         j["name"] = x.name;
         if (x.policy) {
@@ -2506,6 +2619,7 @@
             {"deadline_passed", Reason::DeadlinePassed},
             {"deadline_unreachable", Reason::DeadlineUnreachable},
             {"epoch_fenced", Reason::EpochFenced},
+            {"failure_domain_evacuated", Reason::FailureDomainEvacuated},
             {"gateway_lost", Reason::GatewayLost},
             {"id_conflict", Reason::IdConflict},
             {"lease_lapsed", Reason::LeaseLapsed},
@@ -2564,6 +2678,7 @@
             case Reason::DeadlinePassed: j = "deadline_passed"; break;
             case Reason::DeadlineUnreachable: j = "deadline_unreachable"; break;
             case Reason::EpochFenced: j = "epoch_fenced"; break;
+            case Reason::FailureDomainEvacuated: j = "failure_domain_evacuated"; break;
             case Reason::GatewayLost: j = "gateway_lost"; break;
             case Reason::IdConflict: j = "id_conflict"; break;
             case Reason::LeaseLapsed: j = "lease_lapsed"; break;
@@ -2716,6 +2831,7 @@
 
     inline void from_json(const json & j, ConfigKind & x) {
         if (j == "drain") x = ConfigKind::Drain;
+        else if (j == "evacuation") x = ConfigKind::Evacuation;
         else if (j == "policy") x = ConfigKind::Policy;
         else if (j == "service") x = ConfigKind::Service;
         else if (j == "team") x = ConfigKind::Team;
@@ -2725,6 +2841,7 @@
     inline void to_json(json & j, const ConfigKind & x) {
         switch (x) {
             case ConfigKind::Drain: j = "drain"; break;
+            case ConfigKind::Evacuation: j = "evacuation"; break;
             case ConfigKind::Policy: j = "policy"; break;
             case ConfigKind::Service: j = "service"; break;
             case ConfigKind::Team: j = "team"; break;
--- a/Source/Core/Schema/Generated/Settings.h
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -211,6 +211,11 @@
          * Decisions that are switched off, to show the effect of each.
          */
         std::vector<AgentDecision> disabledDecisions{};
+        /**
+         * Within this time the evacuation of this agent's failure domain is in force. If its
+         * gateways' news is older than half of it, the agent reads the store.
+         */
+        int64_t evacuationsMaxAgeMs{};
         std::string failureDomain{};
         /**
          * Number of gateways that this agent connects to, half of them in its failure domain. Only
@@ -269,6 +274,10 @@
          * Decisions that are switched off, to show the effect of each.
          */
         std::vector<GatewayDecision> disabledDecisions{};
+        /**
+         * Within this time the evacuation of a failure domain is in force everywhere.
+         */
+        int64_t evacuationsMaxAgeMs{};
         std::string failureDomain{};
         /**
          * Number of other gateways that this one connects to; about as many connect to it. With
@@ -477,6 +486,7 @@
     inline void from_json(const json & j, TransientAgentSettings& x) {
         x.backendAddress = j.at("backendAddress").get<std::string>();
         x.disabledDecisions = j.at("disabledDecisions").get<std::vector<AgentDecision>>();
+        x.evacuationsMaxAgeMs = j.at("evacuationsMaxAgeMs").get<int64_t>();
         x.failureDomain = j.at("failureDomain").get<std::string>();
         x.gatewayLinks = j.at("gatewayLinks").get<int64_t>();
         x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
@@ -498,6 +508,7 @@
         j = json::object();
         j["backendAddress"] = x.backendAddress;
         j["disabledDecisions"] = x.disabledDecisions;
+        j["evacuationsMaxAgeMs"] = x.evacuationsMaxAgeMs;
         j["failureDomain"] = x.failureDomain;
         j["gatewayLinks"] = x.gatewayLinks;
         j["heartbeatMs"] = x.heartbeatMs;
@@ -518,6 +529,7 @@
     inline void from_json(const json & j, TransientGatewaySettings& x) {
         x.callerAddress = j.at("callerAddress").get<std::string>();
         x.disabledDecisions = j.at("disabledDecisions").get<std::vector<GatewayDecision>>();
+        x.evacuationsMaxAgeMs = j.at("evacuationsMaxAgeMs").get<int64_t>();
         x.failureDomain = j.at("failureDomain").get<std::string>();
         x.gatewayLinks = j.at("gatewayLinks").get<int64_t>();
         x.heartbeatMs = j.at("heartbeatMs").get<int64_t>();
@@ -543,6 +555,7 @@
         j = json::object();
         j["callerAddress"] = x.callerAddress;
         j["disabledDecisions"] = x.disabledDecisions;
+        j["evacuationsMaxAgeMs"] = x.evacuationsMaxAgeMs;
         j["failureDomain"] = x.failureDomain;
         j["gatewayLinks"] = x.gatewayLinks;
         j["heartbeatMs"] = x.heartbeatMs;
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -1,6 +1,7 @@
 #include "StoreClient/StoreClient.h"
 
 #include <algorithm>
+#include <iterator>
 #include <mutex>
 #include <utility>
 
@@ -14,6 +15,32 @@
 constexpr std::int64_t MaxRetryFactor = 4;
 constexpr const char *CallCounter = "auburntrail_store_calls_total";
 
+/// The pages of the newest records that have been read. They are not a snapshot: reading continues
+/// from the end offset of the first one.
+struct NewestPages
+{
+    std::string afterKey;
+    std::int64_t endOffset = 0;
+    std::vector<Platform::StoreRecord> records;
+};
+
+/// Adds a page. Returns true if no more follow.
+bool addPage(NewestPages &pages, Platform::NewestRecords page)
+{
+    if (pages.afterKey.empty()) {
+        pages.endOffset = page.nextOffset;
+    }
+    const bool hasMore = page.hasMore && !page.records.empty();
+    pages.afterKey = hasMore ? page.records.back().key : std::string();
+    std::move(page.records.begin(), page.records.end(), std::back_inserter(pages.records));
+    return !hasMore;
+}
+
+StoreUpdate completeUpdate(NewestPages pages)
+{
+    return {true, std::move(pages.records), pages.endOffset, true};
+}
+
 /// One topic being read. Has a call in flight or a pause pending, never both, so that only one
 /// thread accesses it at a time.
 struct Follower
@@ -24,8 +51,7 @@
     /// Whether the newest records of all keys are read next: at first, and whenever the history has
     /// expired.
     bool readsNewest = true;
-    std::string afterKey;
-    std::int64_t newestOffset = 0;
+    NewestPages pages;
     std::int64_t offset = 0;
     bool isUnavailable = false;
     std::int64_t pauseMs = 0;
@@ -75,7 +101,9 @@
     void read(Follower &follower);
     void handleNewest(Follower &follower, const Net::HttpResult &result);
     void handleRead(Follower &follower, const Net::HttpResult &result);
-    void succeed(Follower &follower, std::vector<Platform::StoreRecord> records);
+    void readPages(StoreTopic topic, NewestPages pages, std::function<void(StoreUpdate)> deliver);
+    void markAvailable(Follower &follower);
+    void succeed(Follower &follower, StoreUpdate update);
     void retry(Follower &follower, const Net::HttpResult &result);
     void write(StoreTopic topic, const Platform::StoreRecord &record, std::int64_t pauseMs);
     void tryWrite(StoreTopic topic, const Platform::StoreRecord &record,
@@ -119,7 +147,8 @@
 {
     follower.sentMs = nowMs();
     if (follower.readsNewest) {
-        this->send(Platform::newestCall(this->settings.address, follower.topic, follower.afterKey),
+        this->send(Platform::newestCall(this->settings.address, follower.topic,
+                                        follower.pages.afterKey),
                    0, [this, &follower](const Net::HttpResult &result) {
                        this->count("newest", result);
                        this->handleNewest(follower, result);
@@ -142,18 +171,14 @@
         this->retry(follower, result);
         return;
     }
-    // The pages are not a snapshot, so reading continues from the end offset of the first page.
-    if (follower.afterKey.empty()) {
-        follower.newestOffset = newest->nextOffset;
-    }
-    if (newest->hasMore && !newest->records.empty()) {
-        follower.afterKey = newest->records.back().key;
-    } else {
-        follower.afterKey.clear();
-        follower.readsNewest = false;
-        follower.offset = follower.newestOffset;
+    if (!addPage(follower.pages, std::move(*newest))) {
+        this->markAvailable(follower);
+        this->read(follower);
+        return;
     }
-    this->succeed(follower, std::move(newest->records));
+    follower.readsNewest = false;
+    follower.offset = follower.pages.endOffset;
+    this->succeed(follower, completeUpdate(std::exchange(follower.pages, {})));
 }
 
 void Client::Implementation::handleRead(Follower &follower, const Net::HttpResult &result)
@@ -169,10 +194,10 @@
         follower.readsNewest = true;
     }
     follower.offset = read->nextOffset;
-    this->succeed(follower, std::move(read->records));
+    this->succeed(follower, {true, std::move(read->records), read->nextOffset, false});
 }
 
-void Client::Implementation::succeed(Follower &follower, std::vector<Platform::StoreRecord> records)
+void Client::Implementation::markAvailable(Follower &follower)
 {
     if (follower.isUnavailable) {
         Common::logEvent(Common::LogLevel::Info, "store_regained",
@@ -182,7 +207,12 @@
     follower.answeredMs = nowMs();
     follower.isUnavailable = false;
     follower.pauseMs = 0;
-    follower.deliver({true, std::move(records)});
+}
+
+void Client::Implementation::succeed(Follower &follower, StoreUpdate update)
+{
+    this->markAvailable(follower);
+    follower.deliver(std::move(update));
     this->read(follower);
 }
 
@@ -209,6 +239,25 @@
                        [this, &follower] { this->read(follower); });
 }
 
+void Client::Implementation::readPages(StoreTopic topic, NewestPages pages,
+                                       std::function<void(StoreUpdate)> deliver)
+{
+    Net::HttpCall call = Platform::newestCall(this->settings.address, topic, pages.afterKey);
+    this->send(std::move(call), 0,
+               [this, topic, pages = std::move(pages),
+                deliver = std::move(deliver)](const Net::HttpResult &result) mutable {
+                   this->count("newest", result);
+                   std::optional<Platform::NewestRecords> newest = Platform::decodeNewest(result);
+                   if (!newest) {
+                       deliver({});
+                   } else if (addPage(pages, std::move(*newest))) {
+                       deliver(completeUpdate(std::move(pages)));
+                   } else {
+                       this->readPages(topic, std::move(pages), std::move(deliver));
+                   }
+               });
+}
+
 void Client::Implementation::tryWrite(StoreTopic topic, const Platform::StoreRecord &record,
                                       const std::function<void()> &failed)
 {
@@ -296,17 +345,7 @@
 
 void Client::readOnce(StoreTopic topic, std::function<void(StoreUpdate)> deliver)
 {
-    this->implementation->send(
-            Platform::newestCall(this->implementation->settings.address, topic, {}), 0,
-            [this, deliver = std::move(deliver)](const Net::HttpResult &result) {
-                this->implementation->count("newest", result);
-                std::optional<Platform::NewestRecords> newest = Platform::decodeNewest(result);
-                if (newest) {
-                    deliver({true, std::move(newest->records)});
-                } else {
-                    deliver({});
-                }
-            });
+    this->implementation->readPages(topic, {}, std::move(deliver));
 }
 
 void Client::write(StoreTopic topic, const Platform::StoreRecord &record)
--- a/Source/Core/StoreClient/StoreClient.h
+++ b/Source/Core/StoreClient/StoreClient.h
@@ -39,6 +39,11 @@
     /// False in the one update that is delivered each time the store stops answering.
     bool available = false;
     std::vector<Platform::StoreRecord> records;
+    /// Offset after the last record that was read.
+    std::int64_t nextOffset = 0;
+    /// \a records are the newest of all keys. Keys without a record here have been removed before
+    /// nextOffset, or were written from it on.
+    bool isComplete = false;
 };
 
 /// Runs on threads of its own.
@@ -55,8 +60,8 @@
     /// it was written, although the connection that it was to come by is dead.
     void follow(Platform::StoreTopic topic, std::function<void(StoreUpdate)> deliver,
                 std::optional<std::int64_t> maxAgeMs = std::nullopt);
-    /// Reads one page of the newest records and delivers it once. If the read fails, delivers an
-    /// update without records whose available is false.
+    /// Delivers the newest record of each key once. If the read fails, delivers an update without
+    /// records whose available is false.
     void readOnce(Platform::StoreTopic topic, std::function<void(StoreUpdate)> deliver);
     /// Writes the record, with retries until the store acknowledges it.
     void write(Platform::StoreTopic topic, const Platform::StoreRecord &record);
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -127,6 +127,28 @@
     return JobResult{JobOutcome::Refused, Reason::NoBackend, RetryMs};
 }
 
+/// Refuses a job if all backend servers that could run one of its steps are in evacuated failure
+/// domains, and logs which one.
+std::optional<Effects> refuseEvacuated(const GatewayState &state, const std::string &token,
+                                       const JobRecord &job, Common::Moment now)
+{
+    for (const StepRecord &step : job.steps) {
+        if (hasEligibleBackend(state.fleet, job.queue.service, step.request)) {
+            continue;
+        }
+        const std::string failureDomain =
+                evacuatedDomainFor(state.fleet, job.queue.service, step.request);
+        if (!failureDomain.empty()) {
+            const JobResult result{JobOutcome::Refused, Reason::FailureDomainEvacuated,
+                                   evacuatedRetryMs(state, failureDomain, now)};
+            LogFields fields = evacuationFields(state.fleet.evacuations, failureDomain, now);
+            fields.emplace_back("queue", job.queue.name);
+            return refuse(token, job.id, result, std::move(fields));
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 Effects admit(GatewayState &state, Submission submission, Common::Moment now,
@@ -134,6 +156,9 @@
 {
     JobRecord job = makeJob(state, submission, now);
     if (const auto refused = refusalForLackOfBackends(state, job, now)) {
+        if (auto evacuated = refuseEvacuated(state, submission.token, job, now)) {
+            return *std::move(evacuated);
+        }
         return refuse(
                 submission.token, job.id, *refused,
                 {{"queue", job.queue.name}, {"agents", std::to_string(state.fleet.agents.size())}});
--- a/Source/Core/Transient/Agents.cpp
+++ b/Source/Core/Transient/Agents.cpp
@@ -226,6 +226,7 @@
     agent.orphans = announcement.orphans.value_or(Schema::OrphanedJobs{});
     updateList(state.orphanRelay, announcement.instance, agent.orphans, now.steadyMs);
     agent.isConnected = true;
+    agent.isEvacuated = isEvacuated(state.fleet.evacuations, announcement.failureDomain);
     recallSpeedOf(state.fleet, agent);
     updateLoad(agent, announcement.load, now.steadyMs);
     if (isNewConnection) {
--- a/Source/Core/Transient/Answers.cpp
+++ b/Source/Core/Transient/Answers.cpp
@@ -93,7 +93,7 @@
     if (result.outcome == JobOutcome::Succeeded) {
         observeAnswer(state.predictionErrors[job.queue.name], job.predictedMs,
                       static_cast<double>(now.steadyMs - job.receivedMs), now.steadyMs);
-        effects.emplace_back(ObserveSeconds{AnswerSeconds, job.queue.name, seconds});
+        effects.emplace_back(ObserveSeconds{AnswerSeconds, seconds, {{"queue", job.queue.name}}});
     }
     answerAll(effects, job, result);
     sendWithdrawals(effects, withdrawals);
--- a/Source/Core/Transient/Discovery.cpp
+++ b/Source/Core/Transient/Discovery.cpp
@@ -78,8 +78,8 @@
     std::vector<RankedGateway> near;
     std::vector<RankedGateway> far;
     for (const auto &[address, gateway] : discovery.gateways) {
-        const bool isNear =
-                gateway.member && gateway.member->failureDomain == discovery.settings.failureDomain;
+        const bool isNear = !discovery.ignoresDomains && gateway.member
+                            && gateway.member->failureDomain == discovery.settings.failureDomain;
         (isNear ? near : far)
                 .push_back({Common::hash64(discovery.settings.name + ' ' + address), address});
     }
@@ -131,6 +131,14 @@
     return discovery;
 }
 
+void ignoreDomains(Discovery &discovery, bool ignores)
+{
+    if (discovery.ignoresDomains != ignores) {
+        discovery.ignoresDomains = ignores;
+        rank(discovery);
+    }
+}
+
 void addGateway(Discovery &discovery, const Schema::Member &gateway, Common::Moment now)
 {
     const std::string address = addressOf(gateway);
--- a/Source/Core/Transient/Discovery.h
+++ b/Source/Core/Transient/Discovery.h
@@ -22,7 +22,8 @@
 /// chosen by about as many processes as the others, and one that comes or goes changes only the
 /// choices that include it. Gateways of the own failure domain and others take turns in the
 /// ranking, so that work reaches backend servers of all domains and a domain that is cut off has
-/// gateways.
+/// gateways. While a failure domain is evacuated, agents rank all gateways alike: otherwise those
+/// in that domain would have half as many backend servers as the others.
 namespace Transient {
 
 /// Timeout of a connection attempt. If a machine has no power, the first packet to it is lost; the
@@ -72,11 +73,16 @@
     std::vector<std::string> chosen;
     /// Incremented with each gateway that is added or restarted.
     std::uint64_t change = 1;
+    /// Gateways of the own failure domain have no preference.
+    bool ignoresDomains = false;
     std::int64_t expiredMs = 0;
 };
 
 Discovery makeDiscovery(DiscoverySettings settings);
 
+/// Ranks all gateways alike, or those of the own failure domain and others in turns.
+void ignoreDomains(Discovery &discovery, bool ignores);
+
 /// Adds a gateway that another process or the store has reported, or that has announced itself. A
 /// report that is older than what is known has no effect.
 void addGateway(Discovery &discovery, const Schema::Member &gateway, Common::Moment now);
--- a/Source/Core/Transient/Effects.h
+++ b/Source/Core/Transient/Effects.h
@@ -38,8 +38,14 @@
 struct ObserveSeconds
 {
     std::string histogram;
-    std::string queue;
     double seconds = 0;
+    Common::MetricLabels labels;
+};
+
+struct SetGauge
+{
+    std::string gauge;
+    double value = 0;
 };
 
 /// Writes one log line.
@@ -50,7 +56,8 @@
     Common::LogLevel level = Common::LogLevel::Info;
 };
 
-using Effect = std::variant<SendToAgent, AnswerCaller, CountReason, ObserveSeconds, LogLine>;
+using Effect =
+        std::variant<SendToAgent, AnswerCaller, CountReason, ObserveSeconds, SetGauge, LogLine>;
 using Effects = std::vector<Effect>;
 using Common::append;
 
--- a/Source/Core/Transient/Fleet.cpp
+++ b/Source/Core/Transient/Fleet.cpp
@@ -10,15 +10,19 @@
 /// fails every run fails it at once.
 constexpr double FastShare = 0.3;
 
-std::size_t countEjected(const Fleet &fleet)
+/// Whether another backend server may be ejected. Those that are evacuated take no load off the
+/// others, so neither they nor their ejections count.
+bool mayEject(const Fleet &fleet)
 {
     std::size_t ejected = 0;
+    std::size_t counted = 0;
     for (const auto &[name, agent] : fleet.agents) {
         const bool isOut = agent.health.phase == Dispatch::HealthPhase::Ejected
                            || agent.health.phase == Dispatch::HealthPhase::Trial;
-        ejected += isOut ? 1 : 0;
+        counted += agent.isEvacuated ? 0 : 1;
+        ejected += isOut && !agent.isEvacuated ? 1 : 0;
     }
-    return ejected;
+    return ejected < Dispatch::maxEjected(counted);
 }
 
 } // namespace
@@ -35,8 +39,8 @@
 
 bool acceptsTasks(const AgentView &agent, const std::string &service, std::int64_t nowMs)
 {
-    if (!agent.isConnected || !agent.announced.accepting || agent.announced.service != service
-        || nowMs < agent.pausedUntilMs) {
+    if (!agent.isConnected || !agent.announced.accepting || agent.isEvacuated
+        || agent.announced.service != service || nowMs < agent.pausedUntilMs) {
         return false;
     }
     constexpr std::int64_t NoLimit = 1'000'000;
@@ -97,14 +101,29 @@
     }
     const bool isFast = static_cast<double>(outcome.runMs) < outcome.expectedMs * FastShare;
     const bool isBad = Dispatch::recordOutcome(agent.health, {outcome.succeeded, isFast});
-    if (!isBad || !fleet.decisions.ejects
-        || countEjected(fleet) >= Dispatch::maxEjected(fleet.agents.size())) {
+    if (!isBad || !fleet.decisions.ejects || !mayEject(fleet)) {
         return false;
     }
     Dispatch::eject(agent.health, nowMs);
     return true;
 }
 
+void updateEvacuated(Fleet &fleet)
+{
+    const bool othersServe =
+            std::any_of(fleet.agents.begin(), fleet.agents.end(), [](const auto &entry) {
+                return entry.second.isConnected && !entry.second.isEvacuated;
+            });
+    for (auto &[name, agent] : fleet.agents) {
+        const bool wasEvacuated = agent.isEvacuated;
+        agent.isEvacuated = isEvacuated(fleet.evacuations, agent.announced.failureDomain);
+        if (wasEvacuated && !agent.isEvacuated && othersServe
+            && agent.health.phase == Dispatch::HealthPhase::Healthy) {
+            Dispatch::beginSlowStart(agent.health);
+        }
+    }
+}
+
 void advanceFleet(Fleet &fleet, std::int64_t nowMs)
 {
     for (auto &[name, agent] : fleet.agents) {
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -12,6 +12,7 @@
 #include "Dispatch/Scheduling/Estimates.h"
 #include "Dispatch/Scheduling/Health.h"
 #include "Schema/Schema.h"
+#include "Transient/Evacuations.h"
 
 /// State of the agents and their backend servers as known to a gateway.
 ///
@@ -32,6 +33,8 @@
 {
     Schema::AgentAnnouncement announced;
     bool isConnected = false;
+    /// Its failure domain is evacuated.
+    bool isEvacuated = false;
     Schema::AgentLoad load;
     std::int64_t lastSequence = 0;
     /// Orders that the load does not include yet.
@@ -88,6 +91,7 @@
 struct Fleet
 {
     FleetDecisions decisions;
+    Evacuations evacuations;
     /// By the agent's name, which stays the same when the agent restarts. Iterated in the order of
     /// names, so that a seed reproduces a run.
     std::map<std::string, AgentView> agents;
@@ -128,6 +132,10 @@
 bool recordRunOutcome(Fleet &fleet, AgentView &agent, Dispatch::ProfileId profile,
                       const RunOutcome &outcome, std::int64_t nowMs);
 
+/// Updates AgentView::isEvacuated of all agents. Backend servers that are taken back may be cold:
+/// they get tasks as they complete them, unless no other serves meanwhile.
+void updateEvacuated(Fleet &fleet);
+
 /// Begins the trial of backend servers whose ejection is over.
 void advanceFleet(Fleet &fleet, std::int64_t nowMs);
 
--- a/Source/Core/Transient/Heartbeats.cpp
+++ b/Source/Core/Transient/Heartbeats.cpp
@@ -16,20 +16,37 @@
     return hasChanged ? std::min(allMs, told.gatewaysSentMs + GatewaysMinIntervalMs) : allMs;
 }
 
+void addEvacuations(Schema::GatewayAnnouncement &announcement, const Evacuations &evacuations,
+                    ToldPeer &told, Common::Moment now)
+{
+    if (evacuations.readMs) {
+        announcement.operatorsReadMsAgo = now.steadyMs - *evacuations.readMs;
+    }
+    if (told.evacuationsChange != evacuations.change) {
+        announcement.evacuations = evacuationsToTell(evacuations, now);
+        told.evacuationsChange = evacuations.change;
+    }
+}
+
 } // namespace
 
 std::int64_t nextHeartbeatMs(const ToldPeer &told, const Discovery &discovery,
-                             std::int64_t heartbeatMs)
+                             const Evacuations &evacuations, std::int64_t heartbeatMs)
 {
+    if (told.evacuationsChange != evacuations.change) {
+        return told.sentMs;
+    }
     return std::min(told.sentMs + heartbeatMs, nextGatewaysMs(told, discovery));
 }
 
 Schema::GatewayAnnouncement makeHeartbeat(const Schema::Member &self, const Discovery &discovery,
-                                          ToldPeer &told, Common::Moment now)
+                                          const Evacuations &evacuations, ToldPeer &told,
+                                          Common::Moment now)
 {
     Schema::GatewayAnnouncement announcement;
     announcement.gateway = self;
     told.sentMs = now.steadyMs;
+    addEvacuations(announcement, evacuations, told, now);
     if (now.steadyMs < nextGatewaysMs(told, discovery)) {
         return announcement;
     }
--- a/Source/Core/Transient/Heartbeats.h
+++ b/Source/Core/Transient/Heartbeats.h
@@ -5,6 +5,7 @@
 #include "Common/Common.h"
 #include "Schema/Schema.h"
 #include "Transient/Discovery.h"
+#include "Transient/Evacuations.h"
 
 /// Decides what a gateway sends to its peers without being asked, and when.
 ///
@@ -22,17 +23,22 @@
     /// Last change of the known gateways that was sent, and when.
     std::uint64_t gatewaysChange = 0;
     std::int64_t gatewaysSentMs = 0;
+    /// Last change of the evacuations that was sent.
+    std::uint64_t evacuationsChange = 0;
     /// When all known gateways were sent.
     std::int64_t allGatewaysSentMs = 0;
 };
 
-/// Time on the steady clock when the next heartbeat to the peer is due.
+/// Time on the steady clock when the next heartbeat to the peer is due: at once if the evacuations
+/// have changed.
 std::int64_t nextHeartbeatMs(const ToldPeer &told, const Discovery &discovery,
-                             std::int64_t heartbeatMs);
+                             const Evacuations &evacuations, std::int64_t heartbeatMs);
 
 /// Heartbeat of the gateway \a self to the peer. It lists the gateways that were added since the
-/// last one, and now and then all, so that the peer learns which ones still work.
+/// last one, and now and then all, so that the peer learns which ones still work. It contains all
+/// evacuations if the peer has not been told of the last change.
 Schema::GatewayAnnouncement makeHeartbeat(const Schema::Member &self, const Discovery &discovery,
-                                          ToldPeer &told, Common::Moment now);
+                                          const Evacuations &evacuations, ToldPeer &told,
+                                          Common::Moment now);
 
 } // namespace Transient
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -35,12 +35,11 @@
 
 /// Ends a job that cannot be completed. It counts as refused, which means "not run", only if none
 /// of its tasks was ordered.
-Effects endUnserved(GatewayState &state, const std::string &id, Reason gaveUp, Reason refused,
-                    Common::Moment now)
+Effects endUnserved(GatewayState &state, const std::string &id, Reason gaveUp,
+                    const JobResult &refusal, Common::Moment now)
 {
     JobRecord &job = state.jobs.at(id);
-    const JobResult result = job.anyOrdered ? JobResult{JobOutcome::GaveUp, gaveUp, 0}
-                                            : JobResult{JobOutcome::Refused, refused, RetryMs};
+    const JobResult result = job.anyOrdered ? JobResult{JobOutcome::GaveUp, gaveUp, 0} : refusal;
     Effects effects = endJob(state, job, result, now);
     removeIfSettled(state, id, now);
     return effects;
@@ -53,7 +52,8 @@
 {
     Effects effects;
     for (const std::string &id : openJobs(state, [](const JobRecord &) { return true; })) {
-        append(effects, endUnserved(state, id, Reason::Stopping, Reason::Stopping, now));
+        append(effects, endUnserved(state, id, Reason::Stopping,
+                                    {JobOutcome::Refused, Reason::Stopping, RetryMs}, now));
     }
     // Tasks of an earlier job with the same id have run: "not run" would not be true.
     for (const auto &[id, waiting] : state.parked) {
@@ -80,7 +80,34 @@
     for (const std::string &id : openJobs(state, isOverdue)) {
         const Reason refused =
                 state.fleet.agents.empty() ? Reason::NoBackend : Reason::DeadlineUnreachable;
-        append(effects, endUnserved(state, id, Reason::DeadlinePassed, refused, now));
+        append(effects, endUnserved(state, id, Reason::DeadlinePassed,
+                                    {JobOutcome::Refused, refused, RetryMs}, now));
+        append(effects, admitParked(state, id, now, random));
+    }
+    return effects;
+}
+
+/// Ends jobs with ready tasks that only backend servers in evacuated failure domains could run.
+Effects endEvacuated(GatewayState &state, Common::Moment now, Common::Random &random)
+{
+    Effects effects;
+    if (state.readyTasks == 0 || !anyEvacuated(state.fleet.evacuations)
+        || now.steadyMs < state.startedMs + state.times.gatherMs) {
+        return effects;
+    }
+    const auto isStuck = [&state](const JobRecord &job) {
+        return job.ready > 0 && !evacuatedDomainOf(state, job).empty();
+    };
+    for (const std::string &id : openJobs(state, isStuck)) {
+        const std::string failureDomain = evacuatedDomainOf(state, state.jobs.at(id));
+        const std::int64_t retryMs = evacuatedRetryMs(state, failureDomain, now);
+        LogLine line{"job_without_backends",
+                     evacuationFields(state.fleet.evacuations, failureDomain, now)};
+        line.fields.insert(line.fields.begin(), {"job", id});
+        effects.emplace_back(std::move(line));
+        append(effects,
+               endUnserved(state, id, Reason::FailureDomainEvacuated,
+                           {JobOutcome::Refused, Reason::FailureDomainEvacuated, retryMs}, now));
         append(effects, admitParked(state, id, now, random));
     }
     return effects;
@@ -205,6 +232,7 @@
     removeLostAgents(state, effects, now);
     append(effects, settleFormerAgents(state, now, random));
     append(effects, endOverdue(state, now, random));
+    append(effects, endEvacuated(state, now, random));
     append(effects, admitReleased(state, now, random));
     if (state.isStopping && now.steadyMs >= state.stopDeadlineMs) {
         append(effects, endAll(state, now));
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -123,6 +123,13 @@
 Effects handleAgentDisconnected(GatewayState &state, const std::string &instance,
                                 Common::Moment now);
 
+/// Handles evacuations that another process has told of. \a source is its name, for the log.
+Effects evacuationsTold(GatewayState &state, const Schema::EvacuationList &told,
+                        const std::string &source, Common::Moment now, Common::Random &random);
+/// Handles the operators' records that the store has returned.
+Effects evacuationsRead(GatewayState &state, const EvacuationRecords &records, Common::Moment now,
+                        Common::Random &random);
+
 /// Begins to stop: only jobs that end within \a timeoutMs are admitted; all others end by then.
 void beginStop(GatewayState &state, std::int64_t timeoutMs, Common::Moment now);
 
--- a/Source/Core/Transient/JobsInternal.h
+++ b/Source/Core/Transient/JobsInternal.h
@@ -27,6 +27,16 @@
 Effects admitParked(GatewayState &state, const std::string &id, Common::Moment now,
                     Common::Random &random);
 
+// EvacuatedFleet.cpp: evacuated failure domains
+
+/// The evacuated failure domain without which ready tasks of the job have no backend server; empty
+/// if there is none.
+std::string evacuatedDomainOf(const GatewayState &state, const JobRecord &job);
+/// Retry time in refusals while \a failureDomain is evacuated: nobody knows for how long, and one
+/// that has lasted for some time will hardly end much sooner than after the same time again.
+std::int64_t evacuatedRetryMs(const GatewayState &state, const std::string &failureDomain,
+                              Common::Moment now);
+
 // Orders.cpp: placement of tasks and orders to agents
 
 struct PlacedTask
--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -134,8 +134,28 @@
     return std::any_of(fleet.agents.begin(), fleet.agents.end(), [&](const auto &entry) {
         const AgentView &agent = entry.second;
         const bool mayTakeIt = !agent.isConnected || agent.announced.accepting;
-        return mayTakeIt && agent.announced.service == service && isEligible(agent, step);
+        return mayTakeIt && !agent.isEvacuated && agent.announced.service == service
+               && isEligible(agent, step);
     });
 }
 
+std::string evacuatedDomainFor(const Fleet &fleet, const std::string &service,
+                               const StepRequest &step)
+{
+    std::string latest;
+    std::int64_t latestVersion = 0;
+    for (const auto &[name, agent] : fleet.agents) {
+        const std::string &failureDomain = agent.announced.failureDomain;
+        if (!agent.isEvacuated || agent.announced.service != service || !isEligible(agent, step)) {
+            continue;
+        }
+        const std::int64_t version = fleet.evacuations.domains.at(failureDomain).version;
+        if (version > latestVersion) {
+            latest = failureDomain;
+            latestVersion = version;
+        }
+    }
+    return latest;
+}
+
 } // namespace Transient
--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -55,7 +55,13 @@
                                    Common::Random &random);
 
 /// True if the service has a backend server that could run the step, now or once its disconnected
-/// agent is back. A connected agent that accepts no tasks, as when it is leaving, does not count.
+/// agent is back. A connected agent that accepts no tasks, as when it is leaving, does not count,
+/// nor does one whose failure domain is evacuated.
 bool hasEligibleBackend(const Fleet &fleet, const std::string &service, const StepRequest &step);
 
+/// The evacuated failure domain of a backend server that could run the step otherwise; empty if
+/// there is none. Of several, the one that was evacuated last.
+std::string evacuatedDomainFor(const Fleet &fleet, const std::string &service,
+                               const StepRequest &step);
+
 } // namespace Transient
--- a/Source/Core/Transient/Transient.h
+++ b/Source/Core/Transient/Transient.h
@@ -7,6 +7,7 @@
 #include "Transient/Decisions.h"
 #include "Transient/Discovery.h"
 #include "Transient/Effects.h"
+#include "Transient/Evacuations.h"
 #include "Transient/Fleet.h"
 #include "Transient/Heartbeats.h"
 #include "Transient/Job.h"
--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr const char *Service = "desk";
+constexpr const char *FailureDomain = "beja";
 constexpr const char *Job = "5c0e7a21d94b36f8";
 
 std::string loopback(std::uint16_t port)
@@ -69,6 +70,8 @@
         settings.heartbeatMs = 250;
         settings.gatewayLinks = 4;
         settings.queuesMaxAgeMs = 2000;
+        settings.evacuationsMaxAgeMs = 5000;
+        settings.failureDomain = FailureDomain;
         // Long, since the machine that runs the test may be busy.
         settings.silenceMs = 5000;
         settings.leaseMs = 700;
@@ -89,6 +92,8 @@
         settings.seeds = {this->peers};
         settings.heartbeatMs = 250;
         settings.gatewayLinks = 8;
+        settings.evacuationsMaxAgeMs = 5000;
+        settings.failureDomain = FailureDomain;
         settings.silenceMs = 5000;
         settings.leaseMs = 900;
         settings.stopTimeoutMs = 5000;
@@ -305,6 +310,31 @@
     CHECK_FALSE(site.backend.announce(site.registration, Service, true));
 }
 
+TEST_CASE("A failure domain is evacuated and taken back by records in the store")
+{
+    // Guards against a record of the operators that is dropped, although they believe it in force.
+    Site site;
+    REQUIRE(site.serves());
+    site.store.setOperatorRecord("wave/1", "{}");
+    site.store.setEvacuated(FailureDomain, true);
+    Net::HttpResult refused;
+    CHECK(waitFor([&] {
+        refused = site.call("POST", std::string("/checks/") + Job, Site::shortJob());
+        return refused.status == 503;
+    }));
+    const int before = site.backend.starts();
+    CHECK(site.call("POST", std::string("/checks/") + Job, Site::shortJob()).status == 503);
+    CHECK(site.backend.starts() == before);
+    // The record of its end is no longer available when the gateway reads the next time.
+    site.store.setSilent(true);
+    site.store.setEvacuated(FailureDomain, false);
+    site.store.dropHistory();
+    site.store.setSilent(false);
+    CHECK(waitFor([&site] {
+        return site.call("POST", std::string("/checks/") + Job, Site::shortJob()).status == 200;
+    }));
+}
+
 TEST_CASE("A backend server that leaves gets nothing new")
 {
     Site site;
--- a/Source/UnitTests/Platform/FakePlatform.cpp
+++ b/Source/UnitTests/Platform/FakePlatform.cpp
@@ -138,9 +138,19 @@
 }
 
 void Store::setQueues(const std::string &text)
+{
+    this->setOperatorRecord("config", text);
+}
+
+void Store::setEvacuated(const std::string &failureDomain, bool evacuated)
+{
+    this->setOperatorRecord("evacuate/" + failureDomain, evacuated ? "{}" : "");
+}
+
+void Store::setOperatorRecord(const std::string &key, const std::string &value)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->append(OperatorsTopic, "config", text);
+    this->append(OperatorsTopic, key, value);
 }
 
 void Store::setSilent(bool silent)
@@ -202,7 +212,7 @@
         return {};
     }
     const auto found = topic->second.newest.find(key);
-    return found == topic->second.newest.end() ? std::string() : found->second;
+    return found == topic->second.newest.end() ? std::string() : found->second.value;
 }
 
 int Store::writes() const
@@ -262,7 +272,11 @@
         return;
     }
     Topic &topic = this->topics[name];
-    topic.newest[key] = value;
+    if (value.empty()) {
+        topic.newest.erase(key);
+    } else {
+        topic.newest[key] = {value, this->endOf(topic)};
+    }
     const std::string content = std::string(1, static_cast<char>(key.size())) + key + value;
     topic.records.push_back(bigEndian(content.size(), LengthBytes) + content);
     for (auto reader = this->readers.begin(); reader != this->readers.end();) {
@@ -345,9 +359,10 @@
     const auto topic = this->topics.find(name);
     if (topic != this->topics.end()) {
         end = this->endOf(topic->second);
-        for (const auto &[key, value] : topic->second.newest) {
-            items.push_back(
-                    {{"key", key}, {"value", websocketpp::base64_encode(value)}, {"offset", 0}});
+        for (const auto &[key, newest] : topic->second.newest) {
+            items.push_back({{"key", key},
+                             {"value", websocketpp::base64_encode(newest.value)},
+                             {"offset", newest.offset}});
         }
     }
     return json(200, Json{{"items", items}, {"hasMore", false}, {"endOffset", end}});
--- a/Source/UnitTests/Platform/FakePlatform.h
+++ b/Source/UnitTests/Platform/FakePlatform.h
@@ -39,6 +39,10 @@
     std::string address() const;
     std::uint16_t port() const;
     void setQueues(const std::string &text);
+    /// The operator evacuates a failure domain, or takes it back.
+    void setEvacuated(const std::string &failureDomain, bool evacuated);
+    /// Writes another record of the operators.
+    void setOperatorRecord(const std::string &key, const std::string &value);
     void setSilent(bool silent);
     void setFault(StoreFault fault, bool on);
     /// From now on acknowledges the addresses of gateways without storing them.
@@ -56,12 +60,19 @@
     std::string learned(const std::string &key) const;
 
 private:
+    /// Newest record of a key.
+    struct Newest
+    {
+        std::string value;
+        std::int64_t offset = 0;
+    };
+
     struct Topic
     {
         std::int64_t firstOffset = 0;
         /// In the wire format, from firstOffset on.
         std::vector<std::string> records;
-        std::map<std::string, std::string> newest;
+        std::map<std::string, Newest> newest;
     };
 
     /// A read that waits for a record.
--- a/Source/UnitTests/Platform/StoreCallsTest.cpp
+++ b/Source/UnitTests/Platform/StoreCallsTest.cpp
@@ -34,6 +34,7 @@
     REQUIRE(read->records.size() == 2);
     CHECK(read->records[0].key == "gateway-1");
     CHECK(read->records[0].value == "where");
+    CHECK(read->records[1].offset == 41);
 }
 
 TEST_CASE("Records of other writers do not hide those behind them")
@@ -75,7 +76,8 @@
     CHECK(newest->nextOffset == 6);
     CHECK(newest->hasMore);
     REQUIRE(newest->records.size() == 1);
-    CHECK(newest->records[0].key == Platform::QueuesKey);
+    CHECK(newest->records[0].key == "config");
+    CHECK(newest->records[0].offset == 4);
     CHECK(newest->records[0].value == "{\"a\":1}");
 }
 
@@ -113,6 +115,61 @@
     }
 }
 
+TEST_CASE("Records of the operators")
+{
+    using Platform::OperatorRecordKind;
+    struct Row
+    {
+        Platform::StoreRecord record;
+        OperatorRecordKind kind;
+        bool inForce;
+    };
+    const Row rows[] = {
+            {{"config", "{}", 3}, OperatorRecordKind::Queues, false},
+            {{"evacuate/beja", "{}", 4}, OperatorRecordKind::Evacuation, true},
+            {{"evacuate/beja", "", 5}, OperatorRecordKind::Evacuation, false},
+            {{"evacuate/a/b", "[", 6}, OperatorRecordKind::Evacuation, true},
+            {{"evacuate/", "{}", 7}, OperatorRecordKind::Ignored, false},
+            {{"evacuate", "{}", 8}, OperatorRecordKind::Ignored, false},
+            {{"wave/1", "{}", 9}, OperatorRecordKind::Ignored, false},
+            {{"", "{}", 10}, OperatorRecordKind::Ignored, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.record.key);
+        CHECK(Platform::kindOf(row.record) == row.kind);
+        const auto decoded = Platform::decodeEvacuations({row.record});
+        REQUIRE(decoded.size() == (row.kind == OperatorRecordKind::Evacuation ? 1 : 0));
+        if (!decoded.empty()) {
+            CHECK(decoded[0].inForce == row.inForce);
+            CHECK(decoded[0].version == row.record.offset + 1);
+            CHECK("evacuate/" + decoded[0].failureDomain == row.record.key);
+        }
+    }
+}
+
+TEST_CASE("Members of the configuration that this system does not act on are named")
+{
+    struct Row
+    {
+        const char *text;
+        std::vector<std::string> ignored;
+    };
+    const Row rows[] = {
+            {R"({"routes":[{"name":"r","kind":"unsafe","timeoutMs":9}],"services":[{"name":"s",)"
+             R"("tls":false,"coldStartS":0.0,"standby":false,"preconditions":true}]})",
+             {}},
+            {R"({"routes":[{"name":"r","allowedRegions":["north"]},{"allowedRegions":["x"]}],)"
+             R"("services":[{"name":"s","standby":true,"coldStartS":2.5}]})",
+             {"routes.allowedRegions", "services.coldStartS", "services.standby"}},
+            {R"({"routes":7,"services":[7]})", {}},
+            {"", {}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.text);
+        CHECK(Platform::ignoredMembers(row.text) == row.ignored);
+    }
+}
+
 TEST_CASE("Learned times are decoded newest first, without invalid records")
 {
     Schema::LearnedTimes older;
--- a/Source/UnitTests/Transient/DiscoveryTest.cpp
+++ b/Source/UnitTests/Transient/DiscoveryTest.cpp
@@ -114,6 +114,39 @@
     }
 }
 
+TEST_CASE("Gateways in an evacuated failure domain have as many agents left as the others")
+{
+    // Guards against a gateway that refuses callers while backend servers of others stand idle.
+    constexpr int Gateways = 24;
+    constexpr int Agents = 960;
+    constexpr int Domains = 4;
+    for (const bool isEvacuated : {false, true}) {
+        std::map<int, int> agentsOfDomain;
+        for (int agent = 0; agent < Agents; ++agent) {
+            if (agent % Domains == 0) {
+                continue;
+            }
+            Discovery discovery = makeDiscovery({"agent-" + std::to_string(agent),
+                                                 "domain-" + std::to_string(agent % Domains),
+                                                 "",
+                                                 {},
+                                                 8});
+            for (int gateway = 1; gateway <= Gateways; ++gateway) {
+                Schema::Member member = gatewayAt("10.0.0." + std::to_string(gateway));
+                member.failureDomain = "domain-" + std::to_string(gateway % Domains);
+                addGateway(discovery, member, at(0));
+            }
+            ignoreDomains(discovery, isEvacuated);
+            for (const std::string &address : gatewaysToDial(discovery, at(0))) {
+                const auto &member = discovery.gateways.at(address).member;
+                agentsOfDomain[member->failureDomain.back() - '0'] += 1;
+            }
+        }
+        const double share = static_cast<double>(agentsOfDomain[0]) / agentsOfDomain[1];
+        CHECK((share > 0.85) == isEvacuated);
+    }
+}
+
 TEST_CASE("A gateway that does not answer is replaced by the next, and returns to its place")
 {
     Discovery discovery = makeDiscovery({"self", "", "", {}, 2});
@@ -183,7 +216,7 @@
     addGateway(discovery, gatewayAt("10.0.0.2"), at(1000));
     ToldPeer told;
     const auto listed = [&](std::int64_t nowMs) {
-        return makeHeartbeat({}, discovery, told, at(nowMs)).others.size();
+        return makeHeartbeat({}, discovery, {}, told, at(nowMs)).others.size();
     };
     struct Row
     {
@@ -195,12 +228,12 @@
         CAPTURE(row.atMs);
         CHECK(listed(row.atMs) == row.listed);
     }
-    CHECK(nextHeartbeatMs(told, discovery, 250) == 20'500);
+    CHECK(nextHeartbeatMs(told, discovery, {}, 250) == 20'500);
     addGateway(discovery, gatewayAt("10.0.0.2", 100), at(20'300));
-    CHECK(nextHeartbeatMs(told, discovery, 250) == 20'500);
+    CHECK(nextHeartbeatMs(told, discovery, {}, 250) == 20'500);
     addGateway(discovery, gatewayAt("10.0.0.3"), at(20'300));
-    CHECK(nextHeartbeatMs(told, discovery, 250) == 20'100);
+    CHECK(nextHeartbeatMs(told, discovery, {}, 250) == 20'100);
     CHECK(listed(20'300) == 1);
-    CHECK(nextHeartbeatMs(told, discovery, 250) == 20'550);
+    CHECK(nextHeartbeatMs(told, discovery, {}, 250) == 20'550);
     CHECK(listed(30'000) == 2);
 }
--- a/Source/UnitTests/Transient/SafeguardTest.cpp
+++ b/Source/UnitTests/Transient/SafeguardTest.cpp
@@ -105,6 +105,63 @@
     losePower(world, std::set<int>(world.gateways[0].openAgents));
 }
 
+/// Orders tasks at the gateway, \a afterMs after all of the site should know of the evacuation.
+void orderAfterEvacuation(World &world, std::int64_t afterMs)
+{
+    constexpr std::int64_t InForceMs = 5010;
+    evacuateDomain(world, 0);
+    runFor(world, InForceMs + afterMs);
+    submit(world, 0, Long, 8, 8000);
+    runFor(world, 500);
+}
+
+/// A gateway can reach neither the store nor the other gateways.
+void evacuateUnheard(World &world, std::int64_t afterMs)
+{
+    world.store.gatewaysCutOff.insert(0);
+    for (int other = 1; other < static_cast<int>(world.gateways.size()); ++other) {
+        world.gatewayPartitions.insert({0, other});
+        world.gatewayPartitions.insert({other, 0});
+    }
+    orderAfterEvacuation(world, afterMs);
+}
+
+void cutOffAllGateways(World &world)
+{
+    for (int gateway = 0; gateway < static_cast<int>(world.gateways.size()); ++gateway) {
+        world.store.gatewaysCutOff.insert(gateway);
+    }
+}
+
+/// No gateway can reach the store.
+void evacuateUnread(World &world, std::int64_t afterMs)
+{
+    cutOffAllGateways(world);
+    orderAfterEvacuation(world, afterMs);
+}
+
+/// All processes restart long after the evacuation, and no gateway can reach the store then.
+void restartEvacuated(World &world, std::int64_t afterMs)
+{
+    constexpr std::int64_t LongAfterMs = 6000;
+    evacuateDomain(world, 0);
+    runFor(world, LongAfterMs);
+    cutOffAllGateways(world);
+    for (int gateway = 0; gateway < static_cast<int>(world.gateways.size()); ++gateway) {
+        killGateway(world, gateway, true);
+    }
+    for (int agent = 0; agent < static_cast<int>(world.agents.size()); ++agent) {
+        killAgent(world, agent, true);
+        startAgent(world, agent);
+    }
+    for (int gateway = 0; gateway < static_cast<int>(world.gateways.size()); ++gateway) {
+        startGateway(world, gateway);
+    }
+    runFor(world, afterMs);
+    submit(world, 0, Long, 8, 8000);
+    runFor(world, 500);
+}
+
 /// The longest ones exceed the time after which an unanswered start can no longer take effect. The
 /// tasks that are ordered in the sockets of a frozen agent run elsewhere by then.
 const std::vector<std::int64_t> LongTimesMs{900, 2000, 3500, 13'800, 14'200, 14'600};
@@ -175,6 +232,28 @@
     }
 }
 
+TEST_CASE("Each safeguard against starts in an evacuated failure domain is needed")
+{
+    struct Row
+    {
+        const char *what;
+        Safeguards off;
+        Scenario scenario;
+    };
+    Row rows[] = {{"agents refuse", {}, evacuateUnheard},
+                  {"agents read the store", {}, evacuateUnread},
+                  {"gateways know before they serve", {}, restartEvacuated}};
+    rows[0].off.agentsRefuse = false;
+    rows[1].off.agentsReadStore = false;
+    rows[2].off.knowsBeforeServing = false;
+    const SiteSize twoDomains{3, 4, {8, 4, 2}};
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        CHECK(countViolations({}, row.scenario, ShortTimesMs, twoDomains) == 0);
+        CHECK(countViolations(row.off, row.scenario, ShortTimesMs, twoDomains) > 0);
+    }
+}
+
 TEST_CASE("An agent is away for seconds while orders take effect late and with fresh leases")
 {
     // The agent is killed while a start is unanswered. Its leases lapse after 1.7 s. Then the start
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -47,10 +47,15 @@
     LateOrdersReachNextIncarnation,
     SubmitLong,
     StepBackendClocks,
+    Evacuate,
+    TakeBack,
+    StopStore,
+    CutOffStore,
+    DropStoreHistory,
     Wait
 };
 
-constexpr Common::NameTable<CommandKind, 37> CommandNames{{
+constexpr Common::NameTable<CommandKind, 42> CommandNames{{
         {CommandKind::Submit, "submit"},
         {CommandKind::Leave, "leave"},
         {CommandKind::KillGateway, "kill_gateway"},
@@ -87,6 +92,11 @@
         {CommandKind::LateOrdersReachNextIncarnation, "late_orders_reach_next_life"},
         {CommandKind::SubmitLong, "submit_long"},
         {CommandKind::StepBackendClocks, "step_backend_clocks"},
+        {CommandKind::Evacuate, "evacuate"},
+        {CommandKind::TakeBack, "take_back"},
+        {CommandKind::StopStore, "stop_store"},
+        {CommandKind::CutOffStore, "cut_off_store"},
+        {CommandKind::DropStoreHistory, "drop_store_history"},
         {CommandKind::Wait, "wait"},
 }};
 
@@ -191,6 +201,26 @@
             {{TroubleWeight, anyCommandWithTrouble()}, {1, PropertyCheck::anyCommand(kind)}});
 }
 
+/// The same, and failure domains that are evacuated and taken back while the store is down, drops
+/// its history or is cut off from gateways.
+rc::Gen<Command> anyCommandWithEvacuations()
+{
+    using rc::gen::weightedElement;
+    const auto kind = weightedElement<CommandKind>({
+            {4, CommandKind::Evacuate},
+            {3, CommandKind::TakeBack},
+            {1, CommandKind::StopStore},
+            {2, CommandKind::CutOffStore},
+            {1, CommandKind::DropStoreHistory},
+            {2, CommandKind::KillGateway},
+            {2, CommandKind::KillAgent},
+            {5, CommandKind::Wait},
+    });
+    constexpr std::size_t TroubleWeight = 2;
+    return rc::gen::weightedOneOf<Command>(
+            {{TroubleWeight, anyCommandWithTrouble()}, {1, PropertyCheck::anyCommand(kind)}});
+}
+
 int pickIndex(std::size_t count, unsigned number)
 {
     return static_cast<int>(number % count);
@@ -239,6 +269,33 @@
     }
 }
 
+void executeOperators(World &world, const Command &command)
+{
+    const int domain =
+            pickIndex(static_cast<std::size_t>(world.neighbourhood.failureDomains), command.second);
+    switch (command.kind) {
+    case CommandKind::Evacuate:
+        evacuateDomain(world, domain);
+        break;
+    case CommandKind::TakeBack:
+        takeBackDomain(world, domain);
+        break;
+    case CommandKind::StopStore:
+        stopStore(world, static_cast<std::int64_t>(command.first) * 3);
+        break;
+    case CommandKind::CutOffStore:
+        // In a third of the cases the gateways reach it again.
+        if (command.first % 3 == 0) {
+            world.store.gatewaysCutOff.clear();
+        } else {
+            world.store.gatewaysCutOff.insert(pickIndex(world.gateways.size(), command.first));
+        }
+        break;
+    default:
+        dropStoreHistory(world);
+    }
+}
+
 void execute(World &world, const Command &command)
 {
     const int gateway = pickIndex(world.gateways.size(), command.first);
@@ -350,6 +407,13 @@
     case CommandKind::Wait:
         runFor(world, command.first);
         break;
+    case CommandKind::Evacuate:
+    case CommandKind::TakeBack:
+    case CommandKind::StopStore:
+    case CommandKind::CutOffStore:
+    case CommandKind::DropStoreHistory:
+        executeOperators(world, command);
+        break;
     }
     runFor(world, 5 + command.second % 50);
 }
@@ -368,11 +432,22 @@
             replaceBackend(world, static_cast<int>(index));
         }
     }
+    world.store.downUntilMs = std::min(world.store.downUntilMs, world.nowMs);
+    world.store.gatewaysCutOff.clear();
+    for (int domain = 0; world.store.version > 0 && domain < world.neighbourhood.failureDomains;
+         ++domain) {
+        takeBackDomain(world, domain);
+    }
     startAll(world, true);
     startAll(world, false);
     restartAll(world);
     constexpr std::int64_t SettleMs = 20'000;
     runFor(world, SettleMs);
+    for (const SiteAgent &agent : world.agents) {
+        if (Runner::isEvacuated(agent.state)) {
+            world.violations.push_back("agent still refuses tasks: " + agent.state.instance);
+        }
+    }
     const std::size_t last = submit(world, 0, {100, 1, false}, 4, 4000);
     constexpr std::int64_t ServeMs = 3000;
     runFor(world, ServeMs);
@@ -414,6 +489,24 @@
     return playIn(*makeWorld(seed, 6, 6, {}, Few), commands, trace);
 }
 
+/// Plays on a site of three failure domains.
+std::string playWithEvacuations(const std::vector<Command> &commands, std::uint64_t seed,
+                                std::ostream *trace)
+{
+    constexpr Neighbourhood ThreeDomains{3, 2, 3};
+    return playIn(*makeWorld(seed, 6, 6, {}, ThreeDomains), commands, trace);
+}
+
+std::string findViolationsWithEvacuations(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    return playWithEvacuations(commands, seed, nullptr);
+}
+
+void printTraceWithEvacuations(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    playWithEvacuations(commands, seed, &std::cerr);
+}
+
 std::string findViolationsAmongMany(const std::vector<Command> &commands, std::uint64_t seed)
 {
     return playAmongMany(commands, seed, nullptr);
@@ -533,3 +626,10 @@
     PropertyCheck::check<Command>({"small neighbourhoods", 60, 100}, anyCommandWithTrouble(),
                                   findViolationsAmongMany, printTraceAmongMany);
 }
+
+TEST_CASE("Random evacuations violate no invariant of transient jobs")
+{
+    // Guards against starts in a failure domain long after its evacuation was acknowledged.
+    PropertyCheck::check<Command>({"evacuations", 60, 100}, anyCommandWithEvacuations(),
+                                  findViolationsWithEvacuations, printTraceWithEvacuations);
+}
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -22,6 +22,8 @@
 constexpr std::int64_t StopTimeoutMs = 120;
 constexpr std::int64_t ObserveGraceMs = 150;
 constexpr std::int64_t AnnounceIntervalMs = 1500;
+/// Time in which an evacuation has to be in force everywhere.
+constexpr std::int64_t EvacuateMs = 5000;
 constexpr std::int64_t Never = std::int64_t{1} << 40U;
 constexpr const char *Service = "repair-desk";
 
@@ -120,6 +122,9 @@
     return world.partitions.count({gateway, agent}) != 0;
 }
 
+void carryOutOne(World & /*world*/, int /*process*/, const Transient::SetGauge & /*effect*/) {}
+void carryOutOne(World & /*world*/, int /*process*/, const Transient::ObserveSeconds & /*effect*/)
+{}
 void carryOut(World &world, int gateway, const Transient::Effects &effects);
 void carryOut(World &world, int agent, const Runner::Effects &effects);
 
@@ -218,6 +223,20 @@
     }
 }
 
+/// A start that was sent in an evacuated failure domain violates an invariant, from some time after
+/// the request was acknowledged, or after the store was back.
+void checkEvacuated(World &world, int agent, const Transient::RunStart &start, std::int64_t sentMs)
+{
+    const auto found = world.store.evacuations.find(domainOf(world, agent));
+    if (found == world.store.evacuations.end() || !found->second.inForce) {
+        return;
+    }
+    const std::int64_t knowableMs = std::max(found->second.acknowledgedMs, world.store.downUntilMs);
+    if (sentMs > knowableMs + EvacuateMs) {
+        reportViolation(world, "start in an evacuated failure domain: " + start.task);
+    }
+}
+
 enum class CallOutcome { Answered, AnswerLost, ExecutedLate };
 
 CallOutcome drawCallOutcome(World &world)
@@ -358,6 +377,7 @@
                     start.leaseUntilMs += world.nowMs - sentMs;
                 }
                 checkLeaving(world, agent, start, sentMs);
+                checkEvacuated(world, agent, start, sentMs);
                 const Transient::StartAnswer answer = startAtBackend(world, agent, start);
                 answerCall(world, call, [handleAnswer, answer] { handleAnswer(answer); });
             },
@@ -505,6 +525,7 @@
     SiteLink &link = linkOf(world, gateway, agent);
     Frame frame = Runner::makeAnnouncement(agentAt(world, agent).state, link.reports,
                                            link.gatewayInstance, moment(world));
+    frame.agentAnnouncement->failureDomain = domainOf(world, agent);
     if (!world.safeguards.cleanStart) {
         frame.agentAnnouncement->clean = true;
     }
@@ -541,6 +562,16 @@
     link.agentLastReceivedMs = world.nowMs;
     if (frame.gatewayAnnouncement) {
         const std::string &instance = frame.gatewayAnnouncement->gateway.instance;
+        if (frame.gatewayAnnouncement->evacuations) {
+            carryOut(world, agent,
+                     Runner::evacuationsTold(process.state, *frame.gatewayAnnouncement->evacuations,
+                                             instance, moment(world)));
+        }
+        if (frame.gatewayAnnouncement->operatorsReadMsAgo) {
+            Transient::confirmEvacuations(process.state.evacuations,
+                                          world.nowMs
+                                                  - *frame.gatewayAnnouncement->operatorsReadMsAgo);
+        }
         Transient::addGateways(process.discovery, frame.gatewayAnnouncement->others, moment(world));
         link.reports.loadIntervalMs = frame.gatewayAnnouncement->loadIntervalMs.value_or(0);
         if (!link.gatewayInstance.empty()) {
@@ -603,7 +634,8 @@
     Frame frame;
     frame.type = FrameType::GatewayAnnouncement;
     frame.gatewayAnnouncement =
-            Transient::makeHeartbeat(process.self, process.discovery, link.told, moment(world));
+            Transient::makeHeartbeat(process.self, process.discovery,
+                                     process.state.fleet.evacuations, link.told, moment(world));
     const Transient::AgentView *view =
             link.announced ? Transient::findAgent(process.state.fleet,
                                                   agentAt(world, agent).state.instance)
@@ -655,9 +687,6 @@
     answerCaller(world, effect);
 }
 
-void carryOutOne(World & /*world*/, int /*gateway*/, const Transient::ObserveSeconds & /*effect*/)
-{}
-
 void carryOut(World &world, int gateway, const Transient::Effects &effects)
 {
     for (const Transient::Effect &effect : effects) {
@@ -846,6 +875,16 @@
     member.heardMsAgo = 0;
     Transient::addGateway(receiver.discovery, member, moment(world));
     Transient::addGateways(receiver.discovery, announcement.others, moment(world));
+    if (announcement.evacuations) {
+        carryOut(world, to,
+                 Transient::evacuationsTold(receiver.state, *announcement.evacuations,
+                                            announcement.gateway.instance, moment(world),
+                                            world.random));
+    }
+    if (announcement.operatorsReadMsAgo) {
+        Transient::confirmEvacuations(receiver.state.fleet.evacuations,
+                                      world.nowMs - *announcement.operatorsReadMsAgo);
+    }
     if (announcement.orphanLists) {
         Transient::receiveLists(receiver.state.orphanRelay, peer.toldOrphans,
                                 *announcement.orphanLists, moment(world));
@@ -859,7 +898,8 @@
     Frame frame;
     frame.type = FrameType::GatewayAnnouncement;
     frame.gatewayAnnouncement =
-            Transient::makeHeartbeat(sender.self, sender.discovery, peer.told, moment(world));
+            Transient::makeHeartbeat(sender.self, sender.discovery, sender.state.fleet.evacuations,
+                                     peer.told, moment(world));
     auto lists = Transient::listsFor(sender.state.orphanRelay, peer.toldOrphans, moment(world));
     if (!lists.empty() && world.safeguards.relays) {
         frame.gatewayAnnouncement->orphanLists = std::move(lists);
@@ -887,7 +927,8 @@
 std::int64_t nextHeartbeatToPeerMs(const SiteGateway &gateway, const SitePeer &peer)
 {
     return std::min(
-            Transient::nextHeartbeatMs(peer.told, gateway.discovery, HeartbeatMs),
+            Transient::nextHeartbeatMs(peer.told, gateway.discovery,
+                                       gateway.state.fleet.evacuations, HeartbeatMs),
             Transient::nextListsMs(gateway.state.orphanRelay, peer.toldOrphans, peer.told.sentMs));
 }
 
@@ -953,7 +994,8 @@
         closeLink(world, gateway, agent, false);
     }
     if (gatewayRuns && link.gatewayUp
-        && world.nowMs >= Transient::nextHeartbeatMs(link.told, peer.discovery, HeartbeatMs)) {
+        && world.nowMs >= Transient::nextHeartbeatMs(link.told, peer.discovery,
+                                                     peer.state.fleet.evacuations, HeartbeatMs)) {
         sendHeartbeat(world, gateway, agent);
     }
     if (!agentRuns || !link.agentUp || link.gatewayInstance.empty()) {
@@ -985,6 +1027,65 @@
     }
 }
 
+Transient::EvacuationRecords readOperators(const World &world,
+                                           const std::optional<std::int64_t> &sinceVersion)
+{
+    const OperatorStore &store = world.store;
+    const bool isComplete = !sinceVersion || *sinceVersion < store.historyFrom;
+    Transient::EvacuationRecords records;
+    for (const auto &[failureDomain, record] : store.evacuations) {
+        if (isComplete ? record.inForce : record.version > *sinceVersion) {
+            Schema::DomainEvacuation evacuation;
+            evacuation.failureDomain = failureDomain;
+            evacuation.version = record.version;
+            evacuation.inForce = record.inForce;
+            records.evacuations.push_back(std::move(evacuation));
+        }
+    }
+    records.version = store.version;
+    records.isComplete = isComplete;
+    return records;
+}
+
+/// The gateway follows the operators' records, as long as it reaches the store.
+void followOperators(World &world, int gateway)
+{
+    SiteGateway &process = gatewayAt(world, gateway);
+    if (world.nowMs < world.store.downUntilMs || world.store.gatewaysCutOff.count(gateway) != 0) {
+        return;
+    }
+    if (process.operatorsVersion != world.store.version) {
+        carryOut(world, gateway,
+                 Transient::evacuationsRead(process.state,
+                                            readOperators(world, process.operatorsVersion),
+                                            moment(world), world.random));
+        process.operatorsVersion = world.store.version;
+    }
+    Transient::confirmEvacuations(process.state.fleet.evacuations, world.nowMs);
+}
+
+void readOperatorsIfDue(World &world, int index)
+{
+    SiteAgent &agent = agentAt(world, index);
+    const bool isDue = Transient::takeOperatorsReadDue(
+            agent.operatorsReading, agent.state.evacuations, moment(world), agent.random);
+    if (isDue && world.safeguards.agentsReadStore && world.nowMs >= world.store.downUntilMs) {
+        carryOut(world, index,
+                 Runner::evacuationsRead(agent.state, readOperators(world, std::nullopt),
+                                         world.nowMs, moment(world)));
+    }
+}
+
+void setEvacuation(World &world, int domain, bool inForce)
+{
+    if (world.nowMs < world.store.downUntilMs) {
+        return;
+    }
+    const std::string failureDomain = domainOf(world, domain);
+    world.store.evacuations[failureDomain] = {++world.store.version, inForce, world.nowMs};
+    writeTrace(world, "operator", (inForce ? "evacuates " : "takes back ") + failureDomain);
+}
+
 void updateAgent(World &world, int index)
 {
     SiteAgent &agent = agentAt(world, index);
@@ -1004,6 +1105,8 @@
     for (const std::string &address : Transient::gatewaysToDial(agent.discovery, moment(world))) {
         dial(world, gatewayWith(address), index);
     }
+    readOperatorsIfDue(world, index);
+    Transient::ignoreDomains(agent.discovery, Transient::anyEvacuated(agent.state.evacuations));
     carryOut(world, index, Runner::tick(agent.state, moment(world)));
 }
 
@@ -1034,7 +1137,9 @@
 {
     Caller &caller = world.callers[number];
     SiteGateway &target = gatewayAt(world, gateway);
-    if (!target.isUp) {
+    const bool isReady =
+            target.state.fleet.evacuations.readMs || !world.safeguards.knowsBeforeServing;
+    if (!target.isUp || !isReady) {
         scheduleResubmission(world, number);
         return;
     }
@@ -1137,6 +1242,7 @@
     for (std::size_t gateway = 0; gateway < world.gateways.size(); ++gateway) {
         SiteGateway &process = world.gateways[gateway];
         if (process.isUp && world.nowMs >= process.frozenUntilMs) {
+            followOperators(world, static_cast<int>(gateway));
             carryOut(world, static_cast<int>(gateway),
                      Transient::tick(process.state, moment(world), world.random));
             updatePeers(world, static_cast<int>(gateway));
@@ -1264,6 +1370,7 @@
     if (!world.safeguards.settling) {
         process.state.times.settleMs = 0;
     }
+    followOperators(world, gateway);
 }
 
 void freezeGateway(World &world, int gateway, std::int64_t forMs)
@@ -1301,6 +1408,11 @@
                                                   world.neighbourhood.gatewaysOfAgent});
     state.instance = state.name + '-' + std::to_string(++world.lastNumber);
     state.service = Service;
+    if (world.safeguards.agentsRefuse) {
+        state.failureDomain = domainOf(world, agent);
+    }
+    process.operatorsReading = Transient::scheduleOperatorsReading(EvacuateMs, moment(world));
+    process.random.seed(world.lastNumber);
     state.fence = world.safeguards.fence ? world.nowMs + world.wallClockStepMs : previousFence;
     if (!world.safeguards.grants) {
         state.times.grantMs = Never;
@@ -1408,6 +1520,26 @@
     world.gatewayPartitions.clear();
 }
 
+void evacuateDomain(World &world, int domain)
+{
+    setEvacuation(world, domain, true);
+}
+
+void takeBackDomain(World &world, int domain)
+{
+    setEvacuation(world, domain, false);
+}
+
+void stopStore(World &world, std::int64_t forMs)
+{
+    world.store.downUntilMs = std::max(world.store.downUntilMs, world.nowMs + forMs);
+}
+
+void dropStoreHistory(World &world)
+{
+    world.store.historyFrom = world.store.version;
+}
+
 void silenceLink(World &world, int gateway, int agent)
 {
     linkOf(world, gateway, agent).isSilent = true;
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -5,6 +5,7 @@
 #include <iosfwd>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -92,6 +93,8 @@
     double outboundFreeMs = 0;
     Transient::GatewayState state;
     std::vector<std::function<void()>> heldEvents;
+    /// Version of the operators' records that it has read; nothing before the first read.
+    std::optional<std::int64_t> operatorsVersion;
 };
 
 struct SiteAgent
@@ -105,6 +108,9 @@
     SiteTraffic traffic;
     std::map<std::string, std::int64_t> disconnectedGateways;
     std::vector<std::function<void()>> heldEvents;
+    Transient::OperatorsReading operatorsReading;
+    /// For its reads of the store.
+    Common::Random random;
 };
 
 /// Safeguards that a test can switch off to show that each is needed.
@@ -123,6 +129,32 @@
     bool orphans = true;
     /// Gateways pass on to each other which jobs agents have reported so.
     bool relays = true;
+    /// Agents start nothing while their failure domain is evacuated.
+    bool agentsRefuse = true;
+    /// Agents read the operators' records themselves if their gateways' news is old.
+    bool agentsReadStore = true;
+    /// A gateway serves nobody before it knows the operators' records.
+    bool knowsBeforeServing = true;
+};
+
+/// The operators' record of an evacuation.
+struct OperatorRecord
+{
+    std::int64_t version = 0;
+    bool inForce = false;
+    std::int64_t acknowledgedMs = 0;
+};
+
+/// The operators' records in the platform's store, and who can't read them.
+struct OperatorStore
+{
+    /// By failure domain.
+    std::map<std::string, OperatorRecord> evacuations;
+    std::int64_t version = 0;
+    /// Ends before this version are no longer available.
+    std::int64_t historyFrom = 0;
+    std::int64_t downUntilMs = 0;
+    std::set<int> gatewaysCutOff;
 };
 
 /// How many of the others each process is connected to.
@@ -149,6 +181,7 @@
     /// Pairs of gateways that cannot reach each other, in both orders.
     std::set<std::pair<int, int>> gatewayPartitions;
     Neighbourhood neighbourhood;
+    OperatorStore store;
     /// Counts the bytes of frames, too, which takes time.
     bool countsBytes = false;
     std::multimap<std::int64_t, std::function<void()>> events;
@@ -222,6 +255,13 @@
 /// Cuts a failure domain off from all others, until healDomains().
 void cutOffDomain(World &world, int domain);
 void healDomains(World &world);
+/// The operator evacuates a failure domain or takes it back; without effect while the store is
+/// down.
+void evacuateDomain(World &world, int domain);
+void takeBackDomain(World &world, int domain);
+void stopStore(World &world, std::int64_t forMs);
+/// The records of ended evacuations are no longer available.
+void dropStoreHistory(World &world);
 /// From now on the connection loses everything that is sent on it.
 void silenceLink(World &world, int gateway, int agent);
 
