--- a/Source/Core/Transient/Fleet.cpp
+++ b/Source/Core/Transient/Fleet.cpp
@@ -44,7 +44,7 @@
         return false;
     }
     constexpr std::int64_t NoLimit = 1'000'000;
-    return agent.inFlight < Dispatch::healthLimit(agent.health, NoLimit);
+    return agent.inFlight + agent.tentativeTasks < Dispatch::healthLimit(agent.health, NoLimit);
 }
 
 double committedProcessors(const AgentView &agent)
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -44,6 +44,7 @@
     double unreportedUrgentProcessors = 0;
     /// Processors of tasks that are placed here but not ordered yet.
     double tentativeProcessors = 0;
+    std::int64_t tentativeTasks = 0;
     /// When the load was received.
     std::int64_t loadAtMs = 0;
     Dispatch::BackendSpeed speed;
--- a/Source/Core/Transient/Orders.cpp
+++ b/Source/Core/Transient/Orders.cpp
@@ -54,8 +54,9 @@
             if (!placement) {
                 continue;
             }
-            state.fleet.agents.at(placement->agent).tentativeProcessors +=
-                    step.request.resources.processors;
+            AgentView &agent = state.fleet.agents.at(placement->agent);
+            agent.tentativeProcessors += step.request.resources.processors;
+            ++agent.tentativeTasks;
             ++step.tasksByAgent[placement->agent];
             placed.push_back({static_cast<int>(stepIndex), static_cast<int>(index), *placement});
         }
@@ -67,7 +68,9 @@
 {
     for (const PlacedTask &one : placed) {
         StepRecord &step = job.steps[static_cast<std::size_t>(one.step)];
-        state.fleet.agents.at(one.placement.agent).tentativeProcessors = 0;
+        AgentView &agent = state.fleet.agents.at(one.placement.agent);
+        agent.tentativeProcessors = 0;
+        agent.tentativeTasks = 0;
         --step.tasksByAgent[one.placement.agent];
     }
 }
@@ -82,6 +85,7 @@
         TaskRecord &task = step.tasks[static_cast<std::size_t>(one.index)];
         AgentView &agent = state.fleet.agents.at(one.placement.agent);
         agent.tentativeProcessors = 0;
+        agent.tentativeTasks = 0;
         Common::invariant(task.phase == TaskPhase::Ready, "only a ready task is ordered");
         task.phase = TaskPhase::Ordered;
         task.attempt += 1;
