Dispatch, Agent, Tool: operators evacuate a failure domain

Change: a kind of configuration change beside `drain`, the commands `evacuate` and `take-back`, the table `evacuations` of the operators' language. Gateways and agents treat the backend servers of the domain as drained. A domain in which no gateway or backend server is known is refused with the known ones.

--- a/Source/Core/Agent/AgentCore.cpp
+++ b/Source/Core/Agent/AgentCore.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "Agent/BackendAnswer.h"
 #include "Agent/Reports.h"
@@ -16,13 +17,16 @@
     return endpoint.answered ? endpoint.instance : std::string();
 }
 
-Effects setDrain(AgentState &state, bool drained, Common::Moment now)
+Effects setDrain(AgentState &state, bool drained, bool evacuated, Common::Moment now)
 {
     if (state.drainConfigured == drained) {
         return {};
     }
     state.drainConfigured = drained;
-    Effects effects{LogLine{drained ? "drain_started" : "drain_ended", {}}};
+    Effects effects{LogLine{drained ? "drain_started" : "drain_ended",
+                            {{"failure_domain", state.backend.failureDomain},
+                             {"evacuated", evacuated ? "true" : "false"},
+                             {"version", std::to_string(state.configVersion)}}}};
     if (drained) {
         append(effects, returnQueued(state, Schema::Reason::AgentDraining, now));
     }
@@ -43,7 +47,12 @@
     const bool drained = std::any_of(drains.begin(), drains.end(), [&](const Schema::Drain &drain) {
         return drain.backend == state.backend.name;
     });
-    return setDrain(state, drained, now);
+    const auto evacuations = configuration.evacuations.value_or(std::vector<Schema::Evacuation>{});
+    const bool evacuated = std::any_of(
+            evacuations.begin(), evacuations.end(), [&](const Schema::Evacuation &evacuation) {
+                return evacuation.failureDomain == state.backend.failureDomain;
+            });
+    return setDrain(state, drained || evacuated, evacuated, now);
 }
 
 Effects updateTable(AgentState &state, const Schema::OwnershipTable &table, Common::Moment now)
--- a/Source/Core/Agent/AgentState.h
+++ b/Source/Core/Agent/AgentState.h
@@ -46,7 +46,8 @@
     std::map<LinkNumber, std::vector<Schema::TaskState>> directReplies;
 
     std::int64_t configVersion = 0;
-    /// An operator has drained this backend server through the configuration.
+    /// An operator has drained this backend server, or evacuated its failure domain, through the
+    /// configuration.
     bool drainConfigured = false;
     /// A graceful stop of this process is in progress.
     bool stopping = false;
--- a/Source/Core/Dispatch/Configuration/ConfigRules.cpp
+++ b/Source/Core/Dispatch/Configuration/ConfigRules.cpp
@@ -40,6 +40,11 @@
     return drain.backend;
 }
 
+std::string nameOfValue(const Schema::Evacuation &evacuation)
+{
+    return evacuation.failureDomain;
+}
+
 template <typename Value>
 std::string namedValueError(const std::optional<Value> &value, const Schema::ConfigChange &change)
 {
@@ -59,6 +64,7 @@
 {
     return static_cast<int>(change.service.has_value()) + static_cast<int>(change.team.has_value())
            + static_cast<int>(change.drain.has_value())
+           + static_cast<int>(change.evacuation.has_value())
            + static_cast<int>(change.policy.has_value());
 }
 
@@ -79,6 +85,8 @@
         return namedValueError(change.team, change);
     case Schema::ConfigKind::Drain:
         return namedValueError(change.drain, change);
+    case Schema::ConfigKind::Evacuation:
+        return namedValueError(change.evacuation, change);
     case Schema::ConfigKind::Policy:
         return policyError(change);
     }
@@ -145,6 +153,16 @@
     return 0;
 }
 
+std::vector<Schema::Evacuation> evacuationsOf(const Schema::Configuration &configuration)
+{
+    return configuration.evacuations.value_or(std::vector<Schema::Evacuation>{});
+}
+
+bool isEvacuated(const Schema::Configuration &configuration, const std::string &failureDomain)
+{
+    return containsName(evacuationsOf(configuration), failureDomain);
+}
+
 std::string configChangeError(const Schema::ConfigChange &change)
 {
     if (valueCount(change) > 1) {
@@ -171,12 +189,29 @@
     case Schema::ConfigKind::Drain:
         known = containsName(configuration.drains, change.name);
         break;
+    case Schema::ConfigKind::Evacuation:
+        known = containsName(evacuationsOf(configuration), change.name);
+        break;
     case Schema::ConfigKind::Policy:
         break;
     }
     return known ? "" : "there is no " + keyOf(change);
 }
 
+std::string evacuationError(const Schema::ConfigChange &change,
+                            const std::vector<std::string> &known)
+{
+    if (!change.evacuation
+        || std::find(known.begin(), known.end(), change.evacuation->failureDomain) != known.end()) {
+        return "";
+    }
+    std::string error = "no gateway or backend server is known in " + change.name + ", only in";
+    for (const std::string &failureDomain : known) {
+        error += ' ' + failureDomain;
+    }
+    return error;
+}
+
 void applyConfigChange(Schema::Configuration &configuration, const Schema::ConfigChange &change,
                        std::int64_t version)
 {
@@ -190,6 +225,12 @@
     case Schema::ConfigKind::Drain:
         setNamed(configuration.drains, change.name, change.drain);
         break;
+    case Schema::ConfigKind::Evacuation: {
+        std::vector<Schema::Evacuation> evacuations = evacuationsOf(configuration);
+        setNamed(evacuations, change.name, change.evacuation);
+        configuration.evacuations = std::move(evacuations);
+        break;
+    }
     case Schema::ConfigKind::Policy:
         configuration.policy = change.policy.value_or(Schema::Policy{});
         break;
--- a/Source/Core/Dispatch/Configuration/ConfigRules.h
+++ b/Source/Core/Dispatch/Configuration/ConfigRules.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "Schema/Schema.h"
 
@@ -16,12 +17,20 @@
 /// of its removal, so that a change based on an older document is still rejected.
 std::int64_t keyVersion(const Schema::Configuration &configuration, const std::string &key);
 
+/// The evacuated failure domains; none in a document of an earlier version.
+std::vector<Schema::Evacuation> evacuationsOf(const Schema::Configuration &configuration);
+bool isEvacuated(const Schema::Configuration &configuration, const std::string &failureDomain);
+
 /// Returns what is wrong with \a change by itself, or an empty string if it is valid.
 std::string configChangeError(const Schema::ConfigChange &change);
 /// Returns an error if \a change removes a key that \a configuration doesn't contain, otherwise an
 /// empty string.
 std::string configReferenceError(const Schema::Configuration &configuration,
                                  const Schema::ConfigChange &change);
+/// Returns an error if \a change evacuates a failure domain that is not among \a known ones,
+/// otherwise an empty string: an operator who mistypes a name would believe it evacuated.
+std::string evacuationError(const Schema::ConfigChange &change,
+                            const std::vector<std::string> &known);
 /// Sets or removes the key in \a configuration and sets the configuration's version to \a version.
 void applyConfigChange(Schema::Configuration &configuration, const Schema::ConfigChange &change,
                        std::int64_t version);
--- a/Source/Core/Dispatch/GatewayCore.cpp
+++ b/Source/Core/Dispatch/GatewayCore.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/GatewayCore.h"
 
 #include <algorithm>
+#include <set>
 
 #include "Dispatch/Jobs/JobCompletion.h"
 #include "Dispatch/Jobs/Router.h"
@@ -25,6 +26,18 @@
 /// outcomes of its tasks are lost.
 constexpr std::int64_t AgentExpiryFactor = 4;
 
+std::vector<std::string> knownFailureDomains(const GatewayState &state)
+{
+    std::set<std::string> names;
+    for (const Schema::Member &gateway : state.site.ownership.table.roster) {
+        names.insert(gateway.failureDomain);
+    }
+    for (const FailureDomainLoad &domain : state.scheduler.pool.domains) {
+        names.insert(domain.name);
+    }
+    return {names.begin(), names.end()};
+}
+
 LedgerSettings ledgerSettings(const Schema::GatewaySettings &settings)
 {
     LedgerSettings ledger;
@@ -221,7 +234,13 @@
 {
     Effects effects;
     Common::handle(
-            [&] { return proposeChange(state.site.config, token, change, basedOn, now, random); },
+            [&]() -> Common::Outcome<void> {
+                std::string error = evacuationError(change, knownFailureDomains(state));
+                if (!error.empty()) {
+                    return Common::failure(Schema::Reason::ConfigInvalid, std::move(error));
+                }
+                return proposeChange(state.site.config, token, change, basedOn, now, random);
+            },
             [&](const Common::Failure &failure) {
                 effects.emplace_back(AnswerConfigure{token, failure.reason, failure.detail,
                                                      configuration(state.site.config).version});
--- a/Source/Core/Dispatch/Query/QueryLanguage.cpp
+++ b/Source/Core/Dispatch/Query/QueryLanguage.cpp
@@ -7,14 +7,15 @@
 
 namespace Dispatch {
 
-const Common::NameTable<QueryTable, 7> QueryTableNames{
+const Common::NameTable<QueryTable, 8> QueryTableNames{
         {{QueryTable::Jobs, "jobs"},
          {QueryTable::Tasks, "tasks"},
          {QueryTable::BackendServers, "backend servers"},
          {QueryTable::Gateways, "gateways"},
          {QueryTable::Shards, "shards"},
          {QueryTable::Services, "services"},
-         {QueryTable::Teams, "teams"}}};
+         {QueryTable::Teams, "teams"},
+         {QueryTable::Evacuations, "evacuations"}}};
 
 namespace {
 
@@ -138,8 +139,8 @@
     }
     const std::optional<QueryTable> table = Common::valueOf(QueryTableNames, parser.peek().text);
     if (!table) {
-        parser.fail("jobs, tasks of job ID, backend servers, gateways, shards, services, teams or "
-                    "count");
+        parser.fail("jobs, tasks of job ID, backend servers, gateways, shards, services, teams, "
+                    "evacuations or count");
         return QueryTable::Jobs;
     }
     parser.take();
--- a/Source/Core/Dispatch/Query/QueryLanguage.h
+++ b/Source/Core/Dispatch/Query/QueryLanguage.h
@@ -13,8 +13,17 @@
 /// grammar is in docs/LANGUAGE.md.
 namespace Dispatch {
 
-enum class QueryTable { Jobs, Tasks, BackendServers, Gateways, Shards, Services, Teams };
-extern const Common::NameTable<QueryTable, 7> QueryTableNames;
+enum class QueryTable {
+    Jobs,
+    Tasks,
+    BackendServers,
+    Gateways,
+    Shards,
+    Services,
+    Teams,
+    Evacuations
+};
+extern const Common::NameTable<QueryTable, 8> QueryTableNames;
 
 enum class QueryOperator { Equal, NotEqual, Less, Greater };
 
--- a/Source/Core/Dispatch/Query/SiteQuery.cpp
+++ b/Source/Core/Dispatch/Query/SiteQuery.cpp
@@ -124,6 +124,30 @@
     return rows;
 }
 
+/// A failure domain is empty when nothing is running there any more.
+QueryRows evacuationRows(const GatewayState &state)
+{
+    QueryRows rows;
+    rows.columns = {"domain", "version", "backends", "running"};
+    const Schema::Configuration &inForce = configuration(state.site.config);
+    for (const Schema::Evacuation &evacuation : evacuationsOf(inForce)) {
+        std::int64_t backends = 0;
+        std::int64_t running = 0;
+        for (const BackendRecord &backend : state.scheduler.pool.backends) {
+            if (!backend.instance.empty()
+                && backend.server.failureDomain == evacuation.failureDomain) {
+                ++backends;
+                running += backend.reportedRunning;
+            }
+        }
+        std::string key = Schema::enumName(Schema::ConfigKind::Evacuation);
+        key.append("/").append(evacuation.failureDomain);
+        rows.rows.push_back({evacuation.failureDomain, text(keyVersion(inForce, key)),
+                             text(backends), text(running)});
+    }
+    return rows;
+}
+
 QueryRows localRows(const GatewayState &state, const Query &query, Common::Moment now)
 {
     switch (query.table) {
@@ -139,6 +163,8 @@
         return shardRows(state);
     case QueryTable::Services:
         return serviceRows(state);
+    case QueryTable::Evacuations:
+        return evacuationRows(state);
     case QueryTable::Teams:
         break;
     }
--- a/Source/Core/Dispatch/Scheduling/BackendPool.cpp
+++ b/Source/Core/Dispatch/Scheduling/BackendPool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/Configuration/ConfigRules.h"
+
 namespace Dispatch {
 namespace {
 
@@ -105,9 +107,13 @@
     return static_cast<std::uint32_t>(pool.domains.size() - 1);
 }
 
-bool isDrained(const BackendPool &pool, const std::string &name)
+bool isDrained(const BackendPool &pool, const Schema::BackendServer &server)
 {
-    return std::find(pool.drains.begin(), pool.drains.end(), name) != pool.drains.end();
+    const auto contains = [](const std::vector<std::string> &names, const std::string &name) {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    return contains(pool.drains, server.name)
+           || contains(pool.evacuatedDomains, server.failureDomain);
 }
 
 /// Whether most known backend servers have already completed tasks. A new one then starts slowly,
@@ -290,7 +296,7 @@
         }
         backend.server = hello.backend;
         backend.domain = findOrAddDomain(pool, hello.backend.failureDomain);
-        backend.drainedByOperator = isDrained(pool, hello.backend.name);
+        backend.drainedByOperator = isDrained(pool, hello.backend);
     }
     if (changed) {
         updateEligibilities(pool, index, nowMs);
@@ -309,15 +315,19 @@
     }
 }
 
-void setDrains(BackendPool &pool, const std::vector<Schema::Drain> &drains, std::int64_t nowMs)
+void setDrains(BackendPool &pool, const Schema::Configuration &configuration, std::int64_t nowMs)
 {
     pool.drains.clear();
-    for (const Schema::Drain &drain : drains) {
+    for (const Schema::Drain &drain : configuration.drains) {
         pool.drains.push_back(drain.backend);
     }
+    pool.evacuatedDomains.clear();
+    for (const Schema::Evacuation &evacuation : evacuationsOf(configuration)) {
+        pool.evacuatedDomains.push_back(evacuation.failureDomain);
+    }
     for (BackendIndex index = 0; index < pool.backends.size(); ++index) {
         BackendRecord &backend = pool.backends[index];
-        backend.drainedByOperator = isDrained(pool, backend.server.name);
+        backend.drainedByOperator = isDrained(pool, backend.server);
         updateEligibilities(pool, index, nowMs);
     }
 }
--- a/Source/Core/Dispatch/Scheduling/BackendPool.h
+++ b/Source/Core/Dispatch/Scheduling/BackendPool.h
@@ -108,6 +108,7 @@
     std::unordered_map<std::string, RequirementId> requirementsByKey;
     std::vector<FailureDomainLoad> domains;
     std::vector<std::string> drains;
+    std::vector<std::string> evacuatedDomains;
     std::int64_t inFlight = 0;
     double inFlightWorkMs = 0;
     /// Sums over all available backend servers.
@@ -145,7 +146,7 @@
 BackendIndex updateBackend(BackendPool &pool, const Schema::AgentHello &hello, std::int64_t nowMs);
 /// Marks the backend server as lost. Its entry is removed once none of its tasks is in flight.
 void markBackendLost(BackendPool &pool, BackendIndex index, std::int64_t nowMs);
-void setDrains(BackendPool &pool, const std::vector<Schema::Drain> &drains, std::int64_t nowMs);
+void setDrains(BackendPool &pool, const Schema::Configuration &configuration, std::int64_t nowMs);
 
 /// Adds the backend server to the free lists or removes it from them. To be called after any change
 /// of its state.
--- a/Source/Core/Dispatch/Scheduling/Scheduler.cpp
+++ b/Source/Core/Dispatch/Scheduling/Scheduler.cpp
@@ -226,7 +226,7 @@
     }
     applyTeams(state);
     applyPolicy(state, configuration.policy);
-    setDrains(state.pool, configuration.drains, now.steadyMs);
+    setDrains(state.pool, configuration, now.steadyMs);
 }
 
 void setGatewayCount(SchedulerState &state, int gateways)
--- a/Source/Core/Dispatch/Scheduling/Scheduler.h
+++ b/Source/Core/Dispatch/Scheduling/Scheduler.h
@@ -19,7 +19,7 @@
 /// taskNotStarted() is called for it. agentLost() alone does not end it.
 namespace Dispatch {
 
-/// Applies services, teams, policy and drains. Queued jobs stay queued.
+/// Applies services, teams, policy, drains and evacuations. Queued jobs stay queued.
 void configureScheduler(SchedulerState &state, const Schema::Configuration &configuration,
                         Common::Moment now);
 
--- a/Source/UnitTests/Agent/SlotsTest.cpp
+++ b/Source/UnitTests/Agent/SlotsTest.cpp
@@ -139,31 +139,37 @@
 
 // An operator drains the backend server and later ends the drain. An older configuration that
 // arrives late, from a gateway that was cut off, must not revert either change.
-TEST_CASE("A configured drain is obeyed, ends with its removal, and never reverts")
+TEST_CASE("A configured drain or evacuation is obeyed, ends with its removal, and never reverts")
 {
-    AgentFixture site;
-    site.join();
-    const auto configure = [&](std::int64_t version, bool drained) {
-        Schema::Configuration configuration;
-        configuration.version = version;
-        if (drained) {
-            configuration.drains.push_back({site.state.backend.name});
-        }
-        Schema::Frame frame;
-        frame.type = Schema::FrameType::GatewayPong;
-        frame.gatewayPong = Schema::GatewayPong();
-        frame.gatewayPong->instance = "g1";
-        frame.gatewayPong->configuration = configuration;
-        site.receive("g1", frame);
-    };
-    configure(5, true);
-    site.start("g1", site.makeTask("drained"));
-    CHECK(site.reportedState("g1", "drained") == "not_started/agent_draining");
-    configure(4, false);
-    CHECK(Agent::isDraining(site.state));
-    configure(6, false);
-    CHECK_FALSE(Agent::isDraining(site.state));
-    CHECK(site.state.configVersion == 6);
+    for (const bool isEvacuation : {false, true}) {
+        CAPTURE(isEvacuation);
+        AgentFixture site;
+        site.join();
+        site.state.backend.failureDomain = "beja";
+        const auto configure = [&](std::int64_t version, bool drained) {
+            Schema::Configuration configuration;
+            configuration.version = version;
+            if (drained && isEvacuation) {
+                configuration.evacuations = {Schema::Evacuation{"beja"}};
+            } else if (drained) {
+                configuration.drains.push_back({site.state.backend.name});
+            }
+            Schema::Frame frame;
+            frame.type = Schema::FrameType::GatewayPong;
+            frame.gatewayPong = Schema::GatewayPong();
+            frame.gatewayPong->instance = "g1";
+            frame.gatewayPong->configuration = configuration;
+            site.receive("g1", frame);
+        };
+        configure(5, true);
+        site.start("g1", site.makeTask("drained"));
+        CHECK(site.reportedState("g1", "drained") == "not_started/agent_draining");
+        configure(4, false);
+        CHECK(Agent::isDraining(site.state));
+        configure(6, false);
+        CHECK_FALSE(Agent::isDraining(site.state));
+        CHECK(site.state.configVersion == 6);
+    }
 }
 
 TEST_CASE("A short task costs one report: running is reported only for longer tasks")
--- a/Source/UnitTests/Dispatch/Configuration/ConfigStoreTest.cpp
+++ b/Source/UnitTests/Dispatch/Configuration/ConfigStoreTest.cpp
@@ -199,3 +199,30 @@
     site.append(0, 30000, AppendStatus::Durable);
     CHECK(configurationReady(site.stores[0]));
 }
+
+TEST_CASE("Failure domains are evacuated and taken back by changes of the configuration")
+{
+    Schema::ConfigChange change;
+    change.kind = Schema::ConfigKind::Evacuation;
+    change.name = "beja";
+    change.evacuation = Schema::Evacuation{"beja"};
+    Schema::Configuration configuration;
+    CHECK(configChangeError(change).empty());
+    // An operator who mistypes the name would believe the failure domain evacuated.
+    CHECK(evacuationError(change, {"beja", "tunis"}).empty());
+    CHECK(evacuationError(change, {"tunis"}).find("only in tunis") != std::string::npos);
+    applyConfigChange(configuration, change, 7);
+    applyConfigChange(configuration, change, 8);
+    CHECK(evacuationsOf(configuration).size() == 1);
+    CHECK(isEvacuated(configuration, "beja"));
+    CHECK_FALSE(isEvacuated(configuration, "tunis"));
+    change.evacuation.reset();
+    change.remove = true;
+    CHECK(configReferenceError(configuration, change).empty());
+    CHECK(evacuationError(change, {}).empty());
+    applyConfigChange(configuration, change, 9);
+    CHECK_FALSE(isEvacuated(configuration, "beja"));
+    CHECK_FALSE(configReferenceError(configuration, change).empty());
+    // A document of an earlier version does not name any.
+    CHECK(evacuationsOf(Schema::Configuration{}).empty());
+}
--- a/Source/UnitTests/Dispatch/Scheduling/SchedulerTest.cpp
+++ b/Source/UnitTests/Dispatch/Scheduling/SchedulerTest.cpp
@@ -129,6 +129,11 @@
             {"drained by an operator",
              [](Schema::AgentHello &hello, JobDemand &) { hello.backend.name = "drained"; }, 100,
              0},
+            {"in an evacuated failure domain",
+             [](Schema::AgentHello &hello, JobDemand &) {
+                 hello.backend.failureDomain = "evacuated";
+             },
+             100, 0},
     };
     for (const Row &row : rows) {
         CAPTURE(std::string(row.name));
@@ -136,6 +141,7 @@
         SchedulerState state = configuredState();
         Schema::Configuration drained = configuration();
         drained.drains = {Schema::Drain{"drained"}};
+        drained.evacuations = {Schema::Evacuation{"evacuated"}};
         Dispatch::configureScheduler(state, drained, at(0));
         Schema::AgentHello announced = hello("agent-1");
         JobDemand job = demand("job", 20);
--- a/Source/UnitTests/Tool/CommandTest.cpp
+++ b/Source/UnitTests/Tool/CommandTest.cpp
@@ -119,6 +119,11 @@
                 {"kind": "drain", "name": "b1", "remove": false, "drain": {"backend": "b1"}}})")},
             {"undrain b1", "POST", "/v1/config", Json::parse(R"({"basedOn": 7, "change":
                 {"kind": "drain", "name": "b1", "remove": true}})")},
+            {"evacuate beja", "POST", "/v1/config", Json::parse(R"({"basedOn": 7, "change":
+                {"kind": "evacuation", "name": "beja", "remove": false,
+                "evacuation": {"failureDomain": "beja"}}})")},
+            {"take-back beja", "POST", "/v1/config", Json::parse(R"({"basedOn": 7, "change":
+                {"kind": "evacuation", "name": "beja", "remove": true}})")},
             {"config set team t --quota 4 --based-on 5", "POST", "/v1/config",
              Json::parse(R"({"basedOn": 5, "change": {"kind": "team", "name": "t",
                 "remove": false, "team": {"name": "t", "quota": 4}}})")},
