Soak: failure domains are evacuated beside all other faults

Processes are spread over two failure domains. Evacuations are drawn apart from the other faults, so that a seed draws the same ones as before, and a start in a domain that has been evacuated for 5 s is a finding.

--- a/Source/Soak/Checks.cpp
+++ b/Source/Soak/Checks.cpp
@@ -11,7 +11,7 @@
 using Net::HttpTransport;
 using Transient::RunEnd;
 
-constexpr Common::NameTable<Invariant, 10> InvariantNames{
+constexpr Common::NameTable<Invariant, 11> InvariantNames{
         {{Invariant::OneRunAtATime, "two runs of one task at a time"},
          {Invariant::CorrectAnswer, "wrong answer"},
          {Invariant::RefusedNeverRuns, "a refused job has run"},
@@ -19,6 +19,7 @@
          {Invariant::ConfigurationMonotonic, "configuration went back to an older version"},
          {Invariant::ConfigurationInTime, "configuration not in force in time"},
          {Invariant::NoStartOnLeavingServer, "start on a leaving backend server"},
+         {Invariant::NoStartInEvacuatedDomain, "start in an evacuated failure domain"},
          {Invariant::Recovery, "not served again"},
          {Invariant::EveryCallerAnswered, "caller without an answer"},
          {Invariant::NoUnexpectedExit, "process ended unexpectedly"}}};
@@ -136,6 +137,37 @@
            || (slash != std::string::npos && fault.target.substr(slash + 1) == process);
 }
 
+bool isAgentDisturbed(const Records &records, int agent, std::int64_t atMs)
+{
+    const std::string name = processName("agent", agent);
+    return std::any_of(records.faults.begin(), records.faults.end(), [&](const FaultWindow &fault) {
+        return affectsProcess(fault, name) && overlaps(fault, atMs - ContactMs, atMs);
+    });
+}
+
+/// An agent has the same number as its backend server.
+int numberOf(const BackendIncarnation &incarnation)
+{
+    return std::stoi(incarnation.server.substr(incarnation.server.find('-') + 1));
+}
+
+/// When the evacuation has to be in force: counted from the end of the last fault of the store that
+/// began before \a atMs.
+std::int64_t evacuatedByMs(const Records &records, const EvacuationWindow &window,
+                           std::int64_t atMs)
+{
+    constexpr std::int64_t EvacuateMs = 5000;
+    std::int64_t knowableMs = window.acknowledgedMs;
+    for (const FaultWindow &fault : records.faults) {
+        const bool isStoreFault = traitsOf(fault.kind).target == FaultTarget::Store
+                                  && traitsOf(fault.kind).action == FaultAction::Command;
+        if (isStoreFault && fault.fromMs <= atMs) {
+            knowableMs = std::max(knowableMs, fault.toMs);
+        }
+    }
+    return knowableMs + EvacuateMs;
+}
+
 } // namespace
 
 std::string_view nameOf(Invariant invariant)
@@ -307,15 +339,7 @@
             if (run.isLate || run.startMs <= *incarnation.leavingMs + DrainMs) {
                 continue;
             }
-            // An agent has the same number as its backend server.
-            const std::string agent =
-                    "agent-" + incarnation.server.substr(incarnation.server.find('-') + 1);
-            const bool isConnected = std::none_of(
-                    records.faults.begin(), records.faults.end(), [&](const FaultWindow &fault) {
-                        return affectsProcess(fault, agent)
-                               && overlaps(fault, run.startMs - ContactMs, run.startMs);
-                    });
-            if (isConnected) {
+            if (!isAgentDisturbed(records, numberOf(incarnation), run.startMs)) {
                 findings.push_back({Invariant::NoStartOnLeavingServer, run.startMs,
                                     run.task + ' ' + text({&run, &incarnation})
                                             + ", leaving acknowledged at "
@@ -326,6 +350,30 @@
     return findings;
 }
 
+std::vector<Finding> findStartsInEvacuated(const Records &records)
+{
+    std::vector<Finding> findings;
+    for (const BackendIncarnation &incarnation : records.backends) {
+        const int number = numberOf(incarnation);
+        for (const Run &run : incarnation.runs) {
+            const auto broken = std::find_if(
+                    records.evacuations.begin(), records.evacuations.end(),
+                    [&](const EvacuationWindow &window) {
+                        return window.failureDomain == failureDomainOf(number)
+                               && run.startMs < window.takenBackMs
+                               && run.startMs > evacuatedByMs(records, window, run.startMs);
+                    });
+            if (!run.isLate && broken != records.evacuations.end()
+                && !isAgentDisturbed(records, number, run.startMs)) {
+                findings.push_back({Invariant::NoStartInEvacuatedDomain, run.startMs,
+                                    run.task + ' ' + text({&run, &incarnation}) + ", evacuated at "
+                                            + std::to_string(broken->acknowledgedMs)});
+            }
+        }
+    }
+    return findings;
+}
+
 bool isServed(const std::vector<Submission> &submissions, std::int64_t sinceMs,
               const std::vector<std::string> &gateways)
 {
@@ -352,10 +400,10 @@
 std::vector<Finding> findViolations(const Records &records, std::int64_t graceMs)
 {
     std::vector<Finding> all;
-    for (const auto &found :
-         {findOverlaps(records.backends), findWrongAnswers(records), findRefusedRuns(records),
-          findCutRequests(records, graceMs), findOlderVersions(records.versions),
-          findLateVersions(records), findStartsOnLeaving(records)}) {
+    for (const auto &found : {findOverlaps(records.backends), findWrongAnswers(records),
+                              findRefusedRuns(records), findCutRequests(records, graceMs),
+                              findOlderVersions(records.versions), findLateVersions(records),
+                              findStartsOnLeaving(records), findStartsInEvacuated(records)}) {
         all.insert(all.end(), found.begin(), found.end());
     }
     return all;
--- a/Source/Soak/Checks.h
+++ b/Source/Soak/Checks.h
@@ -16,6 +16,7 @@
     ConfigurationMonotonic,
     ConfigurationInTime,
     NoStartOnLeavingServer,
+    NoStartInEvacuatedDomain,
     Recovery,
     EveryCallerAnswered,
     NoUnexpectedExit
@@ -58,6 +59,11 @@
 /// late are not counted.
 std::vector<Finding> findStartsOnLeaving(const Records &records);
 
+/// A start in a failure domain that has been evacuated for more than 5 s, if no fault affected the
+/// store within that time, nor the agent or its links in the 3 s before the start. Orders that were
+/// executed late are not counted.
+std::vector<Finding> findStartsInEvacuated(const Records &records);
+
 /// Whether at least 10 requests were sent since \a sinceMs, at least 90 % of them succeeded, and
 /// each of \a gateways answered at least one with success. Abandoned requests are not counted.
 bool isServed(const std::vector<Submission> &submissions, std::int64_t sinceMs,
--- a/Source/Soak/Faults.cpp
+++ b/Source/Soak/Faults.cpp
@@ -1,5 +1,7 @@
 #include "Soak/Faults.h"
 
+#include <algorithm>
+
 namespace Soak {
 
 namespace {
@@ -13,6 +15,8 @@
         return processName("agent", fault.target);
     case FaultTarget::Backend:
         return processName("backend", fault.target);
+    case FaultTarget::FailureDomain:
+        return failureDomainOf(fault.target);
     default:
         return "store";
     }
@@ -99,6 +103,9 @@
     case FaultAction::Configure:
         isDone = this->configure(fault);
         break;
+    case FaultAction::Evacuate:
+        isDone = this->evacuate(fault, name);
+        break;
     case FaultAction::TermInTurn:
         this->restartInTurn(fault);
         break;
@@ -169,6 +176,31 @@
     return true;
 }
 
+/// Where evacuations of a failure domain overlap, the first end takes it back.
+bool Faults::evacuate(const Fault &fault, const std::string &failureDomain)
+{
+    if (!this->site.command("store", "/evacuate?domain=" + failureDomain + "&on=1")) {
+        return false;
+    }
+    this->evacuated.push_back({failureDomain, nowMs(), NeverMs});
+    this->scheduleAction(fault.durationMs,
+                         [this, failureDomain] { this->takeBack(failureDomain); });
+    return true;
+}
+
+void Faults::takeBack(const std::string &failureDomain)
+{
+    for (EvacuationWindow &window : this->evacuated) {
+        if (window.failureDomain == failureDomain) {
+            window.takenBackMs = std::min(window.takenBackMs, nowMs());
+        }
+    }
+    if (!this->site.command("store", "/evacuate?domain=" + failureDomain + "&on=0")) {
+        constexpr std::int64_t RetryMs = 200;
+        this->scheduleAction(RetryMs, [this, failureDomain] { this->takeBack(failureDomain); });
+    }
+}
+
 bool Faults::injectServerFault(const Fault &fault, const std::string &server)
 {
     const std::string path = "/fault?name=" + std::string(traitsOf(fault.kind).command) + "&on=";
--- a/Source/Soak/Faults.h
+++ b/Source/Soak/Faults.h
@@ -26,6 +26,7 @@
     /// may still be down or frozen, see Site::isFullyRunning().
     bool areFinished() const;
     const std::vector<FaultWindow> &windows() const { return this->injected; }
+    const std::vector<EvacuationWindow> &evacuations() const { return this->evacuated; }
 
 private:
     void inject(const Fault &fault);
@@ -33,6 +34,8 @@
     void killAll(const Fault &fault);
     void restartInTurn(const Fault &fault);
     bool configure(const Fault &fault);
+    bool evacuate(const Fault &fault, const std::string &failureDomain);
+    void takeBack(const std::string &failureDomain);
     void injectLinkFault(const Fault &fault, const std::string &link);
     bool injectServerFault(const Fault &fault, const std::string &server);
     void scheduleAction(std::int64_t afterMs, std::function<void()> action);
@@ -47,6 +50,7 @@
     std::multimap<std::int64_t, std::function<void()>> actions;
     std::map<std::string, std::map<std::size_t, LinkImpairment>> impairments;
     std::vector<FaultWindow> injected;
+    std::vector<EvacuationWindow> evacuated;
 };
 
 } // namespace Soak
--- a/Source/Soak/Records.cpp
+++ b/Source/Soak/Records.cpp
@@ -72,6 +72,16 @@
 
 } // namespace
 
+std::string processName(const char *role, int number)
+{
+    return std::string(role) + '-' + std::to_string(number);
+}
+
+std::string failureDomainOf(int number)
+{
+    return "domain-" + std::to_string(number % FailureDomains);
+}
+
 std::int64_t nowMs()
 {
     return Common::currentMoment().steadyMs;
--- a/Source/Soak/Records.h
+++ b/Source/Soak/Records.h
@@ -20,6 +20,11 @@
 
 std::int64_t nowMs();
 
+/// Name of a process, such as "agent-3". An agent has the same number as its backend server.
+std::string processName(const char *role, int number);
+/// Failure domain of the process with this number.
+std::string failureDomainOf(int number);
+
 /// One run of a task on a backend server.
 struct Run
 {
@@ -121,6 +126,15 @@
     std::int64_t answeredMs = 0;
 };
 
+/// A failure domain is evacuated from the acknowledgement of the request until the request to take
+/// it back is sent.
+struct EvacuationWindow
+{
+    std::string failureDomain;
+    std::int64_t acknowledgedMs = 0;
+    std::int64_t takenBackMs = NeverMs;
+};
+
 /// Input of the checks.
 struct Records
 {
@@ -130,6 +144,7 @@
     std::vector<ObservedVersion> versions;
     std::vector<WrittenVersion> writtenVersions = {};
     std::vector<MissingVersion> missingVersions = {};
+    std::vector<EvacuationWindow> evacuations = {};
 };
 
 } // namespace Soak
--- a/Source/Soak/Schedule.cpp
+++ b/Source/Soak/Schedule.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t KindCount = 33;
+constexpr std::size_t KindCount = 34;
 
 using Kind = FaultKind;
 using Target = FaultTarget;
@@ -29,6 +29,7 @@
         {Kind::AllKill, "all-kill", Target::Everything, Action::KillAll, "", 1, 100, 1500},
         {Kind::ConfigChange, "config-change", Target::Store, Action::Configure, "", 6, 0, 0},
         {Kind::ConfigStorm, "config-storm", Target::Store, Action::Configure, "", 3, 0, 0},
+        {Kind::Evacuate, "evacuate", Target::FailureDomain, Action::Evacuate, "", 0, 1000, 12'000},
         {Kind::StoreSilent, "store-silent", Target::Store, Action::Command, "silent", 2, 500, 4000},
         {Kind::StoreRefuse, "store-refuse", Target::Store, Action::Command, "refuse", 2, 500, 4000},
         {Kind::StoreSlow, "store-slow", Target::Store, Action::Command, "slow", 2, 500, 4000},
@@ -82,6 +83,8 @@
         return plan.agents;
     case FaultTarget::Link:
         return plan.links;
+    case FaultTarget::FailureDomain:
+        return FailureDomains;
     default:
         return 1;
     }
@@ -122,6 +125,22 @@
     return faults;
 }
 
+/// Failure domains are evacuated, at times all at once. Drawn apart from all other faults, too.
+std::vector<Fault> drawEvacuations(const SchedulePlan &plan)
+{
+    constexpr std::uint64_t SeedMultiplier = 7919;
+    constexpr std::int64_t MinPauseMs = 2000;
+    constexpr std::int64_t MaxPauseMs = 9000;
+    Common::Random random(plan.seed * SeedMultiplier);
+    std::vector<Fault> faults;
+    std::int64_t atMs = draw(random, 0, MaxPauseMs);
+    while (atMs < plan.lengthMs) {
+        faults.push_back(faultAt(plan, FaultKind::Evacuate, atMs, random));
+        atMs += draw(random, MinPauseMs, MaxPauseMs);
+    }
+    return faults;
+}
+
 } // namespace
 
 const FaultTraits &traitsOf(FaultKind kind)
@@ -153,6 +172,7 @@
         atMs += draw(random, MinPauseMs, MaxPauseMs / faultRate);
     }
     Common::append(faults, drawConfigurationFaults(plan));
+    Common::append(faults, drawEvacuations(plan));
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &left, const Fault &right) { return left.atMs < right.atMs; });
     return faults;
--- a/Source/Soak/Schedule.h
+++ b/Source/Soak/Schedule.h
@@ -24,6 +24,7 @@
     AllKill,
     ConfigChange,
     ConfigStorm,
+    Evacuate,
     StoreSilent,
     StoreRefuse,
     StoreSlow,
@@ -48,7 +49,7 @@
 };
 
 /// Target of a fault.
-enum class FaultTarget { Gateway, Agent, Backend, Store, Link, Everything };
+enum class FaultTarget { Gateway, Agent, Backend, Store, Link, FailureDomain, Everything };
 
 /// Action that is applied to the target.
 enum class FaultAction {
@@ -59,6 +60,7 @@
     TermInTurn,
     KillAll,
     Configure,
+    Evacuate,
     DropHistory,
     Command,
     SilenceStoreLinks,
@@ -75,7 +77,7 @@
     /// Name of the fault for a stand-in that injects it itself; otherwise empty.
     std::string_view command;
     /// Relative frequency with which the fault is drawn; 0 for one that belongs to the changes of
-    /// the configuration.
+    /// the configuration or to the evacuations.
     int weight;
     /// 0 for a fault that has no duration.
     std::int64_t minDurationMs;
@@ -93,6 +95,9 @@
     int target = 0;
 };
 
+/// Processes are spread over this many failure domains in turn.
+constexpr int FailureDomains = 2;
+
 struct SchedulePlan
 {
     std::uint64_t seed = 1;
@@ -103,7 +108,7 @@
 };
 
 /// Draws faults, ordered by time. Each ends by the end of the plan. Beside the faults of all kinds,
-/// the configuration changes while gateways cannot hear of it.
+/// the configuration changes while gateways cannot hear of it, and failure domains are evacuated.
 std::vector<Fault> drawSchedule(const SchedulePlan &plan);
 std::string describe(const Fault &fault);
 
--- a/Source/Soak/Site.cpp
+++ b/Source/Soak/Site.cpp
@@ -37,11 +37,6 @@
 
 } // namespace
 
-std::string processName(const char *role, int number)
-{
-    return std::string(role) + '-' + std::to_string(number);
-}
-
 Site::Site(SiteOptions siteOptions)
     : options(std::move(siteOptions))
     , hasProxiedPeers(this->options.seed % 2 == 0
@@ -126,7 +121,8 @@
         seeds.clear();
     }
     const auto index = static_cast<std::size_t>(number);
-    this->writeSettings(name, {setting("callerAddress", loopback(callerPort)),
+    this->writeSettings(name, {setting("failureDomain", failureDomainOf(number)),
+                               setting("callerAddress", loopback(callerPort)),
                                setting("probeAddress", loopback(probePort)),
                                setting("peerAddress", loopback(this->peerPorts[index])),
                                setting("storeAddress",
@@ -153,7 +149,8 @@
     }
     const std::uint16_t registrationPort = this->ports.allocate();
     const std::uint16_t announcedPort = this->addLink(name + "/registration", registrationPort);
-    this->writeSettings(name, {setting("registrationAddress", loopback(registrationPort)),
+    this->writeSettings(name, {setting("failureDomain", failureDomainOf(number)),
+                               setting("registrationAddress", loopback(registrationPort)),
                                setting("backendAddress", loopback(this->backendLinkPorts.back())),
                                setting("service", SoakService),
                                setting("storeAddress",
--- a/Source/Soak/Site.h
+++ b/Source/Soak/Site.h
@@ -129,9 +129,6 @@
     std::map<std::string, SiteProcess> siteProcesses;
 };
 
-/// Name of the process with this role and number.
-std::string processName(const char *role, int number);
-
 constexpr const char *SoakService = "desk";
 
 } // namespace Soak
--- a/Source/Soak/Soak.cpp
+++ b/Source/Soak/Soak.cpp
@@ -80,7 +80,8 @@
     {
         return {this->site.backendIncarnations(), this->load.submissions(),
                 this->faults.windows(),           this->load.versions(),
-                this->load.writtenVersions(),     this->load.missingVersions()};
+                this->load.writtenVersions(),     this->load.missingVersions(),
+                this->faults.evacuations()};
     }
 
     std::vector<Finding> findings() const
--- a/Source/Soak/StandInPrograms.cpp
+++ b/Source/Soak/StandInPrograms.cpp
@@ -51,6 +51,10 @@
         store.setQueues(request.body);
         return true;
     }
+    if (request.path == "/evacuate") {
+        store.setEvacuated(request.query.at("domain"), request.query.at("on") == "1");
+        return true;
+    }
     if (request.path == "/forget") {
         store.dropHistory();
         return true;
--- a/Source/Soak/StandInPrograms.h
+++ b/Source/Soak/StandInPrograms.h
@@ -7,6 +7,7 @@
 
 /// The stand-ins as separate programs. Each accepts commands at a control port of its own:
 ///   POST /fault?name=NAME&on=1|0    see FakePlatform::StoreFaultNames, BackendFaultNames
+///   POST /evacuate?domain=NAME&on=1|0    store: evacuates a failure domain or takes it back
 ///   POST /forget, POST /queues      store: drops its history; sets the configuration to the body
 ///   POST /leave                     backend server: announces that it leaves, then exits
 namespace Soak {
--- a/Source/UnitTests/Soak/ChecksTest.cpp
+++ b/Source/UnitTests/Soak/ChecksTest.cpp
@@ -353,6 +353,61 @@
     }
 }
 
+TEST_CASE("Starts in an evacuated failure domain")
+{
+    struct Row
+    {
+        const char *what;
+        const char *server;
+        std::int64_t startMs;
+        bool isLate;
+        std::vector<Soak::FaultWindow> faults;
+        std::size_t findings;
+    };
+    const Row rows[] = {
+            {"in time", "backend-3", 14'900, false, {}, 0},
+            {"too late", "backend-3", 15'100, false, {}, 1},
+            {"another failure domain", "backend-2", 15'100, false, {}, 0},
+            {"taken back", "backend-3", 20'100, false, {}, 0},
+            {"an order carried out late", "backend-3", 15'100, true, {}, 0},
+            {"the store was down",
+             "backend-3",
+             15'100,
+             false,
+             {{FaultKind::StoreSilent, "store", 11'000, 12'000}},
+             0},
+            {"the store has been back for long",
+             "backend-3",
+             17'100,
+             false,
+             {{FaultKind::StoreSilent, "store", 11'000, 12'000}},
+             1},
+            {"a change of the configuration is no fault of the store",
+             "backend-3",
+             15'100,
+             false,
+             {{FaultKind::ConfigChange, "store", 11'000, 12'000}},
+             1},
+            {"its agent was frozen",
+             "backend-3",
+             15'100,
+             false,
+             {{FaultKind::AgentFreeze, "agent-3", 14'000, 15'000}},
+             0},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        BackendIncarnation incarnation =
+                incarnationOf(row.server, {runOf(1, row.startMs, row.startMs + 10)});
+        incarnation.runs[0].isLate = row.isLate;
+        Records records;
+        records.backends = {incarnation};
+        records.faults = row.faults;
+        records.evacuations = {{Soak::failureDomainOf(3), 10'000, 20'000}};
+        CHECK(Soak::findStartsInEvacuated(records).size() == row.findings);
+    }
+}
+
 TEST_CASE("Served again")
 {
     const std::vector<std::string> gateways{"gateway-1"};
@@ -382,6 +437,7 @@
     records.versions = {{"gateway-1#1", 2, 10, 20}, {"gateway-1#1", 1, 30, 40}};
     records.writtenVersions = {{5, 990, 1000}};
     records.missingVersions = {{"gateway-2", 1, 5, 9000, 9010}};
+    records.evacuations = {{Soak::failureDomainOf(1), -9000, Soak::NeverMs}};
     std::map<Soak::Invariant, int> found;
     for (const Soak::Finding &finding : findViolations(records, 6000)) {
         ++found[finding.invariant];
@@ -393,4 +449,5 @@
     CHECK(found[Soak::Invariant::ConfigurationMonotonic] == 1);
     CHECK(found[Soak::Invariant::ConfigurationInTime] == 1);
     CHECK(found[Soak::Invariant::NoStartOnLeavingServer] == 2);
+    CHECK(found[Soak::Invariant::NoStartInEvacuatedDomain] == 2);
 }
--- a/Source/UnitTests/Soak/ScheduleTest.cpp
+++ b/Source/UnitTests/Soak/ScheduleTest.cpp
@@ -49,7 +49,9 @@
                                   : target == Soak::FaultTarget::Agent   ? 4
                                   : target == Soak::FaultTarget::Backend ? 4
                                   : target == Soak::FaultTarget::Link    ? 23
-                                                                         : 1));
+                                  : target == Soak::FaultTarget::FailureDomain
+                                          ? Soak::FailureDomains
+                                          : 1));
         }
     }
 }
@@ -66,6 +68,6 @@
             endMs = std::max(endMs, fault.atMs + fault.durationMs);
         }
     }
-    CHECK(kinds.size() == 33);
+    CHECK(kinds.size() == 34);
     CHECK(overlaps > 500);
 }
