--- a/Source/Core/Transient/Admission.cpp
+++ b/Source/Core/Transient/Admission.cpp
@@ -46,8 +46,7 @@
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits, const AdmissionQuery &query)
 {
     const double usefulMs = std::min(query.deadlineMs, query.targetMs * limits.maxLateness);
-    const bool isTooLate = query.waitMs > limits.negligibleWaitMs
-                           && query.predictedMs * query.stretch > usefulMs;
+    const bool isTooLate = query.waitMs > 0 && query.predictedMs * query.stretch > usefulMs;
     const bool isLinkFull = query.linkWaitMs > limits.maxLinkWaitMs;
     if (!limits.refuses || (!isTooLate && !isLinkFull)) {
         return std::nullopt;
--- a/Source/Core/Transient/Admission.h
+++ b/Source/Core/Transient/Admission.h
@@ -57,9 +57,6 @@
 {
     /// A job that is expected to take more than this many times its target latency is refused.
     double maxLateness = 1.0;
-    /// A job whose tasks wait no longer than this is never refused for being late: it takes no
-    /// place from another one. As long as a job's way through the network and the programs.
-    double negligibleWaitMs = 15;
     /// No job is admitted while orders wait longer for the link of this machine: the heartbeats
     /// behind them would be late.
     double maxLinkWaitMs = 150;
@@ -70,8 +67,8 @@
     bool countsWaiting = true;
 };
 
-/// Returns the refusal, or nothing if the job is admitted. A job whose tasks and orders hardly wait
-/// is always admitted, also if its caller has waited so long elsewhere that its answer is late.
+/// Returns the refusal, or nothing if the job is admitted. A job whose tasks and orders need not
+/// wait is always admitted.
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits,
                                          const AdmissionQuery &query);
 
--- a/Source/UnitTests/Transient/DecisionTest.cpp
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -167,7 +167,6 @@
     const Row rows[] = {
             {"free, in time", 100, 0, false},
             {"free, and late anyhow: nothing is gained by refusing", 900, 0, false},
-            {"hardly waits, and late anyhow: it takes no place from another", 900, 10, false},
             {"waits, in time", 200, 50, false},
             {"waits, and ends just in time", 199, 50, false},
             {"waits, and ends hardly late", 230, 50, true},
