--- a/Source/UnitTests/Dispatch/Scheduling/IdleRequirementTest.cpp
+++ b/Source/UnitTests/Dispatch/Scheduling/IdleRequirementTest.cpp
@@ -47,9 +47,9 @@
                 Dispatch::acquireRequirement(pool, "breach-alert", none, 0);
         Dispatch::releaseRequirement(pool, id);
         if (row.drained != nullptr) {
-            Schema::Drain drain;
-            drain.backend = row.drained;
-            Dispatch::setDrains(pool, {drain}, 100);
+            Schema::Configuration configuration;
+            configuration.drains = {Schema::Drain{row.drained}};
+            Dispatch::setDrains(pool, configuration, 100);
         }
         if (row.joining != nullptr) {
             Dispatch::updateBackend(pool, makeHello(row.joining), 100);
