Gateway: a job whose caller has left before it is admitted is refused

What callers see: a task runs on two agents at the same time. One run is stopped within milliseconds, the other one ends well.

Cause: a gateway that reads a request together with the end of its caller's connection admits the job, sends its orders, and learns one message later that the caller has gone. The agent has started a task or two by then. If the request was held up for so long that the caller has submitted the job again elsewhere (1.3 s after it gave up), the task runs there as well. The orders are in time, and only few tasks of a job are affected.

Change: when a job would be admitted, the gateway asks the caller's connection whether it has ended (HttpReply::hasCallerLeft), and refuses: nothing has run. The kernel knows the end of a connection as soon as it knows the request, whatever the server's threads have read.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -16,6 +16,7 @@
 
 constexpr int RetrySeconds = 1;
 constexpr const char *StoppingDetail = "this gateway ends; nothing has run";
+constexpr const char *CallerGoneDetail = "the connection has ended; nothing has run";
 constexpr int Ok = 200;
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
@@ -188,6 +189,12 @@
 
 void TransientCallers::submit(CallerRequest &callerRequest, const Schema::JobQueue &queue)
 {
+    if (callerRequest.reply.hasCallerLeft()) {
+        // The request was held up, and its caller may have submitted the job again elsewhere by
+        // now. Tasks would start before the end of the connection is processed.
+        this->refuse(callerRequest, Unavailable, Reason::CallerGone, CallerGoneDetail);
+        return;
+    }
     if (!callerRequest.job) {
         const bool isUnsupported = callerRequest.failure.reason == Reason::UnsupportedJob;
         this->refuse(callerRequest, isUnsupported ? Unavailable : BadRequest,
--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <fcntl.h>
 #include <pistache/http_defs.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <utility>
@@ -101,6 +102,12 @@
         return this->server->isOpen && this->connection->answer(std::move(response));
     }
 
+    bool hasCallerLeft()
+    {
+        const std::shared_lock<std::shared_mutex> lock(this->server->mutex);
+        return !this->server->isOpen || this->connection->hasCallerLeft();
+    }
+
     std::shared_ptr<HttpConnection> connection;
     std::shared_ptr<HttpServerState> server;
     std::atomic<bool> isAnswered = false;
@@ -115,6 +122,11 @@
     return this->implementation->send(std::move(response));
 }
 
+bool HttpReply::hasCallerLeft() const
+{
+    return this->implementation->hasCallerLeft();
+}
+
 HttpConnection::HttpConnection(std::uint64_t number, int socket,
                                std::shared_ptr<HttpServerState> server)
     : connectionNumber(number)
@@ -223,6 +235,16 @@
     return this->watch();
 }
 
+bool HttpConnection::hasCallerLeft()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->isDisconnected) {
+        return true;
+    }
+    pollfd watched{this->socket, POLLRDHUP, 0};
+    return ::poll(&watched, 1, 0) > 0;
+}
+
 /// Leaves the rest of the outgoing answer to the AnswerWriter. The caller holds the mutex.
 bool HttpConnection::watch()
 {
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -95,6 +95,9 @@
     /// Answers the request that was handed on last. False if the caller has disconnected.
     bool answer(HttpResponse response);
 
+    /// True if the caller has closed the connection or its sending side.
+    bool hasCallerLeft();
+
     /// Writes what the socket accepts. Called by the AnswerWriter.
     WriteResult writeMore();
 
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -48,6 +48,10 @@
     /// later, see UnreadLimits.
     bool send(HttpResponse response) const;
 
+    /// True if the caller has closed its connection or its sending side, also where the server's
+    /// thread has not read that yet.
+    bool hasCallerLeft() const;
+
 private:
     std::shared_ptr<Implementation> implementation;
 };
--- a/Source/UnitTests/Net/HttpDisconnectTest.cpp
+++ b/Source/UnitTests/Net/HttpDisconnectTest.cpp
@@ -234,6 +234,47 @@
     CHECK(unexpectedBytes(early) == 0);
 }
 
+TEST_CASE("A request that is read late shows whether its caller has left")
+{
+    // Guards against work for a caller that has given up: its request is read together with the end
+    // of its connection, but processed before that.
+    struct Row
+    {
+        const char *what;
+        bool leaves;
+    };
+    const Row rows[] = {{"the caller waits", false},
+                        {"the caller has closed its connection", true}};
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        ThreadGate first;
+        std::promise<bool> hasLeft;
+        const auto server =
+                Net::HttpServerBuilder()
+                        .threads(1)
+                        .handler([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                            if (request.path == "/first") {
+                                first.waitForRelease();
+                            } else {
+                                hasLeft.set_value(reply.hasCallerLeft());
+                            }
+                        })
+                        .build();
+        boost::asio::io_context context;
+        Socket opener(context);
+        Socket caller(context);
+        sendRequest(opener, server->port(), "/first");
+        first.waitUntilReached();
+        sendRequest(caller, server->port(), "/second");
+        waitUntilAccepted(caller);
+        if (row.leaves) {
+            caller.close();
+        }
+        first.release();
+        CHECK(hasLeft.get_future().get() == row.leaves);
+    }
+}
+
 TEST_CASE("What is left of an answer to a caller that has left reaches no other caller")
 {
     // A caller disconnects with most of its answer unread. The rest must not go to the next caller,
--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -1,6 +1,12 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <chrono>
 #include <doctest/doctest.h>
 #include <functional>
 #include <ostream>
+#include <sstream>
+#include <sys/socket.h>
 #include <thread>
 
 #include "FakePlatform.h"
@@ -33,6 +39,32 @@
     return false;
 }
 
+/// Submits a job and ends the sending side of the connection. The gateway receives both at once, as
+/// it does from a caller that gave up while its request was held up. Waits for the end of the
+/// answer. False if this thread stalled, so that the kernel may have sent the request on its own.
+bool submitAndLeave(const std::string &address, const std::string &path, const std::string &body)
+{
+    using boost::asio::ip::tcp;
+    const Net::Address target = Net::parseAddress(address);
+    boost::asio::io_context context;
+    tcp::socket caller(context);
+    caller.connect({boost::asio::ip::address_v4::loopback(), target.port});
+    const std::string request = "POST " + path
+                                + " HTTP/1.1\r\nHost: desk.example\r\nContent-Length: "
+                                + std::to_string(body.size()) + "\r\n\r\n" + body;
+    // The kernel keeps the request for 200 ms, so that the end of the stream goes with it.
+    constexpr std::chrono::milliseconds SurelyKept{100};
+    const auto sentAt = std::chrono::steady_clock::now();
+    REQUIRE(::send(caller.native_handle(), request.data(), request.size(), MSG_MORE)
+            == static_cast<ssize_t>(request.size()));
+    caller.shutdown(tcp::socket::shutdown_send);
+    const bool isSentTogether = std::chrono::steady_clock::now() < sentAt + SurelyKept;
+    std::string answer;
+    boost::system::error_code ended;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(answer), ended);
+    return isSentTogether;
+}
+
 /// A gateway, an agent, a backend server and a store in this process.
 struct Site
 {
@@ -236,6 +268,26 @@
     CHECK(site.call("GET", std::string("/checks/") + Job).status == 410);
 }
 
+TEST_CASE("A job whose caller has left before the gateway reads it starts nothing")
+{
+    // Guards against a run beside that of the gateway where the caller has submitted the job again.
+    constexpr int Jobs = 50;
+    constexpr int TasksOfJob = 2;
+    constexpr int TasksOfLastJob = 3;
+    constexpr std::uint64_t FirstId = 0x1000'0000'0000'0000;
+    Site site;
+    REQUIRE(site.serves());
+    int allowed = site.backend.starts() + TasksOfLastJob;
+    for (std::uint64_t job = 0; job < Jobs; ++job) {
+        std::ostringstream path;
+        path << "/checks/" << std::hex << FirstId + job;
+        const bool isSentTogether = submitAndLeave(site.callers, path.str(), Site::longJob());
+        allowed += isSentTogether ? 0 : TasksOfJob;
+    }
+    CHECK(site.call("POST", std::string("/checks/") + Job, Site::shortJob()).status == 200);
+    CHECK(site.backend.starts() <= allowed);
+}
+
 TEST_CASE("A gateway that is asked to stop answers the jobs that it has accepted")
 {
     // The job's caller is answered after the stop was requested. Meanwhile the readiness probe
