Gateway: what an agent sent before it connected again settles nothing

What callers would see: a task runs on two agents, or twice in turn on one, since its gateway takes the first order as not received.

Cause: when an agent announces itself anew, its gateway sends elsewhere all tasks that the announcement does not list, and when a process of the agent says that nothing of its predecessor runs, all tasks of the other process. Which announcement is the newer one was not asked: one that is read late, from the link that was replaced or from the agent's previous process, ended what the present process runs.

An announcement on an older link than the agent's present one is dropped and logged (agent_announcement_late); the link that is replaced is forgotten at once, so that no frame of it counts (agent_link_replaced).

Found by reading; no run of whole sites has shown it.

--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -91,22 +91,52 @@
 
 void TransientLinks::agentAnnounced(Net::LinkId id, const Schema::AgentAnnouncement &announcement)
 {
-    PeerLink &link = this->links.at(id);
-    const auto previousLink = this->agentLinks.find(announcement.instance);
-    if (previousLink != this->agentLinks.end() && previousLink->second != id) {
-        // Frames on the previous link may be lost: the agent is handled as disconnected and newly
-        // connected.
-        this->hub->close(previousLink->second);
-        this->carryOut(Transient::handleAgentDisconnected(
-                this->control.state, announcement.instance, this->control.now));
+    const std::optional<Net::LinkId> otherLink = this->otherLinkOf(announcement.name, id);
+    if (otherLink && *otherLink > id) {
+        // It was sent before the agent connected again, or by the agent's previous process.
+        Common::logEvent(LogLevel::Warning, "agent_announcement_late",
+                         {{"agent", announcement.instance}});
+        this->hub->close(id);
+        this->links.erase(id);
+        return;
+    }
+    if (otherLink) {
+        this->replaceLink(*otherLink);
     }
+    PeerLink &link = this->links.at(id);
     link.agent = announcement.instance;
+    link.agentName = announcement.name;
     this->agentLinks[announcement.instance] = id;
     this->carryOut(Transient::agentAnnounced(this->control.state, announcement, this->control.now,
                                              this->control.random));
     this->announceTo(id, link);
 }
 
+std::optional<Net::LinkId> TransientLinks::otherLinkOf(const std::string &agentName,
+                                                       Net::LinkId id) const
+{
+    const auto found = std::find_if(
+            this->links.begin(), this->links.end(), [&agentName, id](const auto &entry) {
+                return entry.first != id && entry.second.agentName == agentName;
+            });
+    return found == this->links.end() ? std::nullopt : std::optional(found->first);
+}
+
+/// Closes the link on which an agent was before it connected again. The frames sent on it may be
+/// lost, so that the agent counts as disconnected. Those that arrive from now on are dropped: an
+/// announcement among them would not list what the agent has received on its present link, and its
+/// tasks would be sent to others while they run.
+void TransientLinks::replaceLink(Net::LinkId id)
+{
+    const std::string agent = this->links.at(id).agent;
+    Common::logEvent(LogLevel::Info, "agent_link_replaced", {{"agent", agent}});
+    this->hub->close(id);
+    this->links.erase(id);
+    this->agentLinks.erase(agent);
+    this->carryOut(
+            Transient::handleAgentDisconnected(this->control.state, agent, this->control.now));
+}
+
 void TransientLinks::gatewayAnnounced(Net::LinkId id,
                                       const Schema::GatewayAnnouncement &announcement)
 {
--- a/Source/Core/Gateway/TransientLinks.h
+++ b/Source/Core/Gateway/TransientLinks.h
@@ -45,6 +45,8 @@
         bool isOpen = false;
         /// Instance of the agent; empty unless the peer has announced itself as one.
         std::string agent;
+        /// Name of the agent, the same for all its processes; empty like its instance.
+        std::string agentName;
         std::optional<Schema::Member> gateway;
         std::int64_t lastReceivedMs = 0;
         Transient::ToldPeer told;
@@ -53,6 +55,8 @@
     };
 
     void agentAnnounced(Net::LinkId id, const Schema::AgentAnnouncement &announcement);
+    std::optional<Net::LinkId> otherLinkOf(const std::string &agentName, Net::LinkId id) const;
+    void replaceLink(Net::LinkId id);
     void gatewayAnnounced(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
     void sendQueues(Net::LinkId id);
     void announceTo(Net::LinkId id, PeerLink &link);
