--- a/Source/Core/Runner/Orphans.cpp
+++ b/Source/Core/Runner/Orphans.cpp
@@ -61,11 +61,6 @@
     return {std::nullopt, {held.begin(), held.end()}, {unanswered.begin(), unanswered.end()}};
 }
 
-bool hasAddedJob(const std::vector<std::string> &jobs, const std::vector<std::string> &before)
-{
-    return !std::includes(before.begin(), before.end(), jobs.begin(), jobs.end());
-}
-
 } // namespace
 
 void updateOrphans(RunnerState &state, Effects &effects, Common::Moment now)
@@ -80,8 +75,8 @@
     }
     ++state.orphansChange;
     state.orphansChangedMs = now.steadyMs;
-    if (hasAddedJob(orphans.held, before.held)
-        || hasAddedJob(orphans.unanswered, before.unanswered)) {
+    if (Transient::hasNewJob(orphans.held, before.held)
+        || Transient::hasNewJob(orphans.unanswered, before.unanswered)) {
         state.urgentOrphansChange = state.orphansChange;
         effects.emplace_back(
                 Transient::LogLine{"jobs_orphaned",
--- a/Source/Core/Transient/OrphanRelay.cpp
+++ b/Source/Core/Transient/OrphanRelay.cpp
@@ -15,14 +15,18 @@
 /// late.
 constexpr std::int64_t RetentionMs = 30'000;
 
-/// Agents report jobs in sorted order.
+} // namespace
+
+bool hasJob(const std::vector<std::string> &jobs, const std::string &job)
+{
+    return std::binary_search(jobs.begin(), jobs.end(), job);
+}
+
 bool hasNewJob(const std::vector<std::string> &jobs, const std::vector<std::string> &before)
 {
     return !std::includes(before.begin(), before.end(), jobs.begin(), jobs.end());
 }
 
-} // namespace
-
 void updateList(OrphanRelay &relay, const std::string &agent, const Schema::OrphanedJobs &orphans,
                 std::int64_t reportedMs)
 {
@@ -85,15 +89,12 @@
 bool isRelayed(const OrphanRelay &relay, const OrphanTimes &times, const std::string &job,
                Common::Moment now)
 {
-    const auto contains = [&job](const std::vector<std::string> &jobs) {
-        return std::binary_search(jobs.begin(), jobs.end(), job);
-    };
     return std::any_of(relay.lists.begin(), relay.lists.end(), [&](const auto &entry) {
         const RelayedOrphans &list = entry.second;
         const std::int64_t ageMs = now.steadyMs - list.reportedMs;
-        return (ageMs < times.heldMs + OrphansRefreshMs && contains(list.orphans.held))
+        return (ageMs < times.heldMs + OrphansRefreshMs && hasJob(list.orphans.held, job))
                || (ageMs < times.unansweredMs + OrphansRefreshMs
-                   && contains(list.orphans.unanswered));
+                   && hasJob(list.orphans.unanswered, job));
     });
 }
 
--- a/Source/Core/Transient/OrphanRelay.h
+++ b/Source/Core/Transient/OrphanRelay.h
@@ -57,6 +57,12 @@
 /// An agent with orphaned jobs reports them again after this time.
 constexpr std::int64_t OrphansRefreshMs = 500;
 
+/// Whether a list names \a job. Agents report jobs in sorted order.
+bool hasJob(const std::vector<std::string> &jobs, const std::string &job);
+
+/// Whether \a jobs names one that \a before does not. Both are sorted.
+bool hasNewJob(const std::vector<std::string> &jobs, const std::vector<std::string> &before);
+
 /// Takes over the list of an agent that is connected here.
 void updateList(OrphanRelay &relay, const std::string &agent, const Schema::OrphanedJobs &orphans,
                 std::int64_t reportedMs);
--- a/Source/Core/Transient/Orphans.cpp
+++ b/Source/Core/Transient/Orphans.cpp
@@ -8,23 +8,17 @@
 
 namespace {
 
-/// Agents report jobs in sorted order.
-bool contains(const std::vector<std::string> &jobs, const std::string &id)
-{
-    return std::binary_search(jobs.begin(), jobs.end(), id);
-}
-
 bool isHeldBy(const AgentView &agent, const std::string &id)
 {
-    return contains(agent.orphans.held, id) || contains(agent.orphans.unanswered, id);
+    return hasJob(agent.orphans.held, id) || hasJob(agent.orphans.unanswered, id);
 }
 
 /// For a former agent: held jobs end when their leases have lapsed, while unanswered starts may
 /// take effect until the former agent is removed.
 bool isHeldBy(const FormerAgent &former, const std::string &id, Common::Moment now)
 {
-    return contains(former.orphans.unanswered, id)
-           || (now.steadyMs < former.settledAtMs && contains(former.orphans.held, id));
+    return hasJob(former.orphans.unanswered, id)
+           || (now.steadyMs < former.settledAtMs && hasJob(former.orphans.held, id));
 }
 
 } // namespace
