Gateway: a caller's timeout counts from the arrival of its request

What callers see: a task runs on two agents at the same time, since a gateway goes on with a job after its caller has given up and has submitted it again elsewhere.

Cause: the remaining timeout that a request states was counted from when the control thread came to it. A request that lies unread while the process is frozen, or on a connection that the library has not taken over, was given as much more time; one that waited for an earlier submission of its job had its whole timeout again when it was let in.

A request whose timeout has passed when it is read is given up at once.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -139,9 +139,16 @@
         reply.send(std::move(response));
         return;
     }
-    CallerRequest callerRequest{
-            request.method,  {}, request.path, {}, 0, std::nullopt, {}, request.connection,
-            std::move(reply)};
+    CallerRequest callerRequest{request.method,
+                                {},
+                                request.path,
+                                {},
+                                0,
+                                request.arrivedMs,
+                                std::nullopt,
+                                {},
+                                request.connection,
+                                std::move(reply)};
     const auto host = request.headers.find("host");
     callerRequest.host = host == request.headers.end() ? std::string() : host->second;
     callerRequest.id = request.path.substr(request.path.rfind('/') + 1);
@@ -207,6 +214,7 @@
     submission.request = std::move(*callerRequest.job);
     submission.remainingTimeoutMs =
             std::max<std::int64_t>(0, callerRequest.remainingTimeoutMs - AnswerTransitMs);
+    submission.arrivedMs = callerRequest.arrivedMs;
     this->requests.emplace(submission.token,
                            OpenRequest{callerRequest.connection, callerRequest.reply});
     this->carryOut(Transient::jobSubmitted(this->control.state, std::move(submission),
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -25,6 +25,8 @@
     /// Last segment of the path.
     std::string id;
     std::int64_t remainingTimeoutMs = 0;
+    /// On the steady clock.
+    std::int64_t arrivedMs = 0;
     std::optional<Transient::JobRequest> job;
     /// Why the body could not be decoded as a job.
     Common::Failure failure;
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -84,6 +84,8 @@
     HttpConnection(std::uint64_t number, int socket, std::shared_ptr<HttpServerState> server);
 
     std::uint64_t number() const { return this->connectionNumber; }
+    /// Must not be used after disconnected().
+    int socketNumber() const { return this->socket; }
     bool isInputIgnored();
 
     /// Hands \a received to the handler, or keeps it until the requests before it are answered.
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -22,6 +22,8 @@
     std::string body;
     /// Number of the connection that the request came on; never reused within a server.
     std::uint64_t connection = 0;
+    /// When its last bytes arrived at this machine, on the steady clock.
+    std::int64_t arrivedMs = 0;
 };
 
 struct HttpResponse
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -61,7 +61,7 @@
     const double usefulMs =
             static_cast<double>(job.targetMs - now.steadyMs) * state.limits.maxLateness;
     job.lastStartMs = now.steadyMs + static_cast<std::int64_t>(usefulMs - chainMs);
-    job.deadlineMs = now.steadyMs + submission.remainingTimeoutMs;
+    job.deadlineMs = submission.arrivedMs.value_or(now.steadyMs) + submission.remainingTimeoutMs;
     return job;
 }
 
@@ -102,6 +102,21 @@
     return effects;
 }
 
+/// Answers a request that was read, or released from waiting, when its caller's timeout had passed.
+/// Whether an earlier submission of the job has run is not known here.
+Effects giveUpLate(const std::string &token, const JobRecord &job, Common::Moment now)
+{
+    Effects effects;
+    effects.emplace_back(LogLine{"job_given_up",
+                                 {{"job", job.id},
+                                  {"reason", Schema::enumName(Reason::DeadlinePassed)},
+                                  {"late_ms", std::to_string(now.steadyMs - job.deadlineMs)}}});
+    effects.emplace_back(CountReason{RefusalCounter, Reason::DeadlinePassed});
+    effects.emplace_back(
+            AnswerCaller{token, job.id, {JobOutcome::GaveUp, Reason::DeadlinePassed, 0}});
+    return effects;
+}
+
 std::optional<JobResult> refusalForStop(const GatewayState &state, const AdmissionQuery &query,
                                         Common::Moment now)
 {
@@ -155,6 +170,9 @@
               Common::Random &random)
 {
     JobRecord job = makeJob(state, submission, now);
+    if (now.steadyMs >= job.deadlineMs) {
+        return giveUpLate(submission.token, job, now);
+    }
     if (const auto refused = refusalForLackOfBackends(state, job, now)) {
         if (auto evacuated = refuseEvacuated(state, submission.token, job, now)) {
             return *std::move(evacuated);
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -144,6 +144,7 @@
                      Common::Random &random)
 {
     Effects effects;
+    submission.arrivedMs = submission.arrivedMs.value_or(now.steadyMs);
     const std::string id = submission.request.id;
     const auto finished = state.finished.find(id);
     if (finished != state.finished.end()) {
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -55,8 +56,10 @@
     std::string token;
     Schema::JobQueue queue;
     JobRequest request;
-    /// How long its caller still waits.
+    /// How long its caller waits, from its arrival on.
     std::int64_t remainingTimeoutMs = 0;
+    /// On the steady clock; nothing if it arrives just now.
+    std::optional<std::int64_t> arrivedMs;
 };
 
 /// Highest attempt number of a former job at this gateway, from which a new job with the same id
--- a/Source/UnitTests/Net/HttpDisconnectTest.cpp
+++ b/Source/UnitTests/Net/HttpDisconnectTest.cpp
@@ -17,6 +17,7 @@
 #include <unistd.h>
 #include <vector>
 
+#include "Common/Clock.h"
 #include "Net/HttpServer.h"
 
 namespace {
@@ -275,6 +276,36 @@
     }
 }
 
+TEST_CASE("A request that is read late shows when it arrived")
+{
+    // Guards against a caller whose timeout is counted from when its request is read.
+    constexpr std::chrono::milliseconds Unread{200};
+    ThreadGate first;
+    std::promise<std::int64_t> ageMs;
+    const auto server =
+            Net::HttpServerBuilder()
+                    .threads(1)
+                    .handler([&](const Net::HttpRequest &request, const Net::HttpReply &) {
+                        if (request.path == "/first") {
+                            first.waitForRelease();
+                        } else {
+                            ageMs.set_value(Common::currentMoment().steadyMs - request.arrivedMs);
+                        }
+                    })
+                    .build();
+    boost::asio::io_context context;
+    Socket opener(context);
+    Socket caller(context);
+    sendRequest(opener, server->port(), "/first");
+    first.waitUntilReached();
+    sendRequest(caller, server->port(), "/second");
+    std::this_thread::sleep_for(Unread);
+    first.release();
+    // The kernel counts in its own ticks.
+    constexpr std::int64_t TickMs = 10;
+    CHECK(ageMs.get_future().get() >= Unread.count() - TickMs);
+}
+
 TEST_CASE("What is left of an answer to a caller that has left reaches no other caller")
 {
     // A caller disconnects with most of its answer unread. The rest must not go to the next caller,
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -429,3 +429,16 @@
     site.announce("other", 101);
     CHECK(orderedTasks(site.report("job.0.0", 1, AttemptPhase::Failed, 102)).empty());
 }
+
+TEST_CASE("A request that is read when its caller's timeout has passed starts nothing")
+{
+    // Guards against a run beside that of the gateway where the caller has submitted the job again.
+    constexpr std::int64_t TimeoutMs = 2000;
+    Fixture site;
+    Submission submission = site.submission("job", {stepOf(1)});
+    submission.arrivedMs = 0;
+    const Effects read = jobSubmitted(site.state, submission, at(TimeoutMs), site.random);
+    CHECK(orderedTasks(read).empty());
+    REQUIRE(answers(read).size() == 1);
+    CHECK(answers(read)[0].outcome == JobOutcome::GaveUp);
+}
