Transient: gateways tell each other of late jobs, and let their next submission wait

What callers see: two jobs of different callers run one task each twice, beside the same agent; one run is stopped, the other one ends well.

Cause: two requests were held up on their way for 2.4 s, and the ends of their connections as well. Their gateway counted the callers' timeouts from the arrival. When these had passed by the callers' own clocks and they had returned to another gateway, the first one still had both jobs, and sent a task of each to another agent.

Change: a gateway lists the jobs that it still has when half of their timeout has passed, on the way on which agents' orphaned jobs go round. The other gateways let a submission of such a job wait until it is off the list. A job of a usual length is never listed.

Measured: "A late job starts nowhere else before its gateway has ended it" (new; the code before has no such list).

--- a/Source/Core/Gateway/TransientControl.cpp
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -17,6 +17,7 @@
     this->self.host = peer.host;
     this->self.peerPort = peer.port;
     this->self.failureDomain = this->settings.failureDomain;
+    this->state.orphanRelay.self = this->self.instance;
     this->state.startedMs = this->now.steadyMs;
     this->queuesConfirmedMs = this->now.steadyMs;
     this->state.times.settleMs =
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -239,6 +239,7 @@
         append(effects, endAll(state, now));
     }
     append(effects, placeWaiting(state, now, random));
+    listLateJobs(state, now);
     removeExpiredRecords(state, now);
     return effects;
 }
@@ -250,6 +251,9 @@
         if (!job.result) {
             next = std::min(next, job.anyOrdered ? job.deadlineMs
                                                  : std::min(job.deadlineMs, job.lastStartMs));
+            if (lateJobAtMs(job) > now.steadyMs) {
+                next = std::min(next, lateJobAtMs(job));
+            }
         }
     }
     for (const auto &[name, agent] : state.fleet.agents) {
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -97,6 +97,9 @@
     std::unordered_map<std::string, FormerAttempts> formerAttempts;
     /// Jobs of other gateways of which agents may have tasks, as told by agents and gateways.
     OrphanRelay orphanRelay;
+    /// Jobs of this gateway that the others must not start; see listLateJobs().
+    Schema::OrphanedJobs lateJobs;
+    std::int64_t lateJobsListedMs = 0;
     /// Submissions, by id, of which an earlier job with the same id may still have running tasks.
     std::unordered_map<std::string, std::vector<Submission>> parked;
     /// Learned times are written to the store, and read from it at the start.
--- a/Source/Core/Transient/OrphanRelay.cpp
+++ b/Source/Core/Transient/OrphanRelay.cpp
@@ -90,6 +90,9 @@
                Common::Moment now)
 {
     return std::any_of(relay.lists.begin(), relay.lists.end(), [&](const auto &entry) {
+        if (entry.first == relay.self) {
+            return false;
+        }
         const RelayedOrphans &list = entry.second;
         const std::int64_t ageMs = now.steadyMs - list.reportedMs;
         return (ageMs < times.heldMs + OrphansRefreshMs && hasJob(list.orphans.held, job))
--- a/Source/Core/Transient/OrphanRelay.h
+++ b/Source/Core/Transient/OrphanRelay.h
@@ -16,6 +16,8 @@
 /// A list is known by its agent and change number, so that it is passed on once on each connection,
 /// although several gateways have it from the agent, and its times are not prolonged on the way.
 ///
+/// A gateway lists its own late jobs in the same way (Orphans.h), as if it were an agent.
+///
 /// Load pattern: where many starts stay unanswered, all agents have orphaned jobs most of the time.
 /// Only jobs of a gateway that may have failed are passed on at once; the others have more time,
 /// and their lists go together.
@@ -30,6 +32,8 @@
 
 struct OrphanRelay
 {
+    /// Instance of this gateway. Its own list does not concern itself.
+    std::string self;
     /// The newest list of each agent, by the instance of the agent.
     std::map<std::string, RelayedOrphans> lists;
     /// Incremented with each list that contains a new job that is held for a silent gateway.
--- a/Source/Core/Transient/Orphans.cpp
+++ b/Source/Core/Transient/Orphans.cpp
@@ -23,6 +23,32 @@
 
 } // namespace
 
+std::int64_t lateJobAtMs(const JobRecord &job)
+{
+    return job.receivedMs + (job.deadlineMs - job.receivedMs) / 2;
+}
+
+void listLateJobs(GatewayState &state, Common::Moment now)
+{
+    std::vector<std::string> late;
+    for (const auto &[id, job] : state.jobs) {
+        if (!job.result && now.steadyMs >= lateJobAtMs(job)) {
+            late.push_back(id);
+        }
+    }
+    std::sort(late.begin(), late.end());
+    Schema::OrphanedJobs &listed = state.lateJobs;
+    const bool isRefreshDue =
+            !late.empty() && now.steadyMs >= state.lateJobsListedMs + OrphansRefreshMs;
+    if (late == listed.held && !isRefreshDue) {
+        return;
+    }
+    listed.held = std::move(late);
+    listed.change = listed.change.value_or(0) + 1;
+    state.lateJobsListedMs = now.steadyMs;
+    updateList(state.orphanRelay, state.orphanRelay.self, listed, now.steadyMs);
+}
+
 bool isOrphaned(const GatewayState &state, const std::string &id, Common::Moment now)
 {
     const Fleet &fleet = state.fleet;
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <ostream>
 
+#include "Transient/Orphans.h"
 #include "Transient/Transient.h"
 
 using namespace Transient;
@@ -430,6 +431,45 @@
     CHECK(orderedTasks(site.report("job.0.0", 1, AttemptPhase::Failed, 102)).empty());
 }
 
+TEST_CASE("A late job starts nowhere else before its gateway has ended it")
+{
+    // Guards against two runs of a task where a request was held up on its way, so that its caller
+    // returns to another gateway before the first one takes its timeout for passed.
+    constexpr std::int64_t TimeoutMs = 2000;
+    constexpr std::int64_t ListedMs = TimeoutMs / 2;
+    constexpr std::int64_t ReturnedMs = 1500;
+    constexpr std::int64_t EndedMs = 1700;
+    Fixture first;
+    Fixture second;
+    first.state.orphanRelay.self = "gateway-1";
+    second.state.orphanRelay.self = "gateway-2";
+    ToldOrphans sent;
+    ToldOrphans received;
+    const auto tellSecond = [&](std::int64_t nowMs) {
+        tick(first.state, at(nowMs), first.random);
+        receiveLists(second.state.orphanRelay, received,
+                     listsFor(first.state.orphanRelay, sent, at(nowMs)), at(nowMs));
+    };
+    Submission submission = first.submission("job", {stepOf(1)});
+    const std::string token = submission.token;
+    REQUIRE(orderedTasks(jobSubmitted(first.state, submission, at(0), first.random)).size() == 1);
+    CHECK(nextWakeMs(first.state, at(ListedMs - 1)) == ListedMs);
+    tellSecond(ListedMs - 1);
+    CHECK_FALSE(isOrphaned(second.state, "job", at(ListedMs)));
+    tellSecond(ListedMs + 50);
+    tellSecond(ListedMs + 450);
+    const Effects returned = jobSubmitted(second.state, submission, at(ReturnedMs), second.random);
+    CHECK(orderedTasks(returned).empty());
+    CHECK(answers(returned).empty());
+    // It does not concern the gateway that has listed it.
+    CHECK_FALSE(isOrphaned(first.state, "job", at(ReturnedMs)));
+    handleCallerDisconnected(first.state, token, at(EndedMs));
+    tellSecond(EndedMs + 50);
+    CHECK(orderedTasks(tick(second.state, at(EndedMs + 60), second.random)).size() == 1);
+    // The time that it waited there counts as well.
+    CHECK(second.state.jobs.at("job").deadlineMs == ReturnedMs + TimeoutMs);
+}
+
 TEST_CASE("A request that is read when its caller's timeout has passed starts nothing")
 {
     // Guards against a run beside that of the gateway where the caller has submitted the job again.
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -1360,6 +1360,7 @@
     process.openAgents = openAgents;
     process.instance =
             "gateway-" + std::to_string(gateway) + '-' + std::to_string(++world.lastNumber);
+    process.state.orphanRelay.self = process.instance;
     process.state.startedMs = world.nowMs;
     process.state.capacity.linkBytesPerMs = world.linkBytesPerMs;
     process.self = memberOf(world, process.instance, gateway);
