UnitTests: submissions that are held up, and frames of random delay, in virtual time

In the model a caller's request arrived at once and each frame took 2 ms, so that a withdrawal right behind an order always met it in the agent's queue. Now a submission can arrive seconds late, with the end of its caller's connection right behind it, after its caller has submitted elsewhere; and frames between a gateway and an agent can take up to a few milliseconds longer, in their order. A gateway refuses a submission whose caller has left when it is handled; the safeguard row "left callers are refused" finds two runs of a task at a time without that.

--- a/Source/UnitTests/Transient/SafeguardTest.cpp
+++ b/Source/UnitTests/Transient/SafeguardTest.cpp
@@ -105,6 +105,18 @@
     losePower(world, std::set<int>(world.gateways[0].openAgents));
 }
 
+/// A submission arrives \a afterMs after it was sent, when its caller has submitted elsewhere.
+void holdUpSubmissions(World &world, std::int64_t afterMs)
+{
+    constexpr std::int64_t MaxFrameDelayMs = 5;
+    constexpr std::int64_t RemainingTimeoutMs = 8000;
+    world.maxFrameDelayMs = MaxFrameDelayMs;
+    for (int job = 0; job < 3; ++job) {
+        submitHeldUp(world, job % 3, Long, 4, RemainingTimeoutMs, afterMs, 0);
+    }
+    runFor(world, afterMs + RemainingTimeoutMs);
+}
+
 /// Orders tasks at the gateway, \a afterMs after all of the site should know of the evacuation.
 void orderAfterEvacuation(World &world, std::int64_t afterMs)
 {
@@ -218,13 +230,15 @@
                   {"clean start", {}, replaceAgent, AllTimesMs, {}},
                   {"fence", {}, replaceAgentWithLateOrders, AllTimesMs, {}},
                   {"orphans", {}, losePowerInTurn, HeartbeatTimesMs, {}},
-                  {"relays", {}, losePowerInNeighbourhood, HeartbeatTimesMs, FewLinks}};
+                  {"relays", {}, losePowerInNeighbourhood, HeartbeatTimesMs, FewLinks},
+                  {"left callers are refused", {}, holdUpSubmissions, AllTimesMs, {}}};
     rows[0].off.grants = false;
     rows[1].off.settling = false;
     rows[2].off.cleanStart = false;
     rows[3].off.fence = false;
     rows[4].off.orphans = false;
     rows[5].off.relays = false;
+    rows[6].off.refusesLeftCallers = false;
     for (const Row &row : rows) {
         CAPTURE(std::string(row.what));
         CHECK(countViolations({}, row.scenario, row.timesMs, row.size) == 0);
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -52,10 +52,12 @@
     StopStore,
     CutOffStore,
     DropStoreHistory,
+    SubmitHeldUp,
+    DelayFrames,
     Wait
 };
 
-constexpr Common::NameTable<CommandKind, 42> CommandNames{{
+constexpr Common::NameTable<CommandKind, 44> CommandNames{{
         {CommandKind::Submit, "submit"},
         {CommandKind::Leave, "leave"},
         {CommandKind::KillGateway, "kill_gateway"},
@@ -97,6 +99,8 @@
         {CommandKind::StopStore, "stop_store"},
         {CommandKind::CutOffStore, "cut_off_store"},
         {CommandKind::DropStoreHistory, "drop_store_history"},
+        {CommandKind::SubmitHeldUp, "submit_held_up"},
+        {CommandKind::DelayFrames, "delay_frames"},
         {CommandKind::Wait, "wait"},
 }};
 
@@ -221,6 +225,19 @@
             {{TroubleWeight, anyCommandWithTrouble()}, {1, PropertyCheck::anyCommand(kind)}});
 }
 
+/// The same, and submissions that are held up on their way, and frames that take longer.
+rc::Gen<Command> anyCommandWithDelays()
+{
+    using rc::gen::weightedElement;
+    const auto kind = weightedElement<CommandKind>({
+            {4, CommandKind::SubmitHeldUp},
+            {1, CommandKind::DelayFrames},
+    });
+    constexpr std::size_t TroubleWeight = 5;
+    return rc::gen::weightedOneOf<Command>(
+            {{TroubleWeight, anyCommandWithTrouble()}, {1, PropertyCheck::anyCommand(kind)}});
+}
+
 int pickIndex(std::size_t count, unsigned number)
 {
     return static_cast<int>(number % count);
@@ -311,6 +328,16 @@
         submit(world, gateway, {1000 + 3 * command.second, 1.0 + command.first % 2, false},
                1 + static_cast<int>(command.second % 4), 3000 + command.first * 4);
         break;
+    case CommandKind::SubmitHeldUp:
+        // In most cases it arrives after its caller has submitted elsewhere.
+        submitHeldUp(world, gateway, {500 + 2 * command.second, 1, false},
+                     1 + static_cast<int>(command.second % 4), 3000 + command.first * 4,
+                     1000 + static_cast<std::int64_t>(command.first) * 5,
+                     static_cast<std::int64_t>(command.second) % 500);
+        break;
+    case CommandKind::DelayFrames:
+        world.maxFrameDelayMs = static_cast<std::int64_t>(command.first) % 10;
+        break;
     case CommandKind::Leave:
         if (!world.callers.empty()) {
             leave(world, command.first % world.callers.size());
@@ -633,3 +660,10 @@
     PropertyCheck::check<Command>({"evacuations", 60, 100}, anyCommandWithEvacuations(),
                                   findViolationsWithEvacuations, printTraceWithEvacuations);
 }
+
+TEST_CASE("Random delays of submissions and frames violate no invariant of transient jobs")
+{
+    // Guards against runs for a caller that has submitted elsewhere meanwhile.
+    PropertyCheck::check<Command>({"delays", 60, 100}, anyCommandWithDelays(), findViolations,
+                                  printTrace);
+}
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -117,6 +117,16 @@
     return static_cast<std::int64_t>(freeMs - nowMs);
 }
 
+/// Time until a message arrives that takes \a delayMs or somewhat longer, behind all that was sent
+/// before it. Sets \a arrivalMs.
+std::int64_t delayInOrder(World &world, std::int64_t &arrivalMs, std::int64_t delayMs)
+{
+    const std::int64_t addedMs =
+            world.maxFrameDelayMs == 0 ? 0 : randomBetween(world, 0, world.maxFrameDelayMs);
+    arrivalMs = std::max(arrivalMs, world.nowMs + delayMs + addedMs);
+    return arrivalMs - world.nowMs;
+}
+
 bool isPartitioned(const World &world, int gateway, int agent)
 {
     return world.partitions.count({gateway, agent}) != 0;
@@ -485,13 +495,13 @@
 /// connection has been closed or replaced when the gateway handles it.
 void sendToGateway(World &world, int gateway, int agent, const Frame &frame)
 {
-    const SiteLink &link = linkOf(world, gateway, agent);
+    SiteLink &link = linkOf(world, gateway, agent);
     if (link.isSilent || isPartitioned(world, gateway, agent)) {
         return;
     }
     countFrame(world, agentAt(world, agent), frame);
-    const std::int64_t delayMs =
-            2 + passLink(world, gatewayAt(world, gateway).inboundFreeMs, frame);
+    const std::int64_t passMs = passLink(world, gatewayAt(world, gateway).inboundFreeMs, frame);
+    const std::int64_t delayMs = delayInOrder(world, link.gatewayArrivalMs, 2 + passMs);
     scheduleEvent(world, delayMs, [&world, gateway, agent, frame, number = link.number] {
         SiteGateway &process = gatewayAt(world, gateway);
         if (!process.isUp) {
@@ -610,8 +620,8 @@
         return;
     }
     countFrame(world, gatewayAt(world, gateway), frame);
-    const std::int64_t delayMs =
-            2 + passLink(world, gatewayAt(world, gateway).outboundFreeMs, frame);
+    const std::int64_t passMs = passLink(world, gatewayAt(world, gateway).outboundFreeMs, frame);
+    const std::int64_t delayMs = delayInOrder(world, link.agentArrivalMs, 2 + passMs);
     scheduleEvent(world, delayMs, [&world, gateway, agent, frame, number = link.number] {
         SiteAgent &process = agentAt(world, agent);
         if (!process.isUp) {
@@ -743,8 +753,8 @@
     forgetClosedLink(world, gateway, agent);
 }
 
-/// One end closes the connection. The other end is notified after 2 ms, unless the connection is
-/// silent or partitioned.
+/// One end closes the connection. The other end is notified after all that was sent before, unless
+/// the connection is silent or partitioned.
 void closeLink(World &world, int gateway, int agent, bool byAgent)
 {
     SiteLink &link = linkOf(world, gateway, agent);
@@ -758,7 +768,9 @@
     if (!reachesPeer) {
         return;
     }
-    scheduleEvent(world, 2, [&world, gateway, agent, byAgent, number] {
+    const std::int64_t delayMs =
+            delayInOrder(world, byAgent ? link.gatewayArrivalMs : link.agentArrivalMs, 2);
+    scheduleEvent(world, delayMs, [&world, gateway, agent, byAgent, number] {
         if (linkOf(world, gateway, agent).number != number) {
             return;
         }
@@ -1112,41 +1124,54 @@
 
 void scheduleResubmission(World &world, std::size_t number);
 
+/// The gateway learns that a caller's connection has ended.
+void endConnection(World &world, int gateway, const std::string &token)
+{
+    deliver(world, gatewayAt(world, gateway), [&world, gateway, token] {
+        SiteGateway &process = gatewayAt(world, gateway);
+        if (process.isUp) {
+            carryOut(world, gateway,
+                     Transient::handleCallerDisconnected(process.state, token, moment(world)));
+        }
+    });
+}
+
 void updateCallers(World &world)
 {
     for (std::size_t number = 0; number < world.callers.size(); ++number) {
         Caller &caller = world.callers[number];
         if (caller.gateway >= 0 && world.nowMs >= caller.submittedMs + caller.remainingTimeoutMs) {
             const int gateway = caller.gateway;
-            const std::string token = caller.token;
             caller.gateway = -1;
-            deliver(world, gatewayAt(world, gateway), [&world, gateway, token] {
-                SiteGateway &process = gatewayAt(world, gateway);
-                if (process.isUp) {
-                    carryOut(world, gateway,
-                             Transient::handleCallerDisconnected(process.state, token,
-                                                                 moment(world)));
-                }
-            });
+            endConnection(world, gateway, caller.token);
             scheduleResubmission(world, number);
         }
     }
 }
 
-void sendSubmission(World &world, std::size_t number, int gateway)
+/// The caller has closed the connection of this submission.
+bool hasLeft(const Caller &caller, const std::string &token)
 {
-    Caller &caller = world.callers[number];
-    SiteGateway &target = gatewayAt(world, gateway);
-    const bool isReady =
-            target.state.fleet.evacuations.readMs || !world.safeguards.knowsBeforeServing;
-    if (!target.isUp || !isReady) {
-        scheduleResubmission(world, number);
+    return caller.gateway < 0 || caller.token != token;
+}
+
+void handleSubmission(World &world, std::size_t number, int gateway,
+                      const Transient::Submission &submission)
+{
+    SiteGateway &process = gatewayAt(world, gateway);
+    if (!process.isUp) {
         return;
     }
-    writeTrace(world, "caller", "submits " + caller.job + " at " + target.instance);
-    caller.gateway = gateway;
-    caller.submittedMs = world.nowMs;
-    caller.token = std::to_string(number) + '-' + std::to_string(++caller.attempts);
+    if (world.safeguards.refusesLeftCallers && hasLeft(world.callers[number], submission.token)) {
+        writeTrace(world, process.instance, "refuses a left caller " + submission.request.id);
+        return;
+    }
+    carryOut(world, gateway,
+             Transient::jobSubmitted(process.state, submission, moment(world), world.random));
+}
+
+Transient::Submission submissionOf(const World &world, const Caller &caller)
+{
     Transient::Submission submission;
     submission.token = caller.token;
     submission.queue = world.queue;
@@ -1158,13 +1183,25 @@
     step.resources.processors = caller.work.processors;
     step.expectedRunMs = caller.work.runMs;
     submission.request.steps.push_back(step);
-    deliver(world, target, [&world, gateway, submission] {
-        SiteGateway &process = gatewayAt(world, gateway);
-        if (process.isUp) {
-            carryOut(world, gateway,
-                     Transient::jobSubmitted(process.state, submission, moment(world),
-                                             world.random));
-        }
+    return submission;
+}
+
+void sendSubmission(World &world, std::size_t number, int gateway)
+{
+    Caller &caller = world.callers[number];
+    SiteGateway &target = gatewayAt(world, gateway);
+    const bool isReady =
+            target.state.fleet.evacuations.readMs || !world.safeguards.knowsBeforeServing;
+    if (!target.isUp || !isReady) {
+        scheduleResubmission(world, number);
+        return;
+    }
+    writeTrace(world, "caller", "submits " + caller.job + " at " + target.instance);
+    caller.gateway = gateway;
+    caller.submittedMs = world.nowMs;
+    caller.token = std::to_string(number) + '-' + std::to_string(++caller.attempts);
+    deliver(world, target, [&world, number, gateway, submission = submissionOf(world, caller)] {
+        handleSubmission(world, number, gateway, submission);
     });
 }
 
@@ -1314,6 +1351,29 @@
     return world.callers.size() - 1;
 }
 
+std::size_t submitHeldUp(World &world, int gateway, const ModelWork &work, int tasks,
+                         std::int64_t remainingTimeoutMs, std::int64_t heldUpMs,
+                         std::int64_t brokenAfterMs)
+{
+    const std::size_t number = world.callers.size();
+    Caller &caller = world.callers.emplace_back();
+    caller.job = "job" + std::to_string(number);
+    caller.work = work;
+    caller.tasks = tasks;
+    caller.remainingTimeoutMs = remainingTimeoutMs;
+    caller.token = std::to_string(number) + '-' + std::to_string(++caller.attempts);
+    writeTrace(world, "caller", "submits " + caller.job + ", which is held up");
+    scheduleEvent(world, brokenAfterMs, [&world, number] { scheduleResubmission(world, number); });
+    scheduleEvent(
+            world, heldUpMs, [&world, number, gateway, submission = submissionOf(world, caller)] {
+                deliver(world, gatewayAt(world, gateway), [&world, number, gateway, submission] {
+                    handleSubmission(world, number, gateway, submission);
+                });
+                endConnection(world, gateway, submission.token);
+            });
+    return number;
+}
+
 void leave(World &world, std::size_t caller)
 {
     Caller &leaving = world.callers[caller];
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -53,6 +53,9 @@
     bool isSilent = false;
     std::int64_t agentLastReceivedMs = 0;
     std::int64_t gatewayLastReceivedMs = 0;
+    /// When the last message that was sent to this end arrives.
+    std::int64_t agentArrivalMs = 0;
+    std::int64_t gatewayArrivalMs = 0;
     Transient::ToldPeer told;
     /// Instance of the gateway, from its first announcement; empty before.
     std::string gatewayInstance;
@@ -135,6 +138,8 @@
     bool agentsReadStore = true;
     /// A gateway serves nobody before it knows the operators' records.
     bool knowsBeforeServing = true;
+    /// A gateway refuses a submission if its caller's connection has ended.
+    bool refusesLeftCallers = true;
 };
 
 /// The operators' record of an evacuation.
@@ -197,6 +202,9 @@
     bool answersAreLostAtOnce = false;
     /// A late order to a previous incarnation is executed by the present one.
     bool lateOrdersReachNextIncarnation = false;
+    /// Longest additional delay of a frame between a gateway and an agent. Frames on a connection
+    /// arrive in their order.
+    std::int64_t maxFrameDelayMs = 0;
     /// What the link of each gateway's machine carries in each direction; 0 for no limit. Agents
     /// have no limit.
     double linkBytesPerMs = 0;
@@ -227,6 +235,12 @@
 /// Submits a job of a new caller. Returns the index of the caller.
 std::size_t submit(World &world, int gateway, const ModelWork &work, int tasks,
                    std::int64_t remainingTimeoutMs = 2000);
+/// The same, but the submission is held up on its way and arrives after \a heldUpMs, with the end
+/// of its caller's connection right behind it. The caller's connection breaks after \a
+/// brokenAfterMs, and it submits again elsewhere.
+std::size_t submitHeldUp(World &world, int gateway, const ModelWork &work, int tasks,
+                         std::int64_t remainingTimeoutMs, std::int64_t heldUpMs,
+                         std::int64_t brokenAfterMs);
 /// The caller closes its connection and does not submit again.
 void leave(World &world, std::size_t caller);
 
