Gateway: a job on a connection that was idle waits for the end of the connection

Cause: what is held up on its way arrives in order, but not at once.

Measured: "A job on an idle connection whose end follows its request starts nothing" (new).

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/TransientCallers.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -27,6 +28,9 @@
 /// Subtracted from the remaining timeout: an answer sent at the last moment still has to reach its
 /// caller.
 constexpr std::int64_t AnswerTransitMs = 20;
+/// How long a job waits whose request may have been held up until its caller had returned to
+/// another gateway: the end of its connection follows within a round trip.
+constexpr std::int64_t ConfirmMs = 10;
 constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
 constexpr const char *UndeliveredAnswers = "auburntrail_answers_undelivered_total";
 
@@ -120,8 +124,13 @@
 
 void TransientCallers::refuseNewRequests()
 {
-    const std::lock_guard<std::mutex> lock(this->intakeMutex);
-    this->isRefusing = true;
+    {
+        const std::lock_guard<std::mutex> lock(this->intakeMutex);
+        this->isRefusing = true;
+    }
+    for (const UnconfirmedRequest &waiting : std::exchange(this->unconfirmed, {})) {
+        this->refuseUnprocessed(waiting.callerRequest);
+    }
 }
 
 void TransientCallers::refuseUnprocessed(const CallerRequest &event)
@@ -145,6 +154,7 @@
                                 {},
                                 0,
                                 request.arrivedMs,
+                                request.idleMs,
                                 std::nullopt,
                                 {},
                                 request.connection,
@@ -186,7 +196,13 @@
         return;
     }
     if (event.method == "POST") {
-        this->submit(event, *queue);
+        // Only a connection that was idle for so long can have held a request up until its caller
+        // had submitted the job again.
+        if (event.idleMs >= Transient::ResubmitMs) {
+            this->unconfirmed.push_back({std::move(event), this->control.now.steadyMs + ConfirmMs});
+        } else {
+            this->submit(event, *queue);
+        }
     } else if (event.method == "GET" || event.method == "DELETE") {
         this->handleStateOrCancel(event, *queue);
     } else {
@@ -221,6 +237,19 @@
                                            this->control.now, this->control.random));
 }
 
+/// Submits the requests that have waited for the end of their connections. The queue is looked up
+/// again: the table may have changed.
+void TransientCallers::submitConfirmed()
+{
+    while (!this->unconfirmed.empty()
+           && this->control.now.steadyMs >= this->unconfirmed.front().dueMs) {
+        CallerRequest callerRequest = std::move(this->unconfirmed.front().callerRequest);
+        this->unconfirmed.pop_front();
+        callerRequest.idleMs = 0;
+        this->on(callerRequest);
+    }
+}
+
 /// Handles GET and DELETE of a job. Transient jobs are not kept after they have ended: an ended job
 /// is answered like an unknown one.
 void TransientCallers::handleStateOrCancel(const CallerRequest &callerRequest,
@@ -299,7 +328,8 @@
 void TransientCallers::runPeriodicWork(bool isReady)
 {
     this->ready = isReady;
-    if (!this->requests.empty()) {
+    this->submitConfirmed();
+    if (this->openRequests() != 0) {
         this->idleSinceMs = 0;
     } else if (this->idleSinceMs == 0) {
         this->idleSinceMs = this->control.now.steadyMs;
@@ -308,13 +338,19 @@
 
 std::size_t TransientCallers::openRequests() const
 {
-    return this->requests.size();
+    return this->requests.size() + this->unconfirmed.size();
+}
+
+std::int64_t TransientCallers::nextWakeMs() const
+{
+    return this->unconfirmed.empty() ? std::numeric_limits<std::int64_t>::max()
+                                     : this->unconfirmed.front().dueMs;
 }
 
 bool TransientCallers::isIdle() const
 {
     constexpr std::int64_t MinIdleMs = 200;
-    return this->requests.empty() && this->callerServer->openConnections() == 0
+    return this->openRequests() == 0 && this->callerServer->openConnections() == 0
            && this->idleSinceMs != 0 && this->control.now.steadyMs >= this->idleSinceMs + MinIdleMs;
 }
 
