Agent: nothing is renewed while a run of a lost gateway has no accepted stop

A lease covers all that runs at a backend server. For 150 ms after a gateway's grant had lapsed, the runs of other gateways went on being renewed and started there, although the stops of its own runs were unanswered. The gateway sends their tasks elsewhere 1,684 ms after it heard from the agent last; the last lease ended up to 1,664 ms after that and as much later as the agent's timer was.

Now no lease is asked for from the lapse of the grant until the stop is accepted: the last one ends 1,514 ms after the message, however late the timer is, and the slack of 170 ms is there for the timers again. Runs beside those were renewed within 500 ms where the stop was accepted after 90 ms; their leases last 700 ms. Stops for other reasons have 150 ms as before.

--- a/Source/Core/Runner/RunQueue.cpp
+++ b/Source/Core/Runner/RunQueue.cpp
@@ -30,6 +30,12 @@
 
 } // namespace
 
+bool isGranted(const RunnerState &state, const Run &run, Common::Moment now)
+{
+    const auto grant = state.grants.find(run.gateway);
+    return grant != state.grants.end() && now.steadyMs < grant->second;
+}
+
 void enqueue(RunnerState &state, RunId id)
 {
     const auto rank = rankOf(state, id);
@@ -48,9 +54,8 @@
     std::vector<RunId> ready;
     for (const RunId id : state.queue) {
         const Run &run = state.runs.at(id);
-        const auto grant = state.grants.find(run.gateway);
-        const bool isGranted = grant != state.grants.end() && now.steadyMs < grant->second;
-        if (isGranted && now.steadyMs >= run.notBeforeMs && !hasOtherRun(state, id)) {
+        if (isGranted(state, run, now) && now.steadyMs >= run.notBeforeMs
+            && !hasOtherRun(state, id)) {
             ready.push_back(id);
         }
     }
--- a/Source/Core/Runner/RunQueue.h
+++ b/Source/Core/Runner/RunQueue.h
@@ -10,6 +10,9 @@
 /// according to the expected run time.
 namespace Runner {
 
+/// Whether the gateway that ordered the run has sent a sign of life recently enough to act for it.
+bool isGranted(const RunnerState &state, const Run &run, Common::Moment now);
+
 void enqueue(RunnerState &state, RunId id);
 void dequeue(RunnerState &state, RunId id);
 
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -161,7 +161,8 @@
     /// connections.
     std::int64_t laterStopRetryMs = 120;
     /// If a run that has to end has no confirmed stop by then, the lease of all runs is no longer
-    /// renewed: the run would otherwise continue until its caller has submitted it again.
+    /// renewed: the run would otherwise continue until its caller has submitted it again. Where the
+    /// grant of its gateway has lapsed, nothing is renewed from then on.
     std::int64_t stopOverdueMs = 150;
     /// An unanswered start has taken effect by then or never will: orders have been carried out up
     /// to 12 s late; the rest is slack.
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -203,8 +203,10 @@
             });
     return hasStray || std::any_of(state.runs.begin(), state.runs.end(), [&](const auto &entry) {
                const Run &run = entry.second;
+               const bool isOverdue =
+                       now.steadyMs > run.stopRequestedMs + state.times.stopOverdueMs;
                return run.phase == RunPhase::Stopping && run.stopAcceptedMs == 0
-                      && now.steadyMs > run.stopRequestedMs + state.times.stopOverdueMs;
+                      && (isOverdue || !isGranted(state, run, now));
            });
 }
 
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -20,9 +20,11 @@
 void raiseRejectedFence(RunnerState &state, std::int64_t usedFence);
 
 /// Whether a run or stray run that has to end still has no confirmed stop after
-/// RunnerTimes::stopOverdueMs. A lease covers all runs, and every start and renewal extends it. In
-/// this case no start or renewal is made and all leases are left to expire, because a run that was
-/// stopped for a lost gateway or a disconnected caller is soon started again elsewhere.
+/// RunnerTimes::stopOverdueMs, or at all if its gateway's grant has lapsed: that gateway waits only
+/// as long as a renewal at the end of the grant lasts. A lease covers all runs, and every start and
+/// renewal extends it. In this case no start or renewal is made and all leases are left to expire,
+/// because a run that was stopped for a lost gateway or a disconnected caller is soon started again
+/// elsewhere.
 bool hasOverdueStop(const RunnerState &state, Common::Moment now);
 
 /// Starts queued runs, in order, as far as there is room for them.
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include "RunnerFixture.h"
 
 using namespace RunnerSite;
@@ -663,6 +665,99 @@
     CHECK(stop->task == "a.0.0");
 }
 
+TEST_CASE("The leases of a gateway's runs end before it may send their tasks elsewhere")
+{
+    // The gateway was cut off: it waits from the agent's last message on for the grant, the lease
+    // on a slow clock, and late timers. The stops of its run are unanswered. Beside it runs a task
+    // of another gateway, and orders of that one arrive: neither renewals nor starts for these may
+    // prolong the run that has to end, also when the agent wakes up late.
+    constexpr std::int64_t HeardMs = 1;
+    constexpr std::int64_t GrantMs = Transient::GrantMs;
+    constexpr std::int64_t LateMs = 50;
+    constexpr std::int64_t FirstOrderMs = 600;
+    const std::int64_t settledMs = HeardMs + Transient::settleTimeMs(GrantMs, LeaseMs);
+    for (const std::int64_t lateMs : {std::int64_t{0}, LateMs}) {
+        CAPTURE(lateMs);
+        Fixture site;
+        const CallStart start = site.order("a.0.0", 10);
+        site.answer(start, 12);
+        site.state.grants[Gateway] = HeardMs + GrantMs;
+        site.state.times.grantMs = GrantMs;
+        std::int64_t leaseUntilMs = 0;
+        for (std::int64_t nowMs = 20; nowMs < settledMs; nowMs += 10) {
+            const std::int64_t lapsesMs = HeardMs + GrantMs;
+            if (nowMs >= lapsesMs && nowMs < lapsesMs + lateMs) {
+                continue;
+            }
+            Effects effects;
+            grantReceived(site.state, "gateway-2", nowMs);
+            if (nowMs >= FirstOrderMs && nowMs % 100 == 0) {
+                append(effects,
+                       site.orderFrom("gateway-2", "b" + std::to_string(nowMs) + ".0.0", nowMs));
+            }
+            append(effects, tick(site.state, at(nowMs)));
+            if (const auto started = lastOf<CallStart>(effects)) {
+                leaseUntilMs = std::max(leaseUntilMs, started->start.leaseUntilMs);
+                site.answer(*started, nowMs + 1);
+            }
+            if (const auto call = lastOf<CallObserve>(effects)) {
+                leaseUntilMs = std::max(leaseUntilMs, call->leaseUntilMs);
+                site.seen(call->observation, nowMs + 2);
+            }
+        }
+        const std::int64_t onSlowClockMs = LeaseMs / Transient::ClockDriftDivisor;
+        CHECK(leaseUntilMs + onSlowClockMs <= settledMs - LateMs);
+        // Until then the runs beside it are renewed.
+        CHECK(leaseUntilMs > HeardMs + GrantMs + LeaseMs - 100);
+    }
+}
+
+TEST_CASE("Runs beside those of a lost gateway are renewed before their leases end")
+{
+    // The stop of the run of the lost gateway is accepted at its third try. Until then nothing is
+    // renewed, and an observation that is sent in that time returns after its whole wait.
+    constexpr std::int64_t AcceptedAfterMs = 90;
+    constexpr std::int64_t AnswerMs = 5;
+    std::int64_t longestMs = 0;
+    for (std::int64_t lostMs = 300; lostMs < 520; lostMs += 5) {
+        Fixture site;
+        const CallStart start = site.order("a.0.0", 10);
+        site.answer(start, 12);
+        const auto beside = lastOf<CallStart>(site.orderFrom("gateway-2", "b.0.0", 14));
+        REQUIRE(beside.has_value());
+        site.answer(*beside, 16);
+        site.seen(site.requested, 17);
+        std::int64_t renewedMs = 14;
+        std::map<std::int64_t, std::uint64_t> pending;
+        for (std::int64_t nowMs = 20; nowMs < 2000; ++nowMs) {
+            if (nowMs == lostMs) {
+                gatewayLost(site.state, Gateway, at(nowMs));
+            }
+            if (nowMs == lostMs + AcceptedAfterMs) {
+                stopAnswered(site.state, "a.0.0", start.start.number, true, at(nowMs));
+            }
+            const auto due = pending.find(nowMs);
+            if (due != pending.end()) {
+                site.seen(due->second, nowMs);
+            }
+            const auto call = lastOf<CallObserve>(tick(site.state, at(nowMs)));
+            if (!call) {
+                continue;
+            }
+            pending[nowMs + call->waitMs + AnswerMs] = call->observation;
+            if (call->leaseUntilMs != 0) {
+                longestMs = std::max(longestMs, nowMs - renewedMs);
+                renewedMs = nowMs;
+            }
+        }
+        CHECK_FALSE(site.isKnown(start.run));
+        CHECK(site.state.runs.size() == 1);
+    }
+    CAPTURE(longestMs);
+    CHECK(longestMs > 2 * RunnerTimes().observeWaitMs);
+    CHECK(longestMs < LeaseMs - RunnerTimes().observeWaitMs);
+}
+
 TEST_CASE("A run past its deadline is stopped by its agent alone")
 {
     // The gateway's withdrawal is lost with its link. Its caller times out at the deadline and
