Agent: an answer that was overtaken ends no unwanted run

Answers to observations can overtake each other. One that was made before an unwanted run began, and arrived after the one that showed it, counted as proof that the run was over: a task that waited for its end started beside it at the same backend server. Now only an observation that was sent after the run was first seen proves its end.

The new test fails without the change.

--- a/Source/Core/Runner/Observation.cpp
+++ b/Source/Core/Runner/Observation.cpp
@@ -104,7 +104,7 @@
 }
 
 void processActive(RunnerState &state, Effects &effects, const Transient::Observation &seen,
-                   Common::Moment now)
+                   std::int64_t sentMs, Common::Moment now)
 {
     for (const Transient::ActiveRun &active : seen.active) {
         RunId id = 0;
@@ -117,11 +117,12 @@
         run->progressSeenMs = now.steadyMs;
         run->isStartKnown = true;
     }
-    // Stray runs that are no longer listed have ended.
+    // Stray runs that are no longer listed have ended. An answer that was overtaken by the one that
+    // showed them may have been made before they began.
     for (auto entry = state.strays.begin(); entry != state.strays.end();) {
-        entry = isObserved(seen, entry->first.first, entry->first.second)
-                        ? std::next(entry)
-                        : state.strays.erase(entry);
+        const bool isOver = sentMs >= entry->second.firstSeenMs
+                            && !isObserved(seen, entry->first.first, entry->first.second);
+        entry = isOver ? state.strays.erase(entry) : std::next(entry);
     }
 }
 
@@ -228,7 +229,7 @@
     for (const Transient::EndedRun &end : ended) {
         processEnd(state, effects, end, now);
     }
-    processActive(state, effects, seen, now);
+    processActive(state, effects, seen, observation.sentMs, now);
     finishMissingRuns(state, effects, seen, observation.sentMs, now);
     updateSlowdown(state, now);
     updateClean(state, effects);
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -888,6 +888,31 @@
     CHECK(lastOf<CallStart>(tick(site.state, at(91))).has_value());
 }
 
+TEST_CASE("An answer that was overtaken does not end an unwanted run")
+{
+    // The answer to an observation is late, and the next one shows an unwanted run. Then the late
+    // answer arrives, which was made before that run began. If the agent took the run for ended, a
+    // task that waits for its end would run beside it.
+    Fixture site;
+    const CallStart other = site.order("z.0.0", 10);
+    site.answer(other, 12);
+    const std::vector<Transient::ActiveRun> before = {{"z.0.0", other.start.number, 10}};
+    std::vector<Transient::ActiveRun> after = before;
+    after.push_back({"a.0.0", 1, 10});
+    answerObservation(site, site.requested, 13, 1, before);
+    const std::uint64_t overtaken = nextObservation(site, 14);
+    const std::uint64_t next = nextObservation(site, 15);
+    answerObservation(site, next, 300, 1, after);
+    const Effects ordered = site.orderFrom(Gateway, "a.0.0", 302);
+    CHECK_FALSE(lastOf<CallStart>(ordered).has_value());
+    const auto last = lastOf<CallObserve>(ordered);
+    REQUIRE(last.has_value());
+    answerObservation(site, overtaken, 304, 1, before);
+    CHECK_FALSE(lastOf<CallStart>(tick(site.state, at(305))).has_value());
+    answerObservation(site, last->observation, 400, 1, before);
+    CHECK(lastOf<CallStart>(tick(site.state, at(401))).has_value());
+}
+
 TEST_CASE("An agent observes until unwanted runs have ended")
 {
     // The last observation that was needed for the agent's own runs shows an unwanted run. That run
