--- a/Source/Core/Runner/RunQueue.h
+++ b/Source/Core/Runner/RunQueue.h
@@ -10,7 +10,7 @@
 /// according to the expected run time.
 namespace Runner {
 
-/// Whether the gateway that ordered the run has sent a sign of life recently enough to act for it.
+/// Whether this agent may still act for the gateway that ordered the run.
 bool isGranted(const RunnerState &state, const Run &run, Common::Moment now);
 
 void enqueue(RunnerState &state, RunId id);
