Clock: the time for which a machine is suspended counts

The platform's pages say that a machine may be suspended for seconds, and that the steady clock does not count that time while CLOCK_BOOTTIME does. Agents measure grants and deadlines by the steady clock: one that resumes has, by its clock, up to 0.8 s of the grant left, and starts what waited there, although the gateway ended seconds ago and its caller has submitted again elsewhere. 300 ms later the broken link ends these runs.

--- a/Source/UnitTests/Transient/SafeguardTest.cpp
+++ b/Source/UnitTests/Transient/SafeguardTest.cpp
@@ -27,6 +27,19 @@
     runFor(world, forMs + AfterwardsMs);
 }
 
+/// The machine of an agent is suspended while tasks wait there, and the gateway that ordered some
+/// of them is killed: their caller submits again elsewhere.
+void suspendWithWaitingTasks(World &world, std::int64_t forMs)
+{
+    constexpr std::int64_t AfterwardsMs = 5500;
+    submitToAll(world, 12);
+    runFor(world, 100);
+    suspendAgent(world, 1, forMs);
+    runFor(world, 50);
+    killGateway(world, 0, true);
+    runFor(world, forMs + AfterwardsMs);
+}
+
 /// The connections of the gateways to an agent break while the agent keeps working.
 void breakLinks(World &world, std::int64_t afterMs)
 {
@@ -188,6 +201,10 @@
                                                  290, 300, 310, 320, 330, 340, 350, 360, 370,
                                                  380, 390, 400, 410, 420, 430, 440, 450};
 
+/// An agent that is away for these resumes beside the runs of a job that was submitted again.
+const std::vector<std::int64_t> ResubmissionTimesMs{1400, 1450, 1500, 1550, 1600, 1650, 1700, 1800,
+                                                    1900, 2000, 2100, 2200, 2300, 2400, 2500, 2600};
+
 struct SiteSize
 {
     int gateways = 3;
@@ -231,7 +248,8 @@
                   {"fence", {}, replaceAgentWithLateOrders, AllTimesMs, {}},
                   {"orphans", {}, losePowerInTurn, HeartbeatTimesMs, {}},
                   {"relays", {}, losePowerInNeighbourhood, HeartbeatTimesMs, FewLinks},
-                  {"left callers are refused", {}, holdUpSubmissions, AllTimesMs, {}}};
+                  {"left callers are refused", {}, holdUpSubmissions, AllTimesMs, {}},
+                  {"suspensions", {}, suspendWithWaitingTasks, ResubmissionTimesMs, {}}};
     rows[0].off.grants = false;
     rows[1].off.settling = false;
     rows[2].off.cleanStart = false;
@@ -239,6 +257,7 @@
     rows[4].off.orphans = false;
     rows[5].off.relays = false;
     rows[6].off.refusesLeftCallers = false;
+    rows[7].off.countsSuspensions = false;
     for (const Row &row : rows) {
         CAPTURE(std::string(row.what));
         CHECK(countViolations({}, row.scenario, row.timesMs, row.size) == 0);
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -565,6 +565,13 @@
     }
 }
 
+/// The time of the agent's steady clock that a gateway repeats, where that clock has stood still
+/// since, on the clock of the world.
+std::int64_t echoAt(const SiteAgent &agent, std::int64_t echoMs)
+{
+    return echoMs != 0 && echoMs <= agent.suspendedAtMs ? echoMs + agent.uncountedMs : echoMs;
+}
+
 void handleFrameAtAgent(World &world, int gateway, int agent, const Frame &frame)
 {
     SiteLink &link = linkOf(world, gateway, agent);
@@ -585,7 +592,8 @@
         Transient::addGateways(process.discovery, frame.gatewayAnnouncement->others, moment(world));
         link.reports.loadIntervalMs = frame.gatewayAnnouncement->loadIntervalMs.value_or(0);
         if (!link.gatewayInstance.empty()) {
-            Runner::grantReceived(process.state, instance, frame.gatewayAnnouncement->echoMs);
+            Runner::grantReceived(process.state, instance,
+                                  echoAt(process, frame.gatewayAnnouncement->echoMs));
             return;
         }
         link.gatewayInstance = instance;
@@ -603,9 +611,11 @@
             }
         }
     } else if (frame.taskOrders && !link.gatewayInstance.empty()) {
-        carryOut(world, agent,
-                 Runner::ordersReceived(process.state, link.gatewayInstance, *frame.taskOrders,
-                                        moment(world)));
+        Schema::TaskOrders orders = *frame.taskOrders;
+        orders.echoMs = echoAt(process, orders.echoMs);
+        carryOut(
+                world, agent,
+                Runner::ordersReceived(process.state, link.gatewayInstance, orders, moment(world)));
     } else if (frame.withdrawTasks && !link.gatewayInstance.empty()) {
         carryOut(world, agent,
                  Runner::withdrawReceived(process.state, link.gatewayInstance, *frame.withdrawTasks,
@@ -1489,6 +1499,44 @@
     agentAt(world, agent).frozenUntilMs = world.nowMs + forMs;
 }
 
+/// A clock that stands still for \a forMs is behind that of the world afterwards. Instead, all that
+/// the agent has noted by its clock is put off by as much.
+void suspendAgent(World &world, int agent, std::int64_t forMs)
+{
+    freezeAgent(world, agent, forMs);
+    SiteAgent &process = agentAt(world, agent);
+    process.suspendedAtMs = world.nowMs;
+    process.uncountedMs = world.safeguards.countsSuspensions ? 0 : forMs;
+    const auto putOff = [&process](std::int64_t &ms) { ms += ms == 0 ? 0 : process.uncountedMs; };
+    Runner::RunnerState &state = process.state;
+    for (auto &[gateway, untilMs] : state.grants) {
+        putOff(untilMs);
+    }
+    for (auto &[id, run] : state.runs) {
+        for (std::int64_t *ms :
+             {&run.targetMs, &run.deadlineMs, &run.orderedMs, &run.notBeforeMs, &run.startSentMs,
+              &run.earlierStartSentMs, &run.startedMs, &run.startAnsweredMs, &run.progressSeenMs,
+              &run.stopRequestedMs, &run.nextStopMs, &run.stopAcceptedMs}) {
+            putOff(*ms);
+        }
+    }
+    for (auto &[id, observation] : state.pendingObservations) {
+        putOff(observation.sentMs);
+    }
+    for (std::int64_t *ms : {&state.silentSinceMs, &state.leaseGrantSentMs, &state.lossyUntilMs,
+                             &state.nextObserveMs}) {
+        putOff(*ms);
+    }
+    if (state.clockOffsetMs) {
+        *state.clockOffsetMs -= process.uncountedMs;
+    }
+    for (std::size_t gateway = 0; gateway < world.gateways.size(); ++gateway) {
+        SiteLink &link = linkOf(world, static_cast<int>(gateway), agent);
+        putOff(link.agentLastReceivedMs);
+        putOff(link.reports.sentMs);
+    }
+}
+
 void crashBackend(World &world, int backend)
 {
     ModelBackend &crashed = backendAt(world, backend);
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -104,6 +104,9 @@
 {
     bool isUp = true;
     std::int64_t frozenUntilMs = 0;
+    /// When its machine was last suspended, and for how long its steady clock stood still then.
+    std::int64_t suspendedAtMs = 0;
+    std::int64_t uncountedMs = 0;
     Runner::RunnerState state;
     Transient::Discovery discovery;
     /// Gateways with a connection whose end at the agent is open.
@@ -140,6 +143,8 @@
     bool knowsBeforeServing = true;
     /// A gateway refuses a submission if its caller's connection has ended.
     bool refusesLeftCallers = true;
+    /// The steady clock counts the time for which a machine is suspended.
+    bool countsSuspensions = true;
 };
 
 /// The operators' record of an evacuation.
@@ -253,6 +258,8 @@
 void killAgent(World &world, int agent, bool closesConnections);
 void startAgent(World &world, int agent);
 void freezeAgent(World &world, int agent, std::int64_t forMs);
+/// Freezes the agent because its machine is suspended.
+void suspendAgent(World &world, int agent, std::int64_t forMs);
 void crashBackend(World &world, int backend);
 void restartBackend(World &world, int backend);
 /// Crashes the backend server and starts its next incarnation at once.
