Soak: requests are held up until their callers have submitted them again

Cause: the soak could not see a task that runs twice because a gateway reads a request long after it was sent: callers waited for 5 s, and a fault of a link lasted for 4 s at most, so no caller had submitted again by the time of reading.

Change: half of the jobs that are not long have callers with a timeout of 1 s. The link of a gateway's callers is held up for longer than such a caller takes to submit again, drawn by a generator of its own. The check of the configuration's time no longer excuses a gateway for a hold-up of that link, which its probes do not pass through.

--- a/Source/Soak/Checks.cpp
+++ b/Source/Soak/Checks.cpp
@@ -315,6 +315,7 @@
         const bool isDisturbed = std::any_of(
                 records.faults.begin(), records.faults.end(), [&](const FaultWindow &fault) {
                     return (affectsProcess(fault, missing.gateway) || fault.target == "store")
+                           && fault.kind != FaultKind::CallerLinkHoldUp
                            && overlaps(fault, sinceMs, missing.answeredMs);
                 });
         if (isDue && !isReplaced && !isDisturbed && sinceMs >= missing.startedMs) {
--- a/Source/Soak/Checks.h
+++ b/Source/Soak/Checks.h
@@ -51,7 +51,8 @@
 
 /// A gateway that, more than 2 s after a version of the configuration was acknowledged, does not
 /// know a queue that the version contains, if no newer version was written, and no fault affected
-/// the gateway, its links or the store in the 3 s before the request.
+/// the gateway, its links or the store in the 3 s before the request. The probes do not pass
+/// through the link of callers, so its hold-up is no such fault.
 std::vector<Finding> findLateVersions(const Records &records);
 
 /// A start on a backend server more than 2 s after it was acknowledged that it leaves, if no fault
--- a/Source/Soak/Faults.cpp
+++ b/Source/Soak/Faults.cpp
@@ -27,7 +27,7 @@
     constexpr std::int64_t DelayMs = 60;
     LinkImpairment impairment;
     impairment.delayMs = kind == FaultKind::LinkDelay ? DelayMs : 0;
-    impairment.holdsUpstream = kind == FaultKind::LinkHoldUp;
+    impairment.holdsUpstream = kind == FaultKind::LinkHoldUp || kind == FaultKind::CallerLinkHoldUp;
     impairment.holdsDownstream = kind == FaultKind::LinkHoldDown;
     impairment.isSilent = kind == FaultKind::LinkSilence || kind == FaultKind::StoreLinksSilence;
     return impairment;
@@ -117,6 +117,9 @@
             this->injectLinkFault(fault, gateway + "/store");
         }
         break;
+    case FaultAction::HoldCallerLink:
+        this->injectLinkFault(fault, name + "/caller");
+        break;
     case FaultAction::Reset:
     case FaultAction::Impair:
         this->injectLinkFault(fault,
--- a/Source/Soak/Load.cpp
+++ b/Source/Soak/Load.cpp
@@ -17,9 +17,7 @@
 constexpr int BadGateway = 502;
 constexpr int GatewayTimeout = 504;
 constexpr const char *HostHeader = "Host: desk.example";
-constexpr std::int64_t CallerTimeoutMs = 5000;
-/// Delay before a request is submitted again after a broken connection, 502, 504 or no answer.
-constexpr std::int64_t ResubmitMs = 1300;
+constexpr std::int64_t LongTimeoutMs = 5000;
 
 struct JobShape
 {
@@ -68,6 +66,7 @@
 {
     std::string id;
     const JobShape *shape = nullptr;
+    std::int64_t timeoutMs = LongTimeoutMs;
     /// The caller abandons the job after this time; 0 if it waits for the answer.
     std::int64_t abandonsAfterMs = 0;
 };
@@ -176,6 +175,8 @@
         Job job;
         job.id = Common::randomId(random);
         job.shape = &drawShape(random);
+        const bool isShort = job.shape->kind != JobKind::Long && draw(random, 0, 1) == 1;
+        job.timeoutMs = isShort ? ShortTimeoutMs : LongTimeoutMs;
         if (draw(random, 1, JobsPerAbandonment) == 1) {
             job.abandonsAfterMs = draw(random, MinPauseMs, MaxPauseMs);
         }
@@ -209,8 +210,8 @@
     call.method = "POST";
     call.url = "http://" + gateway.callerAddress + job.shape->path + job.id;
     call.body = FakePlatform::jobBody(job.shape->work);
-    call.headers = {HostHeader, FakePlatform::remainingTimeoutHeader(CallerTimeoutMs)};
-    call.timeoutMs = job.abandonsAfterMs > 0 ? job.abandonsAfterMs : CallerTimeoutMs;
+    call.headers = {HostHeader, FakePlatform::remainingTimeoutHeader(job.timeoutMs)};
+    call.timeoutMs = job.abandonsAfterMs > 0 ? job.abandonsAfterMs : job.timeoutMs;
     Submission submitted;
     submitted.job = job.id;
     submitted.kind = job.shape->kind;
--- a/Source/Soak/Schedule.cpp
+++ b/Source/Soak/Schedule.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t KindCount = 34;
+constexpr std::size_t KindCount = 35;
 
 using Kind = FaultKind;
 using Target = FaultTarget;
@@ -42,6 +42,8 @@
         {Kind::LinkHoldUp, "link-hold-up", Target::Link, Action::Impair, "", 8, 100, 3000},
         {Kind::LinkHoldDown, "link-hold-down", Target::Link, Action::Impair, "", 8, 100, 3000},
         {Kind::LinkSilence, "link-silence", Target::Link, Action::Impair, "", 8, 300, 4000},
+        {Kind::CallerLinkHoldUp, "caller-link-hold-up", Target::Gateway, Action::HoldCallerLink, "",
+         0, ShortTimeoutMs + ResubmitMs + 50, 3300},
         {Kind::BackendCrash, "backend-crash", Target::Backend, Action::Kill, "", 6, 100, 2000},
         {Kind::BackendLeave, "backend-leave", Target::Backend, Action::Leave, "", 4, 500, 2000},
         {Kind::BackendSilent, "backend-silent", Target::Backend, Action::Command, "silent", 4, 200,
@@ -141,6 +143,23 @@
     return faults;
 }
 
+/// The link of a gateway's callers is held up until those with a short timeout have given up and
+/// have submitted again. Drawn apart from all other faults, too.
+std::vector<Fault> drawCallerHoldUps(const SchedulePlan &plan)
+{
+    constexpr std::uint64_t SeedMultiplier = 4931;
+    constexpr std::int64_t MinPauseMs = 800;
+    constexpr std::int64_t MaxPauseMs = 2500;
+    Common::Random random(plan.seed * SeedMultiplier);
+    std::vector<Fault> faults;
+    std::int64_t atMs = draw(random, 0, MaxPauseMs);
+    while (atMs < plan.lengthMs) {
+        faults.push_back(faultAt(plan, FaultKind::CallerLinkHoldUp, atMs, random));
+        atMs += draw(random, MinPauseMs, MaxPauseMs);
+    }
+    return faults;
+}
+
 } // namespace
 
 const FaultTraits &traitsOf(FaultKind kind)
@@ -173,6 +192,7 @@
     }
     Common::append(faults, drawConfigurationFaults(plan));
     Common::append(faults, drawEvacuations(plan));
+    Common::append(faults, drawCallerHoldUps(plan));
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &left, const Fault &right) { return left.atMs < right.atMs; });
     return faults;
--- a/Source/Soak/Schedule.h
+++ b/Source/Soak/Schedule.h
@@ -36,6 +36,7 @@
     LinkHoldUp,
     LinkHoldDown,
     LinkSilence,
+    CallerLinkHoldUp,
     BackendCrash,
     BackendLeave,
     BackendSilent,
@@ -64,6 +65,7 @@
     DropHistory,
     Command,
     SilenceStoreLinks,
+    HoldCallerLink,
     Reset,
     Impair
 };
@@ -77,7 +79,7 @@
     /// Name of the fault for a stand-in that injects it itself; otherwise empty.
     std::string_view command;
     /// Relative frequency with which the fault is drawn; 0 for one that belongs to the changes of
-    /// the configuration or to the evacuations.
+    /// the configuration, to the evacuations or to the links of callers.
     int weight;
     /// 0 for a fault that has no duration.
     std::int64_t minDurationMs;
@@ -95,6 +97,11 @@
     int target = 0;
 };
 
+/// Timeout of the callers that wait the shortest.
+constexpr std::int64_t ShortTimeoutMs = 1000;
+/// Delay before a request is submitted again after a broken connection, 502, 504 or no answer.
+constexpr std::int64_t ResubmitMs = 1300;
+
 /// Processes are spread over this many failure domains in turn.
 constexpr int FailureDomains = 2;
 
@@ -108,7 +115,8 @@
 };
 
 /// Draws faults, ordered by time. Each ends by the end of the plan. Beside the faults of all kinds,
-/// the configuration changes while gateways cannot hear of it, and failure domains are evacuated.
+/// the configuration changes while gateways cannot hear of it, failure domains are evacuated, and
+/// requests are held up until their callers have submitted them again.
 std::vector<Fault> drawSchedule(const SchedulePlan &plan);
 std::string describe(const Fault &fault);
 
--- a/Source/UnitTests/Soak/ChecksTest.cpp
+++ b/Source/UnitTests/Soak/ChecksTest.cpp
@@ -299,6 +299,12 @@
              {second},
              {{FaultKind::GatewayFreeze, "gateway-2", 8'000, 12'000}},
              1},
+            {"its callers' link was held up",
+             12'100,
+             1,
+             {second},
+             {{FaultKind::CallerLinkHoldUp, "gateway-1/caller", 8'000, 12'000}},
+             1},
     };
     for (const Row &row : rows) {
         CAPTURE(row.what);
--- a/Source/UnitTests/Soak/ScheduleTest.cpp
+++ b/Source/UnitTests/Soak/ScheduleTest.cpp
@@ -56,6 +56,25 @@
     }
 }
 
+TEST_CASE("A hold-up of a callers' link outlasts a caller that submits again")
+{
+    // The gateway then reads a request of a caller that has left and has submitted it elsewhere.
+    constexpr std::int64_t SubmitsAgainMs = 1000 + 1300;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        CAPTURE(seed);
+        int whole = 0;
+        for (const Soak::Fault &fault : Soak::drawSchedule(planOf(seed))) {
+            const bool endsWithPlan = fault.atMs + fault.durationMs == 20'000;
+            if (fault.kind == Soak::FaultKind::CallerLinkHoldUp && !endsWithPlan) {
+                CAPTURE(Soak::describe(fault));
+                CHECK(fault.durationMs > SubmitsAgainMs);
+                ++whole;
+            }
+        }
+        CHECK(whole > 0);
+    }
+}
+
 TEST_CASE("Some seeds bring every kind of fault, and faults overlap")
 {
     std::set<Soak::FaultKind> kinds;
@@ -68,6 +87,6 @@
             endMs = std::max(endMs, fault.atMs + fault.durationMs);
         }
     }
-    CHECK(kinds.size() == 34);
+    CHECK(kinds.size() == 35);
     CHECK(overlaps > 500);
 }
