UnitTests: a hanging backend server of the soak ends the runs that it was told to stop

Cause: a run that would have ended within 30 ms when its stop came is left to end as planned.

Change: only runs without a stop are put off.

No test of its own.

--- a/Source/UnitTests/Platform/FakePlatform.cpp
+++ b/Source/UnitTests/Platform/FakePlatform.cpp
@@ -635,7 +635,9 @@
 void BackendServer::delayRuns(std::int64_t byMs)
 {
     for (TransientSite::ModelRun &run : this->model.runs) {
-        const bool isStopping = run.startedMs < 0;
+        // A run that was about to end when its stop came ends as planned, not as stopped.
+        const auto barred = this->model.barred.find(run.task);
+        const bool isStopping = barred != this->model.barred.end() && run.number <= barred->second;
         run.endsMs += isStopping ? 0 : byMs;
     }
 }
