Runner: a lease is reckoned on a clock that may have fallen behind

An agent reckons the end of a lease on the backend server's clock as it last read it, and makes no calls while it has no runs. A clock that is slow by a fiftieth falls behind by 20 ms per second meanwhile, so that the first lease after an idle time lasted longer than the agent reckoned, up to the longest that the backend server grants. An agent that then got no answers for as long as the lease should last gave up runs that went on, and their tasks were started elsewhere. When it was answered again it stopped the first runs as strays: two runs of a task at a time, on two agents, both ordered in time, one stopped and the other done.

The end of a lease is now earlier by what the clock may have fallen behind since its last reading. Where that reading is older than 10 s, a start waits for an observation, which is made at once.

--- a/Source/Core/Runner/Observation.cpp
+++ b/Source/Core/Runner/Observation.cpp
@@ -29,10 +29,16 @@
 /// wait for an end are half of it apart.
 constexpr std::int64_t FailedPauseMs = 50;
 
-bool isObservationNeeded(const RunnerState &state)
+/// Tasks wait for a reading of the backend server's clock.
+bool isClockNeeded(const RunnerState &state, Common::Moment now)
+{
+    return !state.queue.empty() && !isClockKnown(state, now);
+}
+
+bool isObservationNeeded(const RunnerState &state, Common::Moment now)
 {
     return !state.isClean || state.isIncarnationDoubted || state.acknowledgedEnd < state.lastEnd
-           || !state.strays.empty()
+           || !state.strays.empty() || isClockNeeded(state, now)
            || std::any_of(state.runs.begin(), state.runs.end(),
                           [](const auto &entry) { return entry.second.phase != RunPhase::Queued; });
 }
@@ -394,7 +400,7 @@
         }
         pending += observation.isOverdue ? 0 : 1;
     }
-    const bool isNeeded = isObservationNeeded(state) || !state.isBackendResponsive;
+    const bool isNeeded = isObservationNeeded(state, now) || !state.isBackendResponsive;
     if (!isNeeded) {
         // Without observations, the time since the last answer is meaningless.
         state.silentSinceMs = 0;
@@ -417,7 +423,7 @@
             std::any_of(state.runs.begin(), state.runs.end(), [](const auto &entry) {
                 return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedMs != 0;
             });
-    if (provesStops || state.runs.empty()) {
+    if (provesStops || state.runs.empty() || isClockNeeded(state, now)) {
         call.waitMs = 0;
     }
     state.pendingObservations[call.observation] = {
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -237,6 +237,7 @@
     bool isIncarnationDoubted = false;
     /// The backend server's clock minus the steady clock of this process, at the last answer.
     std::optional<std::int64_t> clockOffsetMs;
+    std::int64_t clockSeenMs = 0;
     std::int64_t fence = 0;
     /// Nothing runs any more from before the start of this process or of the backend server's
     /// incarnation.
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -227,11 +227,25 @@
 void updateClockOffset(RunnerState &state, std::int64_t clockMs, Common::Moment now)
 {
     state.clockOffsetMs = clockMs - now.steadyMs;
+    state.clockSeenMs = now.steadyMs;
+}
+
+bool isClockKnown(const RunnerState &state, Common::Moment now)
+{
+    // Until then a lease is shortened by less than a third.
+    constexpr std::int64_t MaxClockAgeMs = 10'000;
+    return state.clockOffsetMs && now.steadyMs <= state.clockSeenMs + MaxClockAgeMs;
 }
 
 std::int64_t leaseUntilMs(const RunnerState &state, Common::Moment now)
 {
-    return state.clockOffsetMs ? now.steadyMs + *state.clockOffsetMs + state.times.leaseMs : 0;
+    if (!state.clockOffsetMs) {
+        return 0;
+    }
+    const std::int64_t ageMs = now.steadyMs - state.clockSeenMs;
+    const std::int64_t behindMs =
+            (ageMs + Transient::ClockDriftDivisor - 1) / Transient::ClockDriftDivisor;
+    return now.steadyMs + *state.clockOffsetMs + state.times.leaseMs - behindMs;
 }
 
 bool mayStartLate(const RunnerState &state, const Run &run, Common::Moment now)
@@ -304,7 +318,7 @@
         returnEvacuatedTasks(state, effects, now);
         return effects;
     }
-    if (!state.isClean || !state.isBackendResponsive || !state.clockOffsetMs
+    if (!state.isClean || !state.isBackendResponsive || !isClockKnown(state, now)
         || hasOverdueStop(state, now)) {
         return effects;
     }
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -70,7 +70,13 @@
 /// confirms the stop or the start can no longer take effect.
 void endLostRuns(RunnerState &state, Effects &effects, Schema::Reason reason, Common::Moment now);
 
-/// End of a lease that is granted now, on the backend server's clock; 0 while that is not known.
+/// The backend server's clock was read so recently that a lease can be reckoned on it. An agent
+/// without runs makes no calls for minutes.
+bool isClockKnown(const RunnerState &state, Common::Moment now);
+/// End of a lease that is granted now, on the backend server's clock; 0 while that is not known. If
+/// that clock is slow, it is behind its last reading plus the time since then. When this was left
+/// out, the first lease after an idle time lasted longer than it was reckoned here, and its run
+/// continued when its task had been sent elsewhere.
 std::int64_t leaseUntilMs(const RunnerState &state, Common::Moment now);
 void updateClockOffset(RunnerState &state, std::int64_t clockMs, Common::Moment now);
 
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -615,6 +615,14 @@
              "replace_backend(761,103) leave_backend(462,143) power_off_agent(854,26) "
              "submit(727,781) wait(684,497) freeze_agent(490,500) wait(778,378) submit(559,809) "
              "submit_long(399,603) wait(566,559)"},
+            {"a start after an idle time, and then its backend server cannot be reached", 51'586,
+             "wait(151,151) submit_long(408,448) power_off_gateway(444,527) "
+             "lose_more_answers(350,30) wait(329,55) mute_backend(259,284) "
+             "start_gateways(537,509) kill_agent(513,143) wait(538,470) "
+             "lose_answers_at_once(145,296) cut_off_backend(502,522) submit(406,285) "
+             "lose_answers(51,305) submit(452,287) cut_off_backend(519,63) take_calls(286,530) "
+             "submit(464,17) cut_off_backend(246,194) wait(403,2) cut_off_backend(344,238) "
+             "wait(536,490)"},
     };
     for (const Row &row : rows) {
         CAPTURE(std::string(row.what));
--- a/Source/UnitTests/Transient/SiteStoryTest.cpp
+++ b/Source/UnitTests/Transient/SiteStoryTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <ostream>
 
@@ -396,3 +397,49 @@
         }
     }
 }
+
+namespace {
+
+/// For \a awayMs the agent of the first backend server with runs is frozen and gets no answers; if
+/// \a isFrozen is false it runs and cannot reach the backend server.
+void cutOffRuns(World &world, bool isFrozen, std::int64_t awayMs)
+{
+    const auto busy =
+            std::find_if(world.backends.begin(), world.backends.end(),
+                         [](const ModelBackend &backend) { return !backend.runs.empty(); });
+    REQUIRE(busy != world.backends.end());
+    const std::int64_t untilMs = world.nowMs + awayMs;
+    if (isFrozen) {
+        busy->trouble.muteUntilMs = untilMs;
+        freezeAgent(world, static_cast<int>(busy - world.backends.begin()), awayMs);
+    } else {
+        busy->trouble.unreachableUntilMs = untilMs;
+    }
+}
+
+} // namespace
+
+TEST_CASE("The first run after an idle time is over when its task is sent elsewhere")
+{
+    // The clock of a backend server that is slow falls behind its last reading while the agent
+    // makes no calls. A lease that is reckoned on that reading lasts longer.
+    constexpr std::int64_t IdleTimesMs[] = {800, 2500, 5000, 9000, 12'000, 20'000, 60'000};
+    constexpr std::int64_t AwayTimesMs[] = {730, 750, 770, 790, 950, 1000, 1560};
+    constexpr ModelWork Long{2500, 1, false};
+    for (const bool isFrozen : {false, true}) {
+        for (const std::int64_t idleMs : IdleTimesMs) {
+            for (const std::int64_t awayMs : AwayTimesMs) {
+                CAPTURE(isFrozen);
+                CAPTURE(idleMs);
+                CAPTURE(awayMs);
+                auto world = makeWorld(1, 3, 4);
+                runFor(*world, idleMs);
+                submit(*world, 0, Long, 4, 8000);
+                runFor(*world, 10);
+                cutOffRuns(*world, isFrozen, awayMs);
+                runFor(*world, 6000);
+                CHECK(world->violations.empty());
+            }
+        }
+    }
+}
