Transient: a late job stays listed until none of its tasks can run

Cause, found by a review: a job left the list with its result, while its withdrawn tasks could run on for the time of a stop, or of a lease.

Change: a job is listed as long as its gateway has its record, which is until all attempts have been reported. Half of its timeout counts from the arrival of its request, not from its admission. The test now wants nothing started before the report.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -148,17 +148,12 @@
         reply.send(std::move(response));
         return;
     }
-    CallerRequest callerRequest{request.method,
-                                {},
-                                request.path,
-                                {},
-                                0,
-                                request.arrivedMs,
-                                request.idleMs,
-                                std::nullopt,
-                                {},
-                                request.connection,
-                                std::move(reply)};
+    CallerRequest callerRequest(std::move(reply));
+    callerRequest.method = request.method;
+    callerRequest.path = request.path;
+    callerRequest.arrivedMs = request.arrivedMs;
+    callerRequest.idleMs = request.idleMs;
+    callerRequest.connection = request.connection;
     const auto host = request.headers.find("host");
     callerRequest.host = host == request.headers.end() ? std::string() : host->second;
     callerRequest.id = request.path.substr(request.path.rfind('/') + 1);
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -19,6 +20,10 @@
 /// Decoded request of a caller.
 struct CallerRequest
 {
+    explicit CallerRequest(Net::HttpReply reply)
+        : reply(std::move(reply))
+    {}
+
     std::string method;
     std::string host;
     std::string path;
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -35,6 +35,7 @@
     job.queue = submission.queue;
     job.payload = std::move(submission.request.payload);
     job.tokens.push_back(submission.token);
+    job.arrivedMs = submission.arrivedMs.value_or(now.steadyMs);
     job.receivedMs = now.steadyMs;
     const auto former = state.formerAttempts.find(job.id);
     const std::int64_t formerAttempts =
@@ -61,7 +62,7 @@
     const double usefulMs =
             static_cast<double>(job.targetMs - now.steadyMs) * state.limits.maxLateness;
     job.lastStartMs = now.steadyMs + static_cast<std::int64_t>(usefulMs - chainMs);
-    job.deadlineMs = submission.arrivedMs.value_or(now.steadyMs) + submission.remainingTimeoutMs;
+    job.deadlineMs = job.arrivedMs + submission.remainingTimeoutMs;
     return job;
 }
 
--- a/Source/Core/Transient/JobTable.h
+++ b/Source/Core/Transient/JobTable.h
@@ -63,6 +63,8 @@
     /// Requests that wait for the answer: a job may be submitted again while it runs.
     std::vector<std::string> tokens;
     /// Steady clock.
+    std::int64_t arrivedMs = 0;
+    /// When it was admitted.
     std::int64_t receivedMs = 0;
     std::int64_t targetMs = 0;
     /// A job of which no task is ordered by then is refused: it would end too late to be of use.
--- a/Source/Core/Transient/Orphans.cpp
+++ b/Source/Core/Transient/Orphans.cpp
@@ -25,14 +25,14 @@
 
 std::int64_t lateJobAtMs(const JobRecord &job)
 {
-    return job.receivedMs + (job.deadlineMs - job.receivedMs) / 2;
+    return job.arrivedMs + (job.deadlineMs - job.arrivedMs) / 2;
 }
 
 void listLateJobs(GatewayState &state, Common::Moment now)
 {
     std::vector<std::string> late;
     for (const auto &[id, job] : state.jobs) {
-        if (!job.result && now.steadyMs >= lateJobAtMs(job)) {
+        if (now.steadyMs >= lateJobAtMs(job)) {
             late.push_back(id);
         }
     }
--- a/Source/Core/Transient/Orphans.h
+++ b/Source/Core/Transient/Orphans.h
@@ -6,8 +6,8 @@
 /// gateway may know too little.
 namespace Transient {
 
-/// Lists the late jobs of this gateway for the others, which start nothing of them: those that are
-/// still open when half of the timeout that their callers had on arrival has passed.
+/// Lists the late jobs of this gateway for the others, which start nothing of them: those of which
+/// tasks may run when half of the timeout that their callers had on arrival has passed.
 ///
 /// Failure: a request is held up on its way, and later the end of its connection as well. The
 /// caller's timeout passes earlier than this gateway assumes, and the tasks run at the gateway that
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -465,7 +465,11 @@
     CHECK_FALSE(isOrphaned(first.state, "job", at(ReturnedMs)));
     handleCallerDisconnected(first.state, token, at(EndedMs));
     tellSecond(EndedMs + 50);
-    CHECK(orderedTasks(tick(second.state, at(EndedMs + 60), second.random)).size() == 1);
+    // Its task is withdrawn, but may still run.
+    CHECK(orderedTasks(tick(second.state, at(EndedMs + 60), second.random)).empty());
+    first.report("job.0.0", 1, AttemptPhase::Stopped, EndedMs + 70);
+    tellSecond(EndedMs + 100);
+    CHECK(orderedTasks(tick(second.state, at(EndedMs + 110), second.random)).size() == 1);
     // The time that it waited there counts as well.
     CHECK(second.state.jobs.at("job").deadlineMs == ReturnedMs + TimeoutMs);
 }
