--- a/Source/Core/Transient/Orphans.cpp
+++ b/Source/Core/Transient/Orphans.cpp
@@ -30,6 +30,10 @@
 
 void listLateJobs(GatewayState &state, Common::Moment now)
 {
+    // Under overload jobs become late all the time. Each list passes through all gateways at once.
+    if (now.steadyMs < state.lateJobsListedMs + OrphansRefreshMs) {
+        return;
+    }
     std::vector<std::string> late;
     for (const auto &[id, job] : state.jobs) {
         if (now.steadyMs >= lateJobAtMs(job)) {
@@ -38,9 +42,7 @@
     }
     std::sort(late.begin(), late.end());
     Schema::OrphanedJobs &listed = state.lateJobs;
-    const bool isRefreshDue =
-            !late.empty() && now.steadyMs >= state.lateJobsListedMs + OrphansRefreshMs;
-    if (late == listed.held && !isRefreshDue) {
+    if (late.empty() && listed.held.empty()) {
         return;
     }
     listed.held = std::move(late);
