--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -1,7 +1,6 @@
 #include "Gateway/TransientCallers.h"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -28,9 +27,6 @@
 /// Subtracted from the remaining timeout: an answer sent at the last moment still has to reach its
 /// caller.
 constexpr std::int64_t AnswerTransitMs = 20;
-/// How long a job waits whose request may have been held up until its caller had returned to
-/// another gateway: the end of its connection follows within a round trip.
-constexpr std::int64_t ConfirmMs = 10;
 constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
 constexpr const char *UndeliveredAnswers = "auburntrail_answers_undelivered_total";
 
@@ -124,13 +120,8 @@
 
 void TransientCallers::refuseNewRequests()
 {
-    {
-        const std::lock_guard<std::mutex> lock(this->intakeMutex);
-        this->isRefusing = true;
-    }
-    for (const UnconfirmedRequest &waiting : std::exchange(this->unconfirmed, {})) {
-        this->refuseUnprocessed(waiting.callerRequest);
-    }
+    const std::lock_guard<std::mutex> lock(this->intakeMutex);
+    this->isRefusing = true;
 }
 
 void TransientCallers::refuseUnprocessed(const CallerRequest &event)
@@ -152,7 +143,6 @@
     callerRequest.method = request.method;
     callerRequest.path = request.path;
     callerRequest.arrivedMs = request.arrivedMs;
-    callerRequest.idleMs = request.idleMs;
     callerRequest.connection = request.connection;
     const auto host = request.headers.find("host");
     callerRequest.host = host == request.headers.end() ? std::string() : host->second;
@@ -191,13 +181,7 @@
         return;
     }
     if (event.method == "POST") {
-        // Only a connection that was idle for so long can have held a request up until its caller
-        // had submitted the job again.
-        if (event.idleMs >= Transient::ResubmitMs) {
-            this->unconfirmed.push_back({std::move(event), this->control.now.steadyMs + ConfirmMs});
-        } else {
-            this->submit(event, *queue);
-        }
+        this->submit(event, *queue);
     } else if (event.method == "GET" || event.method == "DELETE") {
         this->handleStateOrCancel(event, *queue);
     } else {
@@ -232,19 +216,6 @@
                                            this->control.now, this->control.random));
 }
 
-/// Submits the requests that have waited for the end of their connections. The queue is looked up
-/// again: the table may have changed.
-void TransientCallers::submitConfirmed()
-{
-    while (!this->unconfirmed.empty()
-           && this->control.now.steadyMs >= this->unconfirmed.front().dueMs) {
-        CallerRequest callerRequest = std::move(this->unconfirmed.front().callerRequest);
-        this->unconfirmed.pop_front();
-        callerRequest.idleMs = 0;
-        this->on(callerRequest);
-    }
-}
-
 /// Handles GET and DELETE of a job. Transient jobs are not kept after they have ended: an ended job
 /// is answered like an unknown one.
 void TransientCallers::handleStateOrCancel(const CallerRequest &callerRequest,
@@ -323,8 +294,7 @@
 void TransientCallers::runPeriodicWork(bool isReady)
 {
     this->ready = isReady;
-    this->submitConfirmed();
-    if (this->openRequests() != 0) {
+    if (!this->requests.empty()) {
         this->idleSinceMs = 0;
     } else if (this->idleSinceMs == 0) {
         this->idleSinceMs = this->control.now.steadyMs;
@@ -333,19 +303,13 @@
 
 std::size_t TransientCallers::openRequests() const
 {
-    return this->requests.size() + this->unconfirmed.size();
-}
-
-std::int64_t TransientCallers::nextWakeMs() const
-{
-    return this->unconfirmed.empty() ? std::numeric_limits<std::int64_t>::max()
-                                     : this->unconfirmed.front().dueMs;
+    return this->requests.size();
 }
 
 bool TransientCallers::isIdle() const
 {
     constexpr std::int64_t MinIdleMs = 200;
-    return this->openRequests() == 0 && this->callerServer->openConnections() == 0
+    return this->requests.empty() && this->callerServer->openConnections() == 0
            && this->idleSinceMs != 0 && this->control.now.steadyMs >= this->idleSinceMs + MinIdleMs;
 }
 
--- a/Source/Core/Gateway/TransientCallers.h
+++ b/Source/Core/Gateway/TransientCallers.h
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -39,8 +38,6 @@
     void refuseNewRequests();
     /// Refuses a request that arrived before refuseNewRequests() and was not processed.
     void refuseUnprocessed(const CallerRequest &event);
-    /// Time on the steady clock when runPeriodicWork() is next due.
-    std::int64_t nextWakeMs() const;
     std::size_t openRequests() const;
     /// True if no request has been open for a short time, and no caller has a connection open on
     /// which it could send another.
@@ -53,18 +50,10 @@
         Net::HttpReply reply;
     };
 
-    /// A request that may have been held up on its way.
-    struct UnconfirmedRequest
-    {
-        CallerRequest callerRequest;
-        std::int64_t dueMs = 0;
-    };
-
     void startCallerServer();
     void startProbeServer();
     void handleRequest(const Net::HttpRequest &request, Net::HttpReply reply);
     void submit(CallerRequest &callerRequest, const Schema::JobQueue &queue);
-    void submitConfirmed();
     void handleStateOrCancel(const CallerRequest &callerRequest, const Schema::JobQueue &queue);
     void refuse(const CallerRequest &callerRequest, int status, Schema::Reason reason,
                 const std::string &detail);
@@ -78,8 +67,6 @@
     std::mutex intakeMutex;
     bool isRefusing = false;
     std::map<std::string, OpenRequest> requests;
-    /// Requests for jobs whose callers may have left, in the order in which they were read.
-    std::deque<UnconfirmedRequest> unconfirmed;
     std::uint64_t lastToken = 0;
     /// Time on the steady clock since which no request is open; 0 while one is open.
     std::int64_t idleSinceMs = 0;
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -32,8 +32,6 @@
     std::int64_t remainingTimeoutMs = 0;
     /// On the steady clock.
     std::int64_t arrivedMs = 0;
-    /// For how long its connection had carried nothing.
-    std::int64_t idleMs = 0;
     std::optional<Transient::JobRequest> job;
     /// Why the body could not be decoded as a job.
     Common::Failure failure;
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -141,8 +141,8 @@
 {
     constexpr std::int64_t StoppingTickMs = 50;
     const TransientControl &control = this->control;
-    const std::int64_t next = std::min({Transient::nextWakeMs(control.state, control.now),
-                                        this->links.nextWakeMs(), this->callers.nextWakeMs()});
+    const std::int64_t next =
+            std::min(Transient::nextWakeMs(control.state, control.now), this->links.nextWakeMs());
     return control.state.isStopping ? std::min(next, control.now.steadyMs + StoppingTickMs) : next;
 }
 
--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -235,12 +235,6 @@
     return this->watch();
 }
 
-std::int64_t HttpConnection::lastUsedMs()
-{
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    return this->usedMs;
-}
-
 bool HttpConnection::hasCallerLeft()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -317,7 +311,6 @@
 void HttpConnection::finishAnswer()
 {
     this->outgoing.reset();
-    this->usedMs = Common::currentMoment().steadyMs;
     if (this->isDisconnected) {
         return;
     }
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -10,7 +10,6 @@
 #include <shared_mutex>
 #include <string>
 
-#include "Common/Clock.h"
 #include "Net/AnswerWriter.h"
 #include "Net/HttpServer.h"
 
@@ -92,9 +91,6 @@
     /// Hands \a received to the handler, or keeps it until the requests before it are answered.
     void receive(ReceivedRequest received);
 
-    /// When the connection was accepted, or the last answer on it was written.
-    std::int64_t lastUsedMs();
-
     /// Asks the caller for the body of its request, unless an answer is due first.
     void sendContinue();
 
@@ -132,7 +128,6 @@
     const std::shared_ptr<HttpServerState> server;
     /// Guards the members below, and the socket while it is used.
     std::mutex mutex;
-    std::int64_t usedMs = Common::currentMoment().steadyMs;
     bool isDisconnected = false;
     bool ignoresInput = false;
     /// Whether a request was handed on and its answer is not yet written.
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -270,7 +270,6 @@
         received.request = convert(request);
         received.request.arrivedMs =
                 Common::currentMoment().steadyMs - unreadMs(state.connection->socketNumber());
-        received.request.idleMs = received.request.arrivedMs - state.connection->lastUsedMs();
         received.isLast = isClosing;
         if (state.chunks) {
             received.request.body = state.chunks->data();
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -24,8 +24,6 @@
     std::uint64_t connection = 0;
     /// When its last bytes arrived at this machine, on the steady clock.
     std::int64_t arrivedMs = 0;
-    /// For how long the connection had carried nothing when it arrived.
-    std::int64_t idleMs = 0;
 };
 
 struct HttpResponse
