Net: a connection knows when its last bytes arrived

The server asked the kernel through the connection's socket number, which must not be used after the end of the connection; the connection itself knows whether it has ended.

--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -5,12 +5,15 @@
 #include <cerrno>
 #include <chrono>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <pistache/http_defs.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <utility>
 
+#include "Common/Clock.h"
 #include "Common/Log.h"
 
 namespace Net {
@@ -140,6 +143,17 @@
     return this->ignoresInput;
 }
 
+std::int64_t HttpConnection::lastArrivalMs()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    const bool isKnown = !this->isDisconnected
+                         && ::getsockopt(this->socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    const std::int64_t unreadMs = isKnown ? static_cast<std::int64_t>(info.tcpi_last_data_recv) : 0;
+    return Common::currentMoment().steadyMs - unreadMs;
+}
+
 void HttpConnection::receive(ReceivedRequest received)
 {
     {
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -84,10 +84,12 @@
     HttpConnection(std::uint64_t number, int socket, std::shared_ptr<HttpServerState> server);
 
     std::uint64_t number() const { return this->connectionNumber; }
-    /// Must not be used after disconnected().
-    int socketNumber() const { return this->socket; }
     bool isInputIgnored();
 
+    /// When the last bytes arrived at this machine, on the steady clock. They lie unread while the
+    /// process is frozen, or the library has not taken the connection over.
+    std::int64_t lastArrivalMs();
+
     /// Hands \a received to the handler, or keeps it until the requests before it are answered.
     void receive(ReceivedRequest received);
 
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -13,7 +13,6 @@
 #include <string_view>
 #include <sys/socket.h>
 
-#include "Common/Clock.h"
 #include "Net/ChunkedBody.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpConnection.h"
@@ -73,16 +72,6 @@
     ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
 }
 
-/// How long ago the last bytes of a connection arrived at this machine. They lie unread while the
-/// process is frozen, or the library has not taken the connection over.
-std::int64_t unreadMs(int socket)
-{
-    tcp_info info{};
-    socklen_t length = sizeof info;
-    const bool isKnown = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
-    return isKnown ? static_cast<std::int64_t>(info.tcpi_last_data_recv) : 0;
-}
-
 std::string lowerCased(std::string text)
 {
     for (char &letter : text) {
@@ -268,8 +257,7 @@
                                           : request.version() == Http::Version::Http10;
         ReceivedRequest received;
         received.request = convert(request);
-        received.request.arrivedMs =
-                Common::currentMoment().steadyMs - unreadMs(state.connection->socketNumber());
+        received.request.arrivedMs = state.connection->lastArrivalMs();
         received.isLast = isClosing;
         if (state.chunks) {
             received.request.body = state.chunks->data();
