Transient: what a gateway's announcement says is taken over by one function each

The age of the evacuations that a gateway confirms was computed in four places, and the time since an announcing gateway was heard was reset in four. No change in behaviour.

--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -141,9 +141,8 @@
                                       const Schema::GatewayAnnouncement &announcement)
 {
     PeerLink &link = this->links.at(id);
-    Schema::Member gateway = announcement.gateway;
-    gateway.heardMsAgo = 0;
-    Transient::addGateway(this->control.discovery, gateway, this->control.now);
+    Transient::addAnnouncedGateway(this->control.discovery, announcement.gateway,
+                                   this->control.now);
     Transient::addGateways(this->control.discovery, announcement.others, this->control.now);
     if (!link.gateway) {
         Common::logEvent(LogLevel::Info, "gateway_linked",
@@ -153,17 +152,14 @@
             Transient::gatewayConnected(this->control.discovery, link.address, this->control.now);
         }
     }
-    link.gateway = gateway;
+    link.gateway = announcement.gateway;
     if (announcement.evacuations) {
         this->carryOut(Transient::evacuationsTold(this->control.state, *announcement.evacuations,
                                                   announcement.gateway.instance, this->control.now,
                                                   this->control.random));
     }
-    if (announcement.operatorsReadMsAgo) {
-        Transient::confirmEvacuations(this->control.state.fleet.evacuations,
-                                      this->control.now.steadyMs
-                                              - *announcement.operatorsReadMsAgo);
-    }
+    Transient::confirmEvacuations(this->control.state.fleet.evacuations, announcement,
+                                  this->control.now);
     if (announcement.orphanLists) {
         Transient::receiveLists(this->control.state.orphanRelay, link.toldOrphans,
                                 *announcement.orphanLists, this->control.now);
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -329,13 +329,12 @@
     }
     link.instance = announcement.gateway.instance;
     Schema::Member gateway = announcement.gateway;
-    gateway.heardMsAgo = 0;
     // A gateway behind a proxy gives another address for itself. If both were dialled, it would
     // take each connection for a replacement of the other, and the agent for lost.
     const Net::Address dialled = Net::parseAddress(link.address);
     gateway.host = dialled.host;
     gateway.peerPort = dialled.port;
-    Transient::addGateway(this->discovery, gateway, this->now);
+    Transient::addAnnouncedGateway(this->discovery, gateway, this->now);
     Transient::gatewayConnected(this->discovery, link.address, this->now);
     std::string &lastHere = this->instanceAt[link.address];
     if (!lastHere.empty() && lastHere != link.instance) {
@@ -362,10 +361,7 @@
         this->carryOut(evacuationsTold(this->state, *announcement.evacuations,
                                        announcement.gateway.instance, this->now));
     }
-    if (announcement.operatorsReadMsAgo) {
-        Transient::confirmEvacuations(this->state.evacuations,
-                                      this->now.steadyMs - *announcement.operatorsReadMsAgo);
-    }
+    Transient::confirmEvacuations(this->state.evacuations, announcement, this->now);
 }
 
 void RunnerDaemon::Implementation::announceTo(Net::LinkId id, GatewayLink &link)
--- a/Source/Core/Transient/Discovery.cpp
+++ b/Source/Core/Transient/Discovery.cpp
@@ -164,6 +164,12 @@
     }
 }
 
+void addAnnouncedGateway(Discovery &discovery, Schema::Member gateway, Common::Moment now)
+{
+    gateway.heardMsAgo = 0;
+    addGateway(discovery, gateway, now);
+}
+
 void addGateways(Discovery &discovery, const std::vector<Schema::Member> &gateways,
                  Common::Moment now)
 {
--- a/Source/Core/Transient/Discovery.h
+++ b/Source/Core/Transient/Discovery.h
@@ -83,10 +83,13 @@
 /// Ranks all gateways alike, or those of the own failure domain and others in turns.
 void ignoreDomains(Discovery &discovery, bool ignores);
 
-/// Adds a gateway that another process or the store has reported, or that has announced itself. A
-/// report that is older than what is known has no effect.
+/// Adds a gateway that another process or the store has reported. A report that is older than what
+/// is known has no effect.
 void addGateway(Discovery &discovery, const Schema::Member &gateway, Common::Moment now);
 
+/// Adds a gateway that has announced itself just now.
+void addAnnouncedGateway(Discovery &discovery, Schema::Member gateway, Common::Moment now);
+
 /// Adds several gateways.
 void addGateways(Discovery &discovery, const std::vector<Schema::Member> &gateways,
                  Common::Moment now);
--- a/Source/Core/Transient/Evacuations.cpp
+++ b/Source/Core/Transient/Evacuations.cpp
@@ -95,6 +95,14 @@
     known.readMs = std::max(known.readMs.value_or(readMs), readMs);
 }
 
+void confirmEvacuations(Evacuations &known, const Schema::GatewayAnnouncement &announcement,
+                        Common::Moment now)
+{
+    if (announcement.operatorsReadMsAgo) {
+        confirmEvacuations(known, now.steadyMs - *announcement.operatorsReadMsAgo);
+    }
+}
+
 bool isEvacuated(const Evacuations &known, const std::string &failureDomain)
 {
     const auto found = known.domains.find(failureDomain);
--- a/Source/Core/Transient/Evacuations.h
+++ b/Source/Core/Transient/Evacuations.h
@@ -71,6 +71,9 @@
 
 /// The known evacuations were the present ones at \a readMs.
 void confirmEvacuations(Evacuations &known, std::int64_t readMs);
+/// The same, as of when the gateway that has announced itself last read the operators' records.
+void confirmEvacuations(Evacuations &known, const Schema::GatewayAnnouncement &announcement,
+                        Common::Moment now);
 
 bool isEvacuated(const Evacuations &known, const std::string &failureDomain);
 bool anyEvacuated(const Evacuations &known);
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -584,11 +584,8 @@
                      Runner::evacuationsTold(process.state, *frame.gatewayAnnouncement->evacuations,
                                              instance, moment(world)));
         }
-        if (frame.gatewayAnnouncement->operatorsReadMsAgo) {
-            Transient::confirmEvacuations(process.state.evacuations,
-                                          world.nowMs
-                                                  - *frame.gatewayAnnouncement->operatorsReadMsAgo);
-        }
+        Transient::confirmEvacuations(process.state.evacuations, *frame.gatewayAnnouncement,
+                                      moment(world));
         Transient::addGateways(process.discovery, frame.gatewayAnnouncement->others, moment(world));
         link.reports.loadIntervalMs = frame.gatewayAnnouncement->loadIntervalMs.value_or(0);
         if (!link.gatewayInstance.empty()) {
@@ -597,9 +594,8 @@
             return;
         }
         link.gatewayInstance = instance;
-        Schema::Member member = frame.gatewayAnnouncement->gateway;
-        member.heardMsAgo = 0;
-        Transient::addGateway(process.discovery, member, moment(world));
+        Transient::addAnnouncedGateway(process.discovery, frame.gatewayAnnouncement->gateway,
+                                       moment(world));
         Transient::gatewayConnected(process.discovery, addressOfGateway(world, gateway),
                                     moment(world));
         process.disconnectedGateways.erase(instance);
@@ -893,9 +889,7 @@
     const Schema::GatewayAnnouncement &announcement = *frame.gatewayAnnouncement;
     SitePeer &peer = receiver.peers.at(from);
     peer.lastReceivedMs = world.nowMs;
-    Schema::Member member = announcement.gateway;
-    member.heardMsAgo = 0;
-    Transient::addGateway(receiver.discovery, member, moment(world));
+    Transient::addAnnouncedGateway(receiver.discovery, announcement.gateway, moment(world));
     Transient::addGateways(receiver.discovery, announcement.others, moment(world));
     if (announcement.evacuations) {
         carryOut(world, to,
@@ -903,10 +897,7 @@
                                             announcement.gateway.instance, moment(world),
                                             world.random));
     }
-    if (announcement.operatorsReadMsAgo) {
-        Transient::confirmEvacuations(receiver.state.fleet.evacuations,
-                                      world.nowMs - *announcement.operatorsReadMsAgo);
-    }
+    Transient::confirmEvacuations(receiver.state.fleet.evacuations, announcement, moment(world));
     if (announcement.orphanLists) {
         Transient::receiveLists(receiver.state.orphanRelay, peer.toldOrphans,
                                 *announcement.orphanLists, moment(world));
