--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -35,7 +35,7 @@
     job.queue = submission.queue;
     job.payload = std::move(submission.request.payload);
     job.tokens.push_back(submission.token);
-    job.arrivedMs = submission.arrivedMs.value_or(now.steadyMs);
+    job.arrivedMs = *submission.arrivedMs;
     job.receivedMs = now.steadyMs;
     const auto former = state.formerAttempts.find(job.id);
     const std::int64_t formerAttempts =
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -95,11 +95,12 @@
         || now.steadyMs < state.startedMs + state.times.gatherMs) {
         return effects;
     }
-    const auto isStuck = [&state](const JobRecord &job) {
-        return job.ready > 0 && !evacuatedDomainOf(state, job).empty();
-    };
-    for (const std::string &id : openJobs(state, isStuck)) {
+    const auto isWaiting = [](const JobRecord &job) { return job.ready > 0; };
+    for (const std::string &id : openJobs(state, isWaiting)) {
         const std::string failureDomain = evacuatedDomainOf(state, state.jobs.at(id));
+        if (failureDomain.empty()) {
+            continue;
+        }
         const std::int64_t retryMs = evacuatedRetryMs(state, failureDomain, now);
         LogLine line{"job_without_backends",
                      evacuationFields(state.fleet.evacuations, failureDomain, now)};
