--- a/Source/Soak/Schedule.cpp
+++ b/Source/Soak/Schedule.cpp
@@ -127,35 +127,28 @@
     return faults;
 }
 
-/// Failure domains are evacuated, at times all at once. Drawn apart from all other faults, too.
-std::vector<Fault> drawEvacuations(const SchedulePlan &plan)
+/// When a fault that is drawn apart from all others comes.
+struct SeparateFault
 {
-    constexpr std::uint64_t SeedMultiplier = 7919;
-    constexpr std::int64_t MinPauseMs = 2000;
-    constexpr std::int64_t MaxPauseMs = 9000;
-    Common::Random random(plan.seed * SeedMultiplier);
-    std::vector<Fault> faults;
-    std::int64_t atMs = draw(random, 0, MaxPauseMs);
-    while (atMs < plan.lengthMs) {
-        faults.push_back(faultAt(plan, FaultKind::Evacuate, atMs, random));
-        atMs += draw(random, MinPauseMs, MaxPauseMs);
-    }
-    return faults;
-}
-
-/// The link of a gateway's callers is held up until those with a short timeout have given up and
-/// have submitted again. Drawn apart from all other faults, too.
-std::vector<Fault> drawCallerHoldUps(const SchedulePlan &plan)
+    FaultKind kind;
+    std::uint64_t seedMultiplier;
+    std::int64_t minPauseMs;
+    std::int64_t maxPauseMs;
+};
+
+/// Failure domains are evacuated, at times all at once. The link of a gateway's callers is held up
+/// until those with a short timeout have given up and have submitted again.
+constexpr std::array<SeparateFault, 2> SeparateFaults{
+        {{FaultKind::Evacuate, 7919, 2000, 9000}, {FaultKind::CallerLinkHoldUp, 4931, 800, 2500}}};
+
+std::vector<Fault> drawSeparately(const SchedulePlan &plan, const SeparateFault &separate)
 {
-    constexpr std::uint64_t SeedMultiplier = 4931;
-    constexpr std::int64_t MinPauseMs = 800;
-    constexpr std::int64_t MaxPauseMs = 2500;
-    Common::Random random(plan.seed * SeedMultiplier);
+    Common::Random random(plan.seed * separate.seedMultiplier);
     std::vector<Fault> faults;
-    std::int64_t atMs = draw(random, 0, MaxPauseMs);
+    std::int64_t atMs = draw(random, 0, separate.maxPauseMs);
     while (atMs < plan.lengthMs) {
-        faults.push_back(faultAt(plan, FaultKind::CallerLinkHoldUp, atMs, random));
-        atMs += draw(random, MinPauseMs, MaxPauseMs);
+        faults.push_back(faultAt(plan, separate.kind, atMs, random));
+        atMs += draw(random, separate.minPauseMs, separate.maxPauseMs);
     }
     return faults;
 }
@@ -191,8 +184,9 @@
         atMs += draw(random, MinPauseMs, MaxPauseMs / faultRate);
     }
     Common::append(faults, drawConfigurationFaults(plan));
-    Common::append(faults, drawEvacuations(plan));
-    Common::append(faults, drawCallerHoldUps(plan));
+    for (const SeparateFault &separate : SeparateFaults) {
+        Common::append(faults, drawSeparately(plan, separate));
+    }
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &left, const Fault &right) { return left.atMs < right.atMs; });
     return faults;
