--- a/Source/UnitTests/Gateway/TransientLinksTest.cpp
+++ b/Source/UnitTests/Gateway/TransientLinksTest.cpp
@@ -2,6 +2,7 @@
 #include <ostream>
 
 #include "Gateway/TransientLinks.h"
+#include "UnitTests/Transient/TestAgents.h"
 
 namespace {
 
@@ -41,16 +42,8 @@
                   const std::vector<Schema::TaskAttempt> &held)
     {
         Schema::Frame frame = Schema::frameOf(Schema::FrameType::AgentAnnouncement);
-        Schema::AgentAnnouncement announcement;
-        announcement.instance = instance;
-        announcement.name = "agent-1";
-        announcement.service = "desk";
-        announcement.accepting = true;
-        announcement.clean = true;
-        announcement.held = held;
-        announcement.resources.processors = 8;
-        announcement.resources.memoryMb = 1000;
-        frame.agentAnnouncement = announcement;
+        frame.agentAnnouncement = TestAgents::idleAgent("agent-1", instance);
+        frame.agentAnnouncement->held = held;
         this->links.on(Net::FrameArrived{link, frame, this->control.now.steadyMs});
     }
 
--- a/Source/UnitTests/Net/HttpDisconnectTest.cpp
+++ b/Source/UnitTests/Net/HttpDisconnectTest.cpp
@@ -163,6 +163,42 @@
     return caller.available();
 }
 
+/// What a handler learns of a request that was read late.
+struct LateRequest
+{
+    bool hasCallerLeft = false;
+    std::int64_t ageMs = 0;
+};
+
+/// Sends a request while the server's only thread is occupied. \a beforeRead gets its caller before
+/// the thread is released.
+LateRequest readLate(const std::function<void(Socket &)> &beforeRead)
+{
+    ThreadGate first;
+    std::promise<LateRequest> late;
+    const auto server =
+            Net::HttpServerBuilder()
+                    .threads(1)
+                    .handler([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
+                        if (request.path == "/first") {
+                            first.waitForRelease();
+                            return;
+                        }
+                        late.set_value({reply.hasCallerLeft(),
+                                        Common::currentMoment().steadyMs - request.arrivedMs});
+                    })
+                    .build();
+    boost::asio::io_context context;
+    Socket opener(context);
+    Socket caller(context);
+    sendRequest(opener, server->port(), "/first");
+    first.waitUntilReached();
+    sendRequest(caller, server->port(), "/second");
+    beforeRead(caller);
+    first.release();
+    return late.get_future().get();
+}
+
 } // namespace
 
 TEST_CASE("An answer reaches no later caller that reuses the socket number before it is written")
@@ -248,31 +284,13 @@
                         {"the caller has closed its connection", true}};
     for (const Row &row : rows) {
         CAPTURE(std::string(row.what));
-        ThreadGate first;
-        std::promise<bool> hasLeft;
-        const auto server =
-                Net::HttpServerBuilder()
-                        .threads(1)
-                        .handler([&](const Net::HttpRequest &request, const Net::HttpReply &reply) {
-                            if (request.path == "/first") {
-                                first.waitForRelease();
-                            } else {
-                                hasLeft.set_value(reply.hasCallerLeft());
-                            }
-                        })
-                        .build();
-        boost::asio::io_context context;
-        Socket opener(context);
-        Socket caller(context);
-        sendRequest(opener, server->port(), "/first");
-        first.waitUntilReached();
-        sendRequest(caller, server->port(), "/second");
-        waitUntilAccepted(caller);
-        if (row.leaves) {
-            caller.close();
-        }
-        first.release();
-        CHECK(hasLeft.get_future().get() == row.leaves);
+        const LateRequest late = readLate([&row](Socket &caller) {
+            waitUntilAccepted(caller);
+            if (row.leaves) {
+                caller.close();
+            }
+        });
+        CHECK(late.hasCallerLeft == row.leaves);
     }
 }
 
@@ -280,30 +298,10 @@
 {
     // Guards against a caller whose timeout is counted from when its request is read.
     constexpr std::chrono::milliseconds Unread{200};
-    ThreadGate first;
-    std::promise<std::int64_t> ageMs;
-    const auto server =
-            Net::HttpServerBuilder()
-                    .threads(1)
-                    .handler([&](const Net::HttpRequest &request, const Net::HttpReply &) {
-                        if (request.path == "/first") {
-                            first.waitForRelease();
-                        } else {
-                            ageMs.set_value(Common::currentMoment().steadyMs - request.arrivedMs);
-                        }
-                    })
-                    .build();
-    boost::asio::io_context context;
-    Socket opener(context);
-    Socket caller(context);
-    sendRequest(opener, server->port(), "/first");
-    first.waitUntilReached();
-    sendRequest(caller, server->port(), "/second");
-    std::this_thread::sleep_for(Unread);
-    first.release();
     // The kernel counts in its own ticks.
     constexpr std::int64_t TickMs = 10;
-    CHECK(ageMs.get_future().get() >= Unread.count() - TickMs);
+    const LateRequest late = readLate([&Unread](Socket &) { std::this_thread::sleep_for(Unread); });
+    CHECK(late.ageMs >= Unread.count() - TickMs);
 }
 
 TEST_CASE("What is left of an answer to a caller that has left reaches no other caller")
--- a/Source/UnitTests/Transient/EvacuationTest.cpp
+++ b/Source/UnitTests/Transient/EvacuationTest.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "RunnerFixture.h"
+#include "TestAgents.h"
 
 using namespace RunnerSite;
 using Schema::AttemptPhase;
@@ -68,15 +69,8 @@
     Transient::Effects announce(const std::string &name, const std::string &domain,
                                 std::int64_t nowMs)
     {
-        Schema::AgentAnnouncement announcement;
-        announcement.instance = name + "-1";
-        announcement.name = name;
-        announcement.service = "desk";
+        Schema::AgentAnnouncement announcement = TestAgents::idleAgent(name, name + "-1");
         announcement.failureDomain = domain;
-        announcement.accepting = true;
-        announcement.clean = true;
-        announcement.resources.processors = 8;
-        announcement.resources.memoryMb = 1000;
         return Transient::agentAnnounced(this->state, announcement, at(nowMs), this->random);
     }
 
@@ -104,6 +98,20 @@
         return Transient::jobSubmitted(this->state, submission, at(nowMs), this->random);
     }
 
+    /// The agent returns the first attempt at a task, since its failure domain is evacuated.
+    Transient::Effects returnTask(const std::string &agent, const std::string &task,
+                                  std::int64_t nowMs)
+    {
+        Schema::AgentReport report;
+        report.load.lastOrder = 1;
+        report.states.push_back({});
+        report.states.back().task = task;
+        report.states.back().attempt = 1;
+        report.states.back().phase = AttemptPhase::NotStarted;
+        report.states.back().reason = Reason::FailureDomainEvacuated;
+        return Transient::agentReported(this->state, agent, report, at(nowMs), this->random);
+    }
+
     Transient::GatewayState state;
     Common::Random random{1};
 };
@@ -287,15 +295,7 @@
     site.submit("job", 1, 10);
     // The gateway hears of both changes, and the agent has returned the task.
     site.hear({news(6, true), news(7, false, "nabeul")}, 20);
-    Schema::AgentReport report;
-    report.load.lastOrder = 1;
-    report.states.push_back({});
-    report.states.back().task = "job.0.0";
-    report.states.back().attempt = 1;
-    report.states.back().phase = AttemptPhase::NotStarted;
-    report.states.back().reason = Reason::FailureDomainEvacuated;
-    const auto effects =
-            Transient::agentReported(site.state, "agent-a-1", report, at(30), site.random);
+    const auto effects = site.returnTask("agent-a-1", "job.0.0", 30);
     CHECK(orderedAgents(effects) == std::vector<std::string>{"agent-b-1"});
     CHECK_FALSE(answerTo(effects).has_value());
 }
@@ -315,15 +315,7 @@
     CHECK(refused->reason == Reason::FailureDomainEvacuated);
     // An evacuation that has lasted for 7 s is expected to last as long again.
     CHECK(refused->retryAfterMs == 7010);
-    Schema::AgentReport report;
-    report.load.lastOrder = 1;
-    report.states.push_back({});
-    report.states.back().task = "waiting.0.0";
-    report.states.back().attempt = 1;
-    report.states.back().phase = AttemptPhase::NotStarted;
-    report.states.back().reason = Reason::FailureDomainEvacuated;
-    Transient::agentReported(site.state, "agent-b-1", report, at(LongAfterStartMs + 70),
-                             site.random);
+    site.returnTask("agent-b-1", "waiting.0.0", LongAfterStartMs + 70);
     const auto given =
             answerTo(Transient::tick(site.state, at(LongAfterStartMs + 100), site.random));
     REQUIRE(given.has_value());
--- a/Source/UnitTests/Transient/JobsTest.cpp
+++ b/Source/UnitTests/Transient/JobsTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <ostream>
 
+#include "TestAgents.h"
 #include "Transient/Orphans.h"
 #include "Transient/Transient.h"
 
@@ -23,15 +24,8 @@
     /// Announces the agent \a name, without runs.
     Effects announce(const std::string &name, std::int64_t nowMs, double processors = 8)
     {
-        Schema::AgentAnnouncement announcement;
-        announcement.instance = name + "-1";
-        announcement.name = name;
-        announcement.service = "desk";
-        announcement.accepting = true;
-        announcement.clean = true;
-        announcement.resources.processors = processors;
-        announcement.resources.memoryMb = 1000;
-        return agentAnnounced(this->state, announcement, at(nowMs), this->random);
+        return agentAnnounced(this->state, TestAgents::idleAgent(name, name + "-1", processors),
+                              at(nowMs), this->random);
     }
 
     Submission submission(const std::string &id, std::vector<StepRequest> steps)
