Schema: messages and settings for backend servers that many gateways share

Orders may limit the wait at an agent, ends tell how long a task waited, gateways announce spare processors and forward jobs. The setting sharedFromGateways says from how many known gateways on the parts that use these act; nothing uses them yet.

--- a/Source/Core/Gateway/TransientControl.cpp
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -24,6 +24,7 @@
             Transient::settleTimeMs(this->settings.silenceMs, this->settings.leaseMs);
     this->state.capacity =
             Transient::makeCapacity(this->settings.linkMbitPerS, this->settings.processors);
+    this->state.shared.fromGateways = static_cast<std::size_t>(this->settings.sharedFromGateways);
     Transient::switchOff(this->state, this->settings.disabledDecisions);
 }
 
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -213,6 +213,7 @@
 void TransientDaemon::Implementation::runPeriodicWork()
 {
     TransientControl &control = this->control;
+    control.state.shared.knownGateways = Transient::knownGateways(control.discovery) + 1;
     this->carryOut(Transient::tick(control.state, control.now, control.random));
     this->links.runPeriodicWork();
     this->store.runPeriodicWork();
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -315,7 +315,7 @@
     /**
      * Why a job or task was refused, failed or retried. Each reason has a counter.
      */
-    enum class Reason : int { AgentDraining, AgentLost, AttemptsExhausted, BackendLost, BackendRefused, BackendSlow, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerGone, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, EpochFenced, FailureDomainEvacuated, GatewayLost, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoBackend, NoConfiguration, NoRoom, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, StartUnanswered, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownQueue, UnknownService, UnknownTeam, UnsupportedJob, Withdrawn };
+    enum class Reason : int { AgentDraining, AgentLost, AttemptsExhausted, BackendBusy, BackendLost, BackendRefused, BackendSlow, BackendUnreachable, BadTaskCount, BodyTooLarge, CallerGone, CallerLimit, Cancelled, ConfigConflict, ConfigInvalid, ConnectionLost, DeadlinePassed, DeadlineUnreachable, Displaced, EpochFenced, FailureDomainEvacuated, ForwardingFailed, GatewayLost, IdConflict, LeaseLapsed, LogUnavailable, Malformed, NeverRunnable, NoBackend, NoConfiguration, NoRoom, NoSlot, None, NotAfterPassed, NotReady, OwnerUnreachable, PredecessorUnlogged, QueueFull, QuotaExceeded, StartUnacknowledged, StartUnanswered, Stopping, SubmissionInFuture, SubmissionTooOld, TaskFailed, TaskLost, UnknownJob, UnknownQueue, UnknownService, UnknownTeam, UnsupportedJob, Withdrawn };
 
     struct AttemptState {
         int64_t attempt{};
@@ -326,6 +326,10 @@
          */
         int64_t runMs{};
         std::string task{};
+        /**
+         * Time from the arrival of the order to the last start; absent if nothing was started.
+         */
+        std::optional<int64_t> waitedMs{};
     };
 
     /**
@@ -448,6 +452,102 @@
         std::string requestId{};
     };
 
+    /**
+     * The caller of a forwarded job has left: the receiver ends the job unless other requests
+     * wait for it.
+     */
+    struct ForwardedCancel {
+        std::string token{};
+    };
+
+    /**
+     * Where transient jobs of one kind are submitted, and which service runs them.
+     */
+    struct JobQueue {
+        /**
+         * The job fails when one of its tasks has failed this many times.
+         */
+        int64_t attemptLimit{};
+        std::string host{};
+        double latencyFactor{};
+        std::string name{};
+        /**
+         * Prefix of the paths that belong to the queue; the longest matching prefix is used.
+         */
+        std::string path{};
+        /**
+         * 0 is the most urgent.
+         */
+        int64_t priority{};
+        std::string service{};
+        /**
+         * Time a job may take beyond latencyFactor times its longest chain of work.
+         */
+        int64_t targetLatencyMs{};
+    };
+
+    /**
+     * Tasks of one kind of a transient job.
+     */
+    struct TransientStep {
+        /**
+         * Positions of the steps that must succeed first.
+         */
+        std::vector<int64_t> after{};
+        std::string dataRack{};
+        /**
+         * Rough estimate by the caller.
+         */
+        int64_t expectedRunMs{};
+        /**
+         * 0 for no limit.
+         */
+        int64_t maxTasksPerBackend{};
+        std::string requiredLabel{};
+        Resources resources{};
+        int64_t taskCount{};
+    };
+
+    /**
+     * A submission that the gateway with the caller's connection hands to another gateway,
+     * which then owns the job. Times are relative to the sending of the frame.
+     */
+    struct ForwardedJob {
+        /**
+         * Time since the request arrived at the sender's machine.
+         */
+        int64_t ageMs{};
+        /**
+         * sentMs of the last announcement received from the receiver, which drops the frame if that
+         * time is too long ago.
+         */
+        int64_t echoMs{};
+        std::string job{};
+        std::string payload{};
+        JobQueue queue{};
+        std::vector<TransientStep> steps{};
+        /**
+         * How long the caller still waits.
+         */
+        int64_t timeoutInMs{};
+        /**
+         * Identifies the request at the sender.
+         */
+        std::string token{};
+    };
+
+    enum class TransientOutcome : int { Failed, GaveUp, Refused, Succeeded };
+
+    /**
+     * The end of a forwarded job. The sender has nothing of it left.
+     */
+    struct ForwardedResult {
+        TransientOutcome outcome{};
+        Reason reason = Reason::None;
+        int64_t retryAfterMs{};
+        std::string token{};
+    };
+
     /**
      * Whether backend servers of a failure domain get no new work. Of two for the same domain,
      * the one with the higher version is in force.
@@ -519,8 +619,9 @@
      */
     struct GatewayAnnouncement {
         /**
-         * In a frame to an agent: sentMs of the last load received from it. The agent may act for
-         * this gateway for one lease from that time on; 0 grants nothing.
+         * sentMs of the last load received from this agent, or of the last announcement received
+         * from this gateway. The receiver may act for this gateway for one lease from that time on;
+         * 0 grants nothing.
          */
         int64_t echoMs{};
         std::optional<EvacuationList> evacuations{};
@@ -545,6 +646,15 @@
          */
         std::vector<Member> others{};
         int64_t queuesVersion{};
+        /**
+         * In a frame to a gateway: steady clock of the sender; the receiver returns it as echoMs.
+         */
+        std::optional<int64_t> sentMs{};
+        /**
+         * In a frame to a gateway: processors that the sender can spare for forwarded jobs. Absent
+         * if it takes none.
+         */
+        std::optional<double> spareProcessors{};
     };
 
     /**
@@ -707,32 +817,6 @@
         int64_t unloggedSinceMs{};
     };
 
-    /**
-     * Where transient jobs of one kind are submitted, and which service runs them.
-     */
-    struct JobQueue {
-        /**
-         * The job fails when one of its tasks has failed this many times.
-         */
-        int64_t attemptLimit{};
-        std::string host{};
-        double latencyFactor{};
-        std::string name{};
-        /**
-         * Prefix of the paths that belong to the queue; the longest matching prefix is used.
-         */
-        std::string path{};
-        /**
-         * 0 is the most urgent.
-         */
-        int64_t priority{};
-        std::string service{};
-        /**
-         * Time a job may take beyond latencyFactor times its longest chain of work.
-         */
-        int64_t targetLatencyMs{};
-    };
-
     /**
      * All queues of the operators. A process never returns to a lower version.
      */
@@ -783,6 +867,11 @@
          * Expected run time on this backend server.
          */
         int64_t expectedRunMs{};
+        /**
+         * Longest time that a task may wait here before it is returned as not started. Absent if it
+         * may wait until its deadline.
+         */
+        std::optional<int64_t> longestWaitMs{};
         std::string payload{};
         /**
          * Priority of the queue; 0 is the most urgent.
@@ -830,7 +919,7 @@
         int64_t window{};
     };
 
-    enum class FrameType : int { AcknowledgeTasks, AgentAnnouncement, AgentHello, AgentReport, AskAgents, AskTasks, CancelTasks, Forward, ForwardAnswer, GatewayAnnouncement, GatewayPong, Handover, HandoverAccepted, KnownAgents, PeerPing, QueueTable, StartTasks, TaskOrders, TaskStates, WithdrawTasks };
+    enum class FrameType : int { AcknowledgeTasks, AgentAnnouncement, AgentHello, AgentReport, AskAgents, AskTasks, CancelTasks, Forward, ForwardAnswer, ForwardedCancel, ForwardedJob, ForwardedResult, GatewayAnnouncement, GatewayPong, Handover, HandoverAccepted, KnownAgents, PeerPing, QueueTable, StartTasks, TaskOrders, TaskStates, WithdrawTasks };
 
     /**
      * Attempts that are no longer needed. The agent drops or stops them and reports each one.
@@ -853,6 +942,9 @@
         std::optional<TaskRefs> cancelTasks{};
         std::optional<Forward> forward{};
         std::optional<ForwardAnswer> forwardAnswer{};
+        std::optional<ForwardedCancel> forwardedCancel{};
+        std::optional<ForwardedJob> forwardedJob{};
+        std::optional<ForwardedResult> forwardedResult{};
         std::optional<GatewayAnnouncement> gatewayAnnouncement{};
         std::optional<GatewayPong> gatewayPong{};
         std::optional<Handover> handover{};
@@ -1127,6 +1219,21 @@
     void from_json(const json & j, ForwardAnswer & x);
     void to_json(json & j, const ForwardAnswer & x);
 
+    void from_json(const json & j, ForwardedCancel & x);
+    void to_json(json & j, const ForwardedCancel & x);
+
+    void from_json(const json & j, JobQueue & x);
+    void to_json(json & j, const JobQueue & x);
+
+    void from_json(const json & j, TransientStep & x);
+    void to_json(json & j, const TransientStep & x);
+
+    void from_json(const json & j, ForwardedJob & x);
+    void to_json(json & j, const ForwardedJob & x);
+
+    void from_json(const json & j, ForwardedResult & x);
+    void to_json(json & j, const ForwardedResult & x);
+
     void from_json(const json & j, DomainEvacuation & x);
     void to_json(json & j, const DomainEvacuation & x);
 
@@ -1172,9 +1279,6 @@
     void from_json(const json & j, PeerPing & x);
     void to_json(json & j, const PeerPing & x);
 
-    void from_json(const json & j, JobQueue & x);
-    void to_json(json & j, const JobQueue & x);
-
     void from_json(const json & j, QueueTable & x);
     void to_json(json & j, const QueueTable & x);
 
@@ -1247,6 +1351,9 @@
     void from_json(const json & j, JobOutcome & x);
     void to_json(json & j, const JobOutcome & x);
 
+    void from_json(const json & j, TransientOutcome & x);
+    void to_json(json & j, const TransientOutcome & x);
+
     void from_json(const json & j, TaskPhase & x);
     void to_json(json & j, const TaskPhase & x);
 
@@ -1547,6 +1654,7 @@
         x.reason = j.at("reason").get<Reason>();
         x.runMs = j.at("runMs").get<int64_t>();
         x.task = j.at("task").get<std::string>();
+        x.waitedMs = get_stack_optional<int64_t>(j, "waitedMs");
     }
 
     inline void to_json(json & j, const AttemptState & x) {
@@ -1556,6 +1664,9 @@
         j["reason"] = x.reason;
         j["runMs"] = x.runMs;
         j["task"] = x.task;
+        if (x.waitedMs) {
+            j["waitedMs"] = x.waitedMs;
+        }
     }
 
     inline void from_json(const json & j, AgentReport& x) {
@@ -1775,6 +1886,97 @@
         j["requestId"] = x.requestId;
     }
 
+    inline void from_json(const json & j, ForwardedCancel& x) {
+        x.token = j.at("token").get<std::string>();
+    }
+
+    inline void to_json(json & j, const ForwardedCancel & x) {
+        j = json::object();
+        j["token"] = x.token;
+    }
+
+    inline void from_json(const json & j, JobQueue& x) {
+        x.attemptLimit = j.at("attemptLimit").get<int64_t>();
+        x.host = j.at("host").get<std::string>();
+        x.latencyFactor = j.at("latencyFactor").get<double>();
+        x.name = j.at("name").get<std::string>();
+        x.path = j.at("path").get<std::string>();
+        x.priority = j.at("priority").get<int64_t>();
+        x.service = j.at("service").get<std::string>();
+        x.targetLatencyMs = j.at("targetLatencyMs").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const JobQueue & x) {
+        j = json::object();
+        j["attemptLimit"] = x.attemptLimit;
+        j["host"] = x.host;
+        j["latencyFactor"] = x.latencyFactor;
+        j["name"] = x.name;
+        j["path"] = x.path;
+        j["priority"] = x.priority;
+        j["service"] = x.service;
+        j["targetLatencyMs"] = x.targetLatencyMs;
+    }
+
+    inline void from_json(const json & j, TransientStep& x) {
+        x.after = j.at("after").get<std::vector<int64_t>>();
+        x.dataRack = j.at("dataRack").get<std::string>();
+        x.expectedRunMs = j.at("expectedRunMs").get<int64_t>();
+        x.maxTasksPerBackend = j.at("maxTasksPerBackend").get<int64_t>();
+        x.requiredLabel = j.at("requiredLabel").get<std::string>();
+        x.resources = j.at("resources").get<Resources>();
+        x.taskCount = j.at("taskCount").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const TransientStep & x) {
+        j = json::object();
+        j["after"] = x.after;
+        j["dataRack"] = x.dataRack;
+        j["expectedRunMs"] = x.expectedRunMs;
+        j["maxTasksPerBackend"] = x.maxTasksPerBackend;
+        j["requiredLabel"] = x.requiredLabel;
+        j["resources"] = x.resources;
+        j["taskCount"] = x.taskCount;
+    }
+
+    inline void from_json(const json & j, ForwardedJob& x) {
+        x.ageMs = j.at("ageMs").get<int64_t>();
+        x.echoMs = j.at("echoMs").get<int64_t>();
+        x.job = j.at("job").get<std::string>();
+        x.payload = j.at("payload").get<std::string>();
+        x.queue = j.at("queue").get<JobQueue>();
+        x.steps = j.at("steps").get<std::vector<TransientStep>>();
+        x.timeoutInMs = j.at("timeoutInMs").get<int64_t>();
+        x.token = j.at("token").get<std::string>();
+    }
+
+    inline void to_json(json & j, const ForwardedJob & x) {
+        j = json::object();
+        j["ageMs"] = x.ageMs;
+        j["echoMs"] = x.echoMs;
+        j["job"] = x.job;
+        j["payload"] = x.payload;
+        j["queue"] = x.queue;
+        j["steps"] = x.steps;
+        j["timeoutInMs"] = x.timeoutInMs;
+        j["token"] = x.token;
+    }
+
+    inline void from_json(const json & j, ForwardedResult& x) {
+        x.outcome = j.at("outcome").get<TransientOutcome>();
+        x.reason = j.at("reason").get<Reason>();
+        x.retryAfterMs = j.at("retryAfterMs").get<int64_t>();
+        x.token = j.at("token").get<std::string>();
+    }
+
+    inline void to_json(json & j, const ForwardedResult & x) {
+        j = json::object();
+        j["outcome"] = x.outcome;
+        j["reason"] = x.reason;
+        j["retryAfterMs"] = x.retryAfterMs;
+        j["token"] = x.token;
+    }
+
     inline void from_json(const json & j, DomainEvacuation& x) {
         x.ageMs = get_stack_optional<int64_t>(j, "ageMs");
         x.failureDomain = j.at("failureDomain").get<std::string>();
@@ -1848,6 +2050,8 @@
         x.orphanLists = get_stack_optional<std::vector<OrphanList>>(j, "orphanLists");
         x.others = j.at("others").get<std::vector<Member>>();
         x.queuesVersion = j.at("queuesVersion").get<int64_t>();
+        x.sentMs = get_stack_optional<int64_t>(j, "sentMs");
+        x.spareProcessors = get_stack_optional<double>(j, "spareProcessors");
     }
 
     inline void to_json(json & j, const GatewayAnnouncement & x) {
@@ -1868,6 +2072,12 @@
         }
         j["others"] = x.others;
         j["queuesVersion"] = x.queuesVersion;
+        if (x.sentMs) {
+            j["sentMs"] = x.sentMs;
+        }
+        if (x.spareProcessors) {
+            j["spareProcessors"] = x.spareProcessors;
+        }
     }
 
     inline void from_json(const json & j, OwnershipTable& x) {
@@ -2070,29 +2280,6 @@
         j["unloggedSinceMs"] = x.unloggedSinceMs;
     }
 
-    inline void from_json(const json & j, JobQueue& x) {
-        x.attemptLimit = j.at("attemptLimit").get<int64_t>();
-        x.host = j.at("host").get<std::string>();
-        x.latencyFactor = j.at("latencyFactor").get<double>();
-        x.name = j.at("name").get<std::string>();
-        x.path = j.at("path").get<std::string>();
-        x.priority = j.at("priority").get<int64_t>();
-        x.service = j.at("service").get<std::string>();
-        x.targetLatencyMs = j.at("targetLatencyMs").get<int64_t>();
-    }
-
-    inline void to_json(json & j, const JobQueue & x) {
-        j = json::object();
-        j["attemptLimit"] = x.attemptLimit;
-        j["host"] = x.host;
-        j["latencyFactor"] = x.latencyFactor;
-        j["name"] = x.name;
-        j["path"] = x.path;
-        j["priority"] = x.priority;
-        j["service"] = x.service;
-        j["targetLatencyMs"] = x.targetLatencyMs;
-    }
-
     inline void from_json(const json & j, QueueTable& x) {
         x.queues = j.at("queues").get<std::vector<JobQueue>>();
         x.version = j.at("version").get<int64_t>();
@@ -2146,6 +2333,7 @@
         x.deadlineInMs = j.at("deadlineInMs").get<int64_t>();
         x.echoMs = j.at("echoMs").get<int64_t>();
         x.expectedRunMs = j.at("expectedRunMs").get<int64_t>();
+        x.longestWaitMs = get_stack_optional<int64_t>(j, "longestWaitMs");
         x.payload = j.at("payload").get<std::string>();
         x.priority = j.at("priority").get<int64_t>();
         x.resources = j.at("resources").get<Resources>();
@@ -2159,6 +2347,9 @@
         j["deadlineInMs"] = x.deadlineInMs;
         j["echoMs"] = x.echoMs;
         j["expectedRunMs"] = x.expectedRunMs;
+        if (x.longestWaitMs) {
+            j["longestWaitMs"] = x.longestWaitMs;
+        }
         j["payload"] = x.payload;
         j["priority"] = x.priority;
         j["resources"] = x.resources;
@@ -2232,6 +2423,9 @@
         x.cancelTasks = get_stack_optional<TaskRefs>(j, "cancelTasks");
         x.forward = get_stack_optional<Forward>(j, "forward");
         x.forwardAnswer = get_stack_optional<ForwardAnswer>(j, "forwardAnswer");
+        x.forwardedCancel = get_stack_optional<ForwardedCancel>(j, "forwardedCancel");
+        x.forwardedJob = get_stack_optional<ForwardedJob>(j, "forwardedJob");
+        x.forwardedResult = get_stack_optional<ForwardedResult>(j, "forwardedResult");
         x.gatewayAnnouncement = get_stack_optional<GatewayAnnouncement>(j, "gatewayAnnouncement");
         x.gatewayPong = get_stack_optional<GatewayPong>(j, "gatewayPong");
         x.handover = get_stack_optional<Handover>(j, "handover");
@@ -2275,6 +2469,15 @@
         if (x.forwardAnswer) {
             j["forwardAnswer"] = x.forwardAnswer;
         }
+        if (x.forwardedCancel) {
+            j["forwardedCancel"] = x.forwardedCancel;
+        }
+        if (x.forwardedJob) {
+            j["forwardedJob"] = x.forwardedJob;
+        }
+        if (x.forwardedResult) {
+            j["forwardedResult"] = x.forwardedResult;
+        }
         if (x.gatewayAnnouncement) {
             j["gatewayAnnouncement"] = x.gatewayAnnouncement;
         }
@@ -2604,6 +2807,7 @@
             {"agent_draining", Reason::AgentDraining},
             {"agent_lost", Reason::AgentLost},
             {"attempts_exhausted", Reason::AttemptsExhausted},
+            {"backend_busy", Reason::BackendBusy},
             {"backend_lost", Reason::BackendLost},
             {"backend_refused", Reason::BackendRefused},
             {"backend_slow", Reason::BackendSlow},
@@ -2618,8 +2822,10 @@
             {"connection_lost", Reason::ConnectionLost},
             {"deadline_passed", Reason::DeadlinePassed},
             {"deadline_unreachable", Reason::DeadlineUnreachable},
+            {"displaced", Reason::Displaced},
             {"epoch_fenced", Reason::EpochFenced},
             {"failure_domain_evacuated", Reason::FailureDomainEvacuated},
+            {"forwarding_failed", Reason::ForwardingFailed},
             {"gateway_lost", Reason::GatewayLost},
             {"id_conflict", Reason::IdConflict},
             {"lease_lapsed", Reason::LeaseLapsed},
@@ -2663,6 +2869,7 @@
             case Reason::AgentDraining: j = "agent_draining"; break;
             case Reason::AgentLost: j = "agent_lost"; break;
             case Reason::AttemptsExhausted: j = "attempts_exhausted"; break;
+            case Reason::BackendBusy: j = "backend_busy"; break;
             case Reason::BackendLost: j = "backend_lost"; break;
             case Reason::BackendRefused: j = "backend_refused"; break;
             case Reason::BackendSlow: j = "backend_slow"; break;
@@ -2677,8 +2884,10 @@
             case Reason::ConnectionLost: j = "connection_lost"; break;
             case Reason::DeadlinePassed: j = "deadline_passed"; break;
             case Reason::DeadlineUnreachable: j = "deadline_unreachable"; break;
+            case Reason::Displaced: j = "displaced"; break;
             case Reason::EpochFenced: j = "epoch_fenced"; break;
             case Reason::FailureDomainEvacuated: j = "failure_domain_evacuated"; break;
+            case Reason::ForwardingFailed: j = "forwarding_failed"; break;
             case Reason::GatewayLost: j = "gateway_lost"; break;
             case Reason::IdConflict: j = "id_conflict"; break;
             case Reason::LeaseLapsed: j = "lease_lapsed"; break;
@@ -2753,6 +2962,24 @@
         }
     }
 
+    inline void from_json(const json & j, TransientOutcome & x) {
+        if (j == "failed") x = TransientOutcome::Failed;
+        else if (j == "gave_up") x = TransientOutcome::GaveUp;
+        else if (j == "refused") x = TransientOutcome::Refused;
+        else if (j == "succeeded") x = TransientOutcome::Succeeded;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"TransientOutcome\""); }
+    }
+
+    inline void to_json(json & j, const TransientOutcome & x) {
+        switch (x) {
+            case TransientOutcome::Failed: j = "failed"; break;
+            case TransientOutcome::GaveUp: j = "gave_up"; break;
+            case TransientOutcome::Refused: j = "refused"; break;
+            case TransientOutcome::Succeeded: j = "succeeded"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"TransientOutcome\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
     inline void from_json(const json & j, TaskPhase & x) {
         if (j == "failed") x = TaskPhase::Failed;
         else if (j == "not_started") x = TaskPhase::NotStarted;
@@ -2784,6 +3011,9 @@
             {"cancel_tasks", FrameType::CancelTasks},
             {"forward", FrameType::Forward},
             {"forward_answer", FrameType::ForwardAnswer},
+            {"forwarded_cancel", FrameType::ForwardedCancel},
+            {"forwarded_job", FrameType::ForwardedJob},
+            {"forwarded_result", FrameType::ForwardedResult},
             {"gateway_announcement", FrameType::GatewayAnnouncement},
             {"gateway_pong", FrameType::GatewayPong},
             {"handover", FrameType::Handover},
@@ -2814,6 +3044,9 @@
             case FrameType::CancelTasks: j = "cancel_tasks"; break;
             case FrameType::Forward: j = "forward"; break;
             case FrameType::ForwardAnswer: j = "forward_answer"; break;
+            case FrameType::ForwardedCancel: j = "forwarded_cancel"; break;
+            case FrameType::ForwardedJob: j = "forwarded_job"; break;
+            case FrameType::ForwardedResult: j = "forwarded_result"; break;
             case FrameType::GatewayAnnouncement: j = "gateway_announcement"; break;
             case FrameType::GatewayPong: j = "gateway_pong"; break;
             case FrameType::Handover: j = "handover"; break;
--- a/Source/Core/Schema/Generated/Settings.h
+++ b/Source/Core/Schema/Generated/Settings.h
@@ -11,6 +11,8 @@
 #include <optional>
 #include <nlohmann/json.hpp>
 
+#include <unordered_map>
+
 #ifndef NLOHMANN_OPT_HELPER
 #define NLOHMANN_OPT_HELPER
 namespace nlohmann {
@@ -263,7 +265,7 @@
         std::string storeAddress{};
     };
 
-    enum class GatewayDecision : int { Admission, AvoidedAgents, CorrectedPredictions, Ejection, Gathering, LearnedMemory, LearnedSpeeds, Paces, Patience, RandomTies, WaitForecasts, WaitWeight };
+    enum class GatewayDecision : int { Admission, AvoidedAgents, CorrectedPredictions, Displacement, Ejection, Forwarding, Gathering, LateBinding, LearnedMemory, LearnedSpeeds, OwnDelay, Paces, Patience, RandomTies, WaitErrors, WaitForecasts, WaitWeight };
 
     struct TransientGatewaySettings {
         /**
@@ -332,6 +334,12 @@
          * Peer addresses of some gateways; the rest are learned from them and from the store.
          */
         std::vector<std::string> seeds{};
+        /**
+         * From this number of known gateways on, backend servers count as shared by many: their
+         * reported load is old when it is used. Late binding, predictions with their error,
+         * displacement and forwarding act from then on.
+         */
+        int64_t sharedFromGateways{};
         /**
          * A link without a frame for this long is closed, and its peer counts as lost.
          */
@@ -546,6 +554,7 @@
         x.queuesMaxAgeMs = j.at("queuesMaxAgeMs").get<int64_t>();
         x.region = j.at("region").get<std::string>();
         x.seeds = j.at("seeds").get<std::vector<std::string>>();
+        x.sharedFromGateways = j.at("sharedFromGateways").get<int64_t>();
         x.silenceMs = j.at("silenceMs").get<int64_t>();
         x.stopTimeoutMs = j.at("stopTimeoutMs").get<int64_t>();
         x.storeAddress = j.at("storeAddress").get<std::string>();
@@ -572,6 +581,7 @@
         j["queuesMaxAgeMs"] = x.queuesMaxAgeMs;
         j["region"] = x.region;
         j["seeds"] = x.seeds;
+        j["sharedFromGateways"] = x.sharedFromGateways;
         j["silenceMs"] = x.silenceMs;
         j["stopTimeoutMs"] = x.stopTimeoutMs;
         j["storeAddress"] = x.storeAddress;
@@ -635,18 +645,29 @@
     }
 
     inline void from_json(const json & j, GatewayDecision & x) {
-        if (j == "admission") x = GatewayDecision::Admission;
-        else if (j == "avoided_agents") x = GatewayDecision::AvoidedAgents;
-        else if (j == "corrected_predictions") x = GatewayDecision::CorrectedPredictions;
-        else if (j == "ejection") x = GatewayDecision::Ejection;
-        else if (j == "gathering") x = GatewayDecision::Gathering;
-        else if (j == "learned_memory") x = GatewayDecision::LearnedMemory;
-        else if (j == "learned_speeds") x = GatewayDecision::LearnedSpeeds;
-        else if (j == "paces") x = GatewayDecision::Paces;
-        else if (j == "patience") x = GatewayDecision::Patience;
-        else if (j == "random_ties") x = GatewayDecision::RandomTies;
-        else if (j == "wait_forecasts") x = GatewayDecision::WaitForecasts;
-        else if (j == "wait_weight") x = GatewayDecision::WaitWeight;
+        static std::unordered_map<std::string, GatewayDecision> enumValues {
+            {"admission", GatewayDecision::Admission},
+            {"avoided_agents", GatewayDecision::AvoidedAgents},
+            {"corrected_predictions", GatewayDecision::CorrectedPredictions},
+            {"displacement", GatewayDecision::Displacement},
+            {"ejection", GatewayDecision::Ejection},
+            {"forwarding", GatewayDecision::Forwarding},
+            {"gathering", GatewayDecision::Gathering},
+            {"late_binding", GatewayDecision::LateBinding},
+            {"learned_memory", GatewayDecision::LearnedMemory},
+            {"learned_speeds", GatewayDecision::LearnedSpeeds},
+            {"own_delay", GatewayDecision::OwnDelay},
+            {"paces", GatewayDecision::Paces},
+            {"patience", GatewayDecision::Patience},
+            {"random_ties", GatewayDecision::RandomTies},
+            {"wait_errors", GatewayDecision::WaitErrors},
+            {"wait_forecasts", GatewayDecision::WaitForecasts},
+            {"wait_weight", GatewayDecision::WaitWeight},
+        };
+        auto iter = enumValues.find(j.get<std::string>());
+        if (iter != enumValues.end()) {
+            x = iter->second;
+        }
         else { throw std::runtime_error("Cannot deserialize to enumeration \"GatewayDecision\""); }
     }
 
@@ -655,13 +676,18 @@
             case GatewayDecision::Admission: j = "admission"; break;
             case GatewayDecision::AvoidedAgents: j = "avoided_agents"; break;
             case GatewayDecision::CorrectedPredictions: j = "corrected_predictions"; break;
+            case GatewayDecision::Displacement: j = "displacement"; break;
             case GatewayDecision::Ejection: j = "ejection"; break;
+            case GatewayDecision::Forwarding: j = "forwarding"; break;
             case GatewayDecision::Gathering: j = "gathering"; break;
+            case GatewayDecision::LateBinding: j = "late_binding"; break;
             case GatewayDecision::LearnedMemory: j = "learned_memory"; break;
             case GatewayDecision::LearnedSpeeds: j = "learned_speeds"; break;
+            case GatewayDecision::OwnDelay: j = "own_delay"; break;
             case GatewayDecision::Paces: j = "paces"; break;
             case GatewayDecision::Patience: j = "patience"; break;
             case GatewayDecision::RandomTies: j = "random_ties"; break;
+            case GatewayDecision::WaitErrors: j = "wait_errors"; break;
             case GatewayDecision::WaitForecasts: j = "wait_forecasts"; break;
             case GatewayDecision::WaitWeight: j = "wait_weight"; break;
             default: throw std::runtime_error("Unexpected value in enumeration \"GatewayDecision\": " + std::to_string(static_cast<int>(x)));
--- a/Source/Core/Transient/Decisions.cpp
+++ b/Source/Core/Transient/Decisions.cpp
@@ -46,6 +46,21 @@
     case GatewayDecision::AvoidedAgents:
         fleet.avoidsAgents = false;
         break;
+    case GatewayDecision::LateBinding:
+        state.shared.bindsLate = false;
+        break;
+    case GatewayDecision::OwnDelay:
+        state.shared.separatesOwnDelay = false;
+        break;
+    case GatewayDecision::WaitErrors:
+        state.shared.learnsWaitErrors = false;
+        break;
+    case GatewayDecision::Displacement:
+        state.shared.displaces = false;
+        break;
+    case GatewayDecision::Forwarding:
+        state.shared.forwards = false;
+        break;
     }
 }
 
--- a/Source/Core/Transient/Discovery.cpp
+++ b/Source/Core/Transient/Discovery.cpp
@@ -267,6 +267,13 @@
     return members;
 }
 
+std::size_t knownGateways(const Discovery &discovery)
+{
+    return static_cast<std::size_t>(
+            std::count_if(discovery.gateways.begin(), discovery.gateways.end(),
+                          [](const auto &entry) { return entry.second.member.has_value(); }));
+}
+
 std::string addressOf(const Schema::Member &member)
 {
     return member.host + ':' + std::to_string(member.peerPort);
--- a/Source/Core/Transient/Discovery.h
+++ b/Source/Core/Transient/Discovery.h
@@ -115,6 +115,9 @@
 std::vector<Schema::Member> gatewaysSince(const Discovery &discovery, std::uint64_t change,
                                           Common::Moment now);
 
+/// Number of other gateways that have announced themselves or were reported, and have not expired.
+std::size_t knownGateways(const Discovery &discovery);
+
 /// Address (host:port) at which a gateway accepts connections of peers.
 std::string addressOf(const Schema::Member &member);
 
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -15,6 +15,7 @@
 #include "Transient/JobTable.h"
 #include "Transient/OrphanRelay.h"
 #include "Transient/RemainingTimeout.h"
+#include "Transient/SharedFleet.h"
 
 /// State machine of a gateway for transient jobs. Every event goes through it, in the order in
 /// which the control thread handles events.
@@ -87,6 +88,7 @@
     bool isStopping = false;
     /// While stopping: jobs that may end later are not admitted, and all others end by then.
     std::int64_t stopDeadlineMs = 0;
+    SharedFleet shared;
     Fleet fleet;
     /// By queue.
     std::unordered_map<std::string, PredictionError> predictionErrors;
