Transient: tasks that would wait are placed anew, and spread over backend servers with room

Where a gateway knows of sharedFromGateways gateways or more, it limits the wait of a task to what placing it anew costs, at most twice a task and only while another backend server has room, and chooses at random among those with room that are about as fast.

--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -30,6 +30,9 @@
     /// Names of agents where the task has failed or that returned it; used only if there is no
     /// other.
     const std::vector<std::string> *avoided = nullptr;
+    /// Spreads tasks over backend servers with room that are about as fast: many gateways would
+    /// otherwise choose the same ones between two reports of their load.
+    bool spreads = false;
 };
 
 struct Placement
@@ -40,6 +43,8 @@
     double runMs = 0;
     /// Expected run time at the usual speed of the backend server.
     double expectedMs = 0;
+    /// Another agent has room for the task, as far as is known.
+    bool hasAlternative = false;
 };
 
 /// Expected time until \a processors are free at the agent, estimated from the mean time that the
