--- a/Source/Core/Runner/Observation.cpp
+++ b/Source/Core/Runner/Observation.cpp
@@ -344,6 +344,7 @@
     // Answers of the previous incarnation must not be taken for answers of this one.
     state.pendingObservations.clear();
     state.strays.clear();
+    state.observationBackoff = {};
     state.silentSinceMs = 0;
     state.isIncarnationDoubted = false;
     state.lastEnd = 0;
@@ -405,7 +406,8 @@
         // Without observations, the time since the last answer is meaningless.
         state.silentSinceMs = 0;
     }
-    if (!isNeeded || pending > 0 || state.pendingObservations.size() >= MaxPendingObservations) {
+    if (!isNeeded || pending > 0 || state.pendingObservations.size() >= MaxPendingObservations
+        || now.steadyMs < state.observationBackoff.notBeforeMs) {
         return effects;
     }
     CallObserve call;
@@ -446,6 +448,12 @@
     }
     const PendingObservation sent = found->second;
     state.pendingObservations.erase(found);
+    if (answer.outcome == ObserveOutcome::Unanswered
+        || answer.outcome == ObserveOutcome::NotConnected) {
+        recordObservationFailed(state.observationBackoff, now);
+    } else {
+        recordObservationAnswered(state.observationBackoff);
+    }
     if (answer.outcome == ObserveOutcome::Observed) {
         processObservation(state, effects, answer.seen, sent, now);
     } else {
--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -249,6 +249,9 @@
         }
     }
     next = std::min(next, nextReturnMs(state).value_or(next));
+    if (state.observationBackoff.notBeforeMs > now.steadyMs) {
+        next = std::min(next, state.observationBackoff.notBeforeMs);
+    }
     if (state.nextObserveMs > now.steadyMs) {
         next = std::min(next, state.nextObserveMs);
     }
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "Common/Common.h"
+#include "Runner/ObservationBackoff.h"
 #include "Runner/StartTimeout.h"
 #include "Schema/Schema.h"
 #include "Transient/Resubmission.h"
@@ -218,6 +219,7 @@
 {
     RunnerDecisions decisions;
     StartTimeout startTimeout;
+    ObservationBackoff observationBackoff;
     std::string name;
     std::string instance;
     std::string failureDomain;
