Net: calls after a timeout share the new connections

curl excludes connections by age in whole seconds only, so for 2 s after the last timeout avoidSuspectConnections() made every call open a connection, although new ones already worked: 21 connections for 21 calls in the test. The age of a connection is now checked before the request is written to it. A call that got a suspect connection is sent on a new one; the suspect connection is closed.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t MaxAnswerBytes = std::size_t{128} << 20U;
 /// Longest sleep of the thread; new calls and arriving answers wake it earlier.
 constexpr int PollTimeoutMs = 1000;
-constexpr std::int64_t MsPerSecond = 1000;
 /// Size of the connection pool, relative to the most connections to one server: idle connections
 /// to one server are all kept, with room for some to other servers.
 constexpr long PooledConnectionsFactor = 2;
@@ -46,15 +45,30 @@
     curl_slist *headers = nullptr;
 };
 
+/// Connections to one server.
+struct Origin
+{
+    int consecutiveTimeouts = 0;
+    /// Connections made before that are not used again.
+    std::int64_t suspectBeforeMs = 0;
+    /// By local port: when the connection was first used.
+    std::map<int, std::int64_t> connectedMs;
+};
+
 struct Transfer
 {
     HttpCall call;
+    CURL *handle = nullptr;
+    Origin *origin = nullptr;
+    std::int64_t addedMs = 0;
     /// Set only for a call with additional headers.
     std::unique_ptr<HeaderList> headerList;
     HttpCallback done;
     HttpResult result;
     /// Number of times that curl was about to write the request to a connection.
     int attempts = 0;
+    bool isOnSuspectConnection = false;
+    bool needsNewConnection = false;
     bool isTooLong = false;
 };
 
@@ -62,9 +76,23 @@
 /// the first byte of the answer. The server may have acted on the first request, so that a repeated
 /// POST would take effect twice. curl has no option to turn this off, but calls this function
 /// before each attempt. The second attempt is rejected, and the call ends as Lost.
-int beforeRequest(void *user, char *, char *, int, int)
+///
+/// A first attempt on a suspect connection is rejected, too: curl closes that connection, and the
+/// call is sent on a new one. curl can only exclude connections by their age in whole seconds; with
+/// that alone, each call of the next 2 s opened a new connection.
+int beforeRequest(void *user, char *, char *, int, int localPort)
 {
     auto *transfer = static_cast<Transfer *>(user);
+    Origin &origin = *transfer->origin;
+    long newConnections = 0;
+    curl_easy_getinfo(transfer->handle, CURLINFO_NUM_CONNECTS, &newConnections);
+    if (newConnections > 0) {
+        origin.connectedMs[localPort] = Common::currentMoment().steadyMs;
+    } else if (transfer->attempts == 0 && !transfer->needsNewConnection
+               && origin.connectedMs[localPort] < origin.suspectBeforeMs) {
+        transfer->isOnSuspectConnection = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     ++transfer->attempts;
     return transfer->attempts == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
@@ -193,6 +221,7 @@
 
     void add(std::unique_ptr<Transfer> transfer)
     {
+        transfer->addedMs = Common::currentMoment().steadyMs;
         CURL *handle = this->makeHandle(*transfer);
         curl_multi_add_handle(this->multi, handle);
         this->transfers.emplace(handle, std::move(transfer));
@@ -231,39 +260,42 @@
         if (call.method != "POST" && call.method != "GET") {
             curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
         }
-        this->avoidSuspectConnections(handle, originOf(call.url));
+        transfer.handle = handle;
+        transfer.origin = &this->origins[originOf(call.url)];
         return handle;
     }
 
+    /// Sends a call again, on a new connection, that has not been written because its connection
+    /// was suspect. Returns false if its time is over.
+    bool resend(CURL *handle, std::unique_ptr<Transfer> &transfer)
+    {
+        const std::int64_t leftMs =
+                transfer->call.timeoutMs - (Common::currentMoment().steadyMs - transfer->addedMs);
+        if (leftMs <= 0) {
+            return false;
+        }
+        transfer->isOnSuspectConnection = false;
+        transfer->needsNewConnection = true;
+        curl_multi_remove_handle(this->multi, handle);
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(leftMs));
+        curl_multi_add_handle(this->multi, handle);
+        this->transfers.emplace(handle, std::move(transfer));
+        return true;
+    }
+
     /// If a device between client and server has dropped the state of their connections, each
     /// pooled connection loses a request and costs a timeout. Therefore, after timeoutsUntilSuspect
     /// timeouts without an answer in between, older connections are not used again. For a server
     /// that is only slow, this costs no more than some new connections. If a server leaves single
     /// requests unanswered, one timeout says nothing about the other connections.
-    void avoidSuspectConnections(CURL *handle, const std::string &origin)
-    {
-        const auto found = this->lastTimeoutMs.find(origin);
-        if (found == this->lastTimeoutMs.end()) {
-            return;
-        }
-        const std::int64_t age = (Common::currentMoment().steadyMs - found->second) / MsPerSecond;
-        // curl counts whole seconds, and 0 means no limit. One second less makes sure that all
-        // connections older than the timeout are excluded.
-        if (age < 2) {
-            curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-        } else {
-            curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(age - 1));
-        }
-    }
-
-    void updateSuspectConnections(const std::string &origin, HttpTransport transport)
+    void updateSuspectConnections(Origin &origin, HttpTransport transport) const
     {
-        int &consecutiveTimeouts = this->consecutiveTimeoutsByOrigin[origin];
         if (transport == HttpTransport::Answered) {
-            consecutiveTimeouts = 0;
+            origin.consecutiveTimeouts = 0;
         } else if (transport == HttpTransport::TimedOut
-                   && ++consecutiveTimeouts >= this->timeoutsUntilSuspect) {
-            this->lastTimeoutMs[origin] = Common::currentMoment().steadyMs;
+                   && ++origin.consecutiveTimeouts >= this->timeoutsUntilSuspect) {
+            origin.suspectBeforeMs = Common::currentMoment().steadyMs;
         }
     }
 
@@ -280,6 +312,10 @@
     void finish(CURL *handle, CURLcode code)
     {
         auto node = this->transfers.extract(handle);
+        if (node.mapped()->isOnSuspectConnection && !this->isStopping
+            && this->resend(handle, node.mapped())) {
+            return;
+        }
         Transfer &transfer = *node.mapped();
         HttpResult &result = transfer.result;
         result.transport = classify(code, transfer);
@@ -292,7 +328,7 @@
             result.body.clear();
         }
         if (transfer.call.marksSuspectConnections || result.transport == HttpTransport::Answered) {
-            this->updateSuspectConnections(originOf(transfer.call.url), result.transport);
+            this->updateSuspectConnections(*transfer.origin, result.transport);
         }
         curl_multi_remove_handle(this->multi, handle);
         curl_easy_cleanup(handle);
@@ -323,8 +359,7 @@
     std::deque<std::unique_ptr<Transfer>> waiting;
     /// The members below are used only by the client's thread.
     std::map<CURL *, std::unique_ptr<Transfer>> transfers;
-    std::map<std::string, std::int64_t> lastTimeoutMs;
-    std::map<std::string, int> consecutiveTimeoutsByOrigin;
+    std::map<std::string, Origin> origins;
     std::thread thread;
 };
 
--- a/Source/UnitTests/Net/HttpTest.cpp
+++ b/Source/UnitTests/Net/HttpTest.cpp
@@ -538,6 +538,29 @@
     CHECK(answered == 3);
 }
 
+TEST_CASE("After a timeout, calls share the new connection")
+{
+    // A backend server left a call unanswered. For 2 s after the timeout each call opened a new
+    // connection (20 calls, 20 connections), although the first new one worked.
+    std::atomic<int> connections = 0;
+    RawServer server([&](RawServer::Socket &socket, int number) {
+        ++connections;
+        while (!RawServer::readRequest(socket).empty()) {
+            if (number > 1) {
+                RawServer::write(socket, RawAnswer);
+            }
+        }
+    });
+    Net::HttpClient client(2);
+    Net::HttpCall call = post(server.port(), "{}");
+    call.timeoutMs = 100;
+    CHECK(client.perform(call).transport == HttpTransport::TimedOut);
+    for (int number = 0; number < 20; ++number) {
+        CHECK(client.perform(call).transport == HttpTransport::Answered);
+    }
+    CHECK(connections.load() == 2);
+}
+
 TEST_CASE("Calls that wait for a connection end in time, too")
 {
     // The server never answers and the client may use one connection. The second call waits for the
