Transient: own delay and errors of predicted waits enter predictions

A gateway's own late answers were learned as slowness of backend servers, and predicted waits had no allowance for their errors. Where backend servers are shared, admission adds the gateway's own delay as a summand and the expected latest wait of a job's tasks, from AttemptState.waitedMs.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -203,6 +203,7 @@
                      callerRequest.failure.reason, callerRequest.failure.detail);
         return;
     }
+    observeOwnDelaySince(this->control, callerRequest.arrivedMs);
     Transient::Submission submission;
     submission.token = std::to_string(++this->lastToken);
     submission.queue = queue;
--- a/Source/Core/Gateway/TransientControl.cpp
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -28,4 +28,10 @@
     Transient::switchOff(this->state, this->settings.disabledDecisions);
 }
 
+void observeOwnDelaySince(TransientControl &control, std::int64_t arrivedMs)
+{
+    Transient::observeOwnDelay(control.state.ownDelay,
+                               static_cast<double>(Common::currentMoment().steadyMs - arrivedMs));
+}
+
 } // namespace Gateway
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -102,4 +102,8 @@
     Common::Moment now;
 };
 
+/// Takes note that a request or frame that arrived at \a arrivedMs is handled now. The time is read
+/// anew, since TransientControl::now is that of the first message taken together with this one.
+void observeOwnDelaySince(TransientControl &control, std::int64_t arrivedMs);
+
 } // namespace Gateway
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -51,6 +51,7 @@
     void carryOut(const Transient::SendToAgent &effect) { this->links.sendTo(effect); }
     void carryOut(const Transient::AnswerCaller &effect) { this->callers.answer(effect); }
     void carryOut(const Transient::CountReason &effect);
+    void carryOut(const Transient::CountLabels &effect);
     void carryOut(const Transient::ObserveSeconds &effect);
     void carryOut(const Transient::SetGauge &effect);
     void carryOut(const Transient::LogLine &effect);
@@ -193,6 +194,11 @@
     this->control.metrics.count(effect.counter, {{"reason", Schema::enumName(effect.reason)}});
 }
 
+void TransientDaemon::Implementation::carryOut(const Transient::CountLabels &effect)
+{
+    this->control.metrics.count(effect.counter, effect.labels);
+}
+
 void TransientDaemon::Implementation::carryOut(const Transient::ObserveSeconds &effect)
 {
     static const std::vector<double> bounds{0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75,
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -73,6 +73,7 @@
     link.lastReceivedMs = this->control.now.steadyMs;
     this->longestFrameDelayMs =
             std::max(this->longestFrameDelayMs, this->control.now.steadyMs - event.arrivedMs);
+    observeOwnDelaySince(this->control, event.arrivedMs);
     const Schema::Frame &frame = event.frame;
     if (frame.agentAnnouncement) {
         this->agentAnnounced(event.link, *frame.agentAnnouncement);
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -289,6 +289,9 @@
     ended.phase = phase == AttemptPhase::NotStarted && mayHaveRun ? AttemptPhase::Stopped : phase;
     ended.reason = reason;
     ended.runMs = run.startedMs == 0 ? 0 : now.steadyMs - run.startedMs;
+    if (run.startSentMs != 0 && ended.phase != AttemptPhase::NotStarted) {
+        ended.waitedMs = run.startSentMs - run.orderedMs;
+    }
     effects.emplace_back(runLogLine("run_ended", run, now,
                                     {{"phase", Schema::enumName(ended.phase)},
                                      {"reason", Schema::enumName(reason)},
--- a/Source/Core/Transient/Admission.cpp
+++ b/Source/Core/Transient/Admission.cpp
@@ -43,10 +43,15 @@
     return std::exp(std::max(decayedLogStretch(error, nowMs), 0.0));
 }
 
+double correctedMs(const AdmissionQuery &query)
+{
+    return query.predictedMs * query.stretch + query.ownDelayMs;
+}
+
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits, const AdmissionQuery &query)
 {
     const double usefulMs = std::min(query.deadlineMs, query.targetMs * limits.maxLateness);
-    const bool isTooLate = query.waitMs > 0 && query.predictedMs * query.stretch > usefulMs;
+    const bool isTooLate = query.waitMs > 0 && correctedMs(query) > usefulMs;
     const bool isLinkFull = query.linkWaitMs > limits.maxLinkWaitMs;
     if (!limits.refuses || (!isTooLate && !isLinkFull)) {
         return std::nullopt;
@@ -54,8 +59,8 @@
     JobResult refused;
     refused.outcome = JobOutcome::Refused;
     refused.reason = isLinkFull ? Schema::Reason::QueueFull : Schema::Reason::DeadlineUnreachable;
-    const double backlogMs =
-            std::clamp(query.waitMs * query.stretch, ShortestRetryMs, LongestRetryMs);
+    const double waitMs = std::max(query.waitMs * query.stretch, query.latestWaitMs);
+    const double backlogMs = std::clamp(waitMs, ShortestRetryMs, LongestRetryMs);
     refused.retryAfterMs = static_cast<std::int64_t>(backlogMs * (1 + query.spread));
     return refused;
 }
--- a/Source/Core/Transient/Admission.h
+++ b/Source/Core/Transient/Admission.h
@@ -24,6 +24,11 @@
     double linkWaitMs = 0;
     /// Factor by which both times above are too short, according to the last answers of the queue.
     double stretch = 1;
+    /// Expected wait of the latest task, by the errors of earlier predictions; 0 if these are not
+    /// learned.
+    double latestWaitMs = 0;
+    /// Delay of this gateway itself. It comes on top of the stretched prediction.
+    double ownDelayMs = 0;
     /// Time after which the answer is late.
     double targetMs = 0;
     /// Time after which no caller waits for the answer.
@@ -67,6 +72,9 @@
     bool countsWaiting = true;
 };
 
+/// The predicted time with all corrections.
+double correctedMs(const AdmissionQuery &query);
+
 /// Returns the refusal, or nothing if the job is admitted. A job whose tasks and orders need not
 /// wait is always admitted.
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits,
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -66,6 +66,48 @@
     return job;
 }
 
+int taskCount(const JobRecord &job)
+{
+    std::size_t tasks = 0;
+    for (const StepRecord &step : job.steps) {
+        tasks += step.tasks.size();
+    }
+    return static_cast<int>(tasks);
+}
+
+/// Time from the first start to the last end, if each task runs as long as expected on the backend
+/// server that was chosen for it.
+double longestRunMs(const GatewayState &state, const JobRecord &job,
+                    const std::vector<PlacedTask> &placed)
+{
+    std::vector<double> chosenMs(job.steps.size(), 0);
+    for (const PlacedTask &one : placed) {
+        double &slowest = chosenMs[static_cast<std::size_t>(one.step)];
+        slowest = std::max(slowest, one.placement.runMs);
+    }
+    std::vector<double> stepMs = stepRunsMs(state, job);
+    for (std::size_t step = 0; step < stepMs.size(); ++step) {
+        stepMs[step] = chosenMs[step] > 0 ? chosenMs[step] : stepMs[step];
+    }
+    return longestChainMs(job.steps, stepMs);
+}
+
+/// Replaces the prediction by one that includes the errors of earlier predicted waits. Run times
+/// are not corrected: their spread is part of the time that callers allow for a job.
+void includeWaitErrors(const GatewayState &state, const JobRecord &job,
+                       const std::vector<PlacedTask> &placed, double taskWaitMs,
+                       AdmissionQuery &query, Common::Moment now)
+{
+    const auto error = state.waitErrors.find({job.queue.name, job.queue.priority});
+    query.latestWaitMs =
+            error == state.waitErrors.end()
+                    ? taskWaitMs
+                    : latestWaitMs(error->second, taskWaitMs, taskCount(job), now.steadyMs);
+    query.stretch = 1;
+    query.predictedMs = longestRunMs(state, job, placed) + query.latestWaitMs
+                        + state.times.overheadMs + query.linkWaitMs;
+}
+
 AdmissionQuery admissionQuery(const GatewayState &state, const JobRecord &job,
                               const std::vector<PlacedTask> &placed, Common::Moment now,
                               Common::Random &random)
@@ -77,6 +119,7 @@
         longest = std::max(longest, one.placement.waitMs + one.placement.runMs);
         query.waitMs = std::max(query.waitMs, one.placement.waitMs);
     }
+    const double taskWaitMs = query.waitMs;
     query.linkWaitMs = std::floor(backlogMs(state.orderBacklog, state.capacity, now));
     query.waitMs = std::max(query.waitMs, query.linkWaitMs);
     query.predictedMs =
@@ -85,6 +128,10 @@
     if (state.limits.correctsPredictions && error != state.predictionErrors.end()) {
         query.stretch = expectedStretch(error->second, now.steadyMs);
     }
+    if (includesWaitErrors(state)) {
+        includeWaitErrors(state, job, placed, taskWaitMs, query, now);
+    }
+    query.ownDelayMs = countedOwnDelayMs(state);
     query.targetMs = static_cast<double>(job.targetMs - now.steadyMs);
     query.deadlineMs = static_cast<double>(job.deadlineMs - now.steadyMs);
     query.spread = std::uniform_real_distribution<double>(0, 1)(random);
@@ -122,7 +169,7 @@
                                         Common::Moment now)
 {
     const double leftMs = static_cast<double>(state.stopDeadlineMs - now.steadyMs);
-    if (!state.isStopping || query.predictedMs * query.stretch * StopSafetyFactor <= leftMs) {
+    if (!state.isStopping || correctedMs(query) * StopSafetyFactor <= leftMs) {
         return std::nullopt;
     }
     return JobResult{JobOutcome::Refused, Reason::Stopping, RetryMs};
@@ -198,6 +245,12 @@
             {"stretch_percent", text(query.stretch * PercentOfOne)},
             {"target_ms", text(query.targetMs)},
             {"deadline_ms", text(query.deadlineMs)}};
+    if (isShared(state.shared)) {
+        inputs.emplace_back("run_ms", text(longestRunMs(state, job, placed)));
+        inputs.emplace_back("latest_wait_ms", text(query.latestWaitMs));
+        inputs.emplace_back("own_delay_ms", text(query.ownDelayMs));
+        inputs.emplace_back("corrected_ms", text(correctedMs(query)));
+    }
     if (refused) {
         undoPlacing(state, job, placed);
         return refuse(submission.token, job.id, *refused, std::move(inputs));
@@ -207,6 +260,8 @@
     inputs.emplace_back("tasks_waiting",
                         std::to_string(job.ready - static_cast<int>(placed.size())));
     job.predictedMs = query.predictedMs;
+    job.correctedMs = correctedMs(query);
+    job.ownDelayMs = query.ownDelayMs;
     Effects effects;
     effects.emplace_back(LogLine{"job_accepted", std::move(inputs)});
     state.readyTasks += job.ready;
--- a/Source/Core/Transient/Answers.cpp
+++ b/Source/Core/Transient/Answers.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <string>
+
 #include "Transient/JobsInternal.h"
 
 /// Ends jobs: answers their callers, withdraws their tasks and keeps results for repeated requests.
@@ -7,6 +10,7 @@
 
 constexpr const char *EndCounter = "auburntrail_transient_jobs_total";
 constexpr const char *AnswerSeconds = "auburntrail_transient_answer_seconds";
+constexpr const char *PredictionCounter = "auburntrail_transient_predictions_total";
 constexpr double MsPerSecond = 1000;
 
 void answerAll(Effects &effects, JobRecord &job, const JobResult &result)
@@ -28,6 +32,24 @@
     return highest;
 }
 
+/// The predicted share of the time until the job's target, as a label.
+const char *predictedShare(const JobRecord &job)
+{
+    struct Range
+    {
+        double below;
+        const char *label;
+    };
+    constexpr Range Ranges[] = {{0.5, "below_0.5"}, {0.8, "below_0.8"}, {1, "below_1.0"}};
+    const auto targetMs = static_cast<double>(job.targetMs - job.receivedMs);
+    for (const Range &range : Ranges) {
+        if (job.correctedMs < range.below * targetMs) {
+            return range.label;
+        }
+    }
+    return "above";
+}
+
 } // namespace
 
 void sendWithdrawals(Effects &effects, Withdrawals &withdrawals)
@@ -92,9 +114,18 @@
     effects.emplace_back(CountReason{EndCounter, result.reason});
     if (result.outcome == JobOutcome::Succeeded) {
         observeAnswer(state.predictionErrors[job.queue.name], job.predictedMs,
-                      static_cast<double>(now.steadyMs - job.receivedMs), now.steadyMs);
+                      static_cast<double>(now.steadyMs - job.receivedMs) - job.ownDelayMs,
+                      now.steadyMs);
         effects.emplace_back(ObserveSeconds{AnswerSeconds, seconds, {{"queue", job.queue.name}}});
     }
+    if (isShared(state.shared)) {
+        const bool isInTime =
+                result.outcome == JobOutcome::Succeeded && now.steadyMs <= job.targetMs;
+        effects.emplace_back(CountLabels{PredictionCounter,
+                                         {{"queue", job.queue.name},
+                                          {"predicted", predictedShare(job)},
+                                          {"in_time", isInTime ? "true" : "false"}}});
+    }
     answerAll(effects, job, result);
     sendWithdrawals(effects, withdrawals);
     return effects;
--- a/Source/Core/Transient/Attempts.cpp
+++ b/Source/Core/Transient/Attempts.cpp
@@ -81,6 +81,16 @@
     }
 }
 
+/// Agents of older builds do not report waits.
+void learnWait(GatewayState &state, const JobRecord &job, const TaskRecord &task,
+               const Schema::AttemptState &reported, Common::Moment now)
+{
+    if (includesWaitErrors(state) && reported.waitedMs) {
+        observeWait(state.waitErrors[{job.queue.name, job.queue.priority}], task.predictedWaitMs,
+                    static_cast<double>(*reported.waitedMs), now.steadyMs);
+    }
+}
+
 void taskSucceeded(GatewayState &state, Effects &effects, JobRecord &job, StepRecord &step,
                    TaskRecord &task, Common::Moment now)
 {
@@ -156,6 +166,7 @@
     }
     StepRecord &step = job.steps[static_cast<std::size_t>(ref->step)];
     learnFromAttempt(state, effects, step, *task, reported, now);
+    learnWait(state, job, *task, reported, now);
     releaseTask(state, job, step, *task);
     if (reported.phase == AttemptPhase::Succeeded) {
         taskSucceeded(state, effects, job, step, *task, now);
--- a/Source/Core/Transient/Effects.h
+++ b/Source/Core/Transient/Effects.h
@@ -35,6 +35,13 @@
     Schema::Reason reason = Schema::Reason::None;
 };
 
+/// Increments a counter with any labels.
+struct CountLabels
+{
+    std::string counter;
+    Common::MetricLabels labels;
+};
+
 struct ObserveSeconds
 {
     std::string histogram;
@@ -56,8 +63,8 @@
     Common::LogLevel level = Common::LogLevel::Info;
 };
 
-using Effect =
-        std::variant<SendToAgent, AnswerCaller, CountReason, ObserveSeconds, SetGauge, LogLine>;
+using Effect = std::variant<SendToAgent, AnswerCaller, CountReason, CountLabels, ObserveSeconds,
+                            SetGauge, LogLine>;
 using Effects = std::vector<Effect>;
 using Common::append;
 
--- a/Source/Core/Transient/JobTable.h
+++ b/Source/Core/Transient/JobTable.h
@@ -42,6 +42,8 @@
     std::vector<std::string> avoided;
     /// Expected run time at the agent.
     double expectedMs = 0;
+    /// Wait at the agent that was predicted when the task was sent to it.
+    double predictedWaitMs = 0;
     /// The backend server has answered the start, so that no start of it is still on the way there.
     bool isStartAnswered = false;
 };
@@ -74,6 +76,10 @@
     std::int64_t deadlineMs = 0;
     /// Time from arrival to end, as predicted on admission.
     double predictedMs = 0;
+    /// The same with the corrections that admission made, and the part of it that is this gateway's
+    /// own delay.
+    double correctedMs = 0;
+    double ownDelayMs = 0;
     /// Estimate of the time that the caller had waited before the job arrived here; see
     /// RemainingTimeout.h.
     std::int64_t waitedBeforeMs = 0;
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -141,6 +141,17 @@
     return std::to_string(static_cast<std::int64_t>(value));
 }
 
+double countedOwnDelayMs(const GatewayState &state)
+{
+    return isShared(state.shared) && state.shared.separatesOwnDelay ? ownDelayMs(state.ownDelay)
+                                                                    : 0;
+}
+
+bool includesWaitErrors(const GatewayState &state)
+{
+    return isShared(state.shared) && state.shared.learnsWaitErrors;
+}
+
 Effects jobSubmitted(GatewayState &state, Submission submission, Common::Moment now,
                      Common::Random &random)
 {
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Common/Common.h"
@@ -14,8 +15,10 @@
 #include "Transient/Fleet.h"
 #include "Transient/JobTable.h"
 #include "Transient/OrphanRelay.h"
+#include "Transient/OwnDelay.h"
 #include "Transient/RemainingTimeout.h"
 #include "Transient/SharedFleet.h"
+#include "Transient/WaitError.h"
 
 /// State machine of a gateway for transient jobs. Every event goes through it, in the order in
 /// which the control thread handles events.
@@ -92,6 +95,9 @@
     Fleet fleet;
     /// By queue.
     std::unordered_map<std::string, PredictionError> predictionErrors;
+    /// By queue and priority.
+    std::map<std::pair<std::string, std::int64_t>, WaitError> waitErrors;
+    OwnDelay ownDelay;
     /// Usual remaining timeouts of callers, by queue.
     std::map<std::string, UsualRemainingTimeout> patiences;
     std::unordered_map<std::string, JobRecord> jobs;
--- a/Source/Core/Transient/JobsInternal.h
+++ b/Source/Core/Transient/JobsInternal.h
@@ -17,6 +17,12 @@
 /// The integral part of \a value, for log fields.
 std::string text(double value);
 
+/// Delay of this gateway itself that decisions take into account; 0 where backend servers are not
+/// shared.
+double countedOwnDelayMs(const GatewayState &state);
+/// Whether predictions include the errors of earlier predicted waits.
+bool includesWaitErrors(const GatewayState &state);
+
 // Admit.cpp: submissions
 
 /// Admits or refuses a job whose id is unknown here.
--- a/Source/Core/Transient/LateBinding.cpp
+++ b/Source/Core/Transient/LateBinding.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Transient/JobsInternal.h"
+
 namespace Transient {
 
 namespace {
@@ -22,7 +24,8 @@
         return std::nullopt;
     }
     const double spareMs = static_cast<double>(job.targetMs - now.steadyMs) - placement.runMs;
-    const double limitMs = std::max(PlacingAnewMs, spareMs * ShareOfSpareTime);
+    const double limitMs =
+            std::max(PlacingAnewMs + countedOwnDelayMs(state), spareMs * ShareOfSpareTime);
     if (placement.waitMs > limitMs) {
         return std::nullopt;
     }
--- a/Source/Core/Transient/Transient.h
+++ b/Source/Core/Transient/Transient.h
@@ -14,5 +14,6 @@
 #include "Transient/Jobs.h"
 #include "Transient/Learned.h"
 #include "Transient/Orphans.h"
+#include "Transient/OwnDelay.h"
 #include "Transient/Queues.h"
 #include "Transient/Resubmission.h"
