--- a/Source/Core/Transient/Admission.cpp
+++ b/Source/Core/Transient/Admission.cpp
@@ -51,7 +51,8 @@
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits, const AdmissionQuery &query)
 {
     const double usefulMs = std::min(query.deadlineMs, query.targetMs * limits.maxLateness);
-    const bool isTooLate = query.waitMs > 0 && correctedMs(query) > usefulMs;
+    const double errorMs = query.hasRoom ? std::max(query.waitErrorMs, 0.0) : 0;
+    const bool isTooLate = query.waitMs > 0 && correctedMs(query) - errorMs > usefulMs;
     const bool isLinkFull = query.linkWaitMs > limits.maxLinkWaitMs;
     if (!limits.refuses || (!isTooLate && !isLinkFull)) {
         return std::nullopt;
@@ -59,7 +60,7 @@
     JobResult refused;
     refused.outcome = JobOutcome::Refused;
     refused.reason = isLinkFull ? Schema::Reason::QueueFull : Schema::Reason::DeadlineUnreachable;
-    const double waitMs = std::max(query.waitMs * query.stretch, query.latestWaitMs);
+    const double waitMs = query.waitMs * query.stretch + query.waitErrorMs;
     const double backlogMs = std::clamp(waitMs, ShortestRetryMs, LongestRetryMs);
     refused.retryAfterMs = static_cast<std::int64_t>(backlogMs * (1 + query.spread));
     return refused;
--- a/Source/Core/Transient/Admission.h
+++ b/Source/Core/Transient/Admission.h
@@ -24,9 +24,11 @@
     double linkWaitMs = 0;
     /// Factor by which both times above are too short, according to the last answers of the queue.
     double stretch = 1;
-    /// Expected wait of the latest task, by the errors of earlier predictions; 0 if these are not
-    /// learned.
-    double latestWaitMs = 0;
+    /// How much longer than predicted the latest task is expected to wait; part of predictedMs.
+    double waitErrorMs = 0;
+    /// Each task has a backend server with room, as far as is known, although another one may have
+    /// been chosen for it. Errors of earlier predictions are then no reason for a refusal.
+    bool hasRoom = false;
     /// Delay of this gateway itself. It comes on top of the stretched prediction.
     double ownDelayMs = 0;
     /// Time after which the answer is late.
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -99,13 +99,17 @@
                        AdmissionQuery &query, Common::Moment now)
 {
     const auto error = state.waitErrors.find({job.queue.name, job.queue.priority});
-    query.latestWaitMs =
+    const double latestMs =
             error == state.waitErrors.end()
                     ? taskWaitMs
                     : latestWaitMs(error->second, taskWaitMs, taskCount(job), now.steadyMs);
+    query.waitErrorMs = latestMs - taskWaitMs;
+    query.hasRoom = std::all_of(placed.begin(), placed.end(), [](const PlacedTask &one) {
+        return one.placement.waitMs <= 0 || one.placement.hasAlternative;
+    });
     query.stretch = 1;
-    query.predictedMs = longestRunMs(state, job, placed) + query.latestWaitMs
-                        + state.times.overheadMs + query.linkWaitMs;
+    query.predictedMs =
+            longestRunMs(state, job, placed) + latestMs + state.times.overheadMs + query.linkWaitMs;
 }
 
 AdmissionQuery admissionQuery(const GatewayState &state, const JobRecord &job,
@@ -247,7 +251,8 @@
             {"deadline_ms", text(query.deadlineMs)}};
     if (isShared(state.shared)) {
         inputs.emplace_back("run_ms", text(longestRunMs(state, job, placed)));
-        inputs.emplace_back("latest_wait_ms", text(query.latestWaitMs));
+        inputs.emplace_back("wait_error_ms", text(query.waitErrorMs));
+        inputs.emplace_back("has_room", query.hasRoom ? "true" : "false");
         inputs.emplace_back("own_delay_ms", text(query.ownDelayMs));
         inputs.emplace_back("corrected_ms", text(correctedMs(query)));
     }
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -133,6 +133,7 @@
 }
 
 void carryOutOne(World & /*world*/, int /*process*/, const Transient::SetGauge & /*effect*/) {}
+void carryOutOne(World & /*world*/, int /*process*/, const Transient::CountLabels & /*effect*/) {}
 void carryOutOne(World & /*world*/, int /*process*/, const Transient::ObserveSeconds & /*effect*/)
 {}
 void carryOut(World &world, int gateway, const Transient::Effects &effects);
@@ -501,19 +502,23 @@
     }
     countFrame(world, agentAt(world, agent), frame);
     const std::int64_t passMs = passLink(world, gatewayAt(world, gateway).inboundFreeMs, frame);
-    const std::int64_t delayMs = delayInOrder(world, link.gatewayArrivalMs, 2 + passMs);
-    scheduleEvent(world, delayMs, [&world, gateway, agent, frame, number = link.number] {
+    const std::int64_t slowMs = gatewayAt(world, gateway).handlingDelayMs;
+    const std::int64_t delayMs = delayInOrder(world, link.gatewayArrivalMs, 2 + passMs + slowMs);
+    scheduleEvent(world, delayMs, [&world, gateway, agent, frame, slowMs, number = link.number] {
         SiteGateway &process = gatewayAt(world, gateway);
         if (!process.isUp) {
             return;
         }
         countFrame(world, process, frame);
-        deliver(world, process, [&world, gateway, agent, frame, number] {
+        const std::int64_t arrivedMs = world.nowMs - slowMs;
+        deliver(world, process, [&world, gateway, agent, frame, arrivedMs, number] {
             SiteLink &currentLink = linkOf(world, gateway, agent);
             SiteGateway &target = gatewayAt(world, gateway);
             if (currentLink.number != number || !currentLink.gatewayUp) {
                 return;
             }
+            Transient::observeOwnDelay(target.state.ownDelay,
+                                       static_cast<double>(world.nowMs - arrivedMs));
             currentLink.gatewayLastReceivedMs = world.nowMs;
             if (frame.agentAnnouncement) {
                 currentLink.announced = true;
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -84,6 +84,8 @@
     std::string instance;
     bool isUp = true;
     std::int64_t frozenUntilMs = 0;
+    /// How long agents' frames wait in its process before they are handled.
+    std::int64_t handlingDelayMs = 0;
     Schema::Member self;
     Transient::Discovery discovery;
     /// By the index of the other gateway.
