--- a/Source/Core/Runner/Forecast.cpp
+++ b/Source/Core/Runner/Forecast.cpp
@@ -1,7 +1,7 @@
 #include "Runner/Forecast.h"
 
-#include <functional>
 #include <queue>
+#include <utility>
 
 #include "Runner/Load.h"
 #include "Runner/Pace.h"
@@ -51,6 +51,14 @@
     return timeline;
 }
 
+/// Starts a queued run at the time that the timeline has reached.
+void addRun(Timeline &timeline, const Run &run, double slowdown)
+{
+    timeline.free -= run.resources.processors;
+    timeline.releases.push({timeline.nowMs + static_cast<double>(run.expectedMs) * slowdown,
+                            run.resources.processors});
+}
+
 double meanProcessors(const RunnerState &state)
 {
     return state.runs.empty() ? 0
@@ -75,9 +83,7 @@
             isUrgentKnown = true;
         }
         advanceUntilFree(timeline, run.resources.processors);
-        timeline.free -= run.resources.processors;
-        timeline.releases.push({timeline.nowMs + static_cast<double>(run.expectedMs) * slowdown,
-                                run.resources.processors});
+        addRun(timeline, run, slowdown);
     }
     advanceUntilFree(timeline, needed);
     forecast.waitMs = timeline.nowMs;
@@ -87,4 +93,24 @@
     return forecast;
 }
 
+std::vector<RunId> runsNotStaying(const RunnerState &state, const StaysFor &staysFor,
+                                  Common::Moment now)
+{
+    const double slowdown = slowdownOf(state, now);
+    Timeline timeline = timelineOf(state, now);
+    std::vector<RunId> leaving;
+    for (const RunId id : state.queue) {
+        const Run &run = state.runs.at(id);
+        Timeline started = timeline;
+        advanceUntilFree(started, run.resources.processors);
+        if (!staysFor(run, started.nowMs)) {
+            leaving.push_back(id);
+            continue;
+        }
+        addRun(started, run, slowdown);
+        timeline = std::move(started);
+    }
+    return leaving;
+}
+
 } // namespace Runner
--- a/Source/Core/Runner/Forecast.h
+++ b/Source/Core/Runner/Forecast.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <functional>
+#include <vector>
+
 #include "Runner/RunnerState.h"
 
 /// Forecasts when one more task could start here.
@@ -20,4 +23,12 @@
 
 Forecast forecastOf(const RunnerState &state, Common::Moment now);
 
+/// Whether a queued run stays in the queue if it has to wait for \a waitMs from now on.
+using StaysFor = std::function<bool(const Run &run, double waitMs)>;
+
+/// Queued runs for which \a staysFor is false, in the order of the queue. The waits of those behind
+/// them are forecast without them.
+std::vector<RunId> runsNotStaying(const RunnerState &state, const StaysFor &staysFor,
+                                  Common::Moment now);
+
 } // namespace Runner
--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -8,6 +8,7 @@
 #include "Runner/Orphans.h"
 #include "Runner/Pace.h"
 #include "Runner/Release.h"
+#include "Runner/Returns.h"
 #include "Runner/RunQueue.h"
 
 namespace Runner {
@@ -38,6 +39,7 @@
     run.targetMs = now.steadyMs + orders.targetInMs;
     run.deadlineMs = now.steadyMs + orders.deadlineInMs;
     run.orderedMs = now.steadyMs;
+    run.longestWaitMs = orders.longestWaitMs;
     return run;
 }
 
@@ -214,6 +216,7 @@
     append(effects, moveFromSlow(state, now));
     append(effects, sendDueStops(state, now));
     append(effects, startRuns(state, now));
+    append(effects, returnBusyTasks(state, now));
     append(effects, observeIfDue(state, now));
     updateOrphans(state, effects, now);
     pruneUsedNumbers(state, now);
@@ -245,6 +248,7 @@
                                           + state.times.observeGraceMs + 1);
         }
     }
+    next = std::min(next, nextReturnMs(state).value_or(next));
     if (state.nextObserveMs > now.steadyMs) {
         next = std::min(next, state.nextObserveMs);
     }
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -56,6 +56,8 @@
     std::int64_t deadlineMs = 0;
     std::int64_t orderedMs = 0;
     std::int64_t notBeforeMs = 0;
+    /// Longest time from the order on that the task may wait here; nothing if that is not limited.
+    std::optional<std::int64_t> longestWaitMs;
 
     RunPhase phase = RunPhase::Queued;
     /// Run number at the backend server.
--- a/Source/Core/Transient/Attempts.cpp
+++ b/Source/Core/Transient/Attempts.cpp
@@ -10,6 +10,7 @@
 using Schema::AttemptPhase;
 using Schema::Reason;
 
+constexpr const char *ReturnCounter = "auburntrail_transient_returns_total";
 constexpr const char *RetryCounter = "auburntrail_transient_retries_total";
 /// How long an agent that returned a task for lack of room gets no others; its next reports arrive
 /// within this time.
@@ -115,6 +116,10 @@
 {
     effects.emplace_back(retryLogLine(job, task, reported));
     effects.emplace_back(CountReason{RetryCounter, reported.reason});
+    if (reported.reason == Reason::BackendBusy) {
+        ++task.returns;
+        effects.emplace_back(CountReason{ReturnCounter, reported.reason});
+    }
     const bool isFull = reported.reason == Reason::NoRoom;
     if (isFull) {
         const auto agent = state.fleet.agents.find(task.agent);
@@ -161,7 +166,8 @@
     } else {
         handleReturnedTask(state, effects, job, *task, reported, now);
     }
-    if (!job.result && job.ready > 0) {
+    // Tasks returned in one report are placed together when all of its states are handled.
+    if (!job.result && job.ready > 0 && reported.reason != Reason::BackendBusy) {
         append(effects, placeAndOrder(state, job, now, random));
     }
     const std::string id = job.id;
--- a/Source/Core/Transient/JobTable.h
+++ b/Source/Core/Transient/JobTable.h
@@ -36,6 +36,8 @@
     std::string agent;
     std::string agentInstance;
     int failures = 0;
+    /// Number of times that an agent has returned the task because of its wait.
+    int returns = 0;
     /// Names of agents that the task should not be sent to again.
     std::vector<std::string> avoided;
     /// Expected run time at the agent.
--- a/Source/Core/Transient/Orders.cpp
+++ b/Source/Core/Transient/Orders.cpp
@@ -2,6 +2,7 @@
 #include <tuple>
 
 #include "Transient/JobsInternal.h"
+#include "Transient/LateBinding.h"
 #include "Transient/Placement.h"
 
 /// Places tasks and sends them to agents as orders.
@@ -9,6 +10,9 @@
 
 namespace {
 
+/// Groups the orders whose waits are not limited.
+constexpr std::int64_t NoLimitMs = -1;
+
 Schema::TaskOrders makeOrders(const JobRecord &job, const StepRecord &step, double runMs,
                               Common::Moment now)
 {
@@ -79,7 +83,7 @@
                    Common::Moment now)
 {
     Effects effects;
-    std::map<std::pair<std::string, int>, Schema::TaskOrders> byAgent;
+    std::map<std::tuple<std::string, int, std::int64_t>, Schema::TaskOrders> byAgent;
     for (const PlacedTask &one : placed) {
         StepRecord &step = job.steps[static_cast<std::size_t>(one.step)];
         TaskRecord &task = step.tasks[static_cast<std::size_t>(one.index)];
@@ -93,9 +97,12 @@
         task.agent = one.placement.agent;
         task.agentInstance = agent.announced.instance;
         task.expectedMs = one.placement.expectedMs;
-        const auto [entry, isNew] = byAgent.try_emplace({one.placement.agent, one.step});
+        const auto limitMs = longestWaitMs(state, job, task, one.placement, now);
+        const auto [entry, isNew] =
+                byAgent.try_emplace({one.placement.agent, one.step, limitMs.value_or(NoLimitMs)});
         if (isNew) {
             entry->second = makeOrders(job, step, one.placement.expectedMs, now);
+            entry->second.longestWaitMs = limitMs;
         }
         entry->second.tasks.push_back({task.attempt, taskName(job, one.step, one.index)});
     }
@@ -105,7 +112,7 @@
     state.readyTasks -= count;
     job.anyOrdered = job.anyOrdered || count > 0;
     for (auto &[key, orders] : byAgent) {
-        AgentView &agent = state.fleet.agents.at(key.first);
+        AgentView &agent = state.fleet.agents.at(std::get<std::string>(key));
         const auto tasks = static_cast<std::int64_t>(orders.tasks.size());
         const double processors = orders.resources.processors * static_cast<double>(tasks);
         orders.sequence = countOrder(agent, processors, orders.priority, tasks);
--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -55,6 +55,7 @@
     std::optional<Placement> best;
     double leastCostMs = std::numeric_limits<double>::max();
     std::uint64_t ties = 0;
+    int withRoom = 0;
     for (auto &[name, agent] : fleet.agents) {
         if (!acceptsTasks(agent, query.service, nowMs) || !isEligible(agent, *query.step)
             || !isBelowTaskLimit(agent, query) || (!allowsAvoided && isAvoided(agent, query))) {
@@ -67,6 +68,7 @@
                                    ? expectedWaitMs(agent, query.step->resources.processors,
                                                     query.priority, nowMs)
                                    : meanWaitMs(agent, query.step->resources.processors);
+        withRoom += candidate.waitMs <= 0 ? 1 : 0;
         candidate.runMs = query.runMs * Dispatch::speedFactor(agent.speed) * remote;
         candidate.expectedMs = candidate.runMs;
         if (fleet.decisions.usesPaces) {
@@ -86,6 +88,9 @@
             }
         }
     }
+    if (best) {
+        best->hasAlternative = withRoom > (best->waitMs <= 0 ? 1 : 0);
+    }
     return best;
 }
 
--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -40,6 +40,8 @@
     double runMs = 0;
     /// Expected run time at the usual speed of the backend server.
     double expectedMs = 0;
+    /// Another agent has room for the task, as far as is known.
+    bool hasAlternative = false;
 };
 
 /// Expected time until \a processors are free at the agent, estimated from the mean time that the
