Transient: jobs that cost callers least yield to more urgent ones

Cause: where many gateways share the backend servers, a burst of long jobs fills their queues. More urgent jobs are refused for their wait, and callers of long jobs learn only at their deadline that these were not served.

Displacement withdraws the tasks of admitted jobs that have not begun. The caller gets a refusal with reason displaced only when the agents have returned every task as not started. Otherwise the job goes on. Jobs that cannot end before their deadline yield in the same way.

--- a/Source/Core/Transient/Admission.cpp
+++ b/Source/Core/Transient/Admission.cpp
@@ -43,10 +43,21 @@
     return std::exp(std::max(decayedLogStretch(error, nowMs), 0.0));
 }
 
+double usefulMs(const AdmissionLimits &limits, const AdmissionQuery &query)
+{
+    return std::min(query.deadlineMs, query.targetMs * limits.maxLateness);
+}
+
+std::int64_t retryAfterBacklogMs(double backlogMs, double spread)
+{
+    const double boundedMs = std::clamp(backlogMs, ShortestRetryMs, LongestRetryMs);
+    return static_cast<std::int64_t>(boundedMs * (1 + spread));
+}
+
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits, const AdmissionQuery &query)
 {
-    const double usefulMs = std::min(query.deadlineMs, query.targetMs * limits.maxLateness);
-    const bool isTooLate = query.waitMs > 0 && query.predictedMs * query.stretch > usefulMs;
+    const bool isTooLate =
+            query.waitMs > 0 && query.predictedMs * query.stretch > usefulMs(limits, query);
     const bool isLinkFull = query.linkWaitMs > limits.maxLinkWaitMs;
     if (!limits.refuses || (!isTooLate && !isLinkFull)) {
         return std::nullopt;
@@ -54,9 +65,7 @@
     JobResult refused;
     refused.outcome = JobOutcome::Refused;
     refused.reason = isLinkFull ? Schema::Reason::QueueFull : Schema::Reason::DeadlineUnreachable;
-    const double backlogMs =
-            std::clamp(query.waitMs * query.stretch, ShortestRetryMs, LongestRetryMs);
-    refused.retryAfterMs = static_cast<std::int64_t>(backlogMs * (1 + query.spread));
+    refused.retryAfterMs = retryAfterBacklogMs(query.waitMs * query.stretch, query.spread);
     return refused;
 }
 
--- a/Source/Core/Transient/Admission.h
+++ b/Source/Core/Transient/Admission.h
@@ -67,6 +67,12 @@
     bool countsWaiting = true;
 };
 
+/// Time until which the answer of the job is of use.
+double usefulMs(const AdmissionLimits &limits, const AdmissionQuery &query);
+
+/// Time after which a refused caller should submit again. \a spread is random, from 0 to 1.
+std::int64_t retryAfterBacklogMs(double backlogMs, double spread);
+
 /// Returns the refusal, or nothing if the job is admitted. A job whose tasks and orders need not
 /// wait is always admitted.
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits,
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -2,6 +2,8 @@
 #include <cmath>
 #include <random>
 
+#include "Transient/Cost.h"
+#include "Transient/Displacement.h"
 #include "Transient/JobsInternal.h"
 #include "Transient/Orphans.h"
 #include "Transient/Placement.h"
@@ -51,7 +53,13 @@
         step.request = std::move(request);
         job.steps.push_back(std::move(step));
     }
-    const double chainMs = longestChainMs(job.steps, stepRunsMs(state, job));
+    const std::vector<double> runsMs = stepRunsMs(state, job);
+    const double chainMs = longestChainMs(job.steps, runsMs);
+    job.chainMs = chainMs;
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        const StepRequest &request = job.steps[step].request;
+        job.workMs += request.taskCount * request.resources.processors * runsMs[step];
+    }
     UsualRemainingTimeout &usual = state.patiences[job.queue.name];
     if (state.limits.countsWaiting) {
         job.waitedBeforeMs = waitedBeforeMs(usual, submission.remainingTimeoutMs);
@@ -165,6 +173,20 @@
     return std::nullopt;
 }
 
+/// The admitted jobs that yield to one that would be refused for its wait; empty if it stays
+/// refused.
+std::vector<std::string> jobsYieldingTo(const GatewayState &state, const JobRecord &job,
+                                        const JobResult &refused, const AdmissionQuery &query,
+                                        const std::vector<PlacedTask> &placed, Common::Moment now)
+{
+    if (refused.reason != Reason::DeadlineUnreachable) {
+        return {};
+    }
+    const double excessMs = query.predictedMs - usefulMs(state.limits, query) / query.stretch;
+    const auto needed = neededWaits(placed, excessMs);
+    return needed ? jobsThatYield(state, job, *needed, now) : std::vector<std::string>{};
+}
+
 } // namespace
 
 Effects admit(GatewayState &state, Submission submission, Common::Moment now,
@@ -198,7 +220,11 @@
             {"stretch_percent", text(query.stretch * PercentOfOne)},
             {"target_ms", text(query.targetMs)},
             {"deadline_ms", text(query.deadlineMs)}};
+    std::vector<std::string> yielding;
     if (refused) {
+        yielding = jobsYieldingTo(state, job, *refused, query, placed, now);
+    }
+    if (refused && yielding.empty()) {
         undoPlacing(state, job, placed);
         return refuse(submission.token, job.id, *refused, std::move(inputs));
     }
@@ -208,7 +234,15 @@
                         std::to_string(job.ready - static_cast<int>(placed.size())));
     job.predictedMs = query.predictedMs;
     Effects effects;
+    if (isShared(state.shared) && state.shared.displaces) {
+        inputs.emplace_back("jobs_displaced", std::to_string(yielding.size()));
+        recordSize(state.yields[job.queue.name], job.workMs);
+    }
     effects.emplace_back(LogLine{"job_accepted", std::move(inputs)});
+    for (const std::string &other : yielding) {
+        append(effects, beginDisplacement(state, state.jobs.at(other), job.id,
+                                          query.waitMs * query.stretch, now));
+    }
     state.readyTasks += job.ready;
     const std::string id = job.id;
     JobRecord &kept = state.jobs.emplace(id, std::move(job)).first->second;
--- a/Source/Core/Transient/Answers.cpp
+++ b/Source/Core/Transient/Answers.cpp
@@ -71,7 +71,8 @@
                 withdrawals[task.agentInstance].push_back(
                         {task.attempt,
                          taskName(job, static_cast<int>(step), static_cast<int>(index))});
-            } else if (task.phase == TaskPhase::Ready || task.phase == TaskPhase::Blocked) {
+            } else if (task.phase == TaskPhase::Ready || task.phase == TaskPhase::Blocked
+                       || task.phase == TaskPhase::Held) {
                 task.phase = TaskPhase::Dropped;
             }
         }
--- a/Source/Core/Transient/Attempts.cpp
+++ b/Source/Core/Transient/Attempts.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Transient/Displacement.h"
 #include "Transient/JobsInternal.h"
 
 /// Handles reports of agents about attempts, and their consequences for tasks and jobs.
@@ -127,7 +128,8 @@
             agent->second.pausedUntilMs = now.steadyMs + RefusedPauseMs;
         }
     }
-    retryTask(state, job, task, !isFull);
+    // An agent that returned a withdrawn task is as good as any other.
+    retryTask(state, job, task, !isFull && reported.reason != Reason::Withdrawn);
 }
 
 } // namespace
@@ -150,8 +152,17 @@
     if (!isCurrent) {
         return effects;
     }
+    if (!provesNotRun(reported)) {
+        job.hasBegun = true;
+        if (!job.result) {
+            resumeDisplaced(state, effects, job);
+        }
+    }
     if (reported.phase == AttemptPhase::Running) {
         task->isStartAnswered = true;
+        if (!job.result && job.displacement == DisplacementPhase::Over && job.ready > 0) {
+            append(effects, placeAndOrder(state, job, now, random));
+        }
         return effects;
     }
     StepRecord &step = job.steps[static_cast<std::size_t>(ref->step)];
@@ -161,6 +172,9 @@
         taskSucceeded(state, effects, job, step, *task, now);
     } else if (job.result) {
         task->phase = TaskPhase::Dropped;
+    } else if (job.displacement == DisplacementPhase::Pending) {
+        task->phase = TaskPhase::Held;
+        refuseIfReturned(state, effects, job, now, random);
     } else if (reported.phase == AttemptPhase::Failed) {
         taskFailed(state, effects, job, *task, reported, now);
     } else {
--- a/Source/Core/Transient/JobTable.h
+++ b/Source/Core/Transient/JobTable.h
@@ -22,11 +22,22 @@
     Ordered,
     /// No longer wanted; the agent has not reported yet that it is over.
     Withdrawn,
+    /// Not at an agent while its job is being displaced.
+    Held,
     Succeeded,
     /// Failed, stopped or never started, and not to be tried again.
     Dropped
 };
 
+/// Whether an admitted job yields to others; see Displacement.h.
+enum class DisplacementPhase {
+    None,
+    /// Its tasks are withdrawn, and not all of them have been returned.
+    Pending,
+    /// It goes on, since a task may have run, and is not displaced again.
+    Over
+};
+
 struct TaskRecord
 {
     TaskPhase phase = TaskPhase::Blocked;
@@ -42,6 +53,8 @@
     std::vector<std::string> avoided;
     /// Expected run time at the agent.
     double expectedMs = 0;
+    /// Steady clock: expected start there, when it was ordered.
+    std::int64_t expectedStartMs = 0;
     /// The backend server has answered the start, so that no start of it is still on the way there.
     bool isStartAnswered = false;
 };
@@ -78,6 +91,14 @@
     /// RemainingTimeout.h.
     std::int64_t waitedBeforeMs = 0;
     bool anyOrdered = false;
+    /// One of its tasks may have run.
+    bool hasBegun = false;
+    DisplacementPhase displacement = DisplacementPhase::None;
+    /// Expected duration of the backlog when it was displaced.
+    double backlogMs = 0;
+    /// Expected duration of the longest chain of its steps, and processor time of all its tasks.
+    double chainMs = 0;
+    double workMs = 0;
     /// Number of tasks that are Ordered or Withdrawn.
     int unsettled = 0;
     /// Number of tasks that are Ready.
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "Transient/Displacement.h"
 #include "Transient/JobsInternal.h"
 #include "Transient/Orphans.h"
 #include "Transient/Resubmission.h"
@@ -234,6 +235,7 @@
     removeLostAgents(state, effects, now);
     append(effects, settleFormerAgents(state, now, random));
     append(effects, endOverdue(state, now, random));
+    append(effects, displaceHopeless(state, now));
     append(effects, endEvacuated(state, now, random));
     append(effects, admitReleased(state, now, random));
     if (state.isStopping && now.steadyMs >= state.stopDeadlineMs) {
@@ -252,6 +254,10 @@
         if (!job.result) {
             next = std::min(next, job.anyOrdered ? job.deadlineMs
                                                  : std::min(job.deadlineMs, job.lastStartMs));
+            const auto displacedAtMs = hopelessAtMs(state, job);
+            if (displacedAtMs && *displacedAtMs > now.steadyMs) {
+                next = std::min(next, *displacedAtMs);
+            }
             if (lateJobAtMs(job) > now.steadyMs) {
                 next = std::min(next, lateJobAtMs(job));
             }
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -10,6 +10,7 @@
 #include "Common/Common.h"
 #include "Transient/Admission.h"
 #include "Transient/Capacity.h"
+#include "Transient/Cost.h"
 #include "Transient/Effects.h"
 #include "Transient/Fleet.h"
 #include "Transient/JobTable.h"
@@ -94,6 +95,8 @@
     std::unordered_map<std::string, PredictionError> predictionErrors;
     /// Usual remaining timeouts of callers, by queue.
     std::map<std::string, UsualRemainingTimeout> patiences;
+    /// Jobs that were displaced, by queue.
+    std::map<std::string, QueueYields> yields;
     std::unordered_map<std::string, JobRecord> jobs;
     std::unordered_map<std::string, FinishedJob> finished;
     std::unordered_map<std::string, FormerAttempts> formerAttempts;
--- a/Source/Core/Transient/Orders.cpp
+++ b/Source/Core/Transient/Orders.cpp
@@ -97,6 +97,7 @@
         task.agent = one.placement.agent;
         task.agentInstance = agent.announced.instance;
         task.expectedMs = one.placement.expectedMs;
+        task.expectedStartMs = now.steadyMs + static_cast<std::int64_t>(one.placement.waitMs);
         const auto limitMs = longestWaitMs(state, job, task, one.placement, now);
         const auto [entry, isNew] =
                 byAgent.try_emplace({one.placement.agent, one.step, limitMs.value_or(NoLimitMs)});
