UnitTests: displacement of jobs, and random faults with shared backend servers

Random faults are also played on sites whose backend servers count as shared. Displacement: tasks whose agent is not connected, or whose start may not be known yet, are not withdrawn; an admission by displacement predicts the end that it gains.

--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -232,7 +232,8 @@
     inputs.emplace_back("tasks_placed", std::to_string(placed.size()));
     inputs.emplace_back("tasks_waiting",
                         std::to_string(job.ready - static_cast<int>(placed.size())));
-    job.predictedMs = query.predictedMs;
+    job.predictedMs =
+            yielding.empty() ? query.predictedMs : usefulMs(state.limits, query) / query.stretch;
     Effects effects;
     if (isShared(state.shared) && state.shared.displaces) {
         inputs.emplace_back("jobs_displaced", std::to_string(yielding.size()));
--- a/Source/Core/Transient/Displacement.cpp
+++ b/Source/Core/Transient/Displacement.cpp
@@ -42,15 +42,20 @@
     }
 }
 
-bool mayHaveStarted(const JobRecord &job, Common::Moment now)
+/// Whether all agents that have tasks of the job can be told of the withdrawal, and none of the
+/// tasks is expected to have started without being known here.
+bool canBeWithdrawn(const GatewayState &state, const JobRecord &job, Common::Moment now)
 {
-    bool may = false;
+    bool can = true;
     forEachOrdered(job, [&](const StepRecord &, const TaskRecord &task) {
-        may = may
-              || (now.steadyMs >= task.expectedStartMs
-                  && now.steadyMs < task.expectedStartMs + StartReportMs);
+        const auto agent = state.fleet.agents.find(task.agent);
+        const bool isReachable = agent != state.fleet.agents.end() && agent->second.isConnected
+                                 && agent->second.announced.instance == task.agentInstance;
+        const bool mayHaveStarted = now.steadyMs >= task.expectedStartMs
+                                    && now.steadyMs < task.expectedStartMs + StartReportMs;
+        can = can && isReachable && !mayHaveStarted;
     });
-    return may;
+    return can;
 }
 
 /// By how much the wait for a task of \a priority becomes shorter at each agent without \a job, if
@@ -60,11 +65,7 @@
 {
     std::map<std::string, double> saved;
     forEachOrdered(job, [&](const StepRecord &step, const TaskRecord &task) {
-        const auto found = state.fleet.agents.find(task.agent);
-        if (found == state.fleet.agents.end() || !found->second.isConnected) {
-            return;
-        }
-        const AgentView &agent = found->second;
+        const AgentView &agent = state.fleet.agents.at(task.agent);
         if (hasUrgentPriority(agent, priority) && !hasUrgentPriority(agent, job.queue.priority)) {
             return;
         }
@@ -80,7 +81,7 @@
     std::vector<const JobRecord *> found;
     for (const auto &[id, other] : state.jobs) {
         if (canBeDisplaced(other) && yieldsTo(costOf(other), costOf(job))
-            && !mayHaveStarted(other, now)) {
+            && canBeWithdrawn(state, other, now)) {
             found.push_back(&other);
         }
     }
@@ -213,8 +214,7 @@
     std::vector<std::string> hopeless;
     for (const auto &[id, job] : state.jobs) {
         const auto atMs = hopelessAtMs(state, job);
-        if (atMs && now.steadyMs >= *atMs
-            && mayYield(state.yields[job.queue.name], job.workMs, now.steadyMs)) {
+        if (atMs && now.steadyMs >= *atMs && canBeWithdrawn(state, job, now)) {
             hopeless.push_back(id);
         }
     }
@@ -222,6 +222,9 @@
     Effects effects;
     for (const std::string &id : hopeless) {
         JobRecord &job = state.jobs.at(id);
+        if (!mayYield(state.yields[job.queue.name], job.workMs, now.steadyMs)) {
+            continue;
+        }
         // Its wait so far is the best estimate of the backlog.
         append(effects, beginDisplacement(state, job, "",
                                           static_cast<double>(now.steadyMs - job.receivedMs), now));
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -544,6 +544,24 @@
     playAmongMany(commands, seed, &std::cerr);
 }
 
+/// Plays on a site whose backend servers count as shared by many gateways.
+std::string playShared(const std::vector<Command> &commands, std::uint64_t seed,
+                       std::ostream *trace)
+{
+    constexpr Neighbourhood Shared{3, 2, 1, 1};
+    return playIn(*makeWorld(seed, 6, 4, {}, Shared), commands, trace);
+}
+
+std::string findViolationsShared(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    return playShared(commands, seed, nullptr);
+}
+
+void printTraceShared(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    playShared(commands, seed, &std::cerr);
+}
+
 std::string findViolations(const std::vector<Command> &commands, std::uint64_t seed)
 {
     return play(commands, seed, nullptr);
@@ -675,3 +693,11 @@
     PropertyCheck::check<Command>({"delays", 60, 100}, anyCommandWithDelays(), findViolations,
                                   printTrace);
 }
+
+TEST_CASE("Random faults violate no invariant where backend servers are shared by many gateways")
+{
+    // Guards against refusals of displaced jobs, and second runs of returned tasks, of which a task
+    // has run.
+    PropertyCheck::check<Command>({"shared backend servers", 60, 100}, anyCommandWithDelays(),
+                                  findViolationsShared, printTraceShared);
+}
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -1423,6 +1423,7 @@
             "gateway-" + std::to_string(gateway) + '-' + std::to_string(++world.lastNumber);
     process.state.orphanRelay.self = process.instance;
     process.state.startedMs = world.nowMs;
+    process.state.shared.fromGateways = world.neighbourhood.sharedFromGateways;
     process.state.capacity.linkBytesPerMs = world.linkBytesPerMs;
     process.self = memberOf(world, process.instance, gateway);
     process.discovery = Transient::makeDiscovery(
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -174,6 +174,8 @@
     std::size_t gatewaysOfGateway = 4;
     /// Processes are spread over this many failure domains in turn.
     int failureDomains = 1;
+    /// Backend servers count as shared if gateways know at least this many, with themselves.
+    std::size_t sharedFromGateways = Transient::SharedFleet{}.fromGateways;
 };
 
 struct World
