--- a/Source/UnitTests/Transient/DisplacementTest.cpp
+++ b/Source/UnitTests/Transient/DisplacementTest.cpp
@@ -118,6 +118,7 @@
     const Outcome one = countOutcomes(*world, Short, 0);
     sum.urgent.submitted += one.submitted;
     sum.urgent.inTime += one.inTime;
+    sum.urgent.late += one.late;
 }
 
 } // namespace
@@ -249,10 +250,10 @@
         replayBurst(with, true, seed);
         replayBurst(without, false, seed);
     }
-    MESSAGE("in time " << with.urgent.inTime << " of " << with.urgent.submitted << ", without "
-                       << without.urgent.inTime << " of " << without.urgent.submitted
-                       << "; displaced " << with.displaced << " after at most " << with.longestMs
-                       << " ms");
+    MESSAGE("late " << with.urgent.late << ", without " << without.urgent.late << "; in time "
+                    << with.urgent.inTime << " of " << with.urgent.submitted << ", without "
+                    << without.urgent.inTime << " of " << without.urgent.submitted << "; displaced "
+                    << with.displaced << " after at most " << with.longestMs << " ms");
     CHECK(with.urgent.inTime > 1.3 * without.urgent.inTime);
     CHECK(with.displaced > 0);
     CHECK(with.longestMs < 1020);
