UnitTests: a refusal after a start is a violation in the simulated site

Cause: the simulation only reported starts after a refusal. A trial in which every returned attempt counted as proof that it has not run passed the random faults. Change: a refusal of a job of which a task has started before is reported, too.

--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -198,6 +198,7 @@
         }
     }
     const std::string job = start.task.substr(0, start.task.find('.'));
+    world.begunJobs.insert(job);
     if (world.finallyRefused.count(job) != 0) {
         reportViolation(world, "job was refused but a task of it started: " + job);
     }
@@ -681,6 +682,9 @@
         const bool isRefused = answer.result.outcome == Transient::JobOutcome::Refused;
         if (isRefused && caller.attempts == 1) {
             world.finallyRefused.insert(caller.job);
+            if (world.begunJobs.count(caller.job) != 0) {
+                reportViolation(world, "job was refused after a task of it started: " + caller.job);
+            }
         }
         return;
     }
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -229,6 +229,8 @@
     /// Violated invariants, in the order in which they were found.
     std::vector<std::string> violations;
     std::set<std::string> finallyRefused;
+    /// Jobs of which a task has started at a backend server.
+    std::set<std::string> begunJobs;
     int starts = 0;
     /// How often an agent took a gateway for lost.
     int lostGateways = 0;
