Merge: jobs that cost callers least yield to more urgent ones

The prediction that decides is the one with wait errors and own delay. The tests' worlds count backend servers as shared by one member of Neighbourhood.

--- a/Source/Core/Transient/Admission.cpp
+++ b/Source/Core/Transient/Admission.cpp
@@ -48,11 +48,27 @@
     return query.predictedMs * query.stretch + query.ownDelayMs;
 }
 
+double correctedWaitMs(const AdmissionQuery &query)
+{
+    return query.waitMs * query.stretch + query.waitErrorMs;
+}
+
+double usefulMs(const AdmissionLimits &limits, const AdmissionQuery &query)
+{
+    return std::min(query.deadlineMs, query.targetMs * limits.maxLateness);
+}
+
+std::int64_t retryAfterBacklogMs(double backlogMs, double spread)
+{
+    const double boundedMs = std::clamp(backlogMs, ShortestRetryMs, LongestRetryMs);
+    return static_cast<std::int64_t>(boundedMs * (1 + spread));
+}
+
 std::optional<JobResult> decideAdmission(const AdmissionLimits &limits, const AdmissionQuery &query)
 {
-    const double usefulMs = std::min(query.deadlineMs, query.targetMs * limits.maxLateness);
     const double errorMs = query.hasRoom ? std::max(query.waitErrorMs, 0.0) : 0;
-    const bool isTooLate = query.waitMs > 0 && correctedMs(query) - errorMs > usefulMs;
+    const bool isTooLate =
+            query.waitMs > 0 && correctedMs(query) - errorMs > usefulMs(limits, query);
     const bool isLinkFull = query.linkWaitMs > limits.maxLinkWaitMs;
     if (!limits.refuses || (!isTooLate && !isLinkFull)) {
         return std::nullopt;
@@ -60,9 +76,7 @@
     JobResult refused;
     refused.outcome = JobOutcome::Refused;
     refused.reason = isLinkFull ? Schema::Reason::QueueFull : Schema::Reason::DeadlineUnreachable;
-    const double waitMs = query.waitMs * query.stretch + query.waitErrorMs;
-    const double backlogMs = std::clamp(waitMs, ShortestRetryMs, LongestRetryMs);
-    refused.retryAfterMs = static_cast<std::int64_t>(backlogMs * (1 + query.spread));
+    refused.retryAfterMs = retryAfterBacklogMs(correctedWaitMs(query), query.spread);
     return refused;
 }
 
--- a/Source/Core/Transient/Admission.h
+++ b/Source/Core/Transient/Admission.h
@@ -76,6 +76,13 @@
 
 /// The predicted time with all corrections.
 double correctedMs(const AdmissionQuery &query);
+/// The longest wait with all corrections.
+double correctedWaitMs(const AdmissionQuery &query);
+/// Time until which the answer of the job is of use.
+double usefulMs(const AdmissionLimits &limits, const AdmissionQuery &query);
+
+/// Time after which a refused caller should submit again. \a spread is random, from 0 to 1.
+std::int64_t retryAfterBacklogMs(double backlogMs, double spread);
 
 /// Returns the refusal, or nothing if the job is admitted. A job whose tasks and orders need not
 /// wait is always admitted.
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -2,6 +2,8 @@
 #include <cmath>
 #include <random>
 
+#include "Transient/Cost.h"
+#include "Transient/Displacement.h"
 #include "Transient/JobsInternal.h"
 #include "Transient/Orphans.h"
 #include "Transient/Placement.h"
@@ -51,7 +53,13 @@
         step.request = std::move(request);
         job.steps.push_back(std::move(step));
     }
-    const double chainMs = longestChainMs(job.steps, stepRunsMs(state, job));
+    const std::vector<double> runsMs = stepRunsMs(state, job);
+    const double chainMs = longestChainMs(job.steps, runsMs);
+    job.chainMs = chainMs;
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        const StepRequest &request = job.steps[step].request;
+        job.workMs += request.taskCount * request.resources.processors * runsMs[step];
+    }
     UsualRemainingTimeout &usual = state.patiences[job.queue.name];
     if (state.limits.countsWaiting) {
         job.waitedBeforeMs = waitedBeforeMs(usual, submission.remainingTimeoutMs);
@@ -216,6 +224,25 @@
     return std::nullopt;
 }
 
+/// By how much the predicted time has to become shorter for the job to be in time.
+double excessMs(const GatewayState &state, const AdmissionQuery &query)
+{
+    return (correctedMs(query) - usefulMs(state.limits, query)) / query.stretch;
+}
+
+/// The admitted jobs that yield to one that would be refused for its wait; empty if it stays
+/// refused.
+std::vector<std::string> jobsYieldingTo(const GatewayState &state, const JobRecord &job,
+                                        const JobResult &refused, const AdmissionQuery &query,
+                                        const std::vector<PlacedTask> &placed, Common::Moment now)
+{
+    if (refused.reason != Reason::DeadlineUnreachable) {
+        return {};
+    }
+    const auto needed = neededWaits(placed, excessMs(state, query));
+    return needed ? jobsThatYield(state, job, *needed, now) : std::vector<std::string>{};
+}
+
 } // namespace
 
 Effects admit(GatewayState &state, Submission submission, Common::Moment now,
@@ -256,7 +283,11 @@
         inputs.emplace_back("own_delay_ms", text(query.ownDelayMs));
         inputs.emplace_back("corrected_ms", text(correctedMs(query)));
     }
+    std::vector<std::string> yielding;
     if (refused) {
+        yielding = jobsYieldingTo(state, job, *refused, query, placed, now);
+    }
+    if (refused && yielding.empty()) {
         undoPlacing(state, job, placed);
         return refuse(submission.token, job.id, *refused, std::move(inputs));
     }
@@ -265,10 +296,21 @@
     inputs.emplace_back("tasks_waiting",
                         std::to_string(job.ready - static_cast<int>(placed.size())));
     job.predictedMs = query.predictedMs;
+    if (!yielding.empty()) {
+        job.predictedMs -= excessMs(state, query);
+    }
     job.correctedMs = correctedMs(query);
     job.ownDelayMs = query.ownDelayMs;
     Effects effects;
+    if (isShared(state.shared) && state.shared.displaces) {
+        inputs.emplace_back("jobs_displaced", std::to_string(yielding.size()));
+        recordSize(state.yields[job.queue.name], job.workMs);
+    }
     effects.emplace_back(LogLine{"job_accepted", std::move(inputs)});
+    for (const std::string &other : yielding) {
+        append(effects,
+               beginDisplacement(state, state.jobs.at(other), job.id, correctedWaitMs(query), now));
+    }
     state.readyTasks += job.ready;
     const std::string id = job.id;
     JobRecord &kept = state.jobs.emplace(id, std::move(job)).first->second;
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -199,6 +199,7 @@
         }
     }
     const std::string job = start.task.substr(0, start.task.find('.'));
+    world.begunJobs.insert(job);
     if (world.finallyRefused.count(job) != 0) {
         reportViolation(world, "job was refused but a task of it started: " + job);
     }
@@ -686,6 +687,9 @@
         const bool isRefused = answer.result.outcome == Transient::JobOutcome::Refused;
         if (isRefused && caller.attempts == 1) {
             world.finallyRefused.insert(caller.job);
+            if (world.begunJobs.count(caller.job) != 0) {
+                reportViolation(world, "job was refused after a task of it started: " + caller.job);
+            }
         }
         return;
     }
@@ -1429,7 +1433,7 @@
             "gateway-" + std::to_string(gateway) + '-' + std::to_string(++world.lastNumber);
     process.state.orphanRelay.self = process.instance;
     process.state.startedMs = world.nowMs;
-    process.state.shared.fromGateways = world.sharedFromGateways;
+    process.state.shared.fromGateways = world.neighbourhood.sharedFromGateways;
     process.state.capacity.linkBytesPerMs = world.linkBytesPerMs;
     process.self = memberOf(world, process.instance, gateway);
     process.discovery = Transient::makeDiscovery(
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -176,6 +176,8 @@
     std::size_t gatewaysOfGateway = 4;
     /// Processes are spread over this many failure domains in turn.
     int failureDomains = 1;
+    /// Backend servers count as shared if gateways know at least this many, with themselves.
+    std::size_t sharedFromGateways = Transient::SharedFleet{}.fromGateways;
 };
 
 struct World
@@ -193,8 +195,6 @@
     /// Pairs of gateways that cannot reach each other, in both orders.
     std::set<std::pair<int, int>> gatewayPartitions;
     Neighbourhood neighbourhood;
-    /// From this number of known gateways on, backend servers count as shared.
-    std::size_t sharedFromGateways = 5;
     OperatorStore store;
     /// Counts the bytes of frames, too, which takes time.
     bool countsBytes = false;
@@ -231,6 +231,8 @@
     /// Violated invariants, in the order in which they were found.
     std::vector<std::string> violations;
     std::set<std::string> finallyRefused;
+    /// Jobs of which a task has started at a backend server.
+    std::set<std::string> begunJobs;
     int starts = 0;
     /// How often an agent took a gateway for lost.
     int lostGateways = 0;
