--- a/Source/Core/Transient/Orders.cpp
+++ b/Source/Core/Transient/Orders.cpp
@@ -48,6 +48,7 @@
         query.runMs = Dispatch::meanRunMs(state.fleet.estimates, step.profile);
         query.priority = job.queue.priority;
         query.tasksByAgent = &step.tasksByAgent;
+        query.spreads = isShared(state.shared) && state.shared.bindsLate;
         for (std::size_t index = 0; index < step.tasks.size(); ++index) {
             const TaskRecord &task = step.tasks[index];
             if (task.phase != TaskPhase::Ready) {
--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -15,6 +15,9 @@
 /// otherwise several gateways would all choose the same backend server between two reports of its
 /// load.
 constexpr double TieToleranceMs = 4;
+/// Share of the expected run time by which a backend server may be slower than the best one and
+/// still be chosen where many gateways choose by the same reports.
+constexpr double SpreadShare = 0.3;
 /// A waiting task delays all tasks that come after it, and its wait is less certain than its run
 /// time.
 constexpr double WaitWeight = 3;
@@ -49,51 +52,111 @@
                       != query.avoided->end();
 }
 
-std::optional<Placement> placeAmong(Fleet &fleet, const PlacementQuery &query, bool allowsAvoided,
-                                    std::int64_t nowMs, Common::Random &random)
+struct Candidate
 {
-    std::optional<Placement> best;
+    Placement placement;
+    double costMs = 0;
+    double freeProcessors = 0;
+};
+
+Candidate makeCandidate(const Fleet &fleet, const PlacementQuery &query, const std::string &name,
+                        const AgentView &agent, std::int64_t nowMs)
+{
+    const double processors = query.step->resources.processors;
+    const double remote = hasLabel(agent, query.step->dataRack) ? 1 : RemoteDataFactor;
+    Candidate candidate;
+    Placement &placement = candidate.placement;
+    placement.agent = name;
+    placement.waitMs = fleet.decisions.usesForecasts
+                               ? expectedWaitMs(agent, processors, query.priority, nowMs)
+                               : meanWaitMs(agent, processors);
+    placement.runMs = query.runMs * Dispatch::speedFactor(agent.speed) * remote;
+    placement.expectedMs = placement.runMs;
+    if (fleet.decisions.usesPaces) {
+        placement.runMs *= std::max(agent.load.slowdown, 1.0);
+    }
+    const double weight = fleet.decisions.weighsWaits ? WaitWeight : 1;
+    candidate.costMs = placement.waitMs * weight + placement.runMs;
+    candidate.freeProcessors = freeProcessors(agent);
+    return candidate;
+}
+
+std::vector<Candidate> findCandidates(const Fleet &fleet, const PlacementQuery &query,
+                                      bool allowsAvoided, std::int64_t nowMs)
+{
+    std::vector<Candidate> candidates;
+    for (const auto &[name, agent] : fleet.agents) {
+        if (acceptsTasks(agent, query.service, nowMs) && isEligible(agent, *query.step)
+            && isBelowTaskLimit(agent, query) && (allowsAvoided || !isAvoided(agent, query))) {
+            candidates.push_back(makeCandidate(fleet, query, name, agent, nowMs));
+        }
+    }
+    return candidates;
+}
+
+/// Returns the candidate of least cost, one of them at random where several cost about as much.
+const Candidate *chooseCheapest(const Fleet &fleet, const std::vector<Candidate> &candidates,
+                                Common::Random &random)
+{
+    const Candidate *best = nullptr;
     double leastCostMs = std::numeric_limits<double>::max();
     std::uint64_t ties = 0;
-    int withRoom = 0;
-    for (auto &[name, agent] : fleet.agents) {
-        if (!acceptsTasks(agent, query.service, nowMs) || !isEligible(agent, *query.step)
-            || !isBelowTaskLimit(agent, query) || (!allowsAvoided && isAvoided(agent, query))) {
-            continue;
-        }
-        const double remote = hasLabel(agent, query.step->dataRack) ? 1 : RemoteDataFactor;
-        Placement candidate;
-        candidate.agent = name;
-        candidate.waitMs = fleet.decisions.usesForecasts
-                                   ? expectedWaitMs(agent, query.step->resources.processors,
-                                                    query.priority, nowMs)
-                                   : meanWaitMs(agent, query.step->resources.processors);
-        withRoom += candidate.waitMs <= 0 ? 1 : 0;
-        candidate.runMs = query.runMs * Dispatch::speedFactor(agent.speed) * remote;
-        candidate.expectedMs = candidate.runMs;
-        if (fleet.decisions.usesPaces) {
-            candidate.runMs *= std::max(agent.load.slowdown, 1.0);
-        }
-        const double weight = fleet.decisions.weighsWaits ? WaitWeight : 1;
-        const double costMs = candidate.waitMs * weight + candidate.runMs;
-        if (costMs < leastCostMs - TieToleranceMs) {
-            best = candidate;
-            leastCostMs = costMs;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.costMs < leastCostMs - TieToleranceMs) {
+            best = &candidate;
+            leastCostMs = candidate.costMs;
             ties = 1;
-        } else if (costMs <= leastCostMs + TieToleranceMs && fleet.decisions.breaksTies) {
+        } else if (candidate.costMs <= leastCostMs + TieToleranceMs && fleet.decisions.breaksTies) {
             ++ties;
             if (std::uniform_int_distribution<std::uint64_t>(1, ties)(random) == 1) {
-                best = candidate;
-                leastCostMs = std::min(leastCostMs, costMs);
+                best = &candidate;
+                leastCostMs = std::min(leastCostMs, candidate.costMs);
             }
         }
     }
-    if (best) {
-        best->hasAlternative = withRoom > (best->waitMs <= 0 ? 1 : 0);
-    }
     return best;
 }
 
+/// Returns one of the candidates that have room and cost little more than \a cheapest, at random by
+/// their free processors; \a cheapest if there is none.
+const Candidate *spread(const std::vector<Candidate> &candidates, const Candidate &cheapest,
+                        double runMs, Common::Random &random)
+{
+    const double limitMs = cheapest.costMs + std::max(runMs * SpreadShare, TieToleranceMs);
+    const Candidate *chosen = &cheapest;
+    double weights = 0;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.placement.waitMs > 0 || candidate.costMs > limitMs
+            || candidate.freeProcessors <= 0) {
+            continue;
+        }
+        weights += candidate.freeProcessors;
+        if (std::uniform_real_distribution<double>(0, weights)(random) < candidate.freeProcessors) {
+            chosen = &candidate;
+        }
+    }
+    return chosen;
+}
+
+std::optional<Placement> placeAmong(const Fleet &fleet, const PlacementQuery &query,
+                                    bool allowsAvoided, std::int64_t nowMs, Common::Random &random)
+{
+    const std::vector<Candidate> candidates = findCandidates(fleet, query, allowsAvoided, nowMs);
+    const Candidate *chosen = chooseCheapest(fleet, candidates, random);
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    if (query.spreads) {
+        chosen = spread(candidates, *chosen, query.runMs, random);
+    }
+    Placement placement = chosen->placement;
+    placement.hasAlternative =
+            std::any_of(candidates.begin(), candidates.end(), [chosen](const Candidate &other) {
+                return &other != chosen && other.placement.waitMs <= 0;
+            });
+    return placement;
+}
+
 } // namespace
 
 double meanWaitMs(const AgentView &agent, double processors)
--- a/Source/Core/Transient/Placement.h
+++ b/Source/Core/Transient/Placement.h
@@ -30,6 +30,9 @@
     /// Names of agents where the task has failed or that returned it; used only if there is no
     /// other.
     const std::vector<std::string> *avoided = nullptr;
+    /// Spreads tasks over backend servers with room that are about as fast: many gateways would
+    /// otherwise choose the same ones between two reports of their load.
+    bool spreads = false;
 };
 
 struct Placement
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -508,6 +508,28 @@
     return playIn(*makeWorld(seed, 3, 4), commands, trace);
 }
 
+/// Plays on a site whose gateways limit the waits of the tasks that they order.
+std::string playWithReturns(const std::vector<Command> &commands, std::uint64_t seed,
+                            std::ostream *trace)
+{
+    auto world = makeWorld(seed, 3, 4);
+    world->sharedFromGateways = 1;
+    for (SiteGateway &gateway : world->gateways) {
+        gateway.state.shared.fromGateways = 1;
+    }
+    return playIn(*world, commands, trace);
+}
+
+std::string findViolationsWithReturns(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    return playWithReturns(commands, seed, nullptr);
+}
+
+void printTraceWithReturns(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    playWithReturns(commands, seed, &std::cerr);
+}
+
 /// Plays on a site where each process is connected to some of the others only.
 std::string playAmongMany(const std::vector<Command> &commands, std::uint64_t seed,
                           std::ostream *trace)
@@ -662,6 +684,13 @@
                                   findViolationsAmongMany, printTraceAmongMany);
 }
 
+TEST_CASE("Random faults violate no invariant where agents return tasks that would wait")
+{
+    // Guards against a run at two agents when the report that returns a task is lost or late.
+    PropertyCheck::check<Command>({"returned tasks", 60, 100}, anyCommandWithTrouble(),
+                                  findViolationsWithReturns, printTraceWithReturns);
+}
+
 TEST_CASE("Random evacuations violate no invariant of transient jobs")
 {
     // Guards against starts in a failure domain long after its evacuation was acknowledged.
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -1281,6 +1281,7 @@
         SiteGateway &process = world.gateways[gateway];
         if (process.isUp && world.nowMs >= process.frozenUntilMs) {
             followOperators(world, static_cast<int>(gateway));
+            process.state.shared.knownGateways = Transient::knownGateways(process.discovery) + 1;
             carryOut(world, static_cast<int>(gateway),
                      Transient::tick(process.state, moment(world), world.random));
             updatePeers(world, static_cast<int>(gateway));
@@ -1423,6 +1424,7 @@
             "gateway-" + std::to_string(gateway) + '-' + std::to_string(++world.lastNumber);
     process.state.orphanRelay.self = process.instance;
     process.state.startedMs = world.nowMs;
+    process.state.shared.fromGateways = world.sharedFromGateways;
     process.state.capacity.linkBytesPerMs = world.linkBytesPerMs;
     process.self = memberOf(world, process.instance, gateway);
     process.discovery = Transient::makeDiscovery(
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -191,6 +191,8 @@
     /// Pairs of gateways that cannot reach each other, in both orders.
     std::set<std::pair<int, int>> gatewayPartitions;
     Neighbourhood neighbourhood;
+    /// From this number of known gateways on, backend servers count as shared.
+    std::size_t sharedFromGateways = 5;
     OperatorStore store;
     /// Counts the bytes of frames, too, which takes time.
     bool countsBytes = false;
