Transient: forward submissions of weak gateways

Weak gateways spend their processor time on the frames of their jobs and answer late, while other gateways have processors to spare. Active only on shared sites with known processors and not disabled.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -222,8 +222,10 @@
                                            const Schema::JobQueue &queue)
 {
     const auto found = this->control.state.jobs.find(callerRequest.id);
-    const bool isKnown = found != this->control.state.jobs.end()
-                         && found->second.queue.name == queue.name && !found->second.result;
+    const bool isHere = found != this->control.state.jobs.end()
+                        && found->second.queue.name == queue.name && !found->second.result;
+    const bool isKnown =
+            isHere || Transient::isForwarded(this->control.state, callerRequest.id, queue.name);
     if (!isKnown) {
         this->refuse(callerRequest, Gone, Reason::UnknownJob, "no such job");
         return;
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -49,12 +49,14 @@
 
     void carryOut(Transient::Effects effects);
     void carryOut(const Transient::SendToAgent &effect) { this->links.sendTo(effect); }
-    void carryOut(const Transient::AnswerCaller &effect) { this->callers.answer(effect); }
+    void carryOut(const Transient::SendToGateway &effect) { this->links.sendTo(effect); }
+    void carryOut(const Transient::AnswerCaller &effect);
     void carryOut(const Transient::CountReason &effect);
     void carryOut(const Transient::ObserveSeconds &effect);
     void carryOut(const Transient::SetGauge &effect);
     void carryOut(const Transient::LogLine &effect);
 
+    void observeProcessors();
     void runPeriodicWork();
     std::int64_t nextWakeMs() const;
     bool isStopComplete() const;
@@ -131,10 +133,11 @@
 }
 
 /// Callers may keep using open connections until the process exits: while there are any, it runs
-/// until the stop deadline.
+/// until the stop deadline. Other gateways wait for the results of the jobs that they forwarded.
 bool TransientDaemon::Implementation::isStopComplete() const
 {
-    return this->callers.isIdle() || this->control.now.steadyMs >= this->stopDeadlineMs;
+    const bool isIdle = this->callers.isIdle() && this->control.state.forwarding.in.empty();
+    return isIdle || this->control.now.steadyMs >= this->stopDeadlineMs;
 }
 
 std::int64_t TransientDaemon::Implementation::nextWakeMs() const
@@ -188,9 +191,20 @@
     }
 }
 
+void TransientDaemon::Implementation::carryOut(const Transient::AnswerCaller &effect)
+{
+    if (auto forwarded = Transient::answerForwarded(this->control.state, effect)) {
+        this->carryOut(*std::move(forwarded));
+    } else {
+        this->callers.answer(effect);
+    }
+}
+
 void TransientDaemon::Implementation::carryOut(const Transient::CountReason &effect)
 {
-    this->control.metrics.count(effect.counter, {{"reason", Schema::enumName(effect.reason)}});
+    Common::MetricLabels labels = effect.labels;
+    labels["reason"] = Schema::enumName(effect.reason);
+    this->control.metrics.count(effect.counter, labels);
 }
 
 void TransientDaemon::Implementation::carryOut(const Transient::ObserveSeconds &effect)
@@ -210,10 +224,25 @@
     Common::logEvent(effect.level, effect.event, effect.fields);
 }
 
+void TransientDaemon::Implementation::observeProcessors()
+{
+    TransientControl &control = this->control;
+    Transient::ProcessorUse &use = control.state.forwarding.use;
+    if (!Transient::takesPartInForwarding(control.state)
+        || control.now.steadyMs < Transient::nextProcessorSampleMs(use)) {
+        return;
+    }
+    Transient::observeProcessorUse(use, Common::processCpuSeconds(),
+                                   control.state.capacity.processors, control.now);
+    control.metrics.set("auburntrail_processor_used_share", use.usedShare);
+    control.metrics.set("auburntrail_spare_processors", Transient::spareProcessors(control.state));
+}
+
 void TransientDaemon::Implementation::runPeriodicWork()
 {
     TransientControl &control = this->control;
     control.state.shared.knownGateways = Transient::knownGateways(control.discovery) + 1;
+    this->observeProcessors();
     this->carryOut(Transient::tick(control.state, control.now, control.random));
     this->links.runPeriodicWork();
     this->store.runPeriodicWork();
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -54,6 +54,9 @@
     }
     if (link.gateway) {
         Common::logEvent(LogLevel::Info, "gateway_unlinked", {{"gateway", link.gateway->instance}});
+        this->gatewayLinks.erase(link.forwardingKey);
+        this->carryOut(Transient::handlePeerLost(this->control.state, link.forwardingKey,
+                                                 this->control.now));
     }
     const auto agent = this->agentLinks.find(link.agent);
     if (agent != this->agentLinks.end() && agent->second == event.link) {
@@ -83,7 +86,7 @@
         this->gatewayAnnounced(event.link, *frame.gatewayAnnouncement);
     } else if (frame.queueTable) {
         this->takeQueues(*frame.queueTable, link.gateway ? link.gateway->instance : "unknown");
-    } else {
+    } else if (!link.gateway || !this->handleForwardingFrame(link, frame)) {
         Common::logEvent(LogLevel::Warning, "frame_unexpected",
                          {{"type", Schema::enumName(frame.type)}});
     }
@@ -153,6 +156,7 @@
         }
     }
     link.gateway = announcement.gateway;
+    this->observeSpare(id, announcement);
     if (announcement.evacuations) {
         this->carryOut(Transient::evacuationsTold(this->control.state, *announcement.evacuations,
                                                   announcement.gateway.instance, this->control.now,
@@ -171,6 +175,44 @@
     }
 }
 
+void TransientLinks::observeSpare(Net::LinkId id, const Schema::GatewayAnnouncement &announcement)
+{
+    const std::string &instance = announcement.gateway.instance;
+    PeerLink &link = this->links.at(id);
+    if (link.forwardingKey.empty()) {
+        link.forwardingKey = instance + '#' + std::to_string(id);
+        this->gatewayLinks[link.forwardingKey] = id;
+    }
+    link.countsSpare =
+            std::none_of(this->links.begin(), this->links.end(), [&instance, id](const auto &one) {
+                return one.first != id && one.second.countsSpare && one.second.gateway
+                       && one.second.gateway->instance == instance;
+            });
+    if (link.countsSpare) {
+        Transient::spareAnnounced(this->control.state, link.forwardingKey, announcement,
+                                  this->control.now);
+    }
+}
+
+bool TransientLinks::handleForwardingFrame(const PeerLink &link, const Schema::Frame &frame)
+{
+    Transient::GatewayState &state = this->control.state;
+    const std::string peer = link.forwardingKey;
+    if (frame.forwardedJob) {
+        this->carryOut(Transient::forwardedJobReceived(state, peer, *frame.forwardedJob,
+                                                       this->control.now, this->control.random));
+    } else if (frame.forwardedResult) {
+        this->carryOut(Transient::forwardedResultReceived(state, peer, *frame.forwardedResult,
+                                                          this->control.now, this->control.random));
+    } else if (frame.forwardedCancel) {
+        this->carryOut(Transient::forwardedCancelReceived(state, peer, *frame.forwardedCancel,
+                                                          this->control.now));
+    } else {
+        return false;
+    }
+    return true;
+}
+
 void TransientLinks::sendQueues(Net::LinkId id)
 {
     Schema::Frame frame = frameOf(Schema::FrameType::QueueTable);
@@ -212,6 +254,19 @@
     }
 }
 
+void TransientLinks::sendTo(const Transient::SendToGateway &effect)
+{
+    const auto found = this->gatewayLinks.find(effect.peer);
+    if (found != this->gatewayLinks.end() && this->hub->send(found->second, effect.frame)) {
+        return;
+    }
+    this->control.metrics.count("auburntrail_frames_undeliverable_total", {{"to", "gateway"}});
+    if (found != this->gatewayLinks.end()) {
+        this->hub->close(found->second);
+    }
+    this->carryOut(Transient::handlePeerLost(this->control.state, effect.peer, this->control.now));
+}
+
 void TransientLinks::announceTo(Net::LinkId id, PeerLink &link)
 {
     Schema::Frame frame = frameOf(Schema::FrameType::GatewayAnnouncement);
@@ -230,6 +285,10 @@
             link.agent.empty() ? nullptr
                                : Transient::findAgent(this->control.state.fleet, link.agent);
     frame.gatewayAnnouncement->echoMs = agent == nullptr ? 0 : agent->load.sentMs;
+    if (link.gateway) {
+        Transient::addSpare(*frame.gatewayAnnouncement, this->control.state, link.forwardingKey,
+                            this->control.now);
+    }
     if (agent != nullptr) {
         frame.gatewayAnnouncement->loadIntervalMs =
                 Transient::loadIntervalMs(this->control.state.capacity, this->agentLinks.size());
@@ -305,7 +364,8 @@
 {
     for (const auto &[id, link] : this->links) {
         if (link.gateway && !link.address.empty()
-            && Transient::isSurplus(this->control.discovery, link.address)) {
+            && Transient::isSurplus(this->control.discovery, link.address)
+            && !Transient::usesPeer(this->control.state.forwarding, link.forwardingKey)) {
             this->hub->close(id);
         }
     }
@@ -313,9 +373,13 @@
 
 std::int64_t TransientLinks::nextHeartbeatMs(const PeerLink &link) const
 {
+    const bool announcesSpare =
+            link.gateway && Transient::takesPartInForwarding(this->control.state);
+    const std::int64_t intervalMs = announcesSpare ? std::min(this->control.settings.heartbeatMs,
+                                                              Transient::SpareIntervalMs)
+                                                   : this->control.settings.heartbeatMs;
     const std::int64_t heartbeatMs = Transient::nextHeartbeatMs(
-            link.told, this->control.discovery, this->control.state.fleet.evacuations,
-            this->control.settings.heartbeatMs);
+            link.told, this->control.discovery, this->control.state.fleet.evacuations, intervalMs);
     if (!link.gateway) {
         return heartbeatMs;
     }
--- a/Source/Core/Gateway/TransientLinks.h
+++ b/Source/Core/Gateway/TransientLinks.h
@@ -29,6 +29,7 @@
     void on(const Net::FrameArrived &event);
 
     void sendTo(const Transient::SendToAgent &effect);
+    void sendTo(const Transient::SendToGateway &effect);
     /// Replaces the queue table by \a newer, if that is newer. \a source is where it comes from,
     /// for the log.
     void takeQueues(Schema::QueueTable newer, const std::string &source);
@@ -48,6 +49,10 @@
         /// Name of the agent, the same for all its processes; empty like its instance.
         std::string agentName;
         std::optional<Schema::Member> gateway;
+        /// Key of this link in Transient::Forwarding; empty until the gateway has announced itself.
+        std::string forwardingKey;
+        /// Of several links to the same gateway, one counts for what it can spare.
+        bool countsSpare = false;
         std::int64_t lastReceivedMs = 0;
         Transient::ToldPeer told;
         Transient::ToldOrphans toldOrphans;
@@ -58,6 +63,9 @@
     std::optional<Net::LinkId> otherLinkOf(const std::string &agentName, Net::LinkId id) const;
     void replaceLink(Net::LinkId id);
     void gatewayAnnounced(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
+    void observeSpare(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
+    /// Handles a frame about a forwarded job. Returns false if it is another frame.
+    bool handleForwardingFrame(const PeerLink &link, const Schema::Frame &frame);
     void sendQueues(Net::LinkId id);
     void announceTo(Net::LinkId id, PeerLink &link);
     void closeSilentLinks();
@@ -71,6 +79,8 @@
     TransientEffectHandler carryOut;
     std::map<Net::LinkId, PeerLink> links;
     std::map<std::string, Net::LinkId> agentLinks;
+    /// By forwarding key.
+    std::map<std::string, Net::LinkId> gatewayLinks;
     /// When the traffic was last reported, and what had been sent and used until then.
     std::int64_t trafficReportedMs = 0;
     Net::PeerHubTraffic reportedTraffic;
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -221,13 +221,15 @@
 {
     Effects effects;
     const auto found = state.parked.find(id);
-    if (found == state.parked.end() || state.jobs.count(id) != 0 || isOrphaned(state, id, now)) {
+    if (found == state.parked.end() || state.jobs.count(id) != 0
+        || state.forwarding.out.count(id) != 0 || isOrphaned(state, id, now)) {
         return effects;
     }
     std::vector<Submission> waiting = std::move(found->second);
     state.parked.erase(found);
     for (Submission &submission : waiting) {
-        append(effects, jobSubmitted(state, std::move(submission), now, random));
+        append(effects,
+               handleSubmission(state, std::move(submission), MayForward::No, now, random));
     }
     return effects;
 }
--- a/Source/Core/Transient/Effects.h
+++ b/Source/Core/Transient/Effects.h
@@ -21,6 +21,14 @@
     Schema::Frame frame;
 };
 
+/// Sends a frame about a forwarded job.
+struct SendToGateway
+{
+    /// Key of the link; see Forwarding.h.
+    std::string peer;
+    Schema::Frame frame;
+};
+
 struct AnswerCaller
 {
     std::string token;
@@ -33,6 +41,8 @@
 {
     std::string counter;
     Schema::Reason reason = Schema::Reason::None;
+    /// Labels besides the reason.
+    Common::MetricLabels labels{};
 };
 
 struct ObserveSeconds
@@ -56,8 +66,8 @@
     Common::LogLevel level = Common::LogLevel::Info;
 };
 
-using Effect =
-        std::variant<SendToAgent, AnswerCaller, CountReason, ObserveSeconds, SetGauge, LogLine>;
+using Effect = std::variant<SendToAgent, SendToGateway, AnswerCaller, CountReason, ObserveSeconds,
+                            SetGauge, LogLine>;
 using Effects = std::vector<Effect>;
 using Common::append;
 
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -66,6 +66,7 @@
         }
     }
     state.parked.clear();
+    append(effects, endAllForwarded(state));
     return effects;
 }
 
@@ -143,6 +144,12 @@
 
 Effects jobSubmitted(GatewayState &state, Submission submission, Common::Moment now,
                      Common::Random &random)
+{
+    return handleSubmission(state, std::move(submission), MayForward::Yes, now, random);
+}
+
+Effects handleSubmission(GatewayState &state, Submission submission, MayForward mayForward,
+                         Common::Moment now, Common::Random &random)
 {
     Effects effects;
     submission.arrivedMs = submission.arrivedMs.value_or(now.steadyMs);
@@ -155,7 +162,15 @@
     }
     const auto found = state.jobs.find(id);
     if (found == state.jobs.end()) {
+        if (state.forwarding.out.count(id) != 0) {
+            return joinForwarded(state, std::move(submission), now);
+        }
         if (!isOrphaned(state, id, now)) {
+            if (mayForward == MayForward::Yes && state.parked.count(id) == 0) {
+                if (auto forwarded = forward(state, submission, now, random)) {
+                    return *std::move(forwarded);
+                }
+            }
             return admit(state, std::move(submission), now, random);
         }
         effects.emplace_back(LogLine{"job_parked", {{"job", id}, {"orphaned", "true"}}});
@@ -189,6 +204,9 @@
                                [&token](const Submission &one) { return one.token == token; }),
                 waiting.end());
     }
+    if (auto effects = forwardedCallerLeft(state, token)) {
+        return *std::move(effects);
+    }
     for (auto &[id, job] : state.jobs) {
         const auto found = std::find(job.tokens.begin(), job.tokens.end(), token);
         if (found == job.tokens.end()) {
@@ -208,6 +226,9 @@
 
 Effects jobCancelled(GatewayState &state, const std::string &id, Common::Moment now)
 {
+    if (state.forwarding.out.count(id) != 0) {
+        return endForwarded(state, id, Reason::Cancelled);
+    }
     const auto found = state.jobs.find(id);
     if (found == state.jobs.end() || found->second.result) {
         return {};
@@ -235,6 +256,7 @@
     append(effects, settleFormerAgents(state, now, random));
     append(effects, endOverdue(state, now, random));
     append(effects, endEvacuated(state, now, random));
+    append(effects, updateForwarded(state, now, random));
     append(effects, admitReleased(state, now, random));
     if (state.isStopping && now.steadyMs >= state.stopDeadlineMs) {
         append(effects, endAll(state, now));
@@ -262,6 +284,7 @@
             next = std::min(next, agent.settledAtMs);
         }
     }
+    next = std::min(next, nextForwardedMs(state, now.steadyMs + SweepMs));
     if (state.readyTasks > 0 || !state.parked.empty()) {
         next = std::min(next, now.steadyMs + SweepMs);
     }
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -12,10 +12,12 @@
 #include "Transient/Capacity.h"
 #include "Transient/Effects.h"
 #include "Transient/Fleet.h"
+#include "Transient/Forwarding.h"
 #include "Transient/JobTable.h"
 #include "Transient/OrphanRelay.h"
 #include "Transient/RemainingTimeout.h"
 #include "Transient/SharedFleet.h"
+#include "Transient/Submission.h"
 
 /// State machine of a gateway for transient jobs. Every event goes through it, in the order in
 /// which the control thread handles events.
@@ -51,18 +53,6 @@
 /// \a silenceMs and renew leases for \a leaseMs.
 std::int64_t settleTimeMs(std::int64_t silenceMs, std::int64_t leaseMs);
 
-/// A submission as it arrives.
-struct Submission
-{
-    std::string token;
-    Schema::JobQueue queue;
-    JobRequest request;
-    /// How long its caller waits, from its arrival on.
-    std::int64_t remainingTimeoutMs = 0;
-    /// On the steady clock; nothing if it arrives just now.
-    std::optional<std::int64_t> arrivedMs;
-};
-
 /// Highest attempt number of a former job at this gateway, from which a new job with the same id
 /// counts on. Agents report recent ends again on a new connection: if the new job used the same
 /// numbers, the end of a former attempt would end one that still runs.
@@ -104,6 +94,8 @@
     std::int64_t lateJobsListedMs = 0;
     /// Submissions, by id, of which an earlier job with the same id may still have running tasks.
     std::unordered_map<std::string, std::vector<Submission>> parked;
+    /// Jobs that this gateway has forwarded, and those that others have forwarded to it.
+    Forwarding forwarding;
     /// Learned times are written to the store, and read from it at the start.
     bool storesLearned = true;
     /// Last round of timers.
@@ -114,7 +106,7 @@
 
 /// Handles a submission. If the job is known here, the request gets its result, or waits for it; it
 /// is parked while tasks of an earlier job with the same id may still run. Otherwise the job is
-/// admitted or refused.
+/// forwarded, admitted or refused.
 Effects jobSubmitted(GatewayState &state, Submission submission, Common::Moment now,
                      Common::Random &random);
 /// Handles a closed connection of a request. A job is ended when no request waits for it any more.
--- a/Source/Core/Transient/JobsInternal.h
+++ b/Source/Core/Transient/JobsInternal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,33 @@
 /// The integral part of \a value, for log fields.
 std::string text(double value);
 
+// Jobs.cpp: submissions
+
+enum class MayForward { No, Yes };
+
+Effects handleSubmission(GatewayState &state, Submission submission, MayForward mayForward,
+                         Common::Moment now, Common::Random &random);
+
+// Forwarding.cpp: forwarded jobs
+
+/// Forwards the submission of an unknown id if this gateway is short of processor time and another
+/// one has processors to spare. Otherwise returns nothing and leaves \a submission as it is.
+std::optional<Effects> forward(GatewayState &state, Submission &submission, Common::Moment now,
+                               Common::Random &random);
+/// Lets a further request of a forwarded job wait for its result, or parks it.
+Effects joinForwarded(GatewayState &state, Submission submission, Common::Moment now);
+/// Removes the token of a caller that has left; nothing if it waits for no forwarded job.
+std::optional<Effects> forwardedCallerLeft(GatewayState &state, const std::string &token);
+/// Answers the requests of a forwarded job with gave_up and \a reason, and cancels it.
+Effects endForwarded(GatewayState &state, const std::string &id, Schema::Reason reason);
+/// Ends forwarded jobs past their deadline, answers those of lost peers once nothing of them can
+/// run, and sends the results that waited until nothing of a job was left to run.
+Effects updateForwarded(GatewayState &state, Common::Moment now, Common::Random &random);
+/// Ends all forwarded jobs when a stopping gateway has no time left.
+Effects endAllForwarded(GatewayState &state);
+/// When updateForwarded() is due next.
+std::int64_t nextForwardedMs(const GatewayState &state, std::int64_t sweepMs);
+
 // Admit.cpp: submissions
 
 /// Admits or refuses a job whose id is unknown here.
--- a/Source/Core/Transient/Orphans.cpp
+++ b/Source/Core/Transient/Orphans.cpp
@@ -66,7 +66,8 @@
 {
     std::vector<std::string> released;
     for (const auto &[id, waiting] : state.parked) {
-        if (state.jobs.count(id) == 0 && !isOrphaned(state, id, now)) {
+        if (state.jobs.count(id) == 0 && state.forwarding.out.count(id) == 0
+            && !isOrphaned(state, id, now)) {
             released.push_back(id);
         }
     }
--- a/Source/Core/Transient/Transient.h
+++ b/Source/Core/Transient/Transient.h
@@ -9,6 +9,7 @@
 #include "Transient/Effects.h"
 #include "Transient/Evacuations.h"
 #include "Transient/Fleet.h"
+#include "Transient/Forwarding.h"
 #include "Transient/Heartbeats.h"
 #include "Transient/Job.h"
 #include "Transient/Jobs.h"
--- a/Source/UnitTests/Transient/SitePropertyTest.cpp
+++ b/Source/UnitTests/Transient/SitePropertyTest.cpp
@@ -538,6 +538,32 @@
     return playIn(*makeWorld(seed, 6, 6, {}, Few), commands, trace);
 }
 
+/// A site where each process is connected to some of the others only, and one gateway forwards jobs
+/// to the others.
+std::unique_ptr<World> makeForwardingWorld(std::uint64_t seed)
+{
+    constexpr Neighbourhood Few{3, 2, 1};
+    auto world = makeWorld(seed, 6, 6, {}, Few);
+    makeBusy(*world, 1);
+    return world;
+}
+
+std::string playWithForwarding(const std::vector<Command> &commands, std::uint64_t seed,
+                               std::ostream *trace)
+{
+    return playIn(*makeForwardingWorld(seed), commands, trace);
+}
+
+std::string findViolationsWithForwarding(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    return playWithForwarding(commands, seed, nullptr);
+}
+
+void printTraceWithForwarding(const std::vector<Command> &commands, std::uint64_t seed)
+{
+    playWithForwarding(commands, seed, &std::cerr);
+}
+
 /// Plays on a site of three failure domains.
 std::string playWithEvacuations(const std::vector<Command> &commands, std::uint64_t seed,
                                 std::ostream *trace)
@@ -691,6 +717,32 @@
                                   findViolationsWithReturns, printTraceWithReturns);
 }
 
+TEST_CASE("Random faults violate no invariant where a gateway forwards jobs")
+{
+    // Guards against a run at the sender or after a resubmission while the receiver still runs the
+    // job, and against refusals of jobs of which the receiver has run something.
+    PropertyCheck::check<Command>({"forwarded jobs", 60, 100}, anyCommandWithTrouble(),
+                                  findViolationsWithForwarding, printTraceWithForwarding);
+}
+
+TEST_CASE("Jobs are forwarded on the site of the random faults")
+{
+    // Guards against a search in which no job is forwarded.
+    auto world = makeForwardingWorld(1);
+    runFor(*world, 3000);
+    for (int job = 0; job < 20; ++job) {
+        submit(*world, 0, {50}, 1);
+        runFor(*world, 100);
+    }
+    runFor(*world, 3000);
+    CHECK(world->forwarded == 20);
+    CHECK(world->forwardedResults == 20);
+    CHECK(world->violations.empty());
+    for (const Caller &caller : world->callers) {
+        CHECK(caller.result.outcome == Transient::JobOutcome::Succeeded);
+    }
+}
+
 TEST_CASE("Random evacuations violate no invariant of transient jobs")
 {
     // Guards against starts in a failure domain long after its evacuation was acknowledged.
--- a/Source/UnitTests/Transient/TransientWorld.cpp
+++ b/Source/UnitTests/Transient/TransientWorld.cpp
@@ -136,6 +136,7 @@
 void carryOutOne(World & /*world*/, int /*process*/, const Transient::ObserveSeconds & /*effect*/)
 {}
 void carryOut(World &world, int gateway, const Transient::Effects &effects);
+void sendFrameToPeer(World &world, int from, int to, const Frame &frame);
 void carryOut(World &world, int agent, const Runner::Effects &effects);
 
 std::string domainOf(const World &world, int index)
@@ -643,6 +644,12 @@
     });
 }
 
+/// Key of a connection between gateways in Transient::Forwarding.
+std::string peerKey(int other, const SitePeer &peer)
+{
+    return std::to_string(other) + '#' + std::to_string(peer.number);
+}
+
 void sendHeartbeat(World &world, int gateway, int agent)
 {
     SiteLink &link = linkOf(world, gateway, agent);
@@ -698,11 +705,30 @@
     }
 }
 
-void carryOutOne(World &world, int /*gateway*/, const Transient::AnswerCaller &effect)
+void carryOutOne(World &world, int gateway, const Transient::AnswerCaller &effect)
 {
+    if (const auto forwarded =
+                Transient::answerForwarded(gatewayAt(world, gateway).state, effect)) {
+        carryOut(world, gateway, *forwarded);
+        return;
+    }
     answerCaller(world, effect);
 }
 
+void carryOutOne(World &world, int gateway, const Transient::SendToGateway &effect)
+{
+    world.forwarded += effect.frame.forwardedJob ? 1 : 0;
+    for (const auto &[other, peer] : gatewayAt(world, gateway).peers) {
+        if (peerKey(other, peer) == effect.peer) {
+            sendFrameToPeer(world, gateway, other, effect.frame);
+            return;
+        }
+    }
+    carryOut(
+            world, gateway,
+            Transient::handlePeerLost(gatewayAt(world, gateway).state, effect.peer, moment(world)));
+}
+
 void carryOut(World &world, int gateway, const Transient::Effects &effects)
 {
     for (const Transient::Effect &effect : effects) {
@@ -829,6 +855,19 @@
            && world.gatewayPartitions.count({from, to}) == 0;
 }
 
+/// A frozen gateway handles the loss when it runs again.
+void losePeer(World &world, int gateway, const std::string &key)
+{
+    SiteGateway &process = gatewayAt(world, gateway);
+    if (!process.isUp) {
+        return;
+    }
+    deliver(world, process, [&world, gateway, key] {
+        carryOut(world, gateway,
+                 Transient::handlePeerLost(gatewayAt(world, gateway).state, key, moment(world)));
+    });
+}
+
 /// Ends the connection at one gateway. Returns its number, or 0 if there is none.
 std::uint64_t closePeerEnd(World &world, int gateway, int peer)
 {
@@ -839,6 +878,7 @@
     }
     const SitePeer closed = found->second;
     process.peers.erase(found);
+    losePeer(world, gateway, peerKey(peer, closed));
     if (closed.isDialled) {
         Transient::dialEnded(process.discovery, addressOfGateway(world, peer), moment(world));
     }
@@ -874,6 +914,9 @@
         accepted->second.isDialled = true;
         return;
     }
+    if (accepted != dialler.peers.end()) {
+        losePeer(world, from, peerKey(to, accepted->second));
+    }
     closePeerEnd(world, to, from);
     SitePeer peer;
     peer.number = ++world.lastNumber;
@@ -883,12 +926,36 @@
     dialler.peers[to] = peer;
 }
 
+void handleForwardingFrame(World &world, int to, const std::string &peer, const Frame &frame)
+{
+    Transient::GatewayState &state = gatewayAt(world, to).state;
+    if (frame.forwardedJob) {
+        carryOut(world, to,
+                 Transient::forwardedJobReceived(state, peer, *frame.forwardedJob, moment(world),
+                                                 world.random));
+    } else if (frame.forwardedResult) {
+        ++world.forwardedResults;
+        carryOut(world, to,
+                 Transient::forwardedResultReceived(state, peer, *frame.forwardedResult,
+                                                    moment(world), world.random));
+    } else {
+        carryOut(world, to,
+                 Transient::forwardedCancelReceived(state, peer, *frame.forwardedCancel,
+                                                    moment(world)));
+    }
+}
+
 void handleFrameAtPeer(World &world, int from, int to, const Frame &frame)
 {
     SiteGateway &receiver = gatewayAt(world, to);
-    const Schema::GatewayAnnouncement &announcement = *frame.gatewayAnnouncement;
     SitePeer &peer = receiver.peers.at(from);
     peer.lastReceivedMs = world.nowMs;
+    if (!frame.gatewayAnnouncement) {
+        handleForwardingFrame(world, to, peerKey(from, peer), frame);
+        return;
+    }
+    const Schema::GatewayAnnouncement &announcement = *frame.gatewayAnnouncement;
+    Transient::spareAnnounced(receiver.state, peerKey(from, peer), announcement, moment(world));
     Transient::addAnnouncedGateway(receiver.discovery, announcement.gateway, moment(world));
     Transient::addGateways(receiver.discovery, announcement.others, moment(world));
     if (announcement.evacuations) {
@@ -917,11 +984,19 @@
     if (!lists.empty() && world.safeguards.relays) {
         frame.gatewayAnnouncement->orphanLists = std::move(lists);
     }
+    Transient::addSpare(*frame.gatewayAnnouncement, sender.state, peerKey(to, peer), moment(world));
+    sendFrameToPeer(world, from, to, frame);
+}
+
+void sendFrameToPeer(World &world, int from, int to, const Frame &frame)
+{
+    SiteGateway &sender = gatewayAt(world, from);
     countFrame(world, sender, frame);
     if (world.gatewayPartitions.count({from, to}) != 0) {
         return;
     }
-    scheduleEvent(world, 2, [&world, from, to, frame, number = peer.number] {
+    const std::uint64_t number = sender.peers.at(to).number;
+    scheduleEvent(world, 2, [&world, from, to, frame, number] {
         SiteGateway &receiver = gatewayAt(world, to);
         if (!receiver.isUp) {
             return;
@@ -1414,6 +1489,30 @@
     }
 }
 
+namespace {
+
+void setProcessors(World &world, int gateway)
+{
+    constexpr double WeakProcessors = 0.12;
+    if (world.busyGateways == 0) {
+        return;
+    }
+    Transient::GatewayState &state = gatewayAt(world, gateway).state;
+    const bool isBusy = gateway < world.busyGateways;
+    state.capacity.processors = isBusy ? WeakProcessors : 1;
+    state.forwarding.use.usedShare = isBusy ? 1 : 0;
+}
+
+} // namespace
+
+void makeBusy(World &world, int gateways)
+{
+    world.busyGateways = gateways;
+    for (std::size_t gateway = 0; gateway < world.gateways.size(); ++gateway) {
+        setProcessors(world, static_cast<int>(gateway));
+    }
+}
+
 void startGateway(World &world, int gateway)
 {
     SiteGateway &process = gatewayAt(world, gateway);
@@ -1426,6 +1525,7 @@
     process.state.startedMs = world.nowMs;
     process.state.shared.fromGateways = world.sharedFromGateways;
     process.state.capacity.linkBytesPerMs = world.linkBytesPerMs;
+    setProcessors(world, gateway);
     process.self = memberOf(world, process.instance, gateway);
     process.discovery = Transient::makeDiscovery(
             {"gateway-" + std::to_string(gateway), process.self.failureDomain,
--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -193,6 +193,9 @@
     Neighbourhood neighbourhood;
     /// From this number of known gateways on, backend servers count as shared.
     std::size_t sharedFromGateways = 5;
+    /// The first gateways, so many, are weak and use all of their processor time; the others use
+    /// none. If there is none, the processors of all gateways are unknown and none forwards.
+    int busyGateways = 0;
     OperatorStore store;
     /// Counts the bytes of frames, too, which takes time.
     bool countsBytes = false;
@@ -230,6 +233,9 @@
     std::vector<std::string> violations;
     std::set<std::string> finallyRefused;
     int starts = 0;
+    /// Jobs that gateways have forwarded, and results that have come back.
+    int forwarded = 0;
+    int forwardedResults = 0;
     /// How often an agent took a gateway for lost.
     int lostGateways = 0;
 };
@@ -255,6 +261,8 @@
 /// wait for it submit again in both cases.
 void killGateway(World &world, int gateway, bool closesConnections);
 void startGateway(World &world, int gateway);
+/// From now on the first \a gateways are short of processor time; see World::busyGateways.
+void makeBusy(World &world, int gateways);
 void freezeGateway(World &world, int gateway, std::int64_t forMs);
 /// Without \a closesConnections it loses power: the gateways see no connection close.
 void killAgent(World &world, int agent, bool closesConnections);
