--- a/Source/Core/Transient/Forwarding.cpp
+++ b/Source/Core/Transient/Forwarding.cpp
@@ -133,7 +133,7 @@
 }
 
 /// Admits here a job that the peer has not taken.
-Effects admitHere(GatewayState &state, ForwardedOut record, Common::Moment now,
+Effects admitHere(GatewayState &state, const ForwardedOut &record, Common::Moment now,
                   Common::Random &random)
 {
     Effects effects;
@@ -514,7 +514,7 @@
             result.outcome == JobOutcome::Refused
             && (result.reason == Reason::ForwardingFailed || result.reason == Reason::Stopping);
     if (wasNotTaken && now.steadyMs < record.deadlineMs) {
-        append(effects, admitHere(state, std::move(record), now, random));
+        append(effects, admitHere(state, record, now, random));
     } else {
         answerTokens(effects, id, record, result);
     }
