--- a/Source/UnitTests/Transient/TransientWorld.h
+++ b/Source/UnitTests/Transient/TransientWorld.h
@@ -195,6 +195,9 @@
     /// Pairs of gateways that cannot reach each other, in both orders.
     std::set<std::pair<int, int>> gatewayPartitions;
     Neighbourhood neighbourhood;
+    /// The first gateways, so many, are weak and use all of their processor time; the others use
+    /// none. If there is none, the processors of all gateways are unknown and none forwards.
+    int busyGateways = 0;
     OperatorStore store;
     /// Counts the bytes of frames, too, which takes time.
     bool countsBytes = false;
@@ -234,6 +237,9 @@
     /// Jobs of which a task has started at a backend server.
     std::set<std::string> begunJobs;
     int starts = 0;
+    /// Jobs that gateways have forwarded, and results that have come back.
+    int forwarded = 0;
+    int forwardedResults = 0;
     /// How often an agent took a gateway for lost.
     int lostGateways = 0;
 };
@@ -259,6 +265,8 @@
 /// wait for it submit again in both cases.
 void killGateway(World &world, int gateway, bool closesConnections);
 void startGateway(World &world, int gateway);
+/// From now on the first \a gateways are short of processor time; see World::busyGateways.
+void makeBusy(World &world, int gateways);
 void freezeGateway(World &world, int gateway, std::int64_t forMs);
 /// Without \a closesConnections it loses power: the gateways see no connection close.
 void killAgent(World &world, int agent, bool closesConnections);
