Net: frames about forwarded jobs are decoded

The codec's table of members lacked the three new frame types, so that the receiver of a forwarded job took it for malformed and closed the link. The worlds of the random searches pass frames without the codec; the new test encodes and decodes each of the three.

--- a/Source/Core/Net/Codec.cpp
+++ b/Source/Core/Net/Codec.cpp
@@ -15,7 +15,7 @@
 using Json = nlohmann::json;
 using Schema::FrameType;
 
-constexpr std::size_t FrameTypeCount = 20;
+constexpr std::size_t FrameTypeCount = 23;
 constexpr Common::NameTable<FrameType, FrameTypeCount> FrameMembers{{
         {FrameType::AgentHello, "agentHello"},
         {FrameType::GatewayPong, "gatewayPong"},
@@ -37,6 +37,9 @@
         {FrameType::WithdrawTasks, "withdrawTasks"},
         {FrameType::GatewayAnnouncement, "gatewayAnnouncement"},
         {FrameType::QueueTable, "queueTable"},
+        {FrameType::ForwardedJob, "forwardedJob"},
+        {FrameType::ForwardedResult, "forwardedResult"},
+        {FrameType::ForwardedCancel, "forwardedCancel"},
 }};
 
 /// Deeper nesting than in any message of the schema.
--- a/Source/UnitTests/Net/CodecTest.cpp
+++ b/Source/UnitTests/Net/CodecTest.cpp
@@ -55,6 +55,27 @@
     }
 }
 
+TEST_CASE("Frames about forwarded jobs come back as they were")
+{
+    // Guards against a frame type without its member in the codec: the receiver closed the link.
+    Schema::Frame job = Schema::frameOf(Schema::FrameType::ForwardedJob);
+    job.forwardedJob = Schema::ForwardedJob{};
+    job.forwardedJob->job = "job";
+    job.forwardedJob->steps.emplace_back();
+    Schema::Frame result = Schema::frameOf(Schema::FrameType::ForwardedResult);
+    result.forwardedResult = Schema::ForwardedResult{};
+    result.forwardedResult->outcome = Schema::TransientOutcome::Refused;
+    result.forwardedResult->reason = Schema::Reason::Displaced;
+    Schema::Frame cancel = Schema::frameOf(Schema::FrameType::ForwardedCancel);
+    cancel.forwardedCancel = Schema::ForwardedCancel{"token"};
+    for (const Schema::Frame &frame : {job, result, cancel}) {
+        const std::string bytes = Net::encodeFrame(frame);
+        const auto decoded = Net::decodeFrame(bytes);
+        REQUIRE(decoded);
+        CHECK(Net::encodeFrame(*decoded) == bytes);
+    }
+}
+
 TEST_CASE("Bytes that are no frame are refused as malformed")
 {
     const Json pong = {{"instance", "g"},
