UnitTests: the replay of a slow gateway has backend servers to spare

The worlds set the number of known gateways in each step now, so that the replay has to choose by its neighbourhood. With four backend servers at 0.3 of their capacity two of 1,062 jobs were refused; the trace shows has_room=false for both (waits of 6 and 8 ms predicted, own delay 44 ms): a moment in which not all tasks of a job have room, where the design allows a refusal.

--- a/Source/UnitTests/Transient/WaitErrorTest.cpp
+++ b/Source/UnitTests/Transient/WaitErrorTest.cpp
@@ -39,13 +39,12 @@
 /// Light load of wide jobs at five gateways, one of which handles agents' frames 40 ms late.
 TransientSite::Outcome replayWeakGateway(bool isShared, std::uint64_t seed)
 {
-    auto world = TransientSite::makeWorld(seed, 5, 4);
-    for (TransientSite::SiteGateway &gateway : world->gateways) {
-        gateway.state.shared.knownGateways = isShared ? ManyGateways : 1;
-    }
+    TransientSite::Neighbourhood neighbourhood;
+    neighbourhood.sharedFromGateways = isShared ? 1 : ManyGateways;
+    auto world = TransientSite::makeWorld(seed, 5, 8, {}, neighbourhood);
     world->gateways[0].handlingDelayMs = 40;
     TransientSite::runFor(*world, 1000);
-    TransientSite::offer(*world, {{50, 1, false}, Tasks, 0}, capacityOf(*world), 0.3, 4000);
+    TransientSite::offer(*world, {{50, 1, false}, Tasks, 0}, capacityOf(*world), 0.15, 4000);
     TransientSite::runFor(*world, 3000);
     CHECK(world->violations.empty());
     CHECK(world->gateways[0].state.waitErrors.empty() == !isShared);
