--- a/Source/Core/Transient/Answers.cpp
+++ b/Source/Core/Transient/Answers.cpp
@@ -52,6 +52,24 @@
 
 } // namespace
 
+Withdrawals withdrawOrdered(JobRecord &job)
+{
+    Withdrawals withdrawals;
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        std::vector<TaskRecord> &tasks = job.steps[step].tasks;
+        for (std::size_t index = 0; index < tasks.size(); ++index) {
+            TaskRecord &task = tasks[index];
+            if (task.phase == TaskPhase::Ordered) {
+                task.phase = TaskPhase::Withdrawn;
+                withdrawals[task.agentInstance].push_back(
+                        {task.attempt,
+                         taskName(job, static_cast<int>(step), static_cast<int>(index))});
+            }
+        }
+    }
+    return withdrawals;
+}
+
 void sendWithdrawals(Effects &effects, Withdrawals &withdrawals)
 {
     for (auto &[agent, tasks] : withdrawals) {
@@ -83,18 +101,11 @@
 Effects endJob(GatewayState &state, JobRecord &job, const JobResult &result, Common::Moment now)
 {
     Effects effects;
-    Withdrawals withdrawals;
-    for (std::size_t step = 0; step < job.steps.size(); ++step) {
-        std::vector<TaskRecord> &tasks = job.steps[step].tasks;
-        for (std::size_t index = 0; index < tasks.size(); ++index) {
-            TaskRecord &task = tasks[index];
-            if (task.phase == TaskPhase::Ordered) {
-                task.phase = TaskPhase::Withdrawn;
-                withdrawals[task.agentInstance].push_back(
-                        {task.attempt,
-                         taskName(job, static_cast<int>(step), static_cast<int>(index))});
-            } else if (task.phase == TaskPhase::Ready || task.phase == TaskPhase::Blocked
-                       || task.phase == TaskPhase::Held) {
+    Withdrawals withdrawals = withdrawOrdered(job);
+    for (StepRecord &step : job.steps) {
+        for (TaskRecord &task : step.tasks) {
+            if (task.phase == TaskPhase::Ready || task.phase == TaskPhase::Blocked
+                || task.phase == TaskPhase::Held) {
                 task.phase = TaskPhase::Dropped;
             }
         }
--- a/Source/Core/Transient/Displacement.cpp
+++ b/Source/Core/Transient/Displacement.cpp
@@ -168,17 +168,10 @@
 Effects beginDisplacement(GatewayState &state, JobRecord &job, const std::string &by,
                           double backlogMs, Common::Moment now)
 {
-    Withdrawals withdrawals;
-    for (std::size_t step = 0; step < job.steps.size(); ++step) {
-        std::vector<TaskRecord> &tasks = job.steps[step].tasks;
-        for (std::size_t index = 0; index < tasks.size(); ++index) {
-            TaskRecord &task = tasks[index];
-            if (task.phase == TaskPhase::Ordered) {
-                task.phase = TaskPhase::Withdrawn;
-                withdrawals[task.agentInstance].push_back(
-                        {task.attempt,
-                         taskName(job, static_cast<int>(step), static_cast<int>(index))});
-            } else if (task.phase == TaskPhase::Ready) {
+    Withdrawals withdrawals = withdrawOrdered(job);
+    for (StepRecord &step : job.steps) {
+        for (TaskRecord &task : step.tasks) {
+            if (task.phase == TaskPhase::Ready) {
                 task.phase = TaskPhase::Held;
             }
         }
--- a/Source/Core/Transient/JobsInternal.h
+++ b/Source/Core/Transient/JobsInternal.h
@@ -106,6 +106,8 @@
 /// Attempts to withdraw, by the agent's instance.
 using Withdrawals = std::map<std::string, std::vector<Schema::TaskAttempt>>;
 
+/// Marks the ordered tasks of the job as withdrawn, and returns their attempts.
+Withdrawals withdrawOrdered(JobRecord &job);
 void sendWithdrawals(Effects &effects, Withdrawals &withdrawals);
 /// Sets the job's result, answers its callers and withdraws the tasks that agents have. The job's
 /// record is kept until none of them can still run.
