Transient: placement copies the name of the chosen agent only

Each task's placement copied the names of all agents, 47 for each of eight tasks of a wide job on the gateways that are short of processor time.

--- a/Source/Core/Transient/Placement.cpp
+++ b/Source/Core/Transient/Placement.cpp
@@ -54,6 +54,9 @@
 
 struct Candidate
 {
+    /// Key in Fleet::agents.
+    const std::string *agent = nullptr;
+    /// Without the agent's name, which is copied for the chosen candidate only.
     Placement placement;
     double costMs = 0;
     double freeProcessors = 0;
@@ -65,8 +68,8 @@
     const double processors = query.step->resources.processors;
     const double remote = hasLabel(agent, query.step->dataRack) ? 1 : RemoteDataFactor;
     Candidate candidate;
+    candidate.agent = &name;
     Placement &placement = candidate.placement;
-    placement.agent = name;
     placement.waitMs = fleet.decisions.usesForecasts
                                ? expectedWaitMs(agent, processors, query.priority, nowMs)
                                : meanWaitMs(agent, processors);
@@ -150,6 +153,7 @@
         chosen = spread(candidates, *chosen, query.runMs, random);
     }
     Placement placement = chosen->placement;
+    placement.agent = *chosen->agent;
     placement.hasAlternative =
             std::any_of(candidates.begin(), candidates.end(), [chosen](const Candidate &other) {
                 return &other != chosen && other.placement.waitMs <= 0;
