Gateway: what processor time is spent on, and how late requests and heartbeats are, is logged

A gateway short of processor time could not show what it spent it on, so that the hypotheses could not be told apart. Each second gateway_load names processor time by thread and by kind of work of the control thread, requests read and decided with the age of the oldest, and the latest heartbeat.

--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -32,12 +32,10 @@
     return static_cast<double>(residentPages) * static_cast<double>(sysconf(_SC_PAGESIZE));
 }
 
-} // namespace
-
-double processCpuSeconds()
+double cpuSeconds(int whose)
 {
     rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
+    getrusage(whose, &usage);
     constexpr double MicrosPerSecond = 1e6;
     const auto seconds = [](const timeval &time) {
         return static_cast<double>(time.tv_sec)
@@ -46,6 +44,18 @@
     return seconds(usage.ru_utime) + seconds(usage.ru_stime);
 }
 
+} // namespace
+
+double processCpuSeconds()
+{
+    return cpuSeconds(RUSAGE_SELF);
+}
+
+double threadCpuSeconds()
+{
+    return cpuSeconds(RUSAGE_THREAD);
+}
+
 Metrics::Metrics()
     : implementation(std::make_unique<Implementation>())
 {}
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -12,6 +12,8 @@
 
 /// Processor time that this process has used.
 double processCpuSeconds();
+/// Processor time that the calling thread has used.
+double threadCpuSeconds();
 
 /// A process's metrics, in the Prometheus text format. Safe to use from any thread; a series is
 /// created when first used. Names follow the Prometheus convention (auburntrail_..._total,
--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -155,6 +155,7 @@
                            callerRequest.failure = failure;
                        });
     }
+    this->control.load.requestRead(Common::currentMoment().steadyMs - request.arrivedMs);
     this->mailbox.post(std::move(callerRequest));
 }
 
@@ -204,6 +205,7 @@
         return;
     }
     observeOwnDelaySince(this->control, callerRequest.arrivedMs);
+    this->control.load.requestDecided(this->control.now.steadyMs - callerRequest.arrivedMs);
     Transient::Submission submission;
     submission.token = std::to_string(++this->lastToken);
     submission.queue = queue;
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Common/Common.h"
+#include "Gateway/LoadReport.h"
 #include "Net/Net.h"
 #include "Schema/Schema.h"
 #include "Transient/Transient.h"
@@ -84,7 +85,8 @@
 /// Carries out the effects of a decision, immediately and in order.
 using TransientEffectHandler = std::function<void(Transient::Effects)>;
 
-/// Modified only by the control thread, except for the metrics, which any thread may update.
+/// Modified only by the control thread, except for the metrics, which any thread may update, and
+/// what LoadReport says of itself.
 struct TransientControl
 {
     explicit TransientControl(Schema::TransientGatewaySettings settings);
@@ -98,6 +100,7 @@
     /// until then.
     std::int64_t queuesConfirmedMs = 0;
     Common::Metrics metrics;
+    LoadReport load{this->metrics};
     Common::Random random;
     Common::Moment now;
 };
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -35,7 +35,7 @@
     void refuseRemainingRequests();
     void stopThreads();
 
-    void on(CallerRequest &event) { this->callers.on(event); }
+    void on(CallerRequest &event);
     void on(const CallerDisconnected &event) { this->callers.on(event); }
     void on(const Net::LinkUp &event) { this->links.on(event); }
     void on(const Net::LinkDown &event) { this->links.on(event); }
@@ -150,6 +150,12 @@
     return control.state.isStopping ? std::min(next, control.now.steadyMs + StoppingTickMs) : next;
 }
 
+void TransientDaemon::Implementation::on(CallerRequest &event)
+{
+    this->control.load.begin(ControlWork::Requests);
+    this->callers.on(event);
+}
+
 void TransientDaemon::Implementation::on(const EvacuationsRead &event)
 {
     this->carryOut(Transient::evacuationsRead(this->control.state, event.records, this->control.now,
@@ -247,6 +253,7 @@
 void TransientDaemon::Implementation::runPeriodicWork()
 {
     TransientControl &control = this->control;
+    control.load.begin(ControlWork::Timers);
     control.state.shared.knownGateways = Transient::knownGateways(control.discovery) + 1;
     this->observeProcessors();
     this->carryOut(Transient::tick(control.state, control.now, control.random));
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -22,7 +22,12 @@
 
 void TransientLinks::start()
 {
-    this->hub = std::make_unique<Net::PeerHub>(Net::eventsTo(this->mailbox));
+    Net::PeerHubEvents events = Net::eventsTo(this->mailbox);
+    events.received = [this, post = events.received](Net::LinkId link, Schema::Frame frame) {
+        post(link, std::move(frame));
+        this->control.load.frameRead();
+    };
+    this->hub = std::make_unique<Net::PeerHub>(std::move(events));
     const Net::Address own = Net::parseAddress(this->control.settings.peerAddress);
     this->control.self.peerPort = this->hub->listen(own.host, own.port);
     this->trafficReportedMs = Common::currentMoment().steadyMs;
@@ -78,6 +83,8 @@
             std::max(this->longestFrameDelayMs, this->control.now.steadyMs - event.arrivedMs);
     observeOwnDelaySince(this->control, event.arrivedMs);
     const Schema::Frame &frame = event.frame;
+    this->control.load.begin(link.agent.empty() ? ControlWork::GatewayFrames
+                                                : ControlWork::AgentFrames);
     if (frame.agentAnnouncement) {
         this->agentAnnounced(event.link, *frame.agentAnnouncement);
     } else if (frame.agentReport && !link.agent.empty()) {
@@ -312,7 +319,9 @@
 {
     const std::int64_t nowMs = this->control.now.steadyMs;
     for (auto &[id, link] : this->links) {
-        if (link.isOpen && nowMs >= this->nextHeartbeatMs(link)) {
+        const std::int64_t dueMs = this->nextHeartbeatMs(link);
+        if (link.isOpen && nowMs >= dueMs) {
+            this->control.load.heartbeatSent(nowMs - dueMs);
             this->announceTo(id, link);
         }
     }
@@ -320,6 +329,7 @@
     this->dialGateways();
     this->closeSurplusLinks();
     this->reportTraffic();
+    this->control.load.reportIfDue(nowMs);
 }
 
 void TransientLinks::reportTraffic()
