Gateway: a gateway short of processor time goes on serving

Cause: congestion collapse. Requests were queued whatever the time that the process had, and worked on when they were too old to be of use. One pass of the control thread took 1.4 to 1.9 s, and heartbeats left after it, so that agents and gateways took the gateway for lost and stopped its tasks. The use of processors was measured against the settings: a full gateway at half its speed seemed a quarter to a half used, forwarded nothing and offered others processors that it did not have.

Changes: - Messages, heartbeats among them, are handled before requests, and heartbeats that are due leave between two events. A link is silent only if the hub has read nothing from it either. - Where every request has waited 20 ms or more for 100 ms, the queue is standing: those older than 40 ms are refused with 429 before their body is read, unless their job is known here, and all others are forwarded if a gateway has room. - What the process uses while the queue is standing is what it has: the share that is used, what is offered to others and the interval of reports follow from it.

--- a/Source/Core/Gateway/LoadReport.cpp
+++ b/Source/Core/Gateway/LoadReport.cpp
@@ -56,6 +56,11 @@
     this->oldestDecidedMs = std::max(this->oldestDecidedMs, ageMs);
 }
 
+void LoadReport::requestRefusedUnread()
+{
+    ++this->requestsRefusedUnread;
+}
+
 void LoadReport::heartbeatSent(std::int64_t lateMs)
 {
     this->latestHeartbeatMs = std::max(this->latestHeartbeatMs, lateMs);
@@ -88,6 +93,8 @@
                         std::to_string(std::exchange(this->requestsDecided, 0)));
     fields.emplace_back("oldest_decided_ms",
                         std::to_string(std::exchange(this->oldestDecidedMs, 0)));
+    fields.emplace_back("refused_unread",
+                        std::to_string(std::exchange(this->requestsRefusedUnread, 0)));
     const std::int64_t heartbeatMs = std::exchange(this->latestHeartbeatMs, 0);
     fields.emplace_back("latest_heartbeat_ms", std::to_string(heartbeatMs));
     this->metrics.set("auburntrail_gateway_latest_heartbeat_ms", static_cast<double>(heartbeatMs));
--- a/Source/Core/Gateway/LoadReport.h
+++ b/Source/Core/Gateway/LoadReport.h
@@ -37,6 +37,8 @@
     void begin(ControlWork work);
     /// A request that arrived \a ageMs ago is admitted, forwarded or refused.
     void requestDecided(std::int64_t ageMs);
+    /// A request is refused before its body is read.
+    void requestRefusedUnread();
     /// A heartbeat leaves \a lateMs after it was due.
     void heartbeatSent(std::int64_t lateMs);
     /// Reports if a second has passed since the last report.
@@ -56,6 +58,7 @@
     std::array<double, WorkCount> workCpuSeconds{};
     std::int64_t requestsDecided = 0;
     std::int64_t oldestDecidedMs = 0;
+    std::int64_t requestsRefusedUnread = 0;
     std::int64_t latestHeartbeatMs = 0;
 
     std::int64_t reportedMs = 0;
--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -30,13 +30,21 @@
 constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
 constexpr const char *UndeliveredAnswers = "auburntrail_answers_undelivered_total";
 
-Common::Outcome<void> decodeBody(CallerRequest &callerRequest, const std::string &body)
+Common::Outcome<void> tryDecodeBody(CallerRequest &callerRequest)
 {
-    BOOST_LEAF_AUTO(job, Platform::decodeJob(callerRequest.id, body));
+    BOOST_LEAF_AUTO(job, Platform::decodeJob(callerRequest.id, callerRequest.body));
     callerRequest.job = std::move(job);
     return {};
 }
 
+void decodeBody(CallerRequest &callerRequest)
+{
+    Common::handle(
+            [&callerRequest] { return tryDecodeBody(callerRequest); },
+            [&callerRequest](const Common::Failure &failure) { callerRequest.failure = failure; });
+    callerRequest.body.clear();
+}
+
 /// Builds a refusal. With status 503 a later attempt may succeed: Retry-After is set.
 Net::HttpResponse refusal(int status, const std::string &detail)
 {
@@ -80,8 +88,8 @@
                     .disconnected([this](std::uint64_t connection) {
                         this->mailbox.post(CallerDisconnected{connection});
                     })
-                    .handler([this](const Net::HttpRequest &request, Net::HttpReply reply) {
-                        this->handleRequest(request, std::move(reply));
+                    .handler([this](Net::HttpRequest request, Net::HttpReply reply) {
+                        this->handleRequest(std::move(request), std::move(reply));
                     })
                     .build();
 }
@@ -130,7 +138,7 @@
 }
 
 /// Called on the HTTP thread.
-void TransientCallers::handleRequest(const Net::HttpRequest &request, Net::HttpReply reply)
+void TransientCallers::handleRequest(Net::HttpRequest request, Net::HttpReply reply)
 {
     const std::lock_guard<std::mutex> lock(this->intakeMutex);
     if (this->isRefusing) {
@@ -150,13 +158,13 @@
     callerRequest.remainingTimeoutMs =
             Platform::callerRemainingTimeoutMs(request).value_or(DefaultRemainingTimeoutMs);
     if (request.method == "POST") {
-        Common::handle([&] { return decodeBody(callerRequest, request.body); },
-                       [&callerRequest](const Common::Failure &failure) {
-                           callerRequest.failure = failure;
-                       });
+        callerRequest.body = std::move(request.body);
+        if (!this->isQueueStanding) {
+            decodeBody(callerRequest);
+        }
     }
     this->control.load.requestRead(Common::currentMoment().steadyMs - request.arrivedMs);
-    this->mailbox.post(std::move(callerRequest));
+    this->mailbox.postWork(std::move(callerRequest));
 }
 
 void TransientCallers::on(CallerRequest &event)
@@ -198,6 +206,12 @@
         this->refuse(callerRequest, Unavailable, Reason::CallerGone, CallerGoneDetail);
         return;
     }
+    if (this->refuseWaited(callerRequest)) {
+        return;
+    }
+    if (!callerRequest.body.empty()) {
+        decodeBody(callerRequest);
+    }
     if (!callerRequest.job) {
         const bool isUnsupported = callerRequest.failure.reason == Reason::UnsupportedJob;
         this->refuse(callerRequest, isUnsupported ? Unavailable : BadRequest,
@@ -205,20 +219,44 @@
         return;
     }
     observeOwnDelaySince(this->control, callerRequest.arrivedMs);
-    this->control.load.requestDecided(this->control.now.steadyMs - callerRequest.arrivedMs);
     Transient::Submission submission;
-    submission.token = std::to_string(++this->lastToken);
+    submission.token = this->openRequest(callerRequest);
     submission.queue = queue;
     submission.request = std::move(*callerRequest.job);
     submission.remainingTimeoutMs =
             std::max<std::int64_t>(0, callerRequest.remainingTimeoutMs - AnswerTransitMs);
     submission.arrivedMs = callerRequest.arrivedMs;
-    this->requests.emplace(submission.token,
-                           OpenRequest{callerRequest.connection, callerRequest.reply});
     this->carryOut(Transient::jobSubmitted(this->control.state, std::move(submission),
                                            this->control.now, this->control.random));
 }
 
+/// Returns the token of the request, by which it is answered.
+std::string TransientCallers::openRequest(const CallerRequest &callerRequest)
+{
+    std::string token = std::to_string(++this->lastToken);
+    this->requests.emplace(token, OpenRequest{callerRequest.connection, callerRequest.reply});
+    return token;
+}
+
+/// Refuses a submission that has waited too long for the control thread. Returns false if it is to
+/// be handled.
+bool TransientCallers::refuseWaited(const CallerRequest &callerRequest)
+{
+    TransientControl &control = this->control;
+    control.load.requestDecided(control.now.steadyMs - callerRequest.arrivedMs);
+    const std::string token = this->openRequest(callerRequest);
+    auto refused = Transient::refuseWaited(control.state, token, callerRequest.id,
+                                           callerRequest.arrivedMs, control.now, control.random);
+    this->isQueueStanding = Transient::isStanding(control.state.requestQueue, control.now.steadyMs);
+    if (!refused) {
+        this->requests.erase(token);
+        return false;
+    }
+    control.load.requestRefusedUnread();
+    this->carryOut(*std::move(refused));
+    return true;
+}
+
 /// Handles GET and DELETE of a job. Transient jobs are not kept after they have ended: an ended job
 /// is answered like an unknown one.
 void TransientCallers::handleStateOrCancel(const CallerRequest &callerRequest,
--- a/Source/Core/Gateway/TransientCallers.h
+++ b/Source/Core/Gateway/TransientCallers.h
@@ -52,8 +52,10 @@
 
     void startCallerServer();
     void startProbeServer();
-    void handleRequest(const Net::HttpRequest &request, Net::HttpReply reply);
+    void handleRequest(Net::HttpRequest request, Net::HttpReply reply);
     void submit(CallerRequest &callerRequest, const Schema::JobQueue &queue);
+    std::string openRequest(const CallerRequest &callerRequest);
+    bool refuseWaited(const CallerRequest &callerRequest);
     void handleStateOrCancel(const CallerRequest &callerRequest, const Schema::JobQueue &queue);
     void refuse(const CallerRequest &callerRequest, int status, Schema::Reason reason,
                 const std::string &detail);
@@ -66,6 +68,8 @@
     std::atomic<bool> ready{false};
     std::mutex intakeMutex;
     bool isRefusing = false;
+    /// Bodies are then decoded after the control thread has decided whether to refuse unread.
+    std::atomic<bool> isQueueStanding{false};
     std::map<std::string, OpenRequest> requests;
     std::uint64_t lastToken = 0;
     /// Time on the steady clock since which no request is open; 0 while one is open.
--- a/Source/Core/Gateway/TransientControl.cpp
+++ b/Source/Core/Gateway/TransientControl.cpp
@@ -31,7 +31,7 @@
 void observeOwnDelaySince(TransientControl &control, std::int64_t arrivedMs)
 {
     Transient::observeOwnDelay(control.state.ownDelay,
-                               static_cast<double>(Common::currentMoment().steadyMs - arrivedMs));
+                               static_cast<double>(control.now.steadyMs - arrivedMs));
 }
 
 } // namespace Gateway
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -34,6 +34,8 @@
     /// On the steady clock.
     std::int64_t arrivedMs = 0;
     std::optional<Transient::JobRequest> job;
+    /// Not decoded yet where the control thread may refuse the request unread.
+    std::string body;
     /// Why the body could not be decoded as a job.
     Common::Failure failure;
     std::uint64_t connection = 0;
@@ -77,10 +79,11 @@
 {};
 
 using TransientMessage =
-        std::variant<CallerRequest, CallerDisconnected, Net::LinkUp, Net::LinkDown,
-                     Net::FrameArrived, QueuesRead, EvacuationsRead, OperatorsConfirmed,
-                     GatewaysRead, LearnedTimesRead, TransientStopRequested>;
-using TransientMailbox = Common::Mailbox<TransientMessage>;
+        std::variant<CallerDisconnected, Net::LinkUp, Net::LinkDown, Net::FrameArrived, QueuesRead,
+                     EvacuationsRead, OperatorsConfirmed, GatewaysRead, LearnedTimesRead,
+                     TransientStopRequested>;
+/// Requests of callers are the work; everything else goes before them.
+using TransientMailbox = Common::WorkMailbox<TransientMessage, CallerRequest>;
 
 /// Carries out the effects of a decision, immediately and in order.
 using TransientEffectHandler = std::function<void(Transient::Effects)>;
@@ -105,8 +108,7 @@
     Common::Moment now;
 };
 
-/// Takes note that a request or frame that arrived at \a arrivedMs is handled now. The time is read
-/// anew, since TransientControl::now is that of the first message taken together with this one.
+/// Takes note that a request or frame that arrived at \a arrivedMs is handled now.
 void observeOwnDelaySince(TransientControl &control, std::int64_t arrivedMs);
 
 } // namespace Gateway
--- a/Source/Core/Gateway/TransientDaemon.cpp
+++ b/Source/Core/Gateway/TransientDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -21,6 +22,10 @@
 /// Part of the stop timeout that is reserved for sending answers: all jobs end this long before the
 /// process has to exit.
 constexpr std::int64_t AnswerReserveMs = 300;
+/// Requests that are handled before messages are looked for again.
+constexpr std::size_t MaxRequestsAtOnce = 4;
+/// Least time between two looks for heartbeats that are due, while events are handled.
+constexpr std::int64_t HeartbeatCheckMs = 25;
 
 } // namespace
 
@@ -57,6 +62,8 @@
     void carryOut(const Transient::SetGauge &effect);
     void carryOut(const Transient::LogLine &effect);
 
+    void beginEvent();
+    void sendHeartbeats();
     void observeProcessors();
     void runPeriodicWork();
     std::int64_t nextWakeMs() const;
@@ -65,6 +72,8 @@
     TransientControl control;
     TransientMailbox mailbox;
     std::int64_t stopDeadlineMs = 0;
+    /// When heartbeats that are due were last sent.
+    std::int64_t heartbeatsMs = 0;
     /// Number of open jobs that the metrics show; none before the first export.
     std::optional<std::size_t> reportedJobs;
 
@@ -105,12 +114,17 @@
 {
     while (true) {
         const std::int64_t waitMs = this->nextWakeMs() - Common::currentMoment().steadyMs;
-        auto messages =
-                this->mailbox.take(std::chrono::milliseconds(std::max<std::int64_t>(waitMs, 0)));
-        this->control.now = Common::currentMoment();
-        for (TransientMessage &message : messages) {
-            std::visit([this](auto &event) { this->on(event); }, message);
+        TransientMailbox::Taken taken = this->mailbox.take(
+                std::chrono::milliseconds(std::max<std::int64_t>(waitMs, 0)), MaxRequestsAtOnce);
+        for (const TransientMessage &message : taken.messages) {
+            this->beginEvent();
+            std::visit([this](const auto &event) { this->on(event); }, message);
+        }
+        for (CallerRequest &request : taken.work) {
+            this->beginEvent();
+            this->on(request);
         }
+        this->control.now = Common::currentMoment();
         this->runPeriodicWork();
         if (this->control.state.isStopping && this->isStopComplete()) {
             this->refuseRemainingRequests();
@@ -119,6 +133,24 @@
     }
 }
 
+/// Reads the clocks, and sends the heartbeats that are due. A process that is short of processor
+/// time takes seconds for the events that have piled up; agents that hear nothing for as long give
+/// this gateway up, and stop its tasks.
+void TransientDaemon::Implementation::beginEvent()
+{
+    this->control.now = Common::currentMoment();
+    if (this->control.now.steadyMs >= this->heartbeatsMs + HeartbeatCheckMs) {
+        this->sendHeartbeats();
+    }
+}
+
+void TransientDaemon::Implementation::sendHeartbeats()
+{
+    this->control.load.begin(ControlWork::Timers);
+    this->heartbeatsMs = this->control.now.steadyMs;
+    this->links.sendHeartbeats();
+}
+
 /// Refuses the requests that are still in the mailbox and all later ones. Callers use open
 /// connections until the process exits, and its servers take some time to stop. Requests that
 /// arrive in that time would wait for the control thread, which has ended, and be cut off when the
@@ -126,10 +158,10 @@
 void TransientDaemon::Implementation::refuseRemainingRequests()
 {
     this->callers.refuseNewRequests();
-    for (const TransientMessage &message : this->mailbox.take(std::chrono::milliseconds(0))) {
-        if (const auto *callerRequest = std::get_if<CallerRequest>(&message)) {
-            this->callers.refuseUnprocessed(*callerRequest);
-        }
+    const auto all = std::numeric_limits<std::size_t>::max();
+    for (const CallerRequest &request :
+         this->mailbox.take(std::chrono::milliseconds(0), all).work) {
+        this->callers.refuseUnprocessed(request);
     }
 }
 
@@ -244,8 +276,11 @@
         || control.now.steadyMs < Transient::nextProcessorSampleMs(use)) {
         return;
     }
+    const bool isSaturated = Transient::wasStandingSince(control.state.requestQueue, use.sampledMs);
     Transient::observeProcessorUse(use, Common::processCpuSeconds(),
-                                   control.state.capacity.processors, control.now);
+                                   control.state.capacity.processors, isSaturated, control.now);
+    control.metrics.set("auburntrail_available_processors",
+                        Transient::availableProcessors(control.state));
     control.metrics.set("auburntrail_processor_used_share", use.usedShare);
     control.metrics.set("auburntrail_spare_processors", Transient::spareProcessors(control.state));
 }
@@ -257,6 +292,7 @@
     control.state.shared.knownGateways = Transient::knownGateways(control.discovery) + 1;
     this->observeProcessors();
     this->carryOut(Transient::tick(control.state, control.now, control.random));
+    this->sendHeartbeats();
     this->links.runPeriodicWork();
     this->store.runPeriodicWork();
     this->callers.runPeriodicWork(control.queues.version > 0 && this->links.hasAgents()
--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -298,8 +298,8 @@
                             this->control.now);
     }
     if (agent != nullptr) {
-        frame.gatewayAnnouncement->loadIntervalMs =
-                Transient::loadIntervalMs(this->control.state.capacity, this->agentLinks.size());
+        frame.gatewayAnnouncement->loadIntervalMs = Transient::loadIntervalMs(
+                Transient::presentCapacity(this->control.state), this->agentLinks.size());
     }
     this->hub->send(id, frame);
 }
@@ -310,12 +310,13 @@
         if (link.isOpen
             && this->control.now.steadyMs
                        > link.lastReceivedMs + this->control.settings.silenceMs) {
-            this->hub->close(id);
+            // Frames may wait for this thread: the hub knows when the last one arrived.
+            this->hub->closeIfSilent(id, this->control.settings.silenceMs);
         }
     }
 }
 
-void TransientLinks::runPeriodicWork()
+void TransientLinks::sendHeartbeats()
 {
     const std::int64_t nowMs = this->control.now.steadyMs;
     for (auto &[id, link] : this->links) {
@@ -325,11 +326,15 @@
             this->announceTo(id, link);
         }
     }
+}
+
+void TransientLinks::runPeriodicWork()
+{
     this->closeSilentLinks();
     this->dialGateways();
     this->closeSurplusLinks();
     this->reportTraffic();
-    this->control.load.reportIfDue(nowMs);
+    this->control.load.reportIfDue(this->control.now.steadyMs);
 }
 
 void TransientLinks::reportTraffic()
--- a/Source/Core/Gateway/TransientLinks.h
+++ b/Source/Core/Gateway/TransientLinks.h
@@ -33,6 +33,9 @@
     /// Replaces the queue table by \a newer, if that is newer. \a source is where it comes from,
     /// for the log.
     void takeQueues(Schema::QueueTable newer, const std::string &source);
+    /// Sends the heartbeats that are due.
+    void sendHeartbeats();
+    /// Closes silent links, connects to gateways and reports the traffic.
     void runPeriodicWork();
     /// Time on the steady clock when runPeriodicWork() is next due.
     std::int64_t nextWakeMs() const;
--- a/Source/Core/Net/PeerHub.cpp
+++ b/Source/Core/Net/PeerHub.cpp
@@ -18,6 +18,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "Common/Clock.h"
 #include "Common/Log.h"
 #include "Net/Codec.h"
 
@@ -56,6 +57,8 @@
     std::function<void()> disconnect;
     bool isOpen = false;
     bool isOutgoing = false;
+    /// Steady clock: when it was opened, or its last frame arrived.
+    std::int64_t lastReceivedMs = 0;
     /// Bytes that were passed to the hub's thread and are not yet written to the connection. Every
     /// sender reads this and bufferedBytes.
     std::shared_ptr<std::atomic<std::size_t>> queuedBytes =
@@ -144,6 +147,7 @@
                 return;
             }
             found->second.isOpen = true;
+            found->second.lastReceivedMs = Common::currentMoment().steadyMs;
         }
         this->events.opened(id);
     }
@@ -204,6 +208,7 @@
             if (found == this->links.end()) {
                 return;
             }
+            found->second.lastReceivedMs = Common::currentMoment().steadyMs;
             this->bytesReceived +=
                     bytes.size() + headerBytes(bytes.size(), !found->second.isOutgoing);
         }
@@ -308,6 +313,20 @@
         return true;
     }
 
+    /// Runs on the hub's thread, which has read what had arrived when it was asked.
+    void closeIfSilent(LinkId id, std::int64_t silenceMs)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            const auto found = this->links.find(id);
+            if (found == this->links.end()
+                || Common::currentMoment().steadyMs <= found->second.lastReceivedMs + silenceMs) {
+                return;
+            }
+        }
+        this->close(id);
+    }
+
     void close(LinkId id)
     {
         std::function<void()> disconnect;
@@ -439,6 +458,13 @@
     boost::asio::post(hub->context, [hub, link] { hub->close(link); });
 }
 
+void PeerHub::closeIfSilent(LinkId link, std::int64_t silenceMs)
+{
+    Implementation *hub = this->implementation.get();
+    boost::asio::post(hub->context,
+                      [hub, link, silenceMs] { hub->closeIfSilent(link, silenceMs); });
+}
+
 PeerHubTraffic PeerHub::traffic() const
 {
     PeerHubTraffic traffic;
--- a/Source/Core/Net/PeerHub.h
+++ b/Source/Core/Net/PeerHub.h
@@ -68,6 +68,9 @@
     /// Closes the connection at once, without a closing handshake, which a silent peer would not
     /// answer.
     void close(LinkId link);
+    /// Closes the connection like close(), unless a frame has arrived on it in the last \a
+    /// silenceMs.
+    void closeIfSilent(LinkId link, std::int64_t silenceMs);
     PeerHubTraffic traffic() const;
     void stop();
 
--- a/Source/Core/Transient/Admit.cpp
+++ b/Source/Core/Transient/Admit.cpp
@@ -15,7 +15,6 @@
 
 using Schema::Reason;
 
-constexpr const char *RefusalCounter = "auburntrail_transient_refusals_total";
 constexpr double PercentOfOne = 100;
 /// A stopping gateway admits only jobs that are sure to end in time: predictions are means, and the
 /// last of a handful of tasks takes up to twice as long.
--- a/Source/Core/Transient/Displacement.cpp
+++ b/Source/Core/Transient/Displacement.cpp
@@ -14,7 +14,6 @@
 using Schema::AttemptPhase;
 using Schema::Reason;
 
-constexpr const char *RefusalCounter = "auburntrail_transient_refusals_total";
 /// A start is known here within the longest time between two reports of an agent. Until then a task
 /// that was expected to start may be running, and stopping it would waste its work.
 constexpr std::int64_t StartReportMs = 250;
--- a/Source/Core/Transient/Forwarding.cpp
+++ b/Source/Core/Transient/Forwarding.cpp
@@ -1,7 +1,6 @@
 #include "Transient/Forwarding.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <random>
 #include <utility>
@@ -17,8 +16,6 @@
 using Schema::TransientOutcome;
 
 constexpr const char *ForwardedCounter = "auburntrail_transient_forwarded_total";
-constexpr double MsPerSecond = 1000;
-constexpr double SmoothingMs = 500;
 /// Used share from which on jobs are forwarded, and by how much more all are. A share that grows
 /// with the use settles, while a single limit would make all load go back and forth.
 constexpr double ForwardFromShare = 0.45;
@@ -209,15 +206,24 @@
     return submission;
 }
 
-/// A peer with at least as many processors to spare as this machine has, at random by what they can
-/// spare; the end of the map if there is none.
+/// Least processors that a peer has to spare to be sent a job: as many as this machine has, so that
+/// gateways of equal size do not send jobs to and fro. Where requests wait already, less is enough.
+double leastSpareProcessors(const GatewayState &state, Common::Moment now)
+{
+    constexpr double SaturatedShare = 0.25;
+    const double own = availableProcessors(state);
+    return isStanding(state.requestQueue, now.steadyMs) ? own * SaturatedShare : own;
+}
+
+/// A peer with processors to spare, at random by what they can spare; the end of the map if there
+/// is none.
 std::map<std::string, ForwardingPeer>::iterator choosePeer(GatewayState &state, Common::Moment now,
                                                            Common::Random &random)
 {
     std::map<std::string, ForwardingPeer> &peers = state.forwarding.peers;
-    const double ownProcessors = state.capacity.processors;
-    const auto weight = [ownProcessors, now](const ForwardingPeer &peer) {
-        const bool isEligible = peer.spareProcessors >= ownProcessors && peer.budget >= 1
+    const double leastSpare = leastSpareProcessors(state, now);
+    const auto weight = [leastSpare, now](const ForwardingPeer &peer) {
+        const bool isEligible = peer.spareProcessors >= leastSpare && peer.budget >= 1
                                 && now.steadyMs <= peer.heardMs + OldAnnouncementMs;
         return isEligible ? peer.spareProcessors : 0;
     };
@@ -258,34 +264,26 @@
 
 } // namespace
 
-void observeProcessorUse(ProcessorUse &use, double cpuSeconds, double processors,
-                         Common::Moment now)
+bool takesPartInForwarding(const GatewayState &state)
 {
-    const auto sinceMs = static_cast<double>(now.steadyMs - use.sampledMs);
-    if (use.cpuSeconds && sinceMs > 0 && processors > 0) {
-        const double usedMs = (cpuSeconds - *use.cpuSeconds) * MsPerSecond;
-        const double share = usedMs / (sinceMs * processors);
-        use.usedShare += (share - use.usedShare) * (1 - std::exp(-sinceMs / SmoothingMs));
-    }
-    use.cpuSeconds = cpuSeconds;
-    use.sampledMs = now.steadyMs;
+    return isShared(state.shared) && state.shared.forwards && !state.isStopping
+           && state.capacity.processors > 0;
 }
 
-std::int64_t nextProcessorSampleMs(const ProcessorUse &use)
+double availableProcessors(const GatewayState &state)
 {
-    return use.cpuSeconds ? use.sampledMs + SpareIntervalMs : 0;
+    return state.forwarding.use.available.value_or(state.capacity.processors);
 }
 
-bool takesPartInForwarding(const GatewayState &state)
+Capacity presentCapacity(const GatewayState &state)
 {
-    return isShared(state.shared) && state.shared.forwards && !state.isStopping
-           && state.capacity.processors > 0;
+    return {state.capacity.linkBytesPerMs, availableProcessors(state)};
 }
 
 double spareProcessors(const GatewayState &state)
 {
     return std::max(0.0, TakeUpToShare - state.forwarding.use.usedShare)
-           * state.capacity.processors;
+           * availableProcessors(state);
 }
 
 double forwardedShare(double usedShare)
@@ -326,7 +324,9 @@
 {
     const std::int64_t deadlineMs =
             submission.arrivedMs.value_or(now.steadyMs) + submission.remainingTimeoutMs;
-    const double share = forwardedShare(state.forwarding.use.usedShare);
+    const double share = isStanding(state.requestQueue, now.steadyMs)
+                                 ? 1
+                                 : forwardedShare(state.forwarding.use.usedShare);
     if (!takesPartInForwarding(state) || share <= 0 || now.steadyMs >= deadlineMs
         || std::uniform_real_distribution<double>(0, 1)(random) >= share) {
         return std::nullopt;
--- a/Source/Core/Transient/Forwarding.h
+++ b/Source/Core/Transient/Forwarding.h
@@ -9,7 +9,9 @@
 
 #include "Common/Common.h"
 #include "Schema/Schema.h"
+#include "Transient/Capacity.h"
 #include "Transient/Effects.h"
+#include "Transient/ProcessorUse.h"
 #include "Transient/Submission.h"
 
 /// Forwards submissions from gateways that are short of processor time to others, which then own
@@ -26,16 +28,6 @@
 
 struct GatewayState;
 
-/// Processor time that this gateway uses.
-struct ProcessorUse
-{
-    /// Share of Capacity::processors, smoothed over about half a second.
-    double usedShare = 0;
-    /// Last sample; nothing before the first.
-    std::optional<double> cpuSeconds;
-    std::int64_t sampledMs = 0;
-};
-
 /// A linked gateway that takes forwarded jobs.
 struct ForwardingPeer
 {
@@ -87,20 +79,18 @@
     std::uint64_t lastToken = 0;
 };
 
-/// Takes a sample of the processor time that the process has used so far.
-void observeProcessorUse(ProcessorUse &use, double cpuSeconds, double processors,
-                         Common::Moment now);
-/// When the next sample is due.
-std::int64_t nextProcessorSampleMs(const ProcessorUse &use);
-
 /// Whether this gateway forwards jobs or takes forwarded ones.
 bool takesPartInForwarding(const GatewayState &state);
+/// Processors that this gateway gets if it needs them; see ProcessorUse.h.
+double availableProcessors(const GatewayState &state);
+/// What the machine can carry now.
+Capacity presentCapacity(const GatewayState &state);
 /// Processors that this gateway has for forwarded jobs.
 double spareProcessors(const GatewayState &state);
 /// Share of the submissions that a gateway forwards.
 double forwardedShare(double usedShare);
 /// Longest time between two announcements to a gateway while forwarding is active.
-constexpr std::int64_t SpareIntervalMs = 250;
+constexpr std::int64_t SpareIntervalMs = ProcessorSampleMs;
 /// Adds what \a peer needs to forward jobs to an announcement to it.
 void addSpare(Schema::GatewayAnnouncement &announcement, const GatewayState &state,
               const std::string &peer, Common::Moment now);
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <random>
 
 #include "Transient/Displacement.h"
 #include "Transient/JobsInternal.h"
@@ -116,6 +117,14 @@
     return effects;
 }
 
+/// Whether a job with this id may have run here or elsewhere.
+bool isKnownJob(const GatewayState &state, const std::string &id, Common::Moment now)
+{
+    return state.jobs.count(id) != 0 || state.finished.count(id) != 0 || state.parked.count(id) != 0
+           || state.formerAttempts.count(id) != 0 || state.forwarding.out.count(id) != 0
+           || isOrphaned(state, id, now);
+}
+
 template <typename Record>
 void removeExpired(std::unordered_map<std::string, Record> &records, Common::Moment now)
 {
@@ -154,6 +163,24 @@
     return isShared(state.shared) && state.shared.learnsWaitErrors;
 }
 
+std::optional<Effects> refuseWaited(GatewayState &state, const std::string &token,
+                                    const std::string &id, std::int64_t arrivedMs,
+                                    Common::Moment now, Common::Random &random)
+{
+    const std::int64_t ageMs = now.steadyMs - arrivedMs;
+    observeRequestAge(state.requestQueue, ageMs, now.steadyMs);
+    const bool isRefused = state.limits.refuses && isStanding(state.requestQueue, now.steadyMs)
+                           && ageMs > MaxRequestAgeMs && !isKnownJob(state, id, now);
+    if (!isRefused) {
+        return std::nullopt;
+    }
+    const double spread = std::uniform_real_distribution<double>(0, 1)(random);
+    const JobResult refused{JobOutcome::Refused, Reason::QueueFull,
+                            retryAfterBacklogMs(static_cast<double>(ageMs), spread)};
+    // No log line: under overload these are the most frequent requests, and must cost little.
+    return Effects{CountReason{RefusalCounter, refused.reason}, AnswerCaller{token, id, refused}};
+}
+
 Effects jobSubmitted(GatewayState &state, Submission submission, Common::Moment now,
                      Common::Random &random)
 {
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -20,6 +20,7 @@
 #include "Transient/OwnDelay.h"
 #include "Transient/RemainingTimeout.h"
 #include "Transient/SharedFleet.h"
+#include "Transient/StandingQueue.h"
 #include "Transient/Submission.h"
 #include "Transient/WaitError.h"
 
@@ -89,6 +90,7 @@
     /// By queue and priority.
     std::map<std::pair<std::string, std::int64_t>, WaitError> waitErrors;
     OwnDelay ownDelay;
+    StandingQueue requestQueue;
     /// Usual remaining timeouts of callers, by queue.
     std::map<std::string, UsualRemainingTimeout> patiences;
     /// Jobs that were displaced, by queue.
@@ -118,6 +120,12 @@
 /// forwarded, admitted or refused.
 Effects jobSubmitted(GatewayState &state, Submission submission, Common::Moment now,
                      Common::Random &random);
+/// Takes note of a request for a job that is handled now, and refuses it before its body is read if
+/// it has waited too long in a standing queue. A request whose job is known here is not refused,
+/// since the job may have run.
+std::optional<Effects> refuseWaited(GatewayState &state, const std::string &token,
+                                    const std::string &id, std::int64_t arrivedMs,
+                                    Common::Moment now, Common::Random &random);
 /// Handles a closed connection of a request. A job is ended when no request waits for it any more.
 Effects handleCallerDisconnected(GatewayState &state, const std::string &token, Common::Moment now);
 
--- a/Source/Core/Transient/JobsInternal.h
+++ b/Source/Core/Transient/JobsInternal.h
@@ -15,6 +15,8 @@
 /// process that was killed is back.
 constexpr std::int64_t RetryMs = 1000;
 
+constexpr const char *RefusalCounter = "auburntrail_transient_refusals_total";
+
 /// The integral part of \a value, for log fields.
 std::string text(double value);
 
