Transient: forwarding is split by what it decides

Now ForwardingPeers chooses who takes jobs, ForwardingSender and ForwardingReceiver keep the records of either side, and ForwardingFrames converts to and from frames. No decision changes; transient-tests as before.

--- a/Source/Core/Transient/JobsInternal.h
+++ b/Source/Core/Transient/JobsInternal.h
@@ -33,7 +33,14 @@
 Effects handleSubmission(GatewayState &state, Submission submission, MayForward mayForward,
                          Common::Moment now, Common::Random &random);
 
-// Forwarding.cpp: forwarded jobs
+// ForwardingReceiver.cpp: jobs that others have forwarded to this gateway
+
+/// Sends the results of the jobs that have no record any more.
+Effects sendSettledResults(GatewayState &state);
+/// Ends the jobs that were forwarded on a link that is lost.
+Effects endForwardedBy(GatewayState &state, const std::string &peer, Common::Moment now);
+
+// ForwardingSender.cpp: jobs that this gateway has forwarded
 
 /// Forwards the submission of an unknown id if this gateway is short of processor time and another
 /// one has processors to spare. Otherwise returns nothing and leaves \a submission as it is.
