Gateway: messages go before calls where jobs are journaled

Same cause as in gateways for transient jobs, found by reading: pings of gateways and frames of agents were handled behind all calls of callers that had piled up, so that a gateway short of processor time would be taken for lost. Calls are now taken 16 at a time, after all messages. Not reproduced: gateway-tests and whole-tests as before.

--- a/Source/Core/Gateway/ControlMessage.h
+++ b/Source/Core/Gateway/ControlMessage.h
@@ -33,7 +33,7 @@
 struct StopRequested
 {};
 
-using ControlMessage = std::variant<ApiCalled, Net::LinkUp, Net::FrameArrived, Net::LinkDown,
-                                    LogDelivered, LogAppended, StopRequested>;
+using ControlMessage = std::variant<Net::LinkUp, Net::FrameArrived, Net::LinkDown, LogDelivered,
+                                    LogAppended, StopRequested>;
 
 } // namespace Gateway
--- a/Source/Core/Gateway/GatewayCallers.cpp
+++ b/Source/Core/Gateway/GatewayCallers.cpp
@@ -76,7 +76,7 @@
     } else if (parsed.call == ApiCall::Metrics) {
         reply.send({Ok, this->control.metrics.expose(), "text/plain; version=0.0.4", 0});
     } else {
-        this->mailbox.post(ApiCalled{std::move(parsed), reply});
+        this->mailbox.postWork(ApiCalled{std::move(parsed), reply});
     }
     return {};
 }
--- a/Source/Core/Gateway/GatewayControl.h
+++ b/Source/Core/Gateway/GatewayControl.h
@@ -10,7 +10,8 @@
 /// State and types shared by the components of the gateway daemon.
 namespace Gateway {
 
-using ControlMailbox = Common::Mailbox<ControlMessage>;
+/// Calls of callers are the work; everything else goes before them.
+using ControlMailbox = Common::WorkMailbox<ControlMessage, ApiCalled>;
 
 /// Carries out the effects of a decision, immediately and in order.
 using DispatchEffectHandler = std::function<void(Dispatch::Effects)>;
--- a/Source/Core/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Gateway/GatewayDaemon.cpp
@@ -22,6 +22,8 @@
 /// How long the daemon still runs after the last answer, so that the answer can be written to the
 /// caller's connection.
 constexpr std::int64_t LingerMs = 200;
+/// Calls that are handled before messages are looked for again.
+constexpr std::size_t MaxCallsAtOnce = 16;
 
 } // namespace
 
@@ -109,11 +111,14 @@
     std::int64_t stopStartedMs = 0;
     std::int64_t doneSinceMs = 0;
     while (true) {
-        std::deque<ControlMessage> messages = this->mailbox.take(TickMs);
+        ControlMailbox::Taken taken = this->mailbox.take(TickMs, MaxCallsAtOnce);
         this->control.now = Common::currentMoment();
-        for (ControlMessage &message : messages) {
+        for (ControlMessage &message : taken.messages) {
             std::visit([this](auto &event) { this->on(event); }, message);
         }
+        for (ApiCalled &call : taken.work) {
+            this->on(call);
+        }
         this->carryOut(Dispatch::gatewayTick(this->control.state, this->control.now,
                                              this->control.random));
         this->links.dialMembers();
