Runner: a link is silent only if the hub has read nothing from it

Same cause as in gateways, found by reading: an agent short of processor time closed links whose frames waited for its control thread, and stopped the tasks of live gateways. Not reproduced: agents use a tenth of their processors.

--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -556,8 +556,8 @@
     for (const auto &[id, link] : this->links) {
         if (this->now.steadyMs > link.lastReceivedMs + this->settings.silenceMs) {
             // Gateways send heartbeats three times as often, so the connection or the gateway has
-            // failed.
-            this->hub->close(id);
+            // failed, unless frames wait for this thread.
+            this->hub->closeIfSilent(id, this->settings.silenceMs);
         }
     }
     for (auto entry = this->disconnectedGateways.begin();
