Gateway: an empty body that was left undecoded is refused with its reason

A submission without a body that came while the queue was standing was taken for a decoded one, and refused as malformed without saying why. Whether a request is decoded is now told by its result. Found by reading.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -45,6 +45,12 @@
     callerRequest.body.clear();
 }
 
+/// False for a request that the HTTP thread has left undecoded, since it might be refused unread.
+bool isDecoded(const CallerRequest &callerRequest)
+{
+    return callerRequest.job || callerRequest.failure.reason != Reason::None;
+}
+
 /// Builds a refusal. With status 503 a later attempt may succeed: Retry-After is set.
 Net::HttpResponse refusal(int status, const std::string &detail)
 {
@@ -209,7 +215,7 @@
     if (this->refuseWaited(callerRequest)) {
         return;
     }
-    if (!callerRequest.body.empty()) {
+    if (!isDecoded(callerRequest)) {
         decodeBody(callerRequest);
     }
     if (!callerRequest.job) {
--- a/Source/UnitTests/Transient/SaturationReplayTest.cpp
+++ b/Source/UnitTests/Transient/SaturationReplayTest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// Processor time of a gateway, as measured for each kind of work.
+/// Processor time that a gateway takes for a request, by what becomes of it.
 constexpr double AdmitCostMs = 0.7;
 constexpr double ForwardCostMs = 0.35;
 constexpr double RefuseCostMs = 0.15;
