Transient: a queue is standing also where requests are handled seldom

Cause: edge-recife-b-3 handled 5 to 8 requests a second, more than 100 ms apart, which was taken for a pause: the queue never counted as standing, and nothing was refused at ages of 1,248 to 2,805 ms. A queue was empty only if the next request arrived after the last one was handled.

The added row of the test fails before the change.

--- a/Source/Core/Transient/StandingQueue.cpp
+++ b/Source/Core/Transient/StandingQueue.cpp
@@ -4,15 +4,16 @@
 
 void observeRequestAge(StandingQueue &queue, std::int64_t ageMs, std::int64_t nowMs)
 {
-    // Requests that are old after a pause without any were held up elsewhere, as in a frozen
-    // process, which says nothing of the time that this process has now.
-    const bool wasPaused = nowMs > queue.observedMs + StandingAfterMs;
+    // A request that arrived after the one before was handled found no queue. If it is old all the
+    // same, it was held up in a pause, as of a frozen process, which says nothing of the time that
+    // this process has now.
+    const bool wasEmpty = nowMs - ageMs > queue.observedMs;
     queue.observedMs = nowMs;
     if (ageMs < FreshRequestMs) {
         queue.agedSinceMs.reset();
         return;
     }
-    if (!queue.agedSinceMs || wasPaused) {
+    if (!queue.agedSinceMs || wasEmpty) {
         queue.agedSinceMs = nowMs;
     }
     if (nowMs >= *queue.agedSinceMs + StandingAfterMs) {
--- a/Source/UnitTests/Transient/StandingQueueTest.cpp
+++ b/Source/UnitTests/Transient/StandingQueueTest.cpp
@@ -30,6 +30,7 @@
              {{0, 30}, {30, 60}, {60, 40}, {90, 25}, {110, 0}},
              false},
             {"old ones all the time", {{0, 30}, {40, 50}, {80, 60}, {110, 70}}, true},
+            {"old ones that are handled seldom", {{0, 30}, {300, 310}, {600, 590}}, true},
             {"worked off later", {{0, 30}, {50, 60}, {110, 60}, {150, 10}}, false},
             {"what waited while the process was frozen",
              {{0, 5}, {3000, 2900}, {3050, 2900}},
