--- a/review/standins/Worker.cpp
+++ b/review/standins/Worker.cpp
@@ -138,6 +138,9 @@
     const Json order = Json::parse(body);
     const Json spec = Json::parse(order.at("spec").get<std::string>());
     const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->isOver) {
+        return json(NotFound, Json::object());
+    }
     this->advance();
     const auto conflict = [this](const char *reason) {
         return json(Conflict, {{"clockMs", this->clockMs()}, {"reason", reason}});
