--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,108 +1,89 @@
-#include <atomic>
+#include <algorithm>
 #include <memory>
 #include <thread>
 
 #include "Site.h"
 
-/// A client cancels its job. The connection that carries the cancelling is reset before it reaches
-/// the node that has the job, and the retry reaches another node.
+/// A worker crashes while it runs a task, and starts again under its id as a worker of another
+/// kind. A job that requires the former kind is handed in seconds later.
 namespace Review {
 
 namespace {
 
-/// The platform's bounds cancel_ms and stopMs.
-constexpr std::int64_t CancelMs = 3000;
-constexpr std::int64_t StopMs = 50;
-constexpr const char *JobId = "5c0e7a21d94b3601";
+constexpr const char *RequiredKind = "a";
+constexpr const char *OtherKind = "b";
+constexpr std::int64_t TaskCpu = 6000;
+/// A worker pings about every 1.5 s; this one does so for the first time after half of that.
+constexpr std::int64_t FirstPingMs = 750;
+constexpr std::int64_t QuietMs = 6000;
 
-Answer cancel(std::uint16_t callerPort, Record &record)
+std::unique_ptr<Worker> makeWorker(const Site &site, std::size_t agent, const std::string &kind,
+                                   std::int64_t firstPingAfterMs, Record &record)
 {
-    Call call;
-    call.port = callerPort;
-    call.method = "DELETE";
-    call.path = std::string("/lohu930/") + JobId;
-    call.headers = {{"Host", HostName}, {"X-Auburntrail-Deadline-Ms", "1500"}};
-    record.write("client DELETE " + call.path + " to port " + std::to_string(callerPort));
-    const Answer answer = send(call);
-    record.write("client answer to DELETE: " + std::to_string(answer.status) + ' ' + answer.body);
-    return answer;
-}
-
-/// The way to the node resets the connection instead of passing the request on.
-void cancelOverReset(Record &record)
-{
-    std::atomic<bool> hasArrived = false;
-    Server way(0, [&hasArrived](const Request &) {
-        hasArrived = true;
-        return Response{0, "", "", true};
-    });
-    std::thread client([&] { cancel(way.port(), record); });
-    while (!hasArrived) {
-        sleepMs(1);
-    }
-    record.write("the connection of the DELETE is reset");
-    way.stop();
-    client.join();
-}
-
-/// Time of the acknowledgement; -1 without one.
-std::int64_t cancelUntilAcknowledged(const Site &site, Record &record)
-{
-    std::size_t node = 0;
-    if (isDisrupted()) {
-        cancelOverReset(record);
-        // Retries reach other nodes.
-        node = 1;
-    }
-    const Answer answer = cancel(site.gateways()[node].callerPort, record);
-    return answer.status == 200 || answer.status == 410 ? nowMs() : -1;
+    WorkerOptions options;
+    options.id = "i-" + std::to_string(agent + 1);
+    options.service = ServiceName;
+    options.labels = {kind, "r1-" + std::to_string(agent + 1)};
+    options.port = site.agents()[agent].workerPort;
+    options.registrationPort = site.agents()[agent].registrationPort;
+    options.firstPingAfterMs = firstPingAfterMs;
+    return std::make_unique<Worker>(options, record);
 }
 
 int run(Record &record)
 {
-    Site site({2, 2}, record);
-    site.store().setConfig(configText(7, {{"/lohu930/", 60, 1.6, 15'000}}));
+    Site site({2, 3}, record);
+    site.store().setConfig(configText(7, {{"/lohu930/", 60, 1.6}}));
     std::vector<std::unique_ptr<Worker>> workers;
-    for (std::size_t index = 0; index < site.agents().size(); ++index) {
-        WorkerOptions options;
-        options.id = "i-" + std::to_string(index + 1);
-        options.service = ServiceName;
-        options.port = site.agents()[index].workerPort;
-        options.registrationPort = site.agents()[index].registrationPort;
-        workers.push_back(std::make_unique<Worker>(options, record));
-    }
+    workers.push_back(makeWorker(site, 0, RequiredKind, 0, record));
+    workers.push_back(makeWorker(site, 1, OtherKind, 0, record));
+    workers.push_back(makeWorker(site, 2, OtherKind, 0, record));
     if (!site.waitUntilReady(15'000)) {
         return NotRun;
     }
     sleepMs(4000);
-    std::thread client([&] {
+    const auto post = [&](const std::string &id) {
         Job job;
-        job.id = JobId;
+        job.id = id;
         job.pathPrefix = "/lohu930/";
         job.runMs = 900;
-        job.steps = 8;
-        job.timeLimitMs = 12'000;
-        submit(job, site.gateways()[0].callerPort, record);
-    });
-    sleepMs(500);
-    const bool hasBegun = !record.runs().empty();
-    const std::int64_t acknowledgedMs = cancelUntilAcknowledged(site, record);
+        job.cpu = TaskCpu;
+        job.requires_ = RequiredKind;
+        return submit(job, site.gateways()[0].callerPort, record);
+    };
+    std::thread client([&] { post("5c0e7a21d94b3601"); });
+    sleepMs(300);
+    const bool hasRun = !workers[0]->running().empty();
+    if (isDisrupted()) {
+        workers[0]->crash();
+        sleepMs(500);
+        workers[0] = makeWorker(site, 0, OtherKind, FirstPingMs, record);
+    }
     client.join();
-    sleepMs(500);
-    if (!hasBegun || acknowledgedMs < 0) {
-        return NotRun;
+    sleepMs(QuietMs);
+    const std::int64_t quietSinceMs = nowMs();
+    for (int index = 2; index < 6; ++index) {
+        post("5c0e7a21d94b360" + std::to_string(index));
     }
+    sleepMs(500);
     int wrong = 0;
     for (const RunEvent &event : record.runs()) {
-        const bool isStart = event.end.empty();
-        const std::int64_t limitMs = acknowledgedMs + CancelMs + (isStart ? 0 : StopMs);
-        if (event.atMs > limitMs) {
-            record.write((isStart ? "started " : "ran until ")
-                         + std::to_string(event.atMs - acknowledgedMs)
-                         + " ms after the cancelling was acknowledged: " + event.task);
+        const bool isRequired = std::find(event.labels.begin(), event.labels.end(), RequiredKind)
+                                != event.labels.end();
+        if (event.end.empty() && !isRequired && event.atMs >= quietSinceMs) {
+            record.write("started without the label " + std::string(RequiredKind) + ": "
+                         + event.task + " on " + event.worker + ", "
+                         + std::to_string(event.atMs - quietSinceMs)
+                         + " ms after the end of the quiet time");
             ++wrong;
         }
     }
+    for (const std::string &name : site.endedByThemselves()) {
+        record.write("ended by itself: " + name);
+    }
+    if (!hasRun) {
+        return NotRun;
+    }
     return wrong == 0 ? Held : Broken;
 }
 
@@ -114,7 +95,7 @@
 {
     Review::Record record(std::string(argv[1]) + "/record.txt");
     const int result = Review::run(record);
-    record.write(result == Review::Broken ? "result: UNASKED is broken"
+    record.write(result == Review::Broken ? "result: ROUTE is broken"
                  : result == Review::Held ? "result: the rule held"
                                           : "result: not run");
     return result;
--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -284,12 +285,21 @@
 
 std::uint16_t freePort()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
-    const std::uint16_t port = portOf(socket);
-    ::close(socket);
-    return port;
+    // Below the range from which systems take the ports of outgoing connections: nothing takes the
+    // port before it is used.
+    static std::mt19937 random(std::random_device{}());
+    std::uniform_int_distribution<int> ports(10'000, 32'000);
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(ports(random));
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address = loopback(port);
+        const bool isFree =
+                ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        ::close(socket);
+        if (isFree) {
+            return port;
+        }
+    }
 }
 
 } // namespace Review
