--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -48,7 +48,7 @@
         job.pathPrefix = "/lohu930/";
         job.runMs = 900;
         job.cpu = TaskCpu;
-        job.requires_ = RequiredKind;
+        job.requiredLabel = RequiredKind;
         return submit(job, site.gateways()[0].callerPort, record);
     };
     std::thread client([&] { post("5c0e7a21d94b3601"); });
--- a/review/standins/Site.cpp
+++ b/review/standins/Site.cpp
@@ -165,15 +165,6 @@
     this->record.write("started " + process.name + ": " + program + " --transient --settings FILE");
 }
 
-void Site::signal(const Process &process, int signal)
-{
-    this->record.write("signal " + std::to_string(signal) + " to " + process.name);
-    if (signal == SIGKILL || signal == SIGTERM) {
-        this->killed.push_back(process.pid);
-    }
-    ::kill(process.pid, signal);
-}
-
 bool Site::waitUntilReady(std::int64_t timeoutMs)
 {
     const std::int64_t deadlineMs = nowMs() + timeoutMs;
@@ -198,11 +189,7 @@
     std::vector<std::string> names;
     const auto check = [&](const Process &process) {
         siginfo_t info{};
-        const bool wasEnded = std::find(this->killed.begin(), this->killed.end(), process.pid)
-                              != this->killed.end();
-        if (!wasEnded
-            && ::waitid(P_PID, static_cast<id_t>(process.pid), &info, WEXITED | WNOHANG | WNOWAIT)
-                       == 0
+        if (::waitid(P_PID, static_cast<id_t>(process.pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0
             && info.si_pid != 0) {
             names.push_back(process.name + " (code " + std::to_string(info.si_code) + ", status "
                             + std::to_string(info.si_status) + ')');
@@ -250,8 +237,8 @@
     Json steps = Json::array();
     for (int index = 0; index < job.steps; ++index) {
         Json step{{"count", job.tasks}, {"cpu", job.cpu}, {"memMb", 64}, {"estimateMs", job.runMs}};
-        if (!job.requires_.empty()) {
-            step["requires"] = job.requires_;
+        if (!job.requiredLabel.empty()) {
+            step["requires"] = job.requiredLabel;
         }
         if (index > 0) {
             step["after"] = {index - 1};
@@ -271,7 +258,7 @@
             {"steps",
              steps}}.dump();
     call.timeoutMs = job.timeLimitMs;
-    record.write("client POST " + call.path + " requires=" + job.requires_);
+    record.write("client POST " + call.path + " requires=" + job.requiredLabel);
     const Answer answer = send(call);
     record.write("client answer to POST " + call.path + ": "
                  + (answer.status == 0 ? "none" : std::to_string(answer.status)) + ' '
--- a/review/standins/Site.h
+++ b/review/standins/Site.h
@@ -56,15 +56,14 @@
     Store &store() { return this->platformStore; }
     const std::vector<Gateway> &gateways() const { return this->gatewayList; }
     const std::vector<Agent> &agents() const { return this->agentList; }
-    void startGateway(std::size_t index);
-    void startAgent(std::size_t index);
-    void signal(const Process &process, int signal);
     /// False if a gateway does not become ready, or a process ends meanwhile.
     bool waitUntilReady(std::int64_t timeoutMs);
-    /// Names of processes that have ended though nobody has ended them.
+    /// Names of processes that have ended; nothing here ends one before the end of the case.
     std::vector<std::string> endedByThemselves();
 
 private:
+    void startGateway(std::size_t index);
+    void startAgent(std::size_t index);
     void start(Process &process, const std::string &program, const std::string &settings);
 
     Record &record;
@@ -72,7 +71,6 @@
     Store platformStore;
     std::vector<Gateway> gatewayList;
     std::vector<Agent> agentList;
-    std::vector<pid_t> killed;
 };
 
 /// A route as the operator's configuration has it.
@@ -95,7 +93,7 @@
     std::int64_t runMs = 900;
     std::int64_t cpu = 6000;
     /// Label that the worker must have; empty for any.
-    std::string requires_;
+    std::string requiredLabel;
     /// Number of steps, each after the one before.
     int steps = 1;
     std::int64_t timeLimitMs = 1500;
--- a/review/standins/Worker.cpp
+++ b/review/standins/Worker.cpp
@@ -75,11 +75,6 @@
     this->record.write("worker " + this->options.id + " is down");
 }
 
-bool Worker::isRegistered() const
-{
-    return this->registered;
-}
-
 std::vector<std::string> Worker::running()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -42,7 +42,6 @@
 
     /// Ends all that runs, without a word to anybody.
     void crash();
-    bool isRegistered() const;
     /// Body of its next ping.
     std::string pingBody();
     /// Tasks that run now.
