--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <poll.h>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -287,8 +288,14 @@
 {
     // Below the range from which systems take the ports of outgoing connections: nothing takes the
     // port before it is used.
+    // Cases that run at the same time take theirs from different ranges.
+    constexpr int Lowest = 10'000;
+    constexpr int Ranges = 40;
+    constexpr int PortsOfRange = 550;
     static std::mt19937 random(std::random_device{}());
-    std::uniform_int_distribution<int> ports(10'000, 32'000);
+    static std::set<std::uint16_t> given;
+    const int first = Lowest + ::getpid() % Ranges * PortsOfRange;
+    std::uniform_int_distribution<int> ports(first, first + PortsOfRange - 1);
     while (true) {
         const auto port = static_cast<std::uint16_t>(ports(random));
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -296,7 +303,7 @@
         const bool isFree =
                 ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
         ::close(socket);
-        if (isFree) {
+        if (isFree && given.insert(port).second) {
             return port;
         }
     }
