UnitTests/ResourceLimits: crowds of clients against the real programs

Clients that the operators do not control can end a process: many large bodies of legal size at once, whole or without their end, take its memory, and connections that do nothing take its descriptors.

The tests start the real programs of both modes, with a limit on their descriptors, and let a crowd send to each of their ports: callers, readiness probe, metrics, announcements of backend servers, links. They ask whether the processes live, stay within the memory of the smallest machines of their role (120 MB beside callers, 128 MB beside backend servers) and within their descriptors, and whether an ordinary job is served while the crowd holds on and after it has left. No time and no share of served requests is checked.

--- /dev/null
+++ b/Source/UnitTests/ResourceLimits/Program.cpp
@@ -0,0 +1,97 @@
+#include "Program.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+namespace ResourceLimits {
+
+namespace {
+
+std::string writeSettings(const Program::Start &start)
+{
+    const std::string path = start.directory + '/' + start.program + ".yaml";
+    std::ofstream file(path);
+    for (const std::string &line : start.settings) {
+        file << line << '\n';
+    }
+    return path;
+}
+
+std::string quoted(const std::string &word)
+{
+    return '\'' + word + '\'';
+}
+
+/// The shell sets the limit and is replaced by the program.
+std::vector<std::string> limitedCommand(const Program::Start &start)
+{
+    const auto folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+    std::string command = "ulimit -n " + std::to_string(start.maxDescriptors) + " && exec "
+                          + quoted((folder / start.program).string());
+    for (const std::string &option : start.options) {
+        command += ' ' + option;
+    }
+    command += " --settings " + quoted(writeSettings(start));
+    return {"/bin/sh", "-c", command};
+}
+
+} // namespace
+
+Program::Program(const Start &start)
+    : log(start.directory + '/' + start.program + ".log")
+    , process(std::make_unique<Soak::ChildProcess>(limitedCommand(start), this->log))
+{
+    this->process->start();
+}
+
+bool Program::isAlive()
+{
+    return this->process->isRunning() && !this->process->poll();
+}
+
+std::string Program::procFile(const std::string &name) const
+{
+    return "/proc/" + std::to_string(this->process->id()) + '/' + name;
+}
+
+std::size_t Program::peakMemoryBytes() const
+{
+    constexpr std::size_t BytesPerKib = 1024;
+    std::ifstream status(this->procFile("status"));
+    for (std::string word; status >> word;) {
+        if (word == "VmHWM:") {
+            std::size_t kib = 0;
+            status >> kib;
+            return kib * BytesPerKib;
+        }
+    }
+    return 0;
+}
+
+std::size_t Program::openDescriptors() const
+{
+    std::error_code ended;
+    const std::filesystem::directory_iterator files(this->procFile("fd"), ended);
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
+TemporaryFolder::TemporaryFolder()
+{
+    std::string pattern =
+            (std::filesystem::temp_directory_path() / "auburntrail-limits-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("cannot create " + pattern);
+    }
+    this->folder = pattern;
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+} // namespace ResourceLimits
--- /dev/null
+++ b/Source/UnitTests/ResourceLimits/Sites.cpp
@@ -0,0 +1,232 @@
+#include "Sites.h"
+
+#include <chrono>
+#include <functional>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "Net/Net.h"
+
+namespace ResourceLimits {
+
+namespace {
+
+constexpr const char *Service = "desk";
+constexpr int Ok = 200;
+/// Upper limit of a call; far above what any needs.
+constexpr std::int64_t CallTimeoutMs = 20'000;
+
+/// Waits until \a condition is true. False after 300 checks 100 ms apart.
+bool waitFor(const std::function<bool()> &condition)
+{
+    constexpr int Rounds = 300;
+    constexpr std::chrono::milliseconds Pause{100};
+    for (int round = 0; round < Rounds; ++round) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(Pause);
+    }
+    return false;
+}
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string line(const std::string &name, const std::string &value)
+{
+    return name + ": \"" + value + '"';
+}
+
+std::string line(const std::string &name, int value)
+{
+    return name + ": " + std::to_string(value);
+}
+
+Net::HttpResult call(std::uint16_t port, const std::string &method, const std::string &path,
+                     const std::string &body = {})
+{
+    Net::HttpClient client(1);
+    Net::HttpCall made;
+    made.method = method;
+    made.url = "http://" + loopback(port) + path;
+    made.body = body;
+    made.headers = {"Host: desk.example"};
+    made.timeoutMs = CallTimeoutMs;
+    return client.perform(made);
+}
+
+std::string jobId(std::uint64_t number)
+{
+    constexpr int Digits = 16;
+    std::ostringstream text;
+    text << std::hex << std::setw(Digits) << std::setfill('0') << number;
+    return text.str();
+}
+
+} // namespace
+
+TransientProcesses::TransientProcesses(std::size_t maxDescriptors)
+    : backend(this->backendOptions())
+    , gateway(this->gatewayStart(maxDescriptors))
+    , agent(this->agentStart(maxDescriptors))
+{
+    this->store.setQueues(FakePlatform::oneQueue(1, Service));
+}
+
+FakePlatform::BackendOptions TransientProcesses::backendOptions()
+{
+    FakePlatform::BackendOptions options;
+    options.ran = [this](const FakePlatform::RunEvent &event) {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->startedJobs.insert(event.task.substr(0, event.task.find('.')));
+    };
+    return options;
+}
+
+Program::Start TransientProcesses::gatewayStart(std::size_t maxDescriptors) const
+{
+    Program::Start start;
+    start.program = "auburntrail-gateway";
+    start.options = {"--transient"};
+    start.settings = {line("name", "gateway-1"), line("callerAddress", loopback(this->callers)),
+                      line("probeAddress", loopback(this->probes)),
+                      line("peerAddress", loopback(this->links)),
+                      line("metricsPort", this->gatewayMetrics),
+                      line("storeAddress", this->store.address()),
+                      // Long, since the machine that runs the test may be slow.
+                      line("silenceMs", 5000)};
+    start.directory = this->folder.path();
+    start.maxDescriptors = maxDescriptors;
+    return start;
+}
+
+Program::Start TransientProcesses::agentStart(std::size_t maxDescriptors) const
+{
+    Program::Start start;
+    start.program = "auburntrail-agent";
+    start.options = {"--transient"};
+    start.settings = {line("name", "agent-1"),
+                      line("registrationAddress", loopback(this->registration)),
+                      line("backendAddress", this->backend.address()),
+                      line("service", Service),
+                      line("metricsPort", this->agentMetrics),
+                      line("storeAddress", this->store.address()),
+                      "seeds: [\"" + loopback(this->links) + "\"]",
+                      line("silenceMs", 5000)};
+    start.directory = this->folder.path();
+    start.maxDescriptors = maxDescriptors;
+    return start;
+}
+
+bool TransientProcesses::serves()
+{
+    return waitFor([this] {
+               return this->backend.announce(loopback(this->registration), Service, false);
+           })
+           && this->servesJob();
+}
+
+bool TransientProcesses::servesJob()
+{
+    return waitFor([this] { return this->submitJob() == Ok; });
+}
+
+int TransientProcesses::submitJob()
+{
+    const std::string id = jobId(++this->lastJob);
+    return call(this->callers, "POST", "/checks/" + id, FakePlatform::jobBody({30, 1, false}))
+            .status;
+}
+
+int TransientProcesses::probe() const
+{
+    return call(this->probes, "GET", "/readyz").status;
+}
+
+bool TransientProcesses::hasStarted(const std::string &id)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->startedJobs.count(id) > 0;
+}
+
+JournaledProcesses::JournaledProcesses(std::size_t maxDescriptors)
+    : log(StandIn::FakeLogServerBuilder().threads(2).build())
+    , backend(StandIn::FakeBackendServerBuilder().threads(2).build())
+    , gateway(this->gatewayStart(maxDescriptors))
+    , agent(this->agentStart(maxDescriptors))
+{}
+
+Program::Start JournaledProcesses::gatewayStart(std::size_t maxDescriptors) const
+{
+    Program::Start start;
+    start.program = "auburntrail-gateway";
+    start.settings = {line("name", "gateway-1"), line("httpPort", this->http),
+                      line("peerPort", this->links), line("logUrl", this->log->url())};
+    start.directory = this->folder.path();
+    start.maxDescriptors = maxDescriptors;
+    return start;
+}
+
+Program::Start JournaledProcesses::agentStart(std::size_t maxDescriptors) const
+{
+    Program::Start start;
+    start.program = "auburntrail-agent";
+    start.settings = {line("name", "agent-1"), "gateways: [\"" + loopback(this->links) + "\"]",
+                      line("backendUrl", this->backend->url()),
+                      line("metricsPort", this->agentMetrics)};
+    start.directory = this->folder.path();
+    start.maxDescriptors = maxDescriptors;
+    return start;
+}
+
+bool JournaledProcesses::configure()
+{
+    using Json = nlohmann::json;
+    const Json changes[] = {
+            {{"kind", "service"},
+             {"name", Service},
+             {"remove", false},
+             {"service", {{"name", Service}, {"expectedRunMs", 30}}}},
+            {{"kind", "team"},
+             {"name", "repair"},
+             {"remove", false},
+             {"team", {{"name", "repair"}, {"weight", 1}, {"quota", 0}}}},
+    };
+    for (const Json &change : changes) {
+        const Json current =
+                Json::parse(call(this->http, "GET", "/v1/config").body, nullptr, false);
+        const std::int64_t version = current.is_object() ? current.value("version", 0) : 0;
+        const Json body = {{"basedOn", version}, {"change", change}};
+        if (call(this->http, "POST", "/v1/config", body.dump()).status != Ok) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool JournaledProcesses::serves()
+{
+    return waitFor([this] { return call(this->http, "GET", "/ready").status == Ok; })
+           && waitFor([this] { return this->configure(); }) && this->servesJob();
+}
+
+bool JournaledProcesses::servesJob()
+{
+    return waitFor([this] { return this->submitJob() == Ok; });
+}
+
+int JournaledProcesses::submitJob()
+{
+    const nlohmann::json job = {{"team", "repair"},
+                                {"caller", "patrol"},
+                                {"service", Service},
+                                {"tasks", {{{"payload", "{\"runMs\":30}"}}}}};
+    return call(this->http, "POST", "/v1/jobs", job.dump()).status;
+}
+
+} // namespace ResourceLimits
