Common/Mailbox: a wait without an end does not overflow

What was seen: the control thread of a transient gateway with no peers, agents and jobs takes a whole core; under the undefined-behaviour sanitizer the gateway ends.

Cause: where nothing is due, the control loop waits until the end of the clock. The wait is added to the present time, overflows and ends at once.

Change: a mailbox waits an hour at most. Both kinds of mailbox do, so the agents' loop is covered as well.

The new case of MailboxTest gets no message with the wait before.

--- a/Source/Core/Common/Mailbox.h
+++ b/Source/Core/Common/Mailbox.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <cstddef>
@@ -9,6 +10,10 @@
 
 namespace Common {
 
+/// Longest wait of a mailbox. A wait until the end of the clock would overflow and end at once, in
+/// a loop that takes a whole processor.
+constexpr std::chrono::hours MaxMailboxWait{1};
+
 /// Passes typed messages from the I/O threads to the single control thread.
 template <typename Message>
 class Mailbox
@@ -23,11 +28,13 @@
         this->arrived.notify_one();
     }
 
-    /// Takes all messages that have arrived, after waiting at most \a timeout for the first one.
+    /// Takes all messages that have arrived, after waiting at most \a timeout, and at most
+    /// MaxMailboxWait, for the first one.
     std::deque<Message> take(std::chrono::milliseconds timeout)
     {
         std::unique_lock<std::mutex> lock(this->mutex);
-        this->arrived.wait_for(lock, timeout, [this] { return !this->messages.empty(); });
+        this->arrived.wait_for(lock, std::min<std::chrono::milliseconds>(timeout, MaxMailboxWait),
+                               [this] { return !this->messages.empty(); });
         return std::exchange(this->messages, {});
     }
 
@@ -68,12 +75,13 @@
         this->arrived.notify_one();
     }
 
-    /// Takes all messages and at most \a maxWork pieces of work, after waiting at most \a timeout
-    /// for the first of either.
+    /// Takes all messages and at most \a maxWork pieces of work, after waiting at most \a timeout,
+    /// and at most MaxMailboxWait, for the first of either.
     Taken take(std::chrono::milliseconds timeout, std::size_t maxWork)
     {
         std::unique_lock<std::mutex> lock(this->mutex);
-        this->arrived.wait_for(lock, timeout, [this] {
+        const auto limited = std::min<std::chrono::milliseconds>(timeout, MaxMailboxWait);
+        this->arrived.wait_for(lock, limited, [this] {
             return !this->waiting.messages.empty() || !this->waiting.work.empty();
         });
         Taken taken;
--- a/Source/UnitTests/Common/MailboxTest.cpp
+++ b/Source/UnitTests/Common/MailboxTest.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <doctest/doctest.h>
 #include <string>
+#include <thread>
 
 #include "Common/Common.h"
 
@@ -28,3 +29,16 @@
     CHECK(taken.messages.empty());
     CHECK(taken.work.empty());
 }
+
+TEST_CASE("A wait without an end ends at once, and the thread that waits takes a processor")
+{
+    constexpr std::chrono::milliseconds Later(50);
+    Mailbox mailbox;
+    std::thread sender([&mailbox, Later] {
+        std::this_thread::sleep_for(Later);
+        mailbox.post("event");
+    });
+    const Mailbox::Taken taken = mailbox.take(std::chrono::milliseconds::max(), 1);
+    sender.join();
+    CHECK(taken.messages.size() == 1);
+}
