Common/Log: long values are cut

A caller chooses its path, host and job id, and refused requests are logged with them. 2,000 lines may wait for the thread that writes them, so that long paths would take tens of megabytes where the reader of the log is slow. A value is cut at 512 bytes now, with "..." behind it.

--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -39,6 +39,9 @@
 /// are dropped.
 constexpr std::size_t QueueLines = 2000;
 constexpr std::chrono::milliseconds FlushTimeout{300};
+/// Longest value of a field: callers choose paths and names, and QueueLines lines with long ones
+/// would take much of a small machine's memory.
+constexpr std::size_t MaxValueBytes = 512;
 
 using Backend = boost::log::sinks::text_ostream_backend;
 using Sink = boost::log::sinks::asynchronous_sink<
@@ -103,10 +106,12 @@
     return line;
 }
 
-void addField(std::string &line, const std::string &key, const std::string &value)
+void addField(std::string &line, const std::string &key, std::string_view value)
 {
+    const std::string_view shown = value.substr(0, MaxValueBytes);
     line += ' ' + key + '=';
-    line += needsQuotes(value) ? quoteValue(value) : value;
+    line += needsQuotes(shown) ? quoteValue(shown) : std::string(shown);
+    line += shown.size() < value.size() ? "..." : "";
 }
 
 /// Allows MaxLinesPerSecond lines per second, and reports with the first line of a later second how
--- a/Source/Core/Common/Log.h
+++ b/Source/Core/Common/Log.h
@@ -44,7 +44,8 @@
 
 /// Writes one line: time, level, process, event and the fields, as key=value pairs. A value that is
 /// empty or contains blanks, quotes, backslashes, '=' or control characters is quoted, and quotes,
-/// backslashes and control characters are escaped, so that each event stays on one line.
+/// backslashes and control characters are escaped, so that each event stays on one line. Of a long
+/// value only the start is written, with "..." behind it.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 void logEvent(LogLevel level, std::string_view event,
               const std::vector<std::pair<std::string, std::string>> &fields);
