Common/BoundedJson: a body of many short values is refused before it is parsed

Cause: a parsed value takes 16 bytes and more, a small object some 200, whatever its length in the text; one body of 4 MiB may become a hundred megabytes.

Change: the values of a text over 64 KiB are counted first, without keeping them, and the text is refused from 50,000 on. The longest jobs have a few thousand. Shorter texts are parsed as before, at the same cost.

--- a/Source/Core/Common/Common.h
+++ b/Source/Core/Common/Common.h
@@ -2,6 +2,7 @@
 
 #include "Common/Append.h"
 #include "Common/Backoff.h"
+#include "Common/BoundedJson.h"
 #include "Common/Clock.h"
 #include "Common/Hash.h"
 #include "Common/Ids.h"
--- a/Source/Core/Gateway/CallerApi.cpp
+++ b/Source/Core/Gateway/CallerApi.cpp
@@ -50,9 +50,9 @@
 
 Common::Outcome<Json> parseBody(const std::string &body)
 {
-    Json value = Json::parse(body, nullptr, false);
+    Json value = Common::parseBoundedJson(body);
     if (value.is_discarded()) {
-        return Common::failure(Reason::Malformed, "the body is not JSON");
+        return Common::failure(Reason::Malformed, "the body is not JSON, or has too many values");
     }
     return value;
 }
