UnitTests/Net: three tests of answers that are not read run again

They hung in one of 2 to 30 runs, or failed in 3 of 25 beside load, with the HTTP library: it left accepted connections unread, and its closing was in order before a reset took effect.

--- a/Source/UnitTests/Net/HttpDisconnectTest.cpp
+++ b/Source/UnitTests/Net/HttpDisconnectTest.cpp
@@ -410,7 +410,7 @@
     CHECK(requestThreads == disconnectThreads);
 }
 
-TEST_CASE("An answer to a caller that has left reaches no other caller" * doctest::skip())
+TEST_CASE("An answer to a caller that has left reaches no other caller")
 {
     // A caller closes its connection while its answer is handed over. The next caller gets the same
     // socket number at the server, and must not receive that answer.
--- a/Source/UnitTests/Net/HttpUnreadTest.cpp
+++ b/Source/UnitTests/Net/HttpUnreadTest.cpp
@@ -266,8 +266,7 @@
 }
 
 TEST_CASE("A caller that does not read for too long keeps its answer in memory, or takes it for "
-          "whole"
-          * doctest::skip())
+          "whole")
 {
     // The connection is reset: one that merely ends could be taken for the end of the answer.
     std::promise<Net::DroppedAnswer> dropped;
@@ -288,7 +287,7 @@
     CHECK(isServedRepeatedly(*server));
 }
 
-TEST_CASE("Unread answers fill the memory of the process" * doctest::skip())
+TEST_CASE("Unread answers fill the memory of the process")
 {
     // Beyond the limit the one goes that has stalled longest; the others arrive whole.
     constexpr std::size_t RoomForTwo = MoreThanBuffers * 2;
