--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -20,9 +20,9 @@
     return signals;
 }
 
-/// Keeps long allocations out of the heap. The allocator would raise the limit from which on it maps
-/// them by themselves when the first one is freed; what clients have sent would then stay in the
-/// process, in gaps between smaller allocations, when it is released.
+/// Keeps long allocations out of the heap. The allocator would raise the limit from which on it
+/// maps them by themselves when the first one is freed; what clients have sent would then stay in
+/// the process, in gaps between smaller allocations, when it is released.
 void mapLongAllocations()
 {
     constexpr int LongBytes = 128 << 10;
