--- a/Source/UnitTests/ResourceLimits/Crowd.cpp
+++ b/Source/UnitTests/ResourceLimits/Crowd.cpp
@@ -27,7 +27,7 @@
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     // Goes on in the background.
-    ::connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    (void)::connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
     return socket;
 }
 
--- a/Source/UnitTests/ResourceLimits/Program.cpp
+++ b/Source/UnitTests/ResourceLimits/Program.cpp
@@ -12,7 +12,7 @@
 
 std::string writeSettings(const Program::Start &start)
 {
-    const std::string path = start.directory + '/' + start.program + ".yaml";
+    std::string path = start.directory + '/' + start.program + ".yaml";
     std::ofstream file(path);
     for (const std::string &line : start.settings) {
         file << line << '\n';
