UnitTests/ResourceLimits: long jobs accepted one after the other, known red

60 jobs of 3 MiB with wait=false, one after the other, each with room while it is read, take 221 MB in a journaled gateway; the bound is 120 MB. The budget counts a request until its answer; a job that waits after a 202 is limited by the number of queued tasks only.

--- a/Source/UnitTests/ResourceLimits/CrowdTest.cpp
+++ b/Source/UnitTests/ResourceLimits/CrowdTest.cpp
@@ -431,3 +431,30 @@
     CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
     CHECK(site.agent.peakMemoryBytes() < AgentMachineBytes);
 }
+
+TEST_CASE("Long jobs that are accepted one after the other fill the memory of a journaled gateway"
+          * doctest::skip())
+{
+    // Each finds room while it is read, and waits for its backend server after its answer.
+    constexpr int Jobs = 60;
+    constexpr std::size_t Payload = 3 * MiB;
+    const std::string head = R"({"team":"repair","caller":"patrol","service":"desk",)"
+                             R"("tasks":[{"payload":"{\"runMs\":20000,\"pad\":\")";
+    const std::string tail = R"(\"}"}]})";
+    raiseDescriptorLimit();
+    JournaledProcesses site;
+    REQUIRE(site.serves());
+    for (int job = 0; job < Jobs; ++job) {
+        Crowd client(site.http);
+        client.add(
+                {headOf("/v1/jobs?wait=false", contentLength(head.size() + Payload + tail.size()))
+                         + head,
+                 'x', Payload, tail});
+        client.send();
+        client.readStatuses();
+    }
+    REQUIRE(site.gateway.isAlive());
+    REQUIRE(site.agent.isAlive());
+    CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
+    CHECK(site.agent.peakMemoryBytes() < AgentMachineBytes);
+}
