Net/HttpConnection: the input kept behind a request is looked at under its mutex

parseAhead() read the length of the kept input without the mutex, while the thread that gives the last answer of a connection may empty it.

--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -208,8 +208,9 @@
     this->isParsingAhead = true;
     this->parse(input);
     this->isParsingAhead = false;
-    if (this->ahead.empty()) {
-        this->requestsAhead = 0;
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->requestsAhead = this->hasAhead ? this->requestsAhead : 0;
     }
     this->waitForInput();
 }
