Net/HttpConnection: input behind an unread answer adds to what is held

A client that leaves its answer unread and begins another request is counted with the bytes of that request only, so that many such clients fill the memory with answers beyond the limits, until they stall for 30 s.

Cause: the input that is kept behind a request replaced the count of the connection in place of adding to it.

Change: it is added; every count of a connection includes the input that it keeps.

Result: the new case of HttpLimitsTest, two callers with 16 MiB each where 24 MiB may stay unread, gave up none before and gives up one now.

--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -183,7 +183,8 @@
         }
         this->hasAhead = true;
         this->ahead += input;
-        this->setHolding(this->holding.stage, this->ahead.size());
+        this->holding.bytes += input.size();
+        ++this->holding.revision;
         current = this->holding;
     }
     if (!this->isParsingAhead) {
@@ -422,7 +423,7 @@
     return ::poll(&watched, 1, 0) > 0;
 }
 
-/// The caller holds the mutex.
+/// Counts \a bytes and the input that is kept. The caller holds the mutex.
 void HttpConnection::setHolding(HoldingStage stage, std::size_t bytes)
 {
     const bool wasUnfinished =
@@ -432,7 +433,7 @@
         this->holding.sinceMs = Common::currentMoment().steadyMs;
     }
     this->holding.stage = stage;
-    this->holding.bytes = bytes;
+    this->holding.bytes = bytes + this->ahead.size();
     ++this->holding.revision;
 }
 
--- a/Source/Core/Net/HttpConnectionWriting.cpp
+++ b/Source/Core/Net/HttpConnectionWriting.cpp
@@ -178,9 +178,9 @@
         // The caller closes its side when it has the answer; closing first could reset the
         // connection while the answer is in transit.
         ::shutdown(this->socket.native_handle(), SHUT_WR);
-        this->setHolding(HoldingStage::Closing, 0);
         this->ahead = std::string();
         this->hasAhead = false;
+        this->setHolding(HoldingStage::Closing, 0);
     } else {
         this->setHolding(HoldingStage::Idle, 0);
     }
--- a/Source/UnitTests/Net/HttpLimitsTest.cpp
+++ b/Source/UnitTests/Net/HttpLimitsTest.cpp
@@ -15,6 +15,9 @@
 
 using Clock = std::chrono::steady_clock;
 
+/// More than the buffers of a connection take.
+constexpr std::size_t LongAnswer = std::size_t{16} << 20U;
+
 /// A server with limits of its own that keeps the replies to requests for "/hold".
 class LimitedServer
 {
@@ -37,7 +40,9 @@
                                  this->held.push_back(reply);
                                  return;
                              }
-                             reply.send({200, "ok", "text/plain", 0, false});
+                             const bool isLong = request.path == "/long";
+                             reply.send({200, isLong ? std::string(LongAnswer, 'x') : "ok",
+                                         "text/plain", 0, false});
                          })
                          .build())
     {}
@@ -295,3 +300,28 @@
     server.answerHeld();
     CHECK(later.readAnswers(1) == std::vector<std::string>{"held"});
 }
+
+TEST_CASE("A client that sends on hides the answer that it does not read from the limits")
+{
+    // Each leaves a long answer unread and begins another request. The memory bears one of them.
+    Net::ListenerLimits limits;
+    limits.unread.idleAfter = std::chrono::milliseconds(100);
+    limits.unread.maxIdleBytes = LongAnswer + LongAnswer / 2;
+    LimitedServer server(limits);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int client = 0; client < 2; ++client) {
+        callers.push_back(std::make_unique<RawCaller>(server.port()));
+        callers.back()->ask("/long");
+        REQUIRE(callers.back()->waitForInput());
+        callers.back()->send("GET /next");
+    }
+    const auto until = Clock::now() + RawCaller::MaxWait;
+    while (server.allReleases().empty() && Clock::now() < until) {
+        std::this_thread::yield();
+    }
+    const std::vector<Net::Release> releases = server.allReleases();
+    REQUIRE(releases.size() == 1);
+    CHECK(releases.front().stage == Net::HoldingStage::Answer);
+    CHECK(releases.front().cause == Net::ReleaseCause::Memory);
+    CHECK(server.isServed());
+}
