Net: what stood twice in the budget, and work done for nothing

- The time of the next release was computed a second time in ListenerBudget, and nextDropMs() had no caller left. nextReleaseMs() stands beside holdingsToRelease() now and calls it.
- Each piece written of an unread answer looked through all connections for that time.
A piece only makes it later; it is computed when an answer is added.
- Each accepted link did the same before it asked whether the timer runs.
- The refusal for want of room, and the choice by a set of connections, were written twice.
- The loop that accepts is a member, and its acceptor and timers need not be optional.

--- a/Source/Core/Net/Holdings.cpp
+++ b/Source/Core/Net/Holdings.cpp
@@ -37,6 +37,24 @@
     selection.remaining.swap(remaining);
 }
 
+void choose(Selection &selection, ReleaseCause cause, const std::set<std::uint64_t> &connections)
+{
+    choose(selection, cause, [&connections](const Holding &holding) {
+        return connections.count(holding.connection) > 0;
+    });
+}
+
+std::vector<UnreadAnswer> unreadAnswersOf(const std::vector<Holding> &holdings)
+{
+    std::vector<UnreadAnswer> unread;
+    for (const Holding &holding : holdings) {
+        if (holding.stage == HoldingStage::Answer) {
+            unread.push_back({holding.connection, holding.bytes, holding.sinceMs});
+        }
+    }
+    return unread;
+}
+
 template <typename IsLess>
 std::set<std::uint64_t> firstOf(std::vector<Holding> candidates, std::size_t count, IsLess isLess)
 {
@@ -98,24 +116,17 @@
     const std::set<std::uint64_t> chosen =
             firstOf(std::move(candidates), excess,
                     [&rank](const Holding &a, const Holding &b) { return rank(a) < rank(b); });
-    choose(selection, ReleaseCause::Connections,
-           [&chosen](const Holding &holding) { return chosen.count(holding.connection) > 0; });
+    choose(selection, ReleaseCause::Connections, chosen);
 }
 
 void chooseAnswers(Selection &selection, const ListenerLimits &limits, std::int64_t nowMs)
 {
-    std::vector<UnreadAnswer> unread;
-    for (const Holding &holding : selection.remaining) {
-        if (holding.stage == HoldingStage::Answer) {
-            unread.push_back({holding.connection, holding.bytes, holding.sinceMs});
-        }
-    }
     std::set<std::uint64_t> chosen;
-    for (const DroppedAnswer &answer : answersToDrop(std::move(unread), limits.unread, nowMs)) {
+    for (const DroppedAnswer &answer :
+         answersToDrop(unreadAnswersOf(selection.remaining), limits.unread, nowMs)) {
         chosen.insert(answer.connection);
     }
-    choose(selection, ReleaseCause::Memory,
-           [&chosen](const Holding &holding) { return chosen.count(holding.connection) > 0; });
+    choose(selection, ReleaseCause::Memory, chosen);
 }
 
 void chooseByMemory(Selection &selection, std::size_t runningBytes, const ListenerLimits &limits,
@@ -154,8 +165,7 @@
         held -= holding.bytes;
         answers -= isAnswer ? 1 : 0;
     }
-    choose(selection, ReleaseCause::Memory,
-           [&chosen](const Holding &holding) { return chosen.count(holding.connection) > 0; });
+    choose(selection, ReleaseCause::Memory, chosen);
 }
 
 } // namespace
@@ -192,6 +202,16 @@
     return Never;
 }
 
+std::int64_t nextReleaseMs(const std::vector<Holding> &holdings, const ListenerLimits &limits,
+                           std::int64_t nowMs)
+{
+    std::int64_t earliestMs = nextDropMs(unreadAnswersOf(holdings), limits.unread, nowMs);
+    for (const Holding &holding : holdings) {
+        earliestMs = std::min(earliestMs, expiryMs(holding, limits));
+    }
+    return earliestMs;
+}
+
 bool admitsRequest(std::size_t bytes, std::size_t runningBytes, const ListenerLimits &limits)
 {
     const bool isOrdinary = bytes <= OrdinaryRequestBytes;
--- a/Source/Core/Net/Holdings.h
+++ b/Source/Core/Net/Holdings.h
@@ -85,6 +85,11 @@
 /// there is none.
 std::int64_t expiryMs(const Holding &holding, const ListenerLimits &limits);
 
+/// When, after \a nowMs, holdingsToRelease() may choose one of \a holdings if none of them changes
+/// until then; the maximum of the type if there is none.
+std::int64_t nextReleaseMs(const std::vector<Holding> &holdings, const ListenerLimits &limits,
+                           std::int64_t nowMs);
+
 /// Whether a request of \a bytes may be read or run while whole requests hold \a runningBytes. Long
 /// requests may take half of the memory, so that they leave room for ordinary ones.
 bool admitsRequest(std::size_t bytes, std::size_t runningBytes, const ListenerLimits &limits);
--- a/Source/Core/Net/HttpConnection.cpp
+++ b/Source/Core/Net/HttpConnection.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <boost/asio/dispatch.hpp>
-#include <boost/asio/post.hpp>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -310,6 +309,11 @@
 void HttpConnection::refuseForRoom(std::size_t bytes)
 {
     this->server->report.refused(bytes, this->clientAddress(), Common::currentMoment().steadyMs);
+    this->refuseOverloaded();
+}
+
+void HttpConnection::refuseOverloaded()
+{
     this->refuse(Unavailable, Schema::Reason::Overloaded,
                  "this process has no room for the request; nothing has run");
 }
@@ -343,8 +347,7 @@
         this->refuse(RequestTimeout, Schema::Reason::RequestTimedOut,
                      "the request did not come in time; nothing has run");
     } else if (isUnfinished && release.cause == ReleaseCause::Memory) {
-        this->refuse(Unavailable, Schema::Reason::Overloaded,
-                     "this process has no room for the request; nothing has run");
+        this->refuseOverloaded();
     } else if (current.stage == HoldingStage::Answer) {
         this->dropAnswer(release);
     } else {
--- a/Source/Core/Net/HttpConnection.h
+++ b/Source/Core/Net/HttpConnection.h
@@ -83,6 +83,7 @@
     void handle(HttpRequest request, std::unique_ptr<ListenerBudget::Charge> charge);
     void refuse(int status, Schema::Reason reason, const std::string &detail);
     void refuseForRoom(std::size_t bytes);
+    void refuseOverloaded();
 
     WriteResult writeOutgoing();
     void watch();
--- a/Source/Core/Net/HttpConnectionWriting.cpp
+++ b/Source/Core/Net/HttpConnectionWriting.cpp
@@ -74,9 +74,7 @@
     }
     this->server->update(current);
     if (current.stage == HoldingStage::Answer) {
-        // Notes the progress of the other unread answers, too: of those that were begun before this
-        // one, the first is the one that has stalled longest.
-        this->server->enforceLimits();
+        this->server->unreadAnswerAdded();
     }
     return isSent;
 }
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -14,7 +14,6 @@
 #include <utility>
 
 #include "Common/Clock.h"
-#include "Common/Log.h"
 #include "Net/HttpConnection.h"
 #include "Net/HttpServerState.h"
 #include "Net/ServerLoop.h"
@@ -68,19 +67,16 @@
         for (std::size_t thread = 0; thread < threads; ++thread) {
             this->loops.push_back(std::make_shared<ServerLoop>());
         }
-        this->acceptor.emplace(this->acceptLoop->context);
-        this->acceptPause.emplace(this->acceptLoop->context);
-        this->limitTimer.emplace(this->acceptLoop->context);
-        this->acceptor->open(endpoint.protocol());
-        this->acceptor->set_option(tcp::acceptor::reuse_address(true));
-        this->acceptor->set_option(
+        this->acceptor.open(endpoint.protocol());
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        this->acceptor.set_option(
                 boost::asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
-        this->acceptor->set_option(boost::asio::socket_base::send_buffer_size(SendBufferBytes));
-        this->acceptor->bind(endpoint);
-        this->acceptor->listen();
-        this->port = this->acceptor->local_endpoint().port();
+        this->acceptor.set_option(boost::asio::socket_base::send_buffer_size(SendBufferBytes));
+        this->acceptor.bind(endpoint);
+        this->acceptor.listen();
+        this->port = this->acceptor.local_endpoint().port();
         this->state->enforceAt = [this](std::int64_t atMs) { this->enforceAt(atMs); };
-        boost::asio::post(this->acceptLoop->context, [this] { this->accept(); });
+        boost::asio::post(this->acceptLoop.context, [this] { this->accept(); });
     }
     Implementation(const Implementation &) = delete;
     Implementation &operator=(const Implementation &) = delete;
@@ -89,7 +85,7 @@
     {
         const std::shared_ptr<ServerLoop> loop = this->loops[this->nextLoop];
         this->nextLoop = (this->nextLoop + 1) % this->loops.size();
-        this->acceptor->async_accept(
+        this->acceptor.async_accept(
                 loop->context,
                 [this, loop](const boost::system::error_code &failed, tcp::socket socket) {
                     if (failed == boost::asio::error::operation_aborted) {
@@ -109,8 +105,8 @@
     /// Without the pause a process that is out of descriptors would try again and again.
     void pauseAccepting()
     {
-        this->acceptPause->expires_after(AcceptPause);
-        this->acceptPause->async_wait([this](const boost::system::error_code &failed) {
+        this->acceptPause.expires_after(AcceptPause);
+        this->acceptPause.async_wait([this](const boost::system::error_code &failed) {
             if (!failed) {
                 this->accept();
             }
@@ -134,7 +130,7 @@
         std::int64_t armedMs = this->limitTimerMs;
         while (atMs < armedMs) {
             if (this->limitTimerMs.compare_exchange_weak(armedMs, atMs)) {
-                boost::asio::post(this->acceptLoop->context, [this] { this->armLimitTimer(); });
+                boost::asio::post(this->acceptLoop.context, [this] { this->armLimitTimer(); });
                 return;
             }
         }
@@ -146,14 +142,14 @@
         if (atMs == std::numeric_limits<std::int64_t>::max()) {
             return;
         }
-        this->limitTimer->expires_after(
+        this->limitTimer.expires_after(
                 std::chrono::milliseconds(atMs - Common::currentMoment().steadyMs));
-        this->limitTimer->async_wait([this](const boost::system::error_code &failed) {
+        this->limitTimer.async_wait([this](const boost::system::error_code &failed) {
             if (!failed) {
                 this->limitTimerMs = std::numeric_limits<std::int64_t>::max();
                 this->state->enforceLimits();
                 this->enforceAt(
-                        this->state->budget->nextExpiryMs(Common::currentMoment().steadyMs));
+                        this->state->budget->nextReleaseMs(Common::currentMoment().steadyMs));
             }
         });
     }
@@ -168,14 +164,14 @@
             const std::lock_guard<std::shared_mutex> lock(this->state->mutex);
             this->state->isOpen = false;
         }
-        this->acceptLoop->stop();
+        this->acceptLoop.stop();
         for (const std::shared_ptr<ServerLoop> &loop : this->loops) {
             loop->stop();
         }
         boost::system::error_code ignored;
-        this->acceptor->close(ignored);
-        this->acceptPause->cancel();
-        this->limitTimer->cancel();
+        this->acceptor.close(ignored);
+        this->acceptPause.cancel();
+        this->limitTimer.cancel();
         this->state->closeAll();
         // The handlers of what was cancelled refer to connections, and these to their loop.
         for (const std::shared_ptr<ServerLoop> &loop : this->loops) {
@@ -187,11 +183,11 @@
     std::shared_ptr<HttpServerState> state;
     std::vector<std::shared_ptr<ServerLoop>> loops;
     /// Accepts connections and watches over the limits, also while handlers take the other loops.
-    std::shared_ptr<ServerLoop> acceptLoop = std::make_shared<ServerLoop>();
+    ServerLoop acceptLoop;
     // These run on the accepting loop.
-    std::optional<tcp::acceptor> acceptor;
-    std::optional<boost::asio::steady_timer> acceptPause;
-    std::optional<boost::asio::steady_timer> limitTimer;
+    tcp::acceptor acceptor{this->acceptLoop.context};
+    boost::asio::steady_timer acceptPause{this->acceptLoop.context};
+    boost::asio::steady_timer limitTimer{this->acceptLoop.context};
     /// When the limit timer expires, on the steady clock.
     std::atomic<std::int64_t> limitTimerMs = std::numeric_limits<std::int64_t>::max();
     std::size_t nextLoop = 0;
--- a/Source/Core/Net/HttpServerState.cpp
+++ b/Source/Core/Net/HttpServerState.cpp
@@ -54,9 +54,13 @@
     if (this->budget->update(holding)) {
         this->enforceLimits();
     }
-    const bool isAnswer = holding.stage == HoldingStage::Answer;
-    this->enforceAt(isAnswer ? this->budget->nextExpiryMs(Common::currentMoment().steadyMs)
-                             : expiryMs(holding, this->budget->limits()));
+    this->enforceAt(expiryMs(holding, this->budget->limits()));
+}
+
+void HttpServerState::unreadAnswerAdded()
+{
+    this->enforceLimits();
+    this->enforceAt(this->budget->nextReleaseMs(Common::currentMoment().steadyMs));
 }
 
 void HttpServerState::closeAll()
--- a/Source/Core/Net/HttpServerState.h
+++ b/Source/Core/Net/HttpServerState.h
@@ -35,6 +35,10 @@
     /// Notes what a connection holds, and gives up what exceeds the limits. The caller holds no
     /// connection's mutex.
     void update(const Holding &holding);
+    /// Called when the caller has not accepted an answer at once. Notes the progress of the other
+    /// unread answers, too: of those that were begun before, the first is the one that has stalled
+    /// longest. The caller of this function holds no connection's mutex.
+    void unreadAnswerAdded();
     /// Gives up what exceeds the limits or its time. The caller holds no connection's mutex.
     void enforceLimits();
     void enforceOnce();
--- a/Source/Core/Net/PeerHub.cpp
+++ b/Source/Core/Net/PeerHub.cpp
@@ -278,9 +278,12 @@
     void scheduleEnforcement()
     {
         constexpr std::int64_t MinIntervalMs = 100;
+        if (this->isEnforcementScheduled) {
+            return;
+        }
         const std::int64_t nowMs = Common::currentMoment().steadyMs;
-        const std::int64_t atMs = this->budget->nextExpiryMs(nowMs);
-        if (this->isEnforcementScheduled || atMs == std::numeric_limits<std::int64_t>::max()) {
+        const std::int64_t atMs = this->budget->nextReleaseMs(nowMs);
+        if (atMs == std::numeric_limits<std::int64_t>::max()) {
             return;
         }
         this->isEnforcementScheduled = true;
--- a/Source/Core/Net/ResourceBudget.cpp
+++ b/Source/Core/Net/ResourceBudget.cpp
@@ -1,7 +1,5 @@
 #include "Net/ResourceBudget.h"
 
-#include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace Net {
@@ -52,6 +50,19 @@
            || this->unreadBytes > limits.unread.maxBytes;
 }
 
+/// What is held for the connections that are not released. The caller holds the mutex.
+std::vector<Holding> ListenerBudget::holdings() const
+{
+    std::vector<Holding> holdings;
+    holdings.reserve(this->connections);
+    for (const auto &[connection, entry] : this->entries) {
+        if (!entry.isReleased) {
+            holdings.push_back(entry.holding);
+        }
+    }
+    return holdings;
+}
+
 bool ListenerBudget::open(const Holding &holding)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -106,15 +117,8 @@
 ListenerBudget::Releases ListenerBudget::enforce(std::int64_t nowMs)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    std::vector<Holding> holdings;
-    holdings.reserve(this->connections);
-    for (const auto &[connection, entry] : this->entries) {
-        if (!entry.isReleased) {
-            holdings.push_back(entry.holding);
-        }
-    }
     Releases releases =
-            holdingsToRelease(holdings, this->runningBytes, this->listenerLimits, nowMs);
+            holdingsToRelease(this->holdings(), this->runningBytes, this->listenerLimits, nowMs);
     for (const Release &release : releases) {
         Entry &entry = this->entries.at(release.connection);
         this->subtract(entry);
@@ -135,23 +139,10 @@
     return unread;
 }
 
-std::int64_t ListenerBudget::nextExpiryMs(std::int64_t nowMs)
+std::int64_t ListenerBudget::nextReleaseMs(std::int64_t nowMs)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    std::int64_t earliestMs = std::numeric_limits<std::int64_t>::max();
-    const bool isShort = this->unreadBytes > this->listenerLimits.unread.maxIdleBytes;
-    for (const auto &[connection, entry] : this->entries) {
-        if (entry.isReleased) {
-            continue;
-        }
-        earliestMs = std::min(earliestMs, expiryMs(entry.holding, this->listenerLimits));
-        const std::int64_t idleMs =
-                entry.holding.sinceMs + this->listenerLimits.unread.idleAfter.count();
-        if (isShort && entry.holding.stage == HoldingStage::Answer && idleMs > nowMs) {
-            earliestMs = std::min(earliestMs, idleMs);
-        }
-    }
-    return earliestMs;
+    return Net::nextReleaseMs(this->holdings(), this->listenerLimits, nowMs);
 }
 
 ListenerUsage ListenerBudget::usage()
--- a/Source/Core/Net/ResourceBudget.h
+++ b/Source/Core/Net/ResourceBudget.h
@@ -63,8 +63,8 @@
     Releases enforce(std::int64_t nowMs);
     /// Connections with an answer that is not completely accepted.
     std::vector<std::uint64_t> unreadConnections();
-    /// When the next holding exceeds its timeout, or answers that are unread exceed their limits.
-    std::int64_t nextExpiryMs(std::int64_t nowMs);
+    /// When enforce() may choose a connection next, if nothing changes until then.
+    std::int64_t nextReleaseMs(std::int64_t nowMs);
 
     ListenerUsage usage();
 
@@ -78,6 +78,7 @@
     void add(Entry &entry, const Holding &holding);
     void subtract(Entry &entry);
     bool isExceeded() const;
+    std::vector<Holding> holdings() const;
 
     const ListenerLimits listenerLimits;
     std::mutex mutex;
