UnitTests/ResourceLimits: one check of both programs

Whether the programs live and have stayed within their machines was written in five places, in one of them for the gateway only. checkPrograms() asks it for both in all of them.

--- a/Source/UnitTests/ResourceLimits/CrowdTest.cpp
+++ b/Source/UnitTests/ResourceLimits/CrowdTest.cpp
@@ -149,6 +149,16 @@
     crowd.send();
 }
 
+/// Requires both programs to live and to have stayed within the memory of their machines.
+template <typename Site>
+void checkPrograms(Site &site)
+{
+    REQUIRE(site.gateway.isAlive());
+    REQUIRE(site.agent.isAlive());
+    CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
+    CHECK(site.agent.peakMemoryBytes() < AgentMachineBytes);
+}
+
 /// Checks both programs while the crowd holds on and after it has left.
 template <typename Site>
 void checkUnder(Site &site, const CrowdPlan &plan, std::uint16_t port, std::size_t maxDescriptors)
@@ -171,8 +181,7 @@
         check();
     }
     check();
-    CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
-    CHECK(site.agent.peakMemoryBytes() < AgentMachineBytes);
+    checkPrograms(site);
 }
 
 /// Waits until \a program has at most \a count descriptors. False after a limited time.
@@ -364,11 +373,8 @@
         CHECK(site.servesJob());
         CHECK(site.probe() == Ok);
     }
-    REQUIRE(site.gateway.isAlive());
-    REQUIRE(site.agent.isAlive());
     CHECK(site.servesJob());
-    CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
-    CHECK(site.agent.peakMemoryBytes() < AgentMachineBytes);
+    checkPrograms(site);
 }
 
 TEST_CASE("A job that a crowded transient gateway has refused as not run runs")
@@ -403,8 +409,7 @@
         CHECK_FALSE((isRefused && site.hasStarted(ids[client])));
         CHECK((status != Ok || site.hasStarted(ids[client])));
     }
-    CHECK(site.gateway.isAlive());
-    CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
+    checkPrograms(site);
 }
 
 TEST_CASE("Long jobs that are accepted and wait fill the memory of a journaled gateway")
@@ -425,11 +430,8 @@
     }
     crowd.send();
     crowd.readStatuses();
-    REQUIRE(site.gateway.isAlive());
-    REQUIRE(site.agent.isAlive());
     CHECK(site.servesJob());
-    CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
-    CHECK(site.agent.peakMemoryBytes() < AgentMachineBytes);
+    checkPrograms(site);
 }
 
 TEST_CASE("Long jobs that are accepted one after the other fill the memory of a journaled gateway"
@@ -453,8 +455,5 @@
         client.send();
         client.readStatuses();
     }
-    REQUIRE(site.gateway.isAlive());
-    REQUIRE(site.agent.isAlive());
-    CHECK(site.gateway.peakMemoryBytes() < GatewayMachineBytes);
-    CHECK(site.agent.peakMemoryBytes() < AgentMachineBytes);
+    checkPrograms(site);
 }
