Net/PeerHub: one map of accepted connections

The numbers of accepted connections were kept by handle and the handles by number, to find the number when a connection opens or ends. The handlers of a connection carry its number now; one map is left, and a link is made in one step.

--- a/Source/Core/Net/PeerHub.cpp
+++ b/Source/Core/Net/PeerHub.cpp
@@ -67,7 +67,7 @@
     std::function<bool(const std::string &)> write;
     std::function<std::size_t()> unsent;
     std::function<void()> disconnect;
-    std::function<void()> allowLongFrames = [] {};
+    std::function<void()> allowLongFrames;
     bool isOpen = false;
     /// Number in the budget of an accepted link without a valid frame so far; 0 for others.
     std::uint64_t unidentified = 0;
@@ -104,11 +104,6 @@
         this->server.set_tcp_pre_init_handler([this](const websocketpp::connection_hdl &handle) {
             this->startHandshake(handle);
         });
-        this->server.set_fail_handler(
-                [this](const websocketpp::connection_hdl &handle) { this->forget(handle); });
-        this->server.set_open_handler([this](const websocketpp::connection_hdl &handle) {
-            this->accepted(this->server.get_con_from_hdl(handle));
-        });
         this->thread = std::thread([this] { this->context.run(); });
     }
 
@@ -125,13 +120,15 @@
         endpoint.set_max_message_size(MaxFrameBytes);
     }
 
-    /// Adds the link \a id and connects the events of \a connection to it.
+    /// Adds the link \a id and connects the events of \a connection to it. \a acceptedNumber is 0
+    /// for an outgoing one.
     template <typename Connection>
-    void bind(LinkId id, const Connection &connection, bool isOutgoing)
+    void bind(LinkId id, const Connection &connection, std::uint64_t acceptedNumber)
     {
         using Message = typename Connection::element_type::message_ptr;
         Link link;
-        link.isOutgoing = isOutgoing;
+        link.isOutgoing = acceptedNumber == 0;
+        link.unidentified = acceptedNumber;
         const std::weak_ptr<typename Connection::element_type> weak = connection;
         link.write = [weak](const std::string &bytes) {
             const auto target = weak.lock();
@@ -147,12 +144,17 @@
                 target->terminate(websocketpp::lib::error_code());
             }
         };
+        link.allowLongFrames = [weak] {
+            if (const auto target = weak.lock()) {
+                target->set_max_message_size(MaxFrameBytes);
+            }
+        };
         connection->set_message_handler(
                 [this, id](const websocketpp::connection_hdl &, const Message &message) {
                     this->received(id, message->get_payload());
                 });
-        const auto ended = [this, id](const websocketpp::connection_hdl &handle) {
-            this->forget(handle);
+        const auto ended = [this, id, acceptedNumber](const websocketpp::connection_hdl &) {
+            this->forget(acceptedNumber);
             this->removeLink(id);
         };
         connection->set_close_handler(ended);
@@ -186,29 +188,24 @@
         holding.stage = HoldingStage::Head;
         holding.bytes = UnidentifiedBytes;
         holding.sinceMs = Common::currentMoment().steadyMs;
-        this->acceptedNumbers[started] = holding.connection;
-        this->acceptedHandles[holding.connection] = started;
+        const std::uint64_t number = holding.connection;
+        const ServerEndpoint::connection_ptr connection = this->server.get_con_from_hdl(started);
+        connection->set_fail_handler(
+                [this, number](const websocketpp::connection_hdl &) { this->forget(number); });
+        connection->set_open_handler([this, number](const websocketpp::connection_hdl &handle) {
+            this->accepted(this->server.get_con_from_hdl(handle), number);
+        });
+        this->acceptedHandles[number] = started;
         if (this->budget->open(holding)) {
             this->enforceLimits();
         }
         this->scheduleEnforcement();
     }
 
-    void accepted(const ServerEndpoint::connection_ptr &connection)
+    void accepted(const ServerEndpoint::connection_ptr &connection, std::uint64_t number)
     {
         const LinkId id = ++this->lastLink;
-        this->bind(id, connection, false);
-        const std::weak_ptr<ServerEndpoint::connection_type> weak = connection;
-        {
-            const std::lock_guard<std::mutex> lock(this->mutex);
-            Link &link = this->links.at(id);
-            link.unidentified = this->acceptedNumbers[connection->get_handle()];
-            link.allowLongFrames = [weak] {
-                if (const auto target = weak.lock()) {
-                    target->set_max_message_size(MaxFrameBytes);
-                }
-            };
-        }
+        this->bind(id, connection, number);
         this->opened(id, connection);
     }
 
@@ -232,23 +229,19 @@
         allowLongFrames();
     }
 
-    /// Called when an accepted connection has ended.
-    void forget(const websocketpp::connection_hdl &handle)
+    /// Called when the accepted connection \a number has ended. Ignores 0, an outgoing one.
+    void forget(std::uint64_t number)
     {
-        const auto found = this->acceptedNumbers.find(handle);
-        if (found != this->acceptedNumbers.end()) {
-            this->budget->close(found->second);
-            this->acceptedHandles.erase(found->second);
-            this->acceptedNumbers.erase(found);
-        }
+        this->budget->close(number);
+        this->acceptedHandles.erase(number);
     }
 
     /// The library reports no end of connections that sent an HTTP request other than a handshake.
     void forgetEnded()
     {
-        for (auto entry = this->acceptedNumbers.begin(); entry != this->acceptedNumbers.end();) {
+        for (auto entry = this->acceptedHandles.begin(); entry != this->acceptedHandles.end();) {
             const auto next = std::next(entry);
-            if (entry->first.expired()) {
+            if (entry->second.expired()) {
                 this->forget(entry->first);
             }
             entry = next;
@@ -307,7 +300,7 @@
             this->events.closed(id);
             return;
         }
-        this->bind(id, connection, true);
+        this->bind(id, connection, 0);
         // The handler does not own the connection, so that there is no reference cycle.
         connection->set_open_handler([this, id](const websocketpp::connection_hdl &handle) {
             this->opened(id, this->client.get_con_from_hdl(handle));
@@ -549,10 +542,7 @@
     std::atomic<LinkId> lastLink = 0;
     std::mutex mutex;
     std::map<LinkId, Link> links;
-    // Accepted connections and their numbers in the budget. Used on the hub's thread only.
-    std::map<websocketpp::connection_hdl, std::uint64_t,
-             std::owner_less<websocketpp::connection_hdl>>
-            acceptedNumbers;
+    /// Accepted connections by their numbers in the budget. Used on the hub's thread only.
     std::map<std::uint64_t, websocketpp::connection_hdl> acceptedHandles;
     std::uint64_t lastAccepted = 0;
     boost::asio::steady_timer budgetTimer;
