UnitTests: the address of a port on this machine in one place

The tests of crowds had a copy of loopback() of the tests of the daemons. Both take it from the stand-ins for the platform, beside freePort().

--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -16,15 +16,12 @@
 
 namespace {
 
+using FakePlatform::loopback;
+
 constexpr const char *Service = "desk";
 constexpr const char *FailureDomain = "beja";
 constexpr const char *Job = "5c0e7a21d94b36f8";
 
-std::string loopback(std::uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 /// Waits until \a condition is true. False after 3,000 checks 10 ms apart.
 bool waitFor(const std::function<bool()> &condition)
 {
--- a/Source/UnitTests/Platform/FakePlatform.cpp
+++ b/Source/UnitTests/Platform/FakePlatform.cpp
@@ -673,6 +673,11 @@
     return record.dump();
 }
 
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
 std::uint16_t freePort()
 {
     const auto server = Net::HttpServerBuilder()
--- a/Source/UnitTests/Platform/FakePlatform.h
+++ b/Source/UnitTests/Platform/FakePlatform.h
@@ -243,6 +243,9 @@
 /// A port on which no process listens at the moment.
 std::uint16_t freePort();
 
+/// Address of \a port on this machine.
+std::string loopback(std::uint16_t port);
+
 /// Configuration record with one queue at host "desk.example" and path "/checks/".
 std::string oneQueue(std::int64_t version, const std::string &service);
 
--- a/Source/UnitTests/ResourceLimits/Sites.cpp
+++ b/Source/UnitTests/ResourceLimits/Sites.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+using FakePlatform::loopback;
+
 constexpr const char *Service = "desk";
 constexpr int Ok = 200;
 /// Upper limit of a call; far above what any needs.
@@ -32,11 +34,6 @@
     return false;
 }
 
-std::string loopback(std::uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 std::string line(const std::string &name, const std::string &value)
 {
     return name + ": \"" + value + '"';
