Runner: what gateways are told follows from what the present incarnation has announced

Cause: what an observation shows (a new start time) and what is announced (labels, room, service) stood in one struct. An observation put the next incarnation's start time beside the labels of the previous one; its announcement then looked like one of the same incarnation, and nobody was told, since gateways were told only of a new incarnation or of a change of `accepting`.

Change: PresentBackend identifies the present incarnation; `announced` is absent until it has announced itself, and nothing is taken or started without it. Gateways are told whenever what they were told last is no longer true (announceIfChanged). Orders name the service and the label; the agent checks them and the room where a task starts, returns waiting tasks that it cannot run, and stops runs that the next incarnation took and may not run. The journaled mode takes labels and room from its settings: not concerned. `backend_announced` has labels, service and room now, one line for each change; before, the log could not tell a change that was not noticed from one that was not told.

One test of RunnerTest announces the next incarnation now before it expects a start there, and checks that there is none before.

--- a/Source/Core/Runner/Announcements.cpp
+++ b/Source/Core/Runner/Announcements.cpp
@@ -1,7 +1,7 @@
 #include "Runner/Announcements.h"
 
+#include "Runner/Incarnations.h"
 #include "Runner/Load.h"
-#include "Runner/Observation.h"
 #include "Runner/Runs.h"
 
 namespace Runner {
@@ -39,8 +39,9 @@
     if (state.isBackendResponsive && isPrevious) {
         return Lateness::Replaced;
     }
-    if (state.backend && incarnationOf(*state.backend) == incarnationOf(announcement)
-        && announcement.sequence <= state.backend->sequence) {
+    const Transient::BackendAnnouncement *last = announcedBackend(state);
+    if (last != nullptr && incarnationOf(*last) == incarnationOf(announcement)
+        && announcement.sequence <= last->sequence) {
         return Lateness::Overtaken;
     }
     return std::nullopt;
@@ -63,7 +64,9 @@
         line.fields.emplace_back("present_id", state.backend->id);
         line.fields.emplace_back("present_started_at_ms",
                                  std::to_string(state.backend->startedAtMs));
-        line.fields.emplace_back("present_sequence", std::to_string(state.backend->sequence));
+    }
+    if (const Transient::BackendAnnouncement *last = announcedBackend(state)) {
+        line.fields.emplace_back("present_sequence", std::to_string(last->sequence));
     }
     effects.emplace_back(std::move(line));
 }
@@ -93,10 +96,72 @@
     if (announcement.leaving && !state.backend->leaving) {
         state.backend->leaving = true;
         handleLeaving(state, effects, now);
-        effects.emplace_back(Announce{});
     }
 }
 
+void logAnnounced(Effects &effects, const Transient::BackendAnnouncement &announcement)
+{
+    std::string labels;
+    for (const std::string &label : announcement.labels) {
+        labels += (labels.empty() ? "" : ",") + label;
+    }
+    effects.emplace_back(
+            Transient::LogLine{"backend_announced",
+                               {{"id", announcement.id},
+                                {"address", announcement.address},
+                                {"service", announcement.service},
+                                {"labels", labels},
+                                {"started_at_ms", std::to_string(announcement.startedAtMs)},
+                                {"processors", std::to_string(announcement.resources.processors)},
+                                {"memory_mb", std::to_string(announcement.resources.memoryMb)},
+                                {"sequence", std::to_string(announcement.sequence)}}});
+}
+
+/// Whether \a before says the same of what the backend server can run.
+bool offersTheSame(const Transient::BackendAnnouncement *before,
+                   const Transient::BackendAnnouncement &announcement)
+{
+    return before != nullptr && before->service == announcement.service
+           && before->labels == announcement.labels
+           && before->resources.processors == announcement.resources.processors
+           && before->resources.memoryMb == announcement.resources.memoryMb
+           && before->resources.accelerators == announcement.resources.accelerators;
+}
+
+/// Whether the announcement is of another incarnation than the present one. Backend servers that do
+/// not give their start time are told apart by their ids.
+bool isOfOther(const PresentBackend &present, const Transient::BackendAnnouncement &announcement)
+{
+    return present.id != announcement.id
+           || (announcement.startedAtMs != 0 && present.startedAtMs != 0
+               && present.startedAtMs != announcement.startedAtMs);
+}
+
+void takeAnnouncement(RunnerState &state, Effects &effects,
+                      const Transient::BackendAnnouncement &announcement, Common::Moment now)
+{
+    const std::optional<PresentBackend> before = state.backend;
+    const bool isOther = before && isOfOther(*before, announcement);
+    const Transient::BackendAnnouncement *last = isOther ? nullptr : announcedBackend(state);
+    if (!offersTheSame(last, announcement)) {
+        logAnnounced(effects, announcement);
+    }
+    state.backend = {announcement.id, announcement.address, announcement.startedAtMs, false,
+                     announcement};
+    updateLeaving(state);
+    // Another one seemed to have replaced it. Its further announcements are not late.
+    state.previousIncarnations.erase(incarnationOf(announcement));
+    if (isOther) {
+        state.clockOffsetMs.reset();
+        state.isBackendResponsive = true;
+        beginIncarnation(state, effects, *before, now);
+    }
+    if (state.backend->leaving && (!before || !before->leaving)) {
+        handleLeaving(state, effects, now);
+    }
+    stopIneligible(state, effects, now);
+}
+
 } // namespace
 
 void updateLeaving(RunnerState &state)
@@ -116,39 +181,10 @@
     }
     if (const std::optional<Lateness> lateness = latenessOf(state, announcement)) {
         handleLate(state, effects, announcement, *lateness, now);
-        return effects;
-    }
-    const std::optional<Transient::BackendAnnouncement> before = state.backend;
-    const bool wasAccepting = isAccepting(state);
-    state.backend = announcement;
-    updateLeaving(state);
-    // Another one seemed to have replaced it. Its further announcements are not late.
-    state.previousIncarnations.erase(incarnationOf(announcement));
-    const bool isOtherIncarnation =
-            before
-            && (before->id != announcement.id
-                || (announcement.startedAtMs != 0 && before->startedAtMs != 0
-                    && before->startedAtMs != announcement.startedAtMs));
-    if (isOtherIncarnation || !before) {
-        effects.emplace_back(Transient::LogLine{
-                "backend_announced",
-                {{"id", announcement.id},
-                 {"address", announcement.address},
-                 {"started_at_ms", std::to_string(announcement.startedAtMs)},
-                 {"processors", std::to_string(announcement.resources.processors)},
-                 {"sequence", std::to_string(announcement.sequence)}}});
-    }
-    if (isOtherIncarnation) {
-        state.clockOffsetMs.reset();
-        state.isBackendResponsive = true;
-        beginIncarnation(state, effects, *before, now);
-    }
-    if (state.backend->leaving && (!before || !before->leaving)) {
-        handleLeaving(state, effects, now);
-    }
-    if (isOtherIncarnation || !before || wasAccepting != isAccepting(state)) {
-        effects.emplace_back(Announce{});
+    } else {
+        takeAnnouncement(state, effects, announcement, now);
     }
+    announceIfChanged(state, effects);
     return effects;
 }
 
@@ -162,7 +198,7 @@
     state.backend->leaving = true;
     returnQueuedTasks(state, effects, Reason::AgentDraining, now);
     // Started runs may continue for a moment; they count as over once their lease has expired.
-    effects.emplace_back(Announce{});
+    announceIfChanged(state, effects);
     return effects;
 }
 
--- a/Source/Core/Runner/Evacuation.cpp
+++ b/Source/Core/Runner/Evacuation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Runner/Load.h"
 #include "Runner/Runs.h"
 
 namespace Runner {
@@ -18,7 +19,7 @@
             std::find(changed.begin(), changed.end(), state.failureDomain) != changed.end();
     if (isConcerned) {
         returnEvacuatedTasks(state, effects, now);
-        effects.emplace_back(Announce{});
+        announceIfChanged(state, effects);
     }
     return effects;
 }
--- a/Source/Core/Runner/Forecast.cpp
+++ b/Source/Core/Runner/Forecast.cpp
@@ -40,7 +40,8 @@
 Timeline timelineOf(const RunnerState &state, Common::Moment now)
 {
     Timeline timeline;
-    timeline.free = state.backend ? state.backend->resources.processors : 0;
+    const Transient::BackendAnnouncement *announced = announcedBackend(state);
+    timeline.free = announced == nullptr ? 0 : announced->resources.processors;
     for (const auto &[id, run] : state.runs) {
         if (run.phase != RunPhase::Queued) {
             timeline.free -= run.resources.processors;
--- a/Source/Core/Runner/Load.cpp
+++ b/Source/Core/Runner/Load.cpp
@@ -1,6 +1,7 @@
 #include "Runner/Load.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Runner/Evacuation.h"
 #include "Runner/Forecast.h"
@@ -20,6 +21,25 @@
     return run.phase != RunPhase::Queued;
 }
 
+bool fits(const Transient::BackendAnnouncement &backend, const Schema::Resources &used,
+          const Schema::Resources &needed)
+{
+    // Sums of fractions have rounding errors: a millionth of a processor is tolerated.
+    constexpr double Rounding = 1e-6;
+    Schema::Resources whole = backend.resources;
+    whole.processors += Rounding;
+    return Dispatch::fits(whole, used, needed);
+}
+
+bool isSame(const Offer &left, const Offer &right)
+{
+    return left.accepting == right.accepting && left.clean == right.clean
+           && left.service == right.service && left.labels == right.labels
+           && left.resources.processors == right.resources.processors
+           && left.resources.memoryMb == right.resources.memoryMb
+           && left.resources.accelerators == right.resources.accelerators;
+}
+
 } // namespace
 
 Schema::Resources occupied(const RunnerState &state)
@@ -37,14 +57,27 @@
 
 bool hasRoom(const RunnerState &state, const Schema::Resources &needed)
 {
-    if (!state.backend) {
+    const Transient::BackendAnnouncement *announced = announcedBackend(state);
+    return announced != nullptr && fits(*announced, occupied(state), needed);
+}
+
+const Transient::BackendAnnouncement *announcedBackend(const RunnerState &state)
+{
+    return state.backend && state.backend->announced ? &*state.backend->announced : nullptr;
+}
+
+bool isEligible(const RunnerState &state, const Run &run)
+{
+    const Transient::BackendAnnouncement *announced = announcedBackend(state);
+    if (announced == nullptr) {
         return false;
     }
-    // Sums of fractions have rounding errors: a millionth of a processor is tolerated.
-    constexpr double Rounding = 1e-6;
-    Schema::Resources whole = state.backend->resources;
-    whole.processors += Rounding;
-    return Dispatch::fits(whole, occupied(state), needed);
+    const std::vector<std::string> &labels = announced->labels;
+    const bool hasLabel =
+            run.requiredLabel.empty()
+            || std::find(labels.begin(), labels.end(), run.requiredLabel) != labels.end();
+    const bool isOfService = run.service.empty() || run.service == announced->service;
+    return hasLabel && isOfService && fits(*announced, {}, run.resources);
 }
 
 double committedProcessors(const RunnerState &state)
@@ -95,8 +128,31 @@
 
 bool isAccepting(const RunnerState &state)
 {
-    return state.backend && !state.backend->leaving && state.isClean && state.isBackendResponsive
-           && !state.isStopping && !isEvacuated(state);
+    return announcedBackend(state) != nullptr && !state.backend->leaving && state.isClean
+           && state.isBackendResponsive && !state.isStopping && !isEvacuated(state);
+}
+
+Offer offerOf(const RunnerState &state)
+{
+    Offer offer;
+    offer.accepting = isAccepting(state);
+    offer.clean = state.isClean;
+    offer.service = state.service;
+    if (const Transient::BackendAnnouncement *announced = announcedBackend(state)) {
+        offer.service = announced->service;
+        offer.labels = announced->labels;
+        offer.resources = announced->resources;
+    }
+    return offer;
+}
+
+void announceIfChanged(RunnerState &state, Effects &effects)
+{
+    Offer offer = offerOf(state);
+    if (!state.toldOffer || !isSame(*state.toldOffer, offer)) {
+        state.toldOffer = std::move(offer);
+        effects.emplace_back(Announce{});
+    }
 }
 
 Schema::AgentAnnouncement announcementFor(const RunnerState &state, const std::string &gateway,
@@ -106,13 +162,12 @@
     announcement.instance = state.instance;
     announcement.name = state.name;
     announcement.failureDomain = state.failureDomain;
-    announcement.service = state.backend ? state.backend->service : state.service;
-    if (state.backend) {
-        announcement.labels = state.backend->labels;
-        announcement.resources = state.backend->resources;
-    }
-    announcement.accepting = isAccepting(state);
-    announcement.clean = state.isClean;
+    Offer offer = offerOf(state);
+    announcement.service = std::move(offer.service);
+    announcement.labels = std::move(offer.labels);
+    announcement.resources = offer.resources;
+    announcement.accepting = offer.accepting;
+    announcement.clean = offer.clean;
     for (const auto &[id, run] : state.runs) {
         if (run.gateway == gateway) {
             announcement.held.push_back({run.attempt, run.task});
--- a/Source/Core/Runner/Load.h
+++ b/Source/Core/Runner/Load.h
@@ -11,6 +11,14 @@
 
 bool hasRoom(const RunnerState &state, const Schema::Resources &needed);
 
+/// What the present incarnation of the backend server has announced; null if it has not announced
+/// itself.
+const Transient::BackendAnnouncement *announcedBackend(const RunnerState &state);
+
+/// Whether the present incarnation of the backend server can run the task: by the service, the
+/// label and the resources that it has announced.
+bool isEligible(const RunnerState &state, const Run &run);
+
 /// Processors of all running and waiting tasks.
 double committedProcessors(const RunnerState &state);
 
@@ -19,6 +27,13 @@
 /// Whether this agent currently accepts tasks from gateways.
 bool isAccepting(const RunnerState &state);
 
+/// What gateways may know of the backend server: only what its present incarnation has announced.
+Offer offerOf(const RunnerState &state);
+
+/// Announces this agent if the gateways' last information about the backend server is no longer
+/// true.
+void announceIfChanged(RunnerState &state, Effects &effects);
+
 Schema::AgentAnnouncement announcementFor(const RunnerState &state, const std::string &gateway,
                                           Common::Moment now);
 
--- a/Source/Core/Runner/Observation.cpp
+++ b/Source/Core/Runner/Observation.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
-#include "Runner/Announcements.h"
+#include "Runner/Incarnations.h"
+#include "Runner/Leases.h"
+#include "Runner/Load.h"
 #include "Runner/Pace.h"
 #include "Runner/Runs.h"
 
@@ -21,9 +23,6 @@
 /// too, and each hides the ends of runs for as long as it waits.
 constexpr std::int64_t LossyPeriodMs = 3000;
 constexpr std::int64_t LossyObserveWaitMs = 60;
-/// A run counts as lost when it is missing from this many consecutive observations that were sent
-/// after its start was answered.
-constexpr int MissedUntilLost = 2;
 constexpr std::int64_t StrayRetryMs = 150;
 /// Pause after an observation that failed without a timeout. Successive observations that do not
 /// wait for an end are half of it apart.
@@ -166,23 +165,6 @@
     }
 }
 
-/// Handles an observation from an incarnation that has not announced itself yet.
-void detectIncarnation(RunnerState &state, Effects &effects, std::int64_t startedAtMs,
-                       Common::Moment now)
-{
-    effects.emplace_back(Transient::LogLine{"backend_restarted",
-                                            {{"started_at_ms", std::to_string(startedAtMs)}}});
-    const Transient::BackendAnnouncement before = *state.backend;
-    state.previousIncarnations.erase({before.id, startedAtMs});
-    state.backend->startedAtMs = startedAtMs;
-    updateLeaving(state);
-    // Its announcements are numbered from the beginning. Compared with the sequence of the previous
-    // incarnation, they would all seem late.
-    constexpr std::int64_t NoneYet = -1;
-    state.backend->sequence = NoneYet;
-    beginIncarnation(state, effects, before, now);
-}
-
 void updateClean(RunnerState &state, Effects &effects)
 {
     if (state.isClean || !state.strays.empty()) {
@@ -191,7 +173,6 @@
     state.isClean = true;
     effects.emplace_back(
             Transient::LogLine{"backend_clean", {{"last_end", std::to_string(state.lastEnd)}}});
-    effects.emplace_back(Announce{});
 }
 
 /// Whether any run at the backend server should continue. Runs that a previous process left behind
@@ -205,15 +186,6 @@
     });
 }
 
-/// Records that the observation has renewed the lease, or may have, if it requested that. This
-/// includes refused observations: only a refused start is known to have had no effect.
-void recordRenewal(RunnerState &state, const PendingObservation &observation)
-{
-    if (observation.isRenewal) {
-        state.leaseGrantSentMs = std::max(state.leaseGrantSentMs, observation.sentMs);
-    }
-}
-
 void processObservation(RunnerState &state, Effects &effects, const Transient::Observation &seen,
                         const PendingObservation &observation, Common::Moment now)
 {
@@ -242,36 +214,7 @@
     if (!state.isBackendResponsive) {
         state.isBackendResponsive = true;
         effects.emplace_back(Transient::LogLine{"backend_regained", {}});
-        effects.emplace_back(Announce{});
-    }
-}
-
-/// Time after which a granted lease has expired. The clock of the backend server may be slow by a
-/// fiftieth; the margin is twice that.
-std::int64_t lapseMs(const RunnerState &state)
-{
-    constexpr std::int64_t ClockShare = 25;
-    return state.times.leaseMs + state.times.leaseMs / ClockShare;
-}
-
-/// Send time of the last call that may have granted a lease; a lease covers all runs. When the end
-/// of leases was counted from the last answer instead, runs were given up that continued under a
-/// start in transit or a renewal whose answer was lost, and their tasks ran twice at the same time.
-std::int64_t latestLeaseGrantMs(const RunnerState &state)
-{
-    std::int64_t lastMs = state.leaseGrantSentMs;
-    for (const auto &[id, observation] : state.pendingObservations) {
-        lastMs = observation.isRenewal ? std::max(lastMs, observation.sentMs) : lastMs;
-    }
-    for (const auto &[id, run] : state.runs) {
-        lastMs = run.isStartPending ? std::max(lastMs, run.startSentMs) : lastMs;
     }
-    return lastMs;
-}
-
-bool isSilentFor(const RunnerState &state, std::int64_t ms, Common::Moment now)
-{
-    return state.silentSinceMs != 0 && now.steadyMs > state.silentSinceMs + ms;
 }
 
 void markBackendLost(RunnerState &state, Effects &effects, ObserveOutcome outcome,
@@ -287,7 +230,6 @@
              {"granted_ms_ago", std::to_string(now.steadyMs - latestLeaseGrantMs(state))},
              {"runs", std::to_string(state.runs.size() - state.queue.size())}}});
     state.isBackendResponsive = false;
-    effects.emplace_back(Announce{});
 }
 
 void processFailedObservation(RunnerState &state, Effects &effects, ObserveOutcome outcome,
@@ -334,57 +276,6 @@
                        [&](const auto &entry) { return entry.first.first == task; });
 }
 
-void beginIncarnation(RunnerState &state, Effects &effects,
-                      const Transient::BackendAnnouncement &before, Common::Moment now)
-{
-    state.previousIncarnations.insert(incarnationOf(before));
-    for (const auto &[id, observation] : state.pendingObservations) {
-        recordRenewal(state, observation);
-    }
-    // Answers of the previous incarnation must not be taken for answers of this one.
-    state.pendingObservations.clear();
-    state.strays.clear();
-    state.observationBackoff = {};
-    state.silentSinceMs = 0;
-    state.isIncarnationDoubted = false;
-    state.lastEnd = 0;
-    state.acknowledgedEnd = 0;
-    state.isClean = false;
-    // The new incarnation has seen no fence yet. Late orders that were meant for the previous one
-    // have a lower fence than this.
-    ++state.fence;
-    // A start may have reached the new incarnation before it was detected, with a lease by the
-    // clock of the previous one, so the longest possible lease is assumed.
-    state.leaseGrantSentMs =
-            std::max(state.leaseGrantSentMs,
-                     now.steadyMs + state.times.longestLeaseMs - state.times.leaseMs);
-    const bool takesOldCalls = state.backend->id == before.id;
-    std::vector<RunId> unanswered;
-    for (auto &[id, run] : state.runs) {
-        if (!takesOldCalls) {
-            // Every call names the backend server's id, and one with another id rejects it.
-            run.isStartKnown = true;
-            run.earlierStartSentMs = 0;
-        }
-        if (run.phase == RunPhase::Running) {
-            // The run is over unless the next observation lists it.
-            run.startAnsweredMs = now.steadyMs + 1;
-            run.missedObservations = MissedUntilLost - 1;
-        } else if (run.phase != RunPhase::Queued) {
-            unanswered.push_back(id);
-        }
-    }
-    for (const RunId id : unanswered) {
-        stopRun(state, effects, id, Reason::BackendLost, now);
-        Run &run = state.runs.at(id);
-        // The previous incarnation may have accepted the stop, this one has not.
-        run.isStartPending = false;
-        run.stopAcceptedMs = 0;
-        run.stopTries = 0;
-        run.nextStopMs = now.steadyMs;
-    }
-}
-
 Effects observeIfDue(RunnerState &state, Common::Moment now)
 {
     Effects effects;
@@ -459,6 +350,7 @@
     } else {
         processFailedObservation(state, effects, answer.outcome, sent, now);
     }
+    announceIfChanged(state, effects);
     return effects;
 }
 
--- a/Source/Core/Runner/Observation.h
+++ b/Source/Core/Runner/Observation.h
@@ -10,17 +10,16 @@
 /// returned. Ends are numbered, so that two answers with the same ends do no harm.
 namespace Runner {
 
+/// A run counts as lost when it is missing from this many consecutive observations that were sent
+/// after its start was answered.
+constexpr int MissedUntilLost = 2;
+
 /// Sends the next observation if one is needed and due.
 Effects observeIfDue(RunnerState &state, Common::Moment now);
 
 /// Whether the backend server lists a run of the task that matches no started run here.
 bool hasStray(const RunnerState &state, const std::string &task);
 
-/// Handles a new incarnation of the backend server, which has no knowledge of earlier runs, stops
-/// and calls.
-void beginIncarnation(RunnerState &state, Effects &effects,
-                      const Transient::BackendAnnouncement &before, Common::Moment now);
-
 Effects observeAnswered(RunnerState &state, std::uint64_t observation,
                         const Transient::ObserveAnswer &answer, Common::Moment now);
 
--- a/Source/Core/Runner/Reports.cpp
+++ b/Source/Core/Runner/Reports.cpp
@@ -39,11 +39,12 @@
     }
     const std::int64_t intervalMs =
             std::max(loadReportIntervalMs(gateways), reports.loadIntervalMs);
-    if (!state.backend || now.steadyMs < reports.sentMs + intervalMs) {
+    const Transient::BackendAnnouncement *announced = announcedBackend(state);
+    if (announced == nullptr || now.steadyMs < reports.sentMs + intervalMs) {
         return false;
     }
     const double change = std::abs(committedProcessors(state) - reports.reportedProcessors);
-    return change > state.backend->resources.processors * SignificantLoadShare;
+    return change > announced->resources.processors * SignificantLoadShare;
 }
 
 Schema::Frame makeReport(const RunnerState &state, GatewayReports &reports,
--- a/Source/Core/Runner/Runner.cpp
+++ b/Source/Core/Runner/Runner.cpp
@@ -33,6 +33,8 @@
     run.task = attempt.task;
     run.attempt = attempt.attempt;
     run.payload = orders.payload;
+    run.service = orders.service.value_or("");
+    run.requiredLabel = orders.requiredLabel.value_or("");
     run.resources = orders.resources;
     run.priority = orders.priority;
     run.expectedMs = orders.expectedRunMs;
@@ -174,7 +176,7 @@
     Effects effects;
     state.isStopping = true;
     returnQueuedTasks(state, effects, Reason::AgentDraining, now);
-    effects.emplace_back(Announce{});
+    announceIfChanged(state, effects);
     return effects;
 }
 
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -26,6 +26,9 @@
 
 using RunId = std::uint64_t;
 
+/// Identifies one process of the backend server, by its id and its start on the wall clock.
+using Incarnation = std::pair<std::string, std::int64_t>;
+
 enum class RunPhase {
     Queued,
     /// The start was sent and has not been answered yet.
@@ -49,6 +52,10 @@
     std::string task;
     std::int64_t attempt = 0;
     std::string payload;
+    /// Empty if the gateway does not say.
+    std::string service;
+    /// Label that the backend server must have; empty for any.
+    std::string requiredLabel;
     Schema::Resources resources;
     std::int64_t priority = 0;
     std::int64_t expectedMs = 0;
@@ -65,6 +72,8 @@
     std::int64_t number = 0;
     std::int64_t startSentMs = 0;
     std::int64_t startFence = 0;
+    /// Incarnation of the backend server that the start was meant for.
+    Incarnation incarnation;
     bool isStartPending = false;
     /// The backend server has answered the start, or listed the run in an observation. Until then
     /// the start may still be in transit.
@@ -192,14 +201,39 @@
     std::int64_t nextStopMs = 0;
 };
 
-/// Identifies one process of the backend server, by its id and its start on the wall clock.
-using Incarnation = std::pair<std::string, std::int64_t>;
-
 inline Incarnation incarnationOf(const Transient::BackendAnnouncement &announcement)
 {
     return {announcement.id, announcement.startedAtMs};
 }
 
+/// The present incarnation of the backend server.
+struct PresentBackend
+{
+    std::string id;
+    /// host:port
+    std::string address;
+    std::int64_t startedAtMs = 0;
+    bool leaving = false;
+    /// What this incarnation has announced last. Nothing until it has announced itself: it may
+    /// differ in everything from the previous one at the same address and under the same id.
+    std::optional<Transient::BackendAnnouncement> announced;
+};
+
+inline Incarnation incarnationOf(const PresentBackend &backend)
+{
+    return {backend.id, backend.startedAtMs};
+}
+
+/// What gateways are told of the backend server.
+struct Offer
+{
+    bool accepting = false;
+    bool clean = false;
+    std::string service;
+    std::vector<std::string> labels;
+    Schema::Resources resources{};
+};
+
 struct RecentEnd
 {
     Schema::AttemptState state;
@@ -228,9 +262,10 @@
 
     Transient::Evacuations evacuations;
 
-    /// Last announcement of the backend server, updated when it leaves or an observation shows a
-    /// new incarnation.
-    std::optional<Transient::BackendAnnouncement> backend;
+    /// Nothing until a backend server has announced itself to this process.
+    std::optional<PresentBackend> backend;
+    /// What the gateways were told last.
+    std::optional<Offer> toldOffer;
     /// Incarnations that others have replaced: their announcements may arrive late.
     std::set<Incarnation> previousIncarnations;
     /// Incarnations that have announced that they are leaving, whichever counted as the present one
--- a/Source/Core/Runner/Runs.cpp
+++ b/Source/Core/Runner/Runs.cpp
@@ -15,6 +15,7 @@
 using Transient::StartOutcome;
 
 constexpr const char *StartCounter = "auburntrail_runner_starts_total";
+constexpr const char *IneligibleCounter = "auburntrail_runner_ineligible_total";
 /// Starts of a run before it is given up. Where the backend server rejects the run number, each try
 /// skips twice as many numbers as the one before, so that these tries get past any number that a
 /// day of resubmissions can have used.
@@ -88,6 +89,7 @@
     run.number = nextNumber(state, run);
     run.startSentMs = now.steadyMs;
     run.startFence = state.fence;
+    run.incarnation = incarnationOf(*state.backend);
     run.isStartPending = true;
     run.isStartKnown = false;
     run.missedObservations = 0;
@@ -193,6 +195,20 @@
               outcome == StartOutcome::NoRoom ? Reason::NoRoom : Reason::BackendRefused, now);
 }
 
+/// Returns the waiting tasks that the backend server cannot run, so that they run elsewhere. A task
+/// whose lost start may still arrive here stays: it could run twice.
+void returnIneligible(RunnerState &state, Effects &effects, Common::Moment now)
+{
+    const std::vector<RunId> queued = state.queue;
+    for (const RunId id : queued) {
+        const Run &run = state.runs.at(id);
+        if (!isEligible(state, run) && !mayStartLate(state, run, now)) {
+            finishRun(state, effects, id, AttemptPhase::NotStarted, Reason::NoBackend, now);
+            effects.emplace_back(Transient::CountReason{IneligibleCounter, Reason::NoBackend});
+        }
+    }
+}
+
 } // namespace
 
 bool hasOverdueStop(const RunnerState &state, Common::Moment now)
@@ -321,12 +337,16 @@
         returnEvacuatedTasks(state, effects, now);
         return effects;
     }
+    returnIneligible(state, effects, now);
     if (!state.isClean || !state.isBackendResponsive || !isClockKnown(state, now)
         || hasOverdueStop(state, now)) {
         return effects;
     }
     for (const RunId id : startable(state, now)) {
         const Run &run = state.runs.at(id);
+        if (!isEligible(state, run)) {
+            continue;
+        }
         if (!hasRoom(state, run.resources)) {
             // No run overtakes another: a task with large requirements would otherwise wait for as
             // long as smaller ones arrive.
@@ -449,6 +469,24 @@
     return effects;
 }
 
+void stopIneligible(RunnerState &state, Effects &effects, Common::Moment now)
+{
+    if (announcedBackend(state) == nullptr) {
+        return;
+    }
+    std::vector<RunId> ineligible;
+    for (const auto &[id, run] : state.runs) {
+        const bool isThere = run.phase == RunPhase::Starting || run.phase == RunPhase::Running;
+        if (isThere && run.incarnation != incarnationOf(*state.backend)
+            && !isEligible(state, run)) {
+            ineligible.push_back(id);
+        }
+    }
+    for (const RunId id : ineligible) {
+        stopRun(state, effects, id, Reason::BackendLost, now);
+    }
+}
+
 void endLostRuns(RunnerState &state, Effects &effects, Reason reason, Common::Moment now)
 {
     std::vector<RunId> over;
--- a/Source/Core/Runner/Runs.h
+++ b/Source/Core/Runner/Runs.h
@@ -64,6 +64,10 @@
 /// Begins to stop runs past their deadline, and sends the stops that are due.
 Effects sendDueStops(RunnerState &state, Common::Moment now);
 
+/// Stops the runs that were started for a previous incarnation of the backend server, if the
+/// present one lists them although it cannot run them.
+void stopIneligible(RunnerState &state, Effects &effects, Common::Moment now);
+
 /// Finishes all started runs, since none of them is running any more. The exception are runs with a
 /// start that was never answered: it may still take effect, and finishing the run at once made the
 /// task run twice at the same time. Such a run is stopped instead, until the backend server
--- a/Source/Core/Schema/Generated/Messages.h
+++ b/Source/Core/Schema/Generated/Messages.h
@@ -244,7 +244,8 @@
     /**
      * First frame of an agent on a link, and sent again when its backend server changes. held
      * lists the attempts of this gateway that the agent knows, so that orders lost with an
-     * earlier link are detected.
+     * earlier link are detected. labels and resources are those that the present incarnation of
+     * the backend server has announced; empty and zero until it has.
      */
     struct AgentAnnouncement {
         /**
@@ -877,8 +878,17 @@
          * Priority of the queue; 0 is the most urgent.
          */
         int64_t priority{};
+        /**
+         * Label that the backend server must have when a task starts. Absent if none is required.
+         */
+        std::optional<std::string> requiredLabel{};
         Resources resources{};
         int64_t sequence{};
+        /**
+         * Service of the queue. The agent returns tasks that its present backend server does not
+         * serve. Absent from gateways of older builds.
+         */
+        std::optional<std::string> service{};
         /**
          * Time by which the job should have ended.
          */
@@ -2336,8 +2346,10 @@
         x.longestWaitMs = get_stack_optional<int64_t>(j, "longestWaitMs");
         x.payload = j.at("payload").get<std::string>();
         x.priority = j.at("priority").get<int64_t>();
+        x.requiredLabel = get_stack_optional<std::string>(j, "requiredLabel");
         x.resources = j.at("resources").get<Resources>();
         x.sequence = j.at("sequence").get<int64_t>();
+        x.service = get_stack_optional<std::string>(j, "service");
         x.targetInMs = j.at("targetInMs").get<int64_t>();
         x.tasks = j.at("tasks").get<std::vector<TaskAttempt>>();
     }
@@ -2352,8 +2364,14 @@
         }
         j["payload"] = x.payload;
         j["priority"] = x.priority;
+        if (x.requiredLabel) {
+            j["requiredLabel"] = x.requiredLabel;
+        }
         j["resources"] = x.resources;
         j["sequence"] = x.sequence;
+        if (x.service) {
+            j["service"] = x.service;
+        }
         j["targetInMs"] = x.targetInMs;
         j["tasks"] = x.tasks;
     }
--- a/Source/Core/Transient/Orders.cpp
+++ b/Source/Core/Transient/Orders.cpp
@@ -18,6 +18,10 @@
 {
     Schema::TaskOrders orders;
     orders.payload = job.payload;
+    orders.service = job.queue.service;
+    if (!step.request.requiredLabel.empty()) {
+        orders.requiredLabel = step.request.requiredLabel;
+    }
     orders.resources = step.request.resources;
     orders.priority = job.queue.priority;
     orders.expectedRunMs = static_cast<std::int64_t>(runMs);
--- a/Source/UnitTests/Platform/FakePlatform.cpp
+++ b/Source/UnitTests/Platform/FakePlatform.cpp
@@ -153,6 +153,12 @@
     this->append(OperatorsTopic, key, value);
 }
 
+void Store::setGatewayRecord(const std::string &key, const std::string &value)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->append(GatewaysTopic, key, value);
+}
+
 void Store::setSilent(bool silent)
 {
     this->setFault(StoreFault::Silent, silent);
@@ -419,7 +425,7 @@
                      {"address", announced.empty() ? this->address() : announced},
                      {"state", leaving ? "draining" : "ready"},
                      {"capacity", {{"cpu", 8000}, {"memMb", 1000}, {"gpu", 0}}},
-                     {"labels", {"a"}},
+                     {"labels", this->options.labels},
                      {"born", this->model.startedAtMs},
                      {"sequence", ++this->sequence}}
                         .dump();
@@ -645,9 +651,13 @@
 std::string jobBody(const CallerJob &job)
 {
     const TransientSite::ModelWork work{job.runMs, 1, job.fails};
+    Json step{{"count", job.tasks}, {"cpu", 1000}, {"estimateMs", job.runMs}};
+    if (job.requiredLabel[0] != '\0') {
+        step["requires"] = job.requiredLabel;
+    }
     return Json{{"bestEffort", true},
                 {"spec", TransientSite::payloadOf(work)},
-                {"steps", {{{"count", job.tasks}, {"cpu", 1000}, {"estimateMs", job.runMs}}}}}
+                {"steps", Json::array({step})}}
             .dump();
 }
 
--- a/Source/UnitTests/Platform/FakePlatform.h
+++ b/Source/UnitTests/Platform/FakePlatform.h
@@ -43,6 +43,8 @@
     void setEvacuated(const std::string &failureDomain, bool evacuated);
     /// Writes another record of the operators.
     void setOperatorRecord(const std::string &key, const std::string &value);
+    /// Writes the record of a gateway's address.
+    void setGatewayRecord(const std::string &key, const std::string &value);
     void setSilent(bool silent);
     void setFault(StoreFault fault, bool on);
     /// From now on acknowledges the addresses of gateways without storing them.
@@ -148,6 +150,7 @@
     std::uint16_t port = 0;
     /// Address that it announces; its own address if empty.
     std::string announcedAddress;
+    std::vector<std::string> labels = {"a"};
     /// Added to the time of day that it announces as its start.
     std::int64_t clockStepMs = 0;
     /// Called once for each event, in order, while the server's mutex is locked.
@@ -224,6 +227,8 @@
     std::int64_t runMs = 0;
     int tasks = 1;
     bool fails = false;
+    /// Label that the backend server must have; empty for any.
+    const char *requiredLabel = "";
 };
 
 std::string jobBody(const CallerJob &job);
--- a/Source/UnitTests/ResourceLimits/Program.cpp
+++ b/Source/UnitTests/ResourceLimits/Program.cpp
@@ -1,10 +1,15 @@
 #include "Program.h"
 
+#include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <stdexcept>
+#include <thread>
+#include <unistd.h>
 
 namespace ResourceLimits {
 
@@ -52,6 +57,37 @@
     return this->process->isRunning() && !this->process->poll();
 }
 
+void Program::kill()
+{
+    constexpr std::chrono::milliseconds Pause{10};
+    this->process->signal(SIGKILL);
+    while (this->process->isRunning() && !this->process->poll()) {
+        std::this_thread::sleep_for(Pause);
+    }
+}
+
+void Program::start()
+{
+    this->process->start();
+}
+
+double Program::cpuSeconds() const
+{
+    // The fields after the name of the program, which is in parentheses.
+    constexpr int FieldsBeforeUserTime = 11;
+    std::ifstream file(this->procFile("stat"));
+    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    std::istringstream fields(text.substr(text.rfind(')') + 1));
+    std::string skipped;
+    for (int field = 0; field < FieldsBeforeUserTime; ++field) {
+        fields >> skipped;
+    }
+    double userTicks = 0;
+    double systemTicks = 0;
+    fields >> userTicks >> systemTicks;
+    return (userTicks + systemTicks) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 std::string Program::procFile(const std::string &name) const
 {
     return "/proc/" + std::to_string(this->process->id()) + '/' + name;
--- a/Source/UnitTests/ResourceLimits/Program.h
+++ b/Source/UnitTests/ResourceLimits/Program.h
@@ -28,6 +28,12 @@
     explicit Program(const Start &start);
 
     bool isAlive();
+    /// Kills the process and waits until it has ended.
+    void kill();
+    /// Starts the process again after kill(). Its log is continued.
+    void start();
+    /// Processor time that the process has used.
+    double cpuSeconds() const;
     /// Most memory that the process has held at any time.
     std::size_t peakMemoryBytes() const;
     std::size_t openDescriptors() const;
--- a/Source/UnitTests/ResourceLimits/Sites.cpp
+++ b/Source/UnitTests/ResourceLimits/Sites.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "Net/Net.h"
 
@@ -17,6 +18,7 @@
 
 constexpr const char *Service = "desk";
 constexpr int Ok = 200;
+constexpr std::int64_t ShortRunMs = 30;
 /// Upper limit of a call; far above what any needs.
 constexpr std::int64_t CallTimeoutMs = 20'000;
 
@@ -67,8 +69,10 @@
 
 } // namespace
 
-TransientProcesses::TransientProcesses(std::size_t maxDescriptors)
-    : backend(this->backendOptions())
+TransientProcesses::TransientProcesses(std::size_t maxDescriptors,
+                                       std::vector<std::string> moreHosts)
+    : moreHosts(std::move(moreHosts))
+    , backend(std::make_unique<FakePlatform::BackendServer>(this->backendOptions()))
     , gateway(this->gatewayStart(maxDescriptors))
     , agent(this->agentStart(maxDescriptors))
 {
@@ -104,16 +108,20 @@
 
 Program::Start TransientProcesses::agentStart(std::size_t maxDescriptors) const
 {
+    std::string seeds = '"' + loopback(this->links) + '"';
+    for (const std::string &host : this->moreHosts) {
+        seeds += ", \"" + host + ':' + std::to_string(this->links) + '"';
+    }
     Program::Start start;
     start.program = "auburntrail-agent";
     start.options = {"--transient"};
     start.settings = {line("name", "agent-1"),
                       line("registrationAddress", loopback(this->registration)),
-                      line("backendAddress", this->backend.address()),
+                      line("backendAddress", this->backend->address()),
                       line("service", Service),
                       line("metricsPort", this->agentMetrics),
                       line("storeAddress", this->store.address()),
-                      "seeds: [\"" + loopback(this->links) + "\"]",
+                      "seeds: [" + seeds + "]",
                       line("silenceMs", 5000)};
     start.directory = this->folder.path();
     start.maxDescriptors = maxDescriptors;
@@ -123,7 +131,7 @@
 bool TransientProcesses::serves()
 {
     return waitFor([this] {
-               return this->backend.announce(loopback(this->registration), Service, false);
+               return this->backend->announce(loopback(this->registration), Service, false);
            })
            && this->servesJob();
 }
@@ -134,10 +142,41 @@
 }
 
 int TransientProcesses::submitJob()
+{
+    return this->submit({ShortRunMs});
+}
+
+int TransientProcesses::submitLongJob()
+{
+    constexpr std::int64_t RunMs = 1000;
+    return this->submit({RunMs});
+}
+
+int TransientProcesses::submitJobFor(const std::string &label)
+{
+    FakePlatform::CallerJob job{ShortRunMs};
+    job.requiredLabel = label.c_str();
+    return this->submit(job);
+}
+
+int TransientProcesses::submit(const FakePlatform::CallerJob &job)
 {
     const std::string id = jobId(++this->lastJob);
-    return call(this->callers, "POST", "/checks/" + id, FakePlatform::jobBody({30, 1, false}))
-            .status;
+    return call(this->callers, "POST", "/checks/" + id, FakePlatform::jobBody(job)).status;
+}
+
+void TransientProcesses::restartBackend(std::vector<std::string> labels)
+{
+    FakePlatform::BackendOptions options = this->backendOptions();
+    options.port = this->backend->port();
+    options.labels = std::move(labels);
+    this->backend.reset();
+    this->backend = std::make_unique<FakePlatform::BackendServer>(std::move(options));
+}
+
+std::string TransientProcesses::lastJobId() const
+{
+    return jobId(this->lastJob);
 }
 
 int TransientProcesses::probe() const
--- a/Source/UnitTests/ResourceLimits/Sites.h
+++ b/Source/UnitTests/ResourceLimits/Sites.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Program.h"
 #include "StandIn/StandIn.h"
@@ -20,7 +22,9 @@
 class TransientProcesses
 {
 public:
-    explicit TransientProcesses(std::size_t maxDescriptors = MachineDescriptors);
+    /// The agent's seeds name the gateway by \a moreHosts, too.
+    explicit TransientProcesses(std::size_t maxDescriptors = MachineDescriptors,
+                                std::vector<std::string> moreHosts = {});
 
     /// Prepares the processes for jobs. False if they serve none after a limited time.
     bool serves();
@@ -28,9 +32,18 @@
     bool servesJob();
     /// Submits an ordinary job. Returns the status, or 0 if there is no answer.
     int submitJob();
+    /// Likewise submits a job whose task takes a second.
+    int submitLongJob();
+    /// Likewise submits a job that requires a backend server with \a label.
+    int submitJobFor(const std::string &label);
+    /// The backend server crashes and starts again under its id and at its address, with other
+    /// \a labels. It does not announce itself yet.
+    void restartBackend(std::vector<std::string> labels);
     int probe() const;
     /// Whether a task of the job \a id has started.
     bool hasStarted(const std::string &id);
+    /// Id of the last job that was submitted.
+    std::string lastJobId() const;
 
     std::uint16_t callers = FakePlatform::freePort();
     std::uint16_t probes = FakePlatform::freePort();
@@ -38,8 +51,10 @@
     std::uint16_t gatewayMetrics = FakePlatform::freePort();
     std::uint16_t registration = FakePlatform::freePort();
     std::uint16_t agentMetrics = FakePlatform::freePort();
+    std::vector<std::string> moreHosts;
 
 private:
+    int submit(const FakePlatform::CallerJob &job);
     FakePlatform::BackendOptions backendOptions();
     Program::Start gatewayStart(std::size_t maxDescriptors) const;
     Program::Start agentStart(std::size_t maxDescriptors) const;
@@ -47,11 +62,11 @@
     TemporaryFolder folder;
     std::mutex mutex;
     std::set<std::string> startedJobs;
-    std::uint64_t lastJob = 0;
-    FakePlatform::Store store;
-    FakePlatform::BackendServer backend;
+    std::atomic<std::uint64_t> lastJob = 0;
 
 public:
+    FakePlatform::Store store;
+    std::unique_ptr<FakePlatform::BackendServer> backend;
     Program gateway;
     Program agent;
 };
--- a/Source/UnitTests/Transient/AnnouncementTest.cpp
+++ b/Source/UnitTests/Transient/AnnouncementTest.cpp
@@ -28,7 +28,7 @@
 {
     void play(const Step &step)
     {
-        Transient::BackendAnnouncement announcement = *this->site.state.backend;
+        Transient::BackendAnnouncement announcement = this->site.announced();
         announcement.id = step.id;
         announcement.startedAtMs = step.startedAtMs;
         announcement.sequence = step.sequence;
@@ -142,7 +142,7 @@
         if (row.agentStops) {
             beginStop(site.state, at(12));
         } else {
-            Transient::BackendAnnouncement leaving = *site.state.backend;
+            Transient::BackendAnnouncement leaving = site.announced();
             leaving.leaving = true;
             ++leaving.sequence;
             backendAnnounced(site.state, leaving, at(12));
--- a/Source/UnitTests/Transient/PaceTest.cpp
+++ b/Source/UnitTests/Transient/PaceTest.cpp
@@ -24,9 +24,9 @@
 RunnerState makeState(double processors)
 {
     RunnerState state;
-    state.backend.emplace();
-    state.backend->resources.processors = processors;
-    state.backend->resources.memoryMb = 1000;
+    Transient::BackendAnnouncement &backend = state.backend.emplace().announced.emplace();
+    backend.resources.processors = processors;
+    backend.resources.memoryMb = 1000;
     state.urgentPriority = Urgent;
     state.isClean = true;
     return state;
--- a/Source/UnitTests/Transient/RunnerFixture.h
+++ b/Source/UnitTests/Transient/RunnerFixture.h
@@ -59,6 +59,9 @@
         this->seen(first->observation, 2);
     }
 
+    /// What the present incarnation of the backend server has announced last.
+    Transient::BackendAnnouncement announced() const { return *this->state.backend->announced; }
+
     /// Answers an observation that shows all runs that the agent counts as running.
     Effects seen(std::uint64_t observation, std::int64_t nowMs, std::int64_t startedAtMs = 1)
     {
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -144,12 +144,12 @@
     for (const Row &row : rows) {
         CAPTURE(row.previousId);
         Fixture site;
-        Transient::BackendAnnouncement previous = *site.state.backend;
+        Transient::BackendAnnouncement previous = site.announced();
         previous.id = row.previousId;
         previous.startedAtMs = row.previousStartedAtMs;
         previous.sequence = 7;
         backendAnnounced(site.state, previous, at(20));
-        Transient::BackendAnnouncement next = *site.state.backend;
+        Transient::BackendAnnouncement next = site.announced();
         next.id = "backend-2";
         next.startedAtMs = 900;
         next.sequence = 1;
@@ -176,7 +176,7 @@
     const CallStart previous = site.order("a.0.0", 10);
     const auto requested = lastOf<CallObserve>(tick(site.state, at(40)));
     REQUIRE(requested.has_value());
-    Transient::BackendAnnouncement next = *site.state.backend;
+    Transient::BackendAnnouncement next = site.announced();
     next.startedAtMs = 900;
     next.sequence = 1;
     backendAnnounced(site.state, next, at(1000));
@@ -203,6 +203,7 @@
     // nor the fence. The task may run again only after the new incarnation has accepted a stop with
     // a higher fence and an observation does not show the run.
     Fixture site;
+    Transient::BackendAnnouncement announcement = site.announced();
     const std::int64_t fence = site.state.fence;
     const CallStart start = site.order("a.0.0", 10);
     startAnswered(site.state, start.run, start.start.number, {StartOutcome::Unanswered, {}},
@@ -224,7 +225,11 @@
     CHECK_FALSE(lastOf<CallStart>(proving).has_value());
     CHECK(site.state.runs.at(start.run).phase == RunPhase::Stopping);
     site.seen(proof->observation, 452, 300);
-    const auto next = lastOf<CallStart>(tick(site.state, at(453)));
+    CHECK_FALSE(lastOf<CallStart>(tick(site.state, at(453))).has_value());
+    announcement.startedAtMs = 300;
+    announcement.sequence = 1;
+    backendAnnounced(site.state, announcement, at(454));
+    const auto next = lastOf<CallStart>(tick(site.state, at(455)));
     REQUIRE(next.has_value());
     CHECK(next->start.number > start.start.number);
     CHECK(next->start.fence > fence);
@@ -235,13 +240,14 @@
     // An observation shows that another incarnation has started. The sequence of its announcements
     // restarts at 1. It announces that it is leaving, and must get no more tasks.
     Fixture site;
-    site.state.backend->sequence = 50;
+    site.state.backend->announced->sequence = 50;
+    Transient::BackendAnnouncement leaving = site.announced();
     const CallStart start = site.order("a.0.0", 10);
     site.answer(start, 12);
     const auto observeCall = lastOf<CallObserve>(tick(site.state, at(40)));
     REQUIRE(observeCall.has_value());
     site.seen(observeCall->observation, 42, 30);
-    Transient::BackendAnnouncement leaving = *site.state.backend;
+    leaving.startedAtMs = 30;
     leaving.sequence = 2;
     leaving.leaving = true;
     backendAnnounced(site.state, leaving, at(60));
@@ -401,7 +407,7 @@
         site.answer(start, 5003);
         const std::vector<Transient::ActiveRun> active = {{"a.0.0", start.start.number, 1}};
         if (isDetectedByAnnouncement) {
-            Transient::BackendAnnouncement next = *site.state.backend;
+            Transient::BackendAnnouncement next = site.announced();
             next.startedAtMs = NextStartedAtMs;
             next.sequence = 1;
             backendAnnounced(site.state, next, at(5005));
@@ -434,9 +440,10 @@
     for (const char *id : {"backend-0", "backend-1"}) {
         CAPTURE(std::string(id));
         Fixture site;
-        Transient::BackendAnnouncement present = *site.state.backend;
+        Transient::BackendAnnouncement present = site.announced();
         present.startedAtMs = 1000;
-        site.state.backend = present;
+        site.state.backend->startedAtMs = present.startedAtMs;
+        site.state.backend->announced = present;
         const CallStart start = site.order("a.0.0", 1200);
         site.answer(start, 1202);
         Transient::BackendAnnouncement previous = present;
@@ -460,7 +467,7 @@
     // previous incarnation does not answer any more.
     Fixture site;
     site.state.backend->startedAtMs = 9000;
-    Transient::BackendAnnouncement next = *site.state.backend;
+    Transient::BackendAnnouncement next = site.announced();
     next.id = "backend-2";
     next.startedAtMs = 4000;
     next.sequence = 1;
@@ -810,7 +817,7 @@
     const auto previous = lastOf<CallObserve>(tick(site.state, at(100)));
     REQUIRE(previous.has_value());
     constexpr std::int64_t NextStartedAtMs = 2000;
-    Transient::BackendAnnouncement next = *site.state.backend;
+    Transient::BackendAnnouncement next = site.announced();
     next.startedAtMs = NextStartedAtMs;
     next.sequence = 1;
     backendAnnounced(site.state, next, at(NextStartedAtMs));
@@ -948,7 +955,7 @@
     answerObservation(site, nextObservation(site, 14), 40, 1,
                       {{"z.0.0", own.start.number, 10}, {"a.0.0", 1, 10}});
     REQUIRE_FALSE(site.state.strays.empty());
-    Transient::BackendAnnouncement next = *site.state.backend;
+    Transient::BackendAnnouncement next = site.announced();
     next.id = "backend-2";
     next.startedAtMs = 900;
     next.sequence = 1;
--- a/Source/UnitTests/Transient/UnansweredStartTest.cpp
+++ b/Source/UnitTests/Transient/UnansweredStartTest.cpp
@@ -83,7 +83,7 @@
 
 Transient::BackendAnnouncement nextIncarnation(const Fixture &site, const std::string &id)
 {
-    Transient::BackendAnnouncement next = *site.state.backend;
+    Transient::BackendAnnouncement next = site.announced();
     next.id = id;
     next.startedAtMs = NextBornMs;
     next.sequence = 1;
