Transient/Agents: a learned speed belongs to the kind of backend server

An agent's learned speed was kept when a backend server of other labels started beside it: a fast one got few tasks for as long as the speed of the slow one before it was unlearned, and that speed was written to the store under the new labels. Now the labels that a speed belongs to are kept beside it. Another kind starts without a speed; an agent whose backend server has not announced itself yet keeps it, so that a restart of the same kind loses nothing.

The case of LearnedTest fails without the change in its three rows of another kind (by reading: nothing reset the speed); it passes now.

--- a/Source/Core/Transient/Agents.cpp
+++ b/Source/Core/Transient/Agents.cpp
@@ -135,6 +135,17 @@
     return former;
 }
 
+/// Forgets the learned speed if another kind of backend server has started at the agent. One that
+/// has not announced itself yet is not known to be another.
+void forgetSpeedOfOther(AgentView &agent)
+{
+    const bool isDescribed = agent.announced.resources.processors > 0;
+    if (isDescribed && agent.speedLabels != agent.announced.labels) {
+        agent.speed = {};
+        agent.speedLabels = agent.announced.labels;
+    }
+}
+
 /// Ends all attempts at former processes of the agent \a name. The agent has reported that nothing
 /// of them runs any more and that their orders no longer take effect.
 Effects settleCleanAgent(GatewayState &state, const std::string &name, Common::Moment now,
@@ -223,6 +234,7 @@
         return former.instance == announcement.instance;
     });
     agent.announced = announcement;
+    forgetSpeedOfOther(agent);
     agent.orphans = announcement.orphans.value_or(Schema::OrphanedJobs{});
     updateList(state.orphanRelay, announcement.instance, agent.orphans, now.steadyMs);
     agent.isConnected = true;
--- a/Source/Core/Transient/Fleet.h
+++ b/Source/Core/Transient/Fleet.h
@@ -48,6 +48,8 @@
     /// When the load was received.
     std::int64_t loadAtMs = 0;
     Dispatch::BackendSpeed speed;
+    /// Labels of the backend server that \a speed belongs to.
+    std::vector<std::string> speedLabels;
     Dispatch::HealthRecord health;
     /// Number of tasks ordered by this gateway that have not ended.
     std::int64_t inFlight = 0;
--- a/Source/Core/Transient/Learned.cpp
+++ b/Source/Core/Transient/Learned.cpp
@@ -49,7 +49,7 @@
     for (const auto &[name, agent] : fleet.agents) {
         if (agent.speed.samples > 0) {
             learned.speeds.push_back(
-                    {name, agent.announced.labels, agent.speed.logFactor, agent.speed.samples});
+                    {name, agent.speedLabels, agent.speed.logFactor, agent.speed.samples});
         }
     }
     for (const auto &[queue, remainingTimeout] : state.patiences) {
@@ -82,7 +82,7 @@
 void recallSpeedOf(Fleet &fleet, AgentView &agent)
 {
     const auto found = fleet.recalledSpeeds.find(agent.announced.name);
-    if (found == fleet.recalledSpeeds.end() || found->second.labels != agent.announced.labels) {
+    if (found == fleet.recalledSpeeds.end() || found->second.labels != agent.speedLabels) {
         return;
     }
     Dispatch::importSpeed(agent.speed, {found->second.logFactor, found->second.samples});
--- a/Source/UnitTests/Transient/LearnedTest.cpp
+++ b/Source/UnitTests/Transient/LearnedTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <ostream>
 #include <random>
@@ -244,3 +245,45 @@
         CHECK(writes == row.writes);
     }
 }
+
+TEST_CASE("What was learned of a backend server's speed is not held against another kind in its "
+          "place")
+{
+    // Guards against tasks that keep away from a fast backend server, since a slow one of another
+    // kind was at its agent before.
+    struct Row
+    {
+        const char *what;
+        std::vector<Schema::AgentAnnouncement> announcements;
+        bool isKept;
+    };
+    Schema::AgentAnnouncement unknown = announcementOf("slow", {});
+    unknown.accepting = false;
+    unknown.resources = {};
+    const Schema::AgentAnnouncement same = announcementOf("slow", {"a", "rack-1"});
+    const Schema::AgentAnnouncement other = announcementOf("slow", {"b", "rack-1"});
+    const Row rows[] = {
+            {"the next incarnation has not announced itself", {unknown}, true},
+            {"it is of the same kind", {unknown, same}, true},
+            {"it is of another kind", {unknown, other}, false},
+            {"it is of another kind and announced itself first", {other}, false},
+            {"after another kind the first one is back", {other, same}, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        GatewayState state = makeExperiencedGateway();
+        Common::Random random{1};
+        for (const Schema::AgentAnnouncement &announcement : row.announcements) {
+            agentAnnounced(state, announcement, at(6000), random);
+        }
+        const double slow = Dispatch::speedFactor(state.fleet.agents.at("slow").speed);
+        CHECK((slow > 1.3) == row.isKept);
+        const Schema::LearnedTimes learned = learnedTimes(state, "gateway-1", at(6001));
+        const auto speed = std::find_if(learned.speeds.begin(), learned.speeds.end(),
+                                        [](const auto &one) { return one.agent == "slow"; });
+        CHECK((speed != learned.speeds.end()) == row.isKept);
+        if (row.isKept) {
+            CHECK(speed->labels == same.labels);
+        }
+    }
+}
