StoreClient, platform: odd records of other writers are checked, skipped and reported once

Operators of systems like this one saw machines end again and again, or stop following a list, after one odd entry of another writer.

Cause: JSON of the store was parsed without limits, integers were read from any number (a conversion that is undefined beyond the range), and nothing checked ranges; `heardMsAgo` was subtracted as it came.

Change: parseBoundedJson() checks depth and numbers too, before it parses, and is used for all JSON that others write. Ranges stand in Transient/Plausibility, also for what peers report. Skipped records are counted (auburntrail_store_records_skipped_total) and logged once with topic, key, offset and reason; queues_invalid once a record. Offsets that cannot be, and a read that ends within its first record, are no answer and asked again after a pause; a reading of all newest records keeps 16 MB at most.

--- a/Source/Core/Agent/BackendAnswer.cpp
+++ b/Source/Core/Agent/BackendAnswer.cpp
@@ -22,7 +22,7 @@
 /// of the task.
 TaskEnd readResult(const std::string &body)
 {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto json = Common::parseBoundedJson(body);
     const bool readable =
             json.is_object() && json.contains("result") && json.at("result").is_string();
     if (!readable) {
--- a/Source/Core/Common/BoundedJson.cpp
+++ b/Source/Core/Common/BoundedJson.cpp
@@ -1,50 +1,72 @@
 #include "Common/BoundedJson.h"
 
+#include <cmath>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 
 namespace Common {
 
 namespace {
 
-/// Texts up to this length are parsed without being counted first: their values take a few
-/// megabytes at most.
-constexpr std::size_t MaxUncountedBytes = std::size_t{64} << 10U;
-/// Names and values in a text. The longest messages, jobs of 360 tasks, have a few thousand.
-constexpr std::size_t MaxValues = 50'000;
+/// Deeper nesting than in any message.
+constexpr std::size_t MaxDepth = 24;
+/// Beyond 2^53 a floating-point number does not represent every integer.
+constexpr double MaxExactNumber = 9007199254740992.0;
 
-/// Counts the values of a text without keeping them.
-class ValueCounter : public nlohmann::json_sax<nlohmann::json>
+/// Checks the bounds of a text without keeping its values.
+class BoundsCheck : public nlohmann::json_sax<nlohmann::json>
 {
 public:
+    explicit BoundsCheck(std::size_t maxValues)
+        : maxValues(maxValues)
+    {}
+
     bool null() override { return this->count(); }
     bool boolean(bool) override { return this->count(); }
     bool number_integer(number_integer_t) override { return this->count(); }
-    bool number_unsigned(number_unsigned_t) override { return this->count(); }
-    bool number_float(number_float_t, const string_t &) override { return this->count(); }
+    bool number_unsigned(number_unsigned_t number) override
+    {
+        return number <= std::uint64_t{std::numeric_limits<std::int64_t>::max()} && this->count();
+    }
+    bool number_float(number_float_t number, const string_t &) override
+    {
+        return std::abs(number) <= MaxExactNumber && this->count();
+    }
     bool string(string_t &) override { return this->count(); }
     bool binary(binary_t &) override { return this->count(); }
-    bool start_object(std::size_t) override { return this->count(); }
+    bool start_object(std::size_t) override { return this->enter(); }
     bool key(string_t &) override { return this->count(); }
-    bool end_object() override { return true; }
-    bool start_array(std::size_t) override { return this->count(); }
-    bool end_array() override { return true; }
+    bool end_object() override { return this->leave(); }
+    bool start_array(std::size_t) override { return this->enter(); }
+    bool end_array() override { return this->leave(); }
     bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
     {
         return false;
     }
 
 private:
-    bool count() { return ++this->values <= MaxValues; }
+    bool count() { return ++this->values <= this->maxValues; }
+
+    bool enter() { return ++this->depth <= MaxDepth && this->count(); }
+
+    bool leave()
+    {
+        --this->depth;
+        return true;
+    }
 
+    std::size_t maxValues = 0;
     std::size_t values = 0;
+    std::size_t depth = 0;
 };
 
 } // namespace
 
-nlohmann::json parseBoundedJson(const std::string &text)
+nlohmann::json parseBoundedJson(const std::string &text, std::size_t maxValues)
 {
-    ValueCounter counter;
-    if (text.size() > MaxUncountedBytes && !nlohmann::json::sax_parse(text, &counter)) {
+    BoundsCheck check(maxValues);
+    if (!nlohmann::json::sax_parse(text, &check)) {
         return nlohmann::json(nlohmann::json::value_t::discarded);
     }
     return nlohmann::json::parse(text, nullptr, false);
--- a/Source/Core/Common/Common.h
+++ b/Source/Core/Common/Common.h
@@ -5,6 +5,7 @@
 #include "Common/BoundedJson.h"
 #include "Common/Clock.h"
 #include "Common/Hash.h"
+#include "Common/HostAddress.h"
 #include "Common/Ids.h"
 #include "Common/Invariant.h"
 #include "Common/Log.h"
@@ -12,6 +13,7 @@
 #include "Common/Metrics.h"
 #include "Common/NameTable.h"
 #include "Common/Outcome.h"
+#include "Common/ReportedKeys.h"
 #include "Common/SettingsFile.h"
 #include "Common/TimerThread.h"
 
--- a/Source/Core/Gateway/TransientStore.cpp
+++ b/Source/Core/Gateway/TransientStore.cpp
@@ -76,12 +76,18 @@
 
 void TransientStore::queuesRead(const Platform::StoreRecord &record)
 {
-    Common::handle(
-            [&] { return postQueues(this->mailbox, record); },
-            [this](const Common::Failure &failure) {
-                this->control.metrics.count(IgnoredCounter, {{"kind", "invalid"}});
-                Common::logEvent(LogLevel::Warning, "queues_invalid", {{"detail", failure.detail}});
-            });
+    Common::handle([&] { return postQueues(this->mailbox, record); },
+                   [this, &record](const Common::Failure &failure) {
+                       if (std::exchange(this->invalidQueuesOffset, record.offset)
+                           == record.offset) {
+                           return;
+                       }
+                       this->control.metrics.count(IgnoredCounter, {{"kind", "invalid"}});
+                       Common::logEvent(LogLevel::Warning, "queues_invalid",
+                                        {{"key", record.key},
+                                         {"offset", record.offset},
+                                         {"detail", failure.detail}});
+                   });
     std::vector<std::string> ignored = Platform::ignoredMembers(record.value);
     if (ignored == this->ignoredMembers) {
         return;
@@ -111,7 +117,8 @@
 {
     // A new gateway is known from its peers, too.
     this->client->follow(StoreTopic::Gateways, [this](const StoreClient::StoreUpdate &news) {
-        this->mailbox.post(GatewaysRead{Platform::decodeMembers(news.records)});
+        this->mailbox.post(GatewaysRead{
+                this->client->usable(StoreTopic::Gateways, Platform::decodeMembers(news.records))});
     });
 }
 
@@ -128,7 +135,9 @@
         return;
     }
     this->client->readOnce(StoreTopic::Learned, [this](const StoreClient::StoreUpdate &news) {
-        this->mailbox.post(LearnedTimesRead{news.available, Platform::decodeLearned(news.records)});
+        this->mailbox.post(LearnedTimesRead{
+                news.available,
+                this->client->usable(StoreTopic::Learned, Platform::decodeLearned(news.records))});
     });
 }
 
--- a/Source/Core/Gateway/TransientStore.h
+++ b/Source/Core/Gateway/TransientStore.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,10 +38,12 @@
     TransientControl &control;
     TransientMailbox &mailbox;
     Transient::LearnedSchedule learned;
-    /// Used by the thread that delivers the operators' records: offset of the record of each key
-    /// that was last reported as ignored, and members of the queues that were.
+    /// Used by the thread that delivers the operators' records, like the two after it: offset of
+    /// the record of each key that was last reported as ignored, and members of the queues.
     std::map<std::string, std::int64_t> ignoredRecords;
     std::vector<std::string> ignoredMembers;
+    /// Offset of the record of the queues that was last reported as invalid.
+    std::optional<std::int64_t> invalidQueuesOffset;
     std::unique_ptr<StoreClient::Client> client;
 };
 
--- a/Source/Core/PlatformLog/LogClient.cpp
+++ b/Source/Core/PlatformLog/LogClient.cpp
@@ -31,6 +31,9 @@
          {AppendStatus::Refused, "refused"},
          {AppendStatus::Unavailable, "unavailable"}}};
 
+/// Values in one answer to a read, far more than the log service returns at once.
+constexpr std::size_t MaxReadValues = 1'000'000;
+
 /// Why a read has to be repeated.
 enum class ReadFailure { NotConnected, Lost, TimedOut, BadStatus, Malformed };
 
@@ -44,7 +47,7 @@
 /// If the answer cannot be parsed, the records may nevertheless have been written.
 AppendResult durableResult(const std::string &body)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = Common::parseBoundedJson(body);
     if (!json.is_object() || !json.contains("offset") || !json.at("offset").is_number_integer()) {
         return {AppendStatus::Unknown, 0};
     }
@@ -108,7 +111,7 @@
 std::optional<ReadResult> parseRead(const std::string &body, Stream stream)
 {
     try {
-        const Json json = Json::parse(body);
+        const Json json = Common::parseBoundedJson(body, MaxReadValues);
         ReadResult read;
         read.available = true;
         read.nextOffset = json.at("next").get<std::int64_t>();
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -143,6 +143,8 @@
     Common::Metrics metrics;
     /// What the clients of this process may make it hold.
     Net::ResourceBudget budget;
+    /// Used by the HTTP thread only: an odd announcement is repeated with every heartbeat.
+    Common::ReportedKeys refusedRegistrations;
     Common::Mailbox<ControlMessage> mailbox;
     Moment now;
     std::map<Net::LinkId, GatewayLink> links;
@@ -228,8 +230,11 @@
                 constexpr int BadRequest = 400;
                 this->metrics.count("auburntrail_requests_refused_total",
                                     {{"reason", Schema::enumName(failure.reason)}});
-                Common::logEvent(LogLevel::Warning, "registration_refused",
-                                 {{"path", request.path}, {"detail", failure.detail}});
+                if (Common::addReported(this->refusedRegistrations,
+                                        request.path + ' ' + failure.detail)) {
+                    Common::logEvent(LogLevel::Warning, "registration_refused",
+                                     {{"path", request.path}, {"detail", failure.detail}});
+                }
                 reply.send(Platform::encodeRefusal(BadRequest, failure.detail));
             });
 }
@@ -443,6 +448,8 @@
     Platform::BackendTarget target;
     target.address = this->settings.backendAddress;
     if (this->state.backend) {
+        // The present incarnation answers at the address of the previous one until it announces
+        // another.
         target.address = this->state.backend->address;
         target.id = this->state.backend->id;
     }
@@ -605,7 +612,8 @@
     this->storeReadMs = this->now.steadyMs;
     this->store->readOnce(
             Platform::StoreTopic::Gateways, [this](const StoreClient::StoreUpdate &news) {
-                this->mailbox.post(GatewaysRead{Platform::decodeMembers(news.records)});
+                this->mailbox.post(GatewaysRead{this->store->usable(
+                        Platform::StoreTopic::Gateways, Platform::decodeMembers(news.records))});
             });
 }
 
--- a/Source/Core/StoreClient/StoreClient.cpp
+++ b/Source/Core/StoreClient/StoreClient.cpp
@@ -14,6 +14,9 @@
 constexpr int MaxConnections = 8;
 constexpr std::int64_t MaxRetryFactor = 4;
 constexpr const char *CallCounter = "auburntrail_store_calls_total";
+constexpr const char *SkippedCounter = "auburntrail_store_records_skipped_total";
+/// Of what a reading of all newest records may keep; a large fleet has some 5 MB of learned times.
+constexpr std::size_t MaxNewestBytes = std::size_t{16} << 20U;
 
 /// The pages of the newest records that have been read. They are not a snapshot: reading continues
 /// from the end offset of the first one.
@@ -22,8 +25,22 @@
     std::string afterKey;
     std::int64_t endOffset = 0;
     std::vector<Platform::StoreRecord> records;
+    /// Of the records' keys and values.
+    std::size_t bytes = 0;
+    std::vector<Platform::SkippedRecord> skipped;
 };
 
+void addRecord(NewestPages &pages, Platform::StoreRecord record)
+{
+    const std::size_t bytes = record.key.size() + record.value.size();
+    if (pages.bytes + bytes > MaxNewestBytes) {
+        pages.skipped.push_back({std::move(record.key), record.offset, "too much in this topic"});
+        return;
+    }
+    pages.bytes += bytes;
+    pages.records.push_back(std::move(record));
+}
+
 /// Adds a page. Returns true if no more follow.
 bool addPage(NewestPages &pages, Platform::NewestRecords page)
 {
@@ -32,7 +49,10 @@
     }
     const bool hasMore = page.hasMore && !page.records.empty();
     pages.afterKey = hasMore ? page.records.back().key : std::string();
-    std::move(page.records.begin(), page.records.end(), std::back_inserter(pages.records));
+    std::move(page.skipped.begin(), page.skipped.end(), std::back_inserter(pages.skipped));
+    for (Platform::StoreRecord &record : page.records) {
+        addRecord(pages, std::move(record));
+    }
     return !hasMore;
 }
 
@@ -108,6 +128,7 @@
     void write(StoreTopic topic, const Platform::StoreRecord &record, std::int64_t pauseMs);
     void tryWrite(StoreTopic topic, const Platform::StoreRecord &record,
                   const std::function<void()> &failed);
+    void reportSkipped(StoreTopic topic, const std::vector<Platform::SkippedRecord> &skipped);
     void count(const char *call, const Net::HttpResult &result) const;
     std::int64_t nextBackoffMs(std::int64_t pauseMs) const;
     std::chrono::milliseconds jittered(std::int64_t pauseMs);
@@ -116,6 +137,7 @@
     StoreSettings settings;
     std::mutex mutex;
     std::vector<std::unique_ptr<Follower>> followers;
+    Common::ReportedKeys reportedRecords;
     Common::Random random = Common::makeRandom();
     std::unique_ptr<Net::HttpClient> client;
     Common::TimerThread timers;
@@ -171,7 +193,9 @@
         this->retry(follower, result);
         return;
     }
-    if (!addPage(follower.pages, std::move(*newest))) {
+    const bool isLast = addPage(follower.pages, std::move(*newest));
+    this->reportSkipped(follower.topic, std::exchange(follower.pages.skipped, {}));
+    if (!isLast) {
         this->markAvailable(follower);
         this->read(follower);
         return;
@@ -188,6 +212,7 @@
         this->retry(follower, result);
         return;
     }
+    this->reportSkipped(follower.topic, read->skipped);
     if (read->expired) {
         Common::logEvent(Common::LogLevel::Warning, "store_history_expired",
                          {{"topic", topicName(follower.topic)}, {"offset", follower.offset}});
@@ -250,7 +275,11 @@
                    std::optional<Platform::NewestRecords> newest = Platform::decodeNewest(result);
                    if (!newest) {
                        deliver({});
-                   } else if (addPage(pages, std::move(*newest))) {
+                       return;
+                   }
+                   const bool isLast = addPage(pages, std::move(*newest));
+                   this->reportSkipped(topic, std::exchange(pages.skipped, {}));
+                   if (isLast) {
                        deliver(completeUpdate(std::move(pages)));
                    } else {
                        this->readPages(topic, std::move(pages), std::move(deliver));
@@ -284,6 +313,29 @@
     });
 }
 
+void Client::Implementation::reportSkipped(StoreTopic topic,
+                                           const std::vector<Platform::SkippedRecord> &skipped)
+{
+    for (const Platform::SkippedRecord &record : skipped) {
+        const std::string identity =
+                topicName(topic) + ' ' + std::to_string(record.offset) + ' ' + record.key;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            if (!Common::addReported(this->reportedRecords, identity)) {
+                continue;
+            }
+        }
+        if (this->settings.metrics != nullptr) {
+            this->settings.metrics->count(SkippedCounter, {{"topic", topicName(topic)}});
+        }
+        Common::logEvent(Common::LogLevel::Warning, "store_record_skipped",
+                         {{"topic", topicName(topic)},
+                          {"key", record.key},
+                          {"offset", record.offset},
+                          {"why", record.why}});
+    }
+}
+
 void Client::Implementation::count(const char *call, const Net::HttpResult &result) const
 {
     if (this->settings.metrics == nullptr) {
@@ -358,6 +410,11 @@
     this->implementation->tryWrite(topic, record, [] {});
 }
 
+void Client::reportSkipped(StoreTopic topic, const std::vector<Platform::SkippedRecord> &skipped)
+{
+    this->implementation->reportSkipped(topic, skipped);
+}
+
 void Client::stop()
 {
     this->implementation->stop();
--- a/Source/Core/StoreClient/StoreClient.h
+++ b/Source/Core/StoreClient/StoreClient.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/Common.h"
@@ -67,6 +68,16 @@
     void write(Platform::StoreTopic topic, const Platform::StoreRecord &record);
     /// Tries once to write the record; for records that will soon be written again anyway.
     void tryWrite(Platform::StoreTopic topic, const Platform::StoreRecord &record);
+    /// Logs and counts records that are not used, each of them once, however often it is read.
+    void reportSkipped(Platform::StoreTopic topic,
+                       const std::vector<Platform::SkippedRecord> &skipped);
+    /// The usable values; the records of the others are reported.
+    template <typename Value>
+    std::vector<Value> usable(Platform::StoreTopic topic, Platform::DecodedRecords<Value> decoded)
+    {
+        this->reportSkipped(topic, decoded.skipped);
+        return std::move(decoded.values);
+    }
     /// Nothing is delivered afterwards. Must not be called from a \a deliver callback.
     void stop();
 
--- a/Source/Core/Transient/Discovery.cpp
+++ b/Source/Core/Transient/Discovery.cpp
@@ -4,6 +4,8 @@
 #include <limits>
 #include <utility>
 
+#include "Transient/Plausibility.h"
+
 namespace Transient {
 
 namespace {
@@ -141,6 +143,9 @@
 
 void addGateway(Discovery &discovery, const Schema::Member &gateway, Common::Moment now)
 {
+    if (problemWith(gateway)) {
+        return;
+    }
     const std::string address = addressOf(gateway);
     const std::int64_t heardMs = now.steadyMs - gateway.heardMsAgo.value_or(0);
     if (address == discovery.settings.self || now.steadyMs > heardMs + expiryMs(discovery)) {
--- a/Source/Core/Transient/Transient.h
+++ b/Source/Core/Transient/Transient.h
@@ -16,5 +16,6 @@
 #include "Transient/Learned.h"
 #include "Transient/Orphans.h"
 #include "Transient/OwnDelay.h"
+#include "Transient/Plausibility.h"
 #include "Transient/Queues.h"
 #include "Transient/Resubmission.h"
--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -341,7 +341,8 @@
     site.store.setLearned("somebody", "{");
     REQUIRE(site.backend.announce(site.registration, Service, false));
     REQUIRE(waitFor([&site] { return !site.store.learned("gateway-1").empty(); }));
-    const auto own = Platform::decodeLearned({{"gateway-1", site.store.learned("gateway-1")}});
+    const auto own =
+            Platform::decodeLearned({{"gateway-1", site.store.learned("gateway-1")}}).values;
     REQUIRE(own.size() == 1);
     REQUIRE(own[0].speeds.size() == 1);
     CHECK(own[0].speeds[0].agent == "agent-1");
--- a/Source/UnitTests/Platform/StoreCallsTest.cpp
+++ b/Source/UnitTests/Platform/StoreCallsTest.cpp
@@ -51,8 +51,9 @@
     const auto cut = Platform::decodeRead(answered(200, head() + good + good.substr(0, 9)), 0);
     REQUIRE(cut.has_value());
     CHECK(cut->nextOffset == 1);
-    CHECK_FALSE(Platform::decodeMember("{").has_value());
-    CHECK_FALSE(Platform::decodeMember("{}").has_value());
+    const auto members = Platform::decodeMembers({{"a", "{", 1}, {"b", "{}", 2}});
+    CHECK(members.values.empty());
+    CHECK(members.skipped.size() == 2);
 }
 
 TEST_CASE("History that has gone, and a store that does not answer")
@@ -179,11 +180,13 @@
     Schema::LearnedTimes newer = older;
     newer.gateway = "gateway-1-b";
     newer.writtenMs = 2000;
-    const auto learned = Platform::decodeLearned({{"gateway-2", Platform::encodeLearned(older)},
+    const auto decoded = Platform::decodeLearned({{"gateway-2", Platform::encodeLearned(older)},
                                                   {"x", "[]"},
                                                   {"y", "{\"gateway\":1}"},
                                                   {"z", ""},
                                                   {"gateway-1", Platform::encodeLearned(newer)}});
+    const std::vector<Schema::LearnedTimes> &learned = decoded.values;
+    CHECK(decoded.skipped.size() == 2);
     REQUIRE(learned.size() == 2);
     CHECK(learned[0].gateway == "gateway-1-b");
     CHECK(learned[1].gateway == "gateway-2-a");
@@ -191,3 +194,52 @@
     CHECK(learned[0].speeds[0].labels == older.speeds[0].labels);
     CHECK(learned[0].speeds[0].logFactor == 0.5);
 }
+
+TEST_CASE("An answer of the store with positions that cannot be is no answer")
+{
+    // Guards against a reader that goes on from an offset that the store never had, or that reads
+    // the same without a pause.
+    for (const char *offset :
+         {"-1", "1e300", "18446744073709551615", "9223372036854775807", "1.5", "\"7\"", "null"}) {
+        CAPTURE(offset);
+        const std::string end = std::string(R"({"items":[],"hasMore":false,"endOffset":)") + offset;
+        CHECK_FALSE(Platform::decodeNewest(answered(200, end + "}")).has_value());
+        const auto newest = Platform::decodeNewest(
+                answered(200, std::string(R"({"items":[{"key":"a","value":"","offset":)") + offset
+                                      + R"(}],"hasMore":false,"endOffset":6})"));
+        CHECK((!newest || newest->records.at(0).offset == 0));
+    }
+    const std::string good = Platform::writeCall("s:1", StoreTopic::Gateways, {"k", "v"}).body;
+    for (const std::string &rest : {good.substr(0, 2), good.substr(0, good.size() - 1),
+                                    std::string("\xff\xff\xff\xff") + good}) {
+        CHECK_FALSE(Platform::decodeRead(answered(200, head() + rest), 3).has_value());
+        const auto first = Platform::decodeRead(answered(200, head() + good + rest), 3);
+        REQUIRE(first.has_value());
+        CHECK(first->nextOffset == 4);
+    }
+}
+
+TEST_CASE("Records that are not used are named")
+{
+    Schema::Member gateway;
+    gateway.instance = "gateway-1-a";
+    gateway.host = "10.0.0.1";
+    gateway.peerPort = 7720;
+    gateway.failureDomain = "beja";
+    const std::string good = Platform::encodeMember(gateway);
+    Schema::Member odd = gateway;
+    odd.peerPort = 99'999;
+    const auto members = Platform::decodeMembers({{"a", std::string(30, '['), 1},
+                                                  {"b", good, 2},
+                                                  {"c", Platform::encodeMember(odd), 3},
+                                                  {"d", "", 4},
+                                                  {"e", "{}", 5},
+                                                  {"f", good, 6}});
+    CHECK(members.values.size() == 2);
+    REQUIRE(members.skipped.size() == 3);
+    CHECK(members.skipped[0].key == "a");
+    CHECK(members.skipped[1].key == "c");
+    CHECK(members.skipped[1].offset == 3);
+    CHECK(members.skipped[1].why == "a port is out of range");
+    CHECK(members.skipped[2].key == "e");
+}
--- a/Source/UnitTests/Transient/DiscoveryTest.cpp
+++ b/Source/UnitTests/Transient/DiscoveryTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <limits>
 #include <map>
 #include <ostream>
 
@@ -237,3 +238,42 @@
     CHECK(nextHeartbeatMs(told, discovery, {}, 250) == 20'550);
     CHECK(listed(30'000) == 2);
 }
+
+TEST_CASE("Reports of gateways that cannot be are ignored")
+{
+    // Guards against an odd record that is dialled for good, in the place of a gateway, or that
+    // never expires and hides later true reports.
+    struct Row
+    {
+        const char *what;
+        std::string host;
+        std::int64_t peerPort;
+        std::int64_t heardMsAgo;
+        bool isAdded;
+    };
+    constexpr std::int64_t Least = std::numeric_limits<std::int64_t>::min();
+    constexpr std::int64_t Most = std::numeric_limits<std::int64_t>::max();
+    const Row rows[] = {
+            {"usual", "10.0.0.2", 1, 0, true},
+            {"heard long ago", "10.0.0.2", 1, 1'000'000, false},
+            {"heard in the future", "10.0.0.2", 1, -1, false},
+            {"least time", "10.0.0.2", 1, Least, false},
+            {"longest time", "10.0.0.2", 1, Most, false},
+            {"no port", "10.0.0.2", 0, 0, false},
+            {"negative port", "10.0.0.2", -1, 0, false},
+            {"port out of range", "10.0.0.2", 65'536, 0, false},
+            {"no host", "", 1, 0, false},
+            {"a path", "10.0.0.2:1/x", 1, 0, false},
+            {"long host", std::string(100'000, 'h'), 1, 0, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        Discovery discovery = makeDiscovery({"self", "", "10.0.0.1:1", {}, 4});
+        Schema::Member member = gatewayAt(row.host, row.heardMsAgo);
+        member.instance = "gateway-2";
+        member.peerPort = row.peerPort;
+        addGateway(discovery, member, at(1000));
+        CHECK(discovery.gateways.size() == (row.isAdded ? 1 : 0));
+        CHECK(gatewaysToDial(discovery, at(1000)).size() == (row.isAdded ? 1 : 0));
+    }
+}
