Transient/Discovery: a second address of a connected gateway is an alias

Cause: agents made a link for each address. The gateway took each announcement for a new connection of the agent and closed the other link, which the agent dialled again. A gateway dialled itself under its second spelling.

Change: the instance that answers counts. The younger link is given up before the agent has announced itself on it; its address is neither dialled nor told while the elder link lasts, and tried again when that ends. Gateways do the same among the links that they dialled, and with themselves. `gateway_address_is_alias` tells the operator.

--- a/Source/Core/Gateway/TransientLinks.cpp
+++ b/Source/Core/Gateway/TransientLinks.cpp
@@ -153,6 +153,9 @@
 void TransientLinks::gatewayAnnounced(Net::LinkId id,
                                       const Schema::GatewayAnnouncement &announcement)
 {
+    if (this->giveUpDuplicate(id, announcement.gateway.instance)) {
+        return;
+    }
     PeerLink &link = this->links.at(id);
     Transient::addAnnouncedGateway(this->control.discovery, announcement.gateway,
                                    this->control.now);
@@ -185,6 +188,37 @@
     }
 }
 
+/// Closes a dialled link to this gateway itself, or to one that answers on another dialled link
+/// already: its address was listed in two spellings. The accepting end waits for that.
+bool TransientLinks::giveUpDuplicate(Net::LinkId id, const std::string &instance)
+{
+    const PeerLink &link = this->links.at(id);
+    const bool isSelf = instance == this->control.self.instance;
+    if (link.gateway || (link.address.empty() && !isSelf)) {
+        return false;
+    }
+    if (link.address.empty()) {
+        return true;
+    }
+    const auto elder =
+            std::find_if(this->links.begin(), this->links.end(), [&instance, id](const auto &one) {
+                return one.first != id && !one.second.address.empty() && one.second.gateway
+                       && one.second.gateway->instance == instance;
+            });
+    if (!isSelf && elder == this->links.end()) {
+        return false;
+    }
+    const std::string address = link.address;
+    const std::string known =
+            isSelf ? this->control.discovery.settings.self : elder->second.address;
+    Common::logEvent(LogLevel::Info, "gateway_address_is_alias",
+                     {{"gateway", instance}, {"address", address}, {"known_as", known}});
+    Transient::markAlias(this->control.discovery, address, known);
+    this->hub->close(id);
+    this->links.erase(id);
+    return true;
+}
+
 void TransientLinks::observeSpare(Net::LinkId id, const Schema::GatewayAnnouncement &announcement)
 {
     const std::string &instance = announcement.gateway.instance;
--- a/Source/Core/Gateway/TransientLinks.h
+++ b/Source/Core/Gateway/TransientLinks.h
@@ -66,6 +66,7 @@
     std::optional<Net::LinkId> otherLinkOf(const std::string &agentName, Net::LinkId id) const;
     void replaceLink(Net::LinkId id);
     void gatewayAnnounced(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
+    bool giveUpDuplicate(Net::LinkId id, const std::string &instance);
     void observeSpare(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
     /// Handles a frame about a forwarded job. Returns false if it is another frame.
     bool handleForwardingFrame(const PeerLink &link, const Schema::Frame &frame);
--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -123,6 +123,7 @@
     void carryOut(const Transient::LogLine &effect);
 
     void gatewayAnnounced(Net::LinkId id, const Schema::GatewayAnnouncement &announcement);
+    bool giveUpDuplicate(Net::LinkId id, const std::string &instance);
     void evacuationsAnnounced(const Schema::GatewayAnnouncement &announcement);
     void announceTo(Net::LinkId id, GatewayLink &link);
     void runPeriodicWork();
@@ -332,6 +333,9 @@
 {
     Transient::addGateways(this->discovery, announcement.others, this->now);
     this->evacuationsAnnounced(announcement);
+    if (this->giveUpDuplicate(id, announcement.gateway.instance)) {
+        return;
+    }
     GatewayLink &link = this->links.at(id);
     link.reports.loadIntervalMs = announcement.loadIntervalMs.value_or(0);
     if (!link.instance.empty()) {
@@ -365,6 +369,29 @@
     }
 }
 
+/// Closes a link to a gateway that answers on another one already: its address was listed in two
+/// spellings. Before this agent has announced itself, the gateway holds nothing for the link. With
+/// both links, the gateway took each announcement for a new connection of the agent and closed the
+/// other link, and the agent connected again without an end.
+bool RunnerDaemon::Implementation::giveUpDuplicate(Net::LinkId id, const std::string &instance)
+{
+    const auto elder = std::find_if(
+            this->links.begin(), this->links.end(), [&instance, id](const auto &entry) {
+                return entry.first != id && entry.second.instance == instance;
+            });
+    if (elder == this->links.end() || !this->links.at(id).instance.empty()) {
+        return false;
+    }
+    const std::string address = this->links.at(id).address;
+    Common::logEvent(
+            LogLevel::Info, "gateway_address_is_alias",
+            {{"gateway", instance}, {"address", address}, {"known_as", elder->second.address}});
+    Transient::markAlias(this->discovery, address, elder->second.address);
+    this->hub->close(id);
+    this->links.erase(id);
+    return true;
+}
+
 void RunnerDaemon::Implementation::evacuationsAnnounced(
         const Schema::GatewayAnnouncement &announcement)
 {
--- a/Source/Core/Transient/Discovery.cpp
+++ b/Source/Core/Transient/Discovery.cpp
@@ -40,6 +40,16 @@
     return gateway.isConnected || gateway.failures < FailuresUntilReplaced;
 }
 
+bool isAlias(const Discovery &discovery, const KnownGateway &gateway)
+{
+    if (gateway.aliasOf.empty()) {
+        return false;
+    }
+    const auto known = discovery.gateways.find(gateway.aliasOf);
+    return gateway.aliasOf == discovery.settings.self
+           || (known != discovery.gateways.end() && known->second.isConnected);
+}
+
 /// Chooses again, after a gateway was added or removed or its reachability changed.
 void choose(Discovery &discovery)
 {
@@ -49,8 +59,12 @@
         if (reachable == discovery.settings.links) {
             return;
         }
+        const KnownGateway &gateway = discovery.gateways.at(address);
+        if (isAlias(discovery, gateway)) {
+            continue;
+        }
         discovery.chosen.push_back(address);
-        reachable += isReachable(discovery.gateways.at(address)) ? 1 : 0;
+        reachable += isReachable(gateway) ? 1 : 0;
     }
 }
 
@@ -212,6 +226,20 @@
     }
 }
 
+void markAlias(Discovery &discovery, const std::string &address, const std::string &known)
+{
+    const auto found = discovery.gateways.find(address);
+    if (found == discovery.gateways.end()) {
+        return;
+    }
+    KnownGateway &gateway = found->second;
+    gateway.isConnected = false;
+    gateway.isDialling = false;
+    gateway.failures = 0;
+    gateway.aliasOf = known;
+    choose(discovery);
+}
+
 void dialEnded(Discovery &discovery, const std::string &address, Common::Moment now)
 {
     const auto found = discovery.gateways.find(address);
@@ -224,6 +252,12 @@
     const int doublings = std::clamp(gateway.failures - QuickRedials, 0, MaxDoublings);
     gateway.nextDialMs = now.steadyMs + std::min(FirstRedialMs << doublings, LongestRedialMs);
     gateway.failures += 1;
+    for (auto &[other, alias] : discovery.gateways) {
+        if (alias.aliasOf == address) {
+            // Another gateway may answer there from now on.
+            alias.aliasOf.clear();
+        }
+    }
     choose(discovery);
 }
 
@@ -264,7 +298,8 @@
     std::vector<Schema::Member> members;
     for (const auto &[address, gateway] : discovery.gateways) {
         const std::int64_t heardMsAgo = now.steadyMs - gateway.heardMs;
-        if (gateway.member && gateway.change > change && heardMsAgo < expiryMs(discovery)) {
+        if (gateway.member && gateway.change > change && heardMsAgo < expiryMs(discovery)
+            && !isAlias(discovery, gateway)) {
             members.push_back(*gateway.member);
             members.back().heardMsAgo = heardMsAgo;
         }
@@ -274,9 +309,10 @@
 
 std::size_t knownGateways(const Discovery &discovery)
 {
-    return static_cast<std::size_t>(
-            std::count_if(discovery.gateways.begin(), discovery.gateways.end(),
-                          [](const auto &entry) { return entry.second.member.has_value(); }));
+    return static_cast<std::size_t>(std::count_if(
+            discovery.gateways.begin(), discovery.gateways.end(), [&discovery](const auto &entry) {
+                return entry.second.member && !isAlias(discovery, entry.second);
+            }));
 }
 
 std::string addressOf(const Schema::Member &member)
--- a/Source/Core/Transient/Discovery.h
+++ b/Source/Core/Transient/Discovery.h
@@ -44,6 +44,9 @@
     int failures = 0;
     /// Nothing while only the address is known.
     std::optional<Schema::Member> member;
+    /// Address of the gateway that answers under this address, too; empty if none is known. Such an
+    /// address is not dialled while the gateway is connected.
+    std::string aliasOf;
     /// Value of Discovery::change when the member was last replaced.
     std::uint64_t change = 0;
 };
@@ -84,7 +87,7 @@
 void ignoreDomains(Discovery &discovery, bool ignores);
 
 /// Adds a gateway that another process or the store has reported. A report that is older than what
-/// is known has no effect.
+/// is known, or out of the ranges of problemWith(), has no effect.
 void addGateway(Discovery &discovery, const Schema::Member &gateway, Common::Moment now);
 
 /// Adds a gateway that has announced itself just now.
@@ -97,6 +100,9 @@
 /// Addresses to dial now; each is then being dialled until gatewayConnected() or dialEnded().
 std::vector<std::string> gatewaysToDial(Discovery &discovery, Common::Moment now);
 void gatewayConnected(Discovery &discovery, const std::string &address, Common::Moment now);
+/// Handles a connection to \a address that was answered by the gateway that is connected as
+/// \a known, or by this process itself.
+void markAlias(Discovery &discovery, const std::string &address, const std::string &known);
 /// Handles a failed attempt or a closed connection: schedules the next attempt.
 void dialEnded(Discovery &discovery, const std::string &address, Common::Moment now);
 
--- a/Source/UnitTests/Programs/ForeignRecordsTest.cpp
+++ b/Source/UnitTests/Programs/ForeignRecordsTest.cpp
@@ -289,3 +289,39 @@
         CHECK(linesWith(site.agent, words) == 1);
     }
 }
+
+TEST_CASE("A second spelling of a gateway's address makes no link come and go")
+{
+    // Guards against two links to one process, each of which takes the place of the other without
+    // an end, so that tasks are lost with every change.
+    TransientProcesses site;
+    REQUIRE(site.serves());
+    const std::string port = std::to_string(site.links);
+    site.store.setGatewayRecord("other-spelling", gatewayRecord("g-9", "localhost", port));
+    REQUIRE(waitFor([&site] { return linesWith(site.gateway, {"gateway_address_is_alias"}) > 0; }));
+    checkPrograms(site);
+    CHECK(linesWith(site.agent, {"event=gateway_unlinked"}) == 0);
+    CHECK(linesWith(site.agent, {"event=gateway_linked"}) == 1);
+    CHECK(linesWith(site.gateway, {"agent_link_replaced"}) == 0);
+    CHECK(linesWith(site.agent, {"gateway_address_is_alias"}) <= 1);
+    CHECK(linesWith(site.gateway, {"gateway_address_is_alias"}) == 1);
+    CHECK(site.servesJob());
+}
+
+TEST_CASE("Two seeds that are the same gateway make one link")
+{
+    // Guards against the same among the addresses of the settings, which are never forgotten.
+    TransientProcesses site(MachineDescriptors, {"127.1"});
+    REQUIRE(site.serves());
+    REQUIRE(waitFor([&site] { return linesWith(site.agent, {"gateway_address_is_alias"}) > 0; }));
+    checkPrograms(site);
+    CHECK(linesWith(site.agent, {"event=gateway_unlinked"}) == 0);
+    CHECK(linesWith(site.agent, {"gateway_address_is_alias"}) == 1);
+    CHECK(linesWith(site.gateway, {"agent_link_replaced"}) == 0);
+    // The gateway starts anew at its address: the other spelling is found to be the same again.
+    site.gateway.kill();
+    site.gateway.start();
+    CHECK(site.servesJob());
+    checkPrograms(site);
+    CHECK(linesWith(site.gateway, {"agent_link_replaced"}) == 0);
+}
--- a/Source/UnitTests/Transient/DiscoveryTest.cpp
+++ b/Source/UnitTests/Transient/DiscoveryTest.cpp
@@ -277,3 +277,31 @@
         CHECK(gatewaysToDial(discovery, at(1000)).size() == (row.isAdded ? 1 : 0));
     }
 }
+
+TEST_CASE("A second address of a connected gateway is not dialled while the connection lasts")
+{
+    // Guards against two links to one gateway, each of which replaces the other without an end.
+    const std::string known = "10.0.0.2:1";
+    const std::string other = "edge-2:1";
+    Discovery discovery = makeDiscovery({"self", "", "", {known, other}, 4});
+    addGateway(discovery, gatewayAt("edge-2"), at(0));
+    CHECK(gatewaysToDial(discovery, at(0)).size() == 2);
+    gatewayConnected(discovery, known, at(5));
+    markAlias(discovery, other, known);
+    CHECK(knownGateways(discovery) == 0);
+    CHECK(gatewaysSince(discovery, 0, at(6)).empty());
+    for (std::int64_t nowMs = 10; nowMs < 10'000; nowMs += 100) {
+        CHECK(gatewaysToDial(discovery, at(nowMs)).empty());
+    }
+    dialEnded(discovery, known, at(10'000));
+    CHECK(gatewaysToDial(discovery, at(10'200)).size() == 2);
+}
+
+TEST_CASE("An address at which a gateway reaches itself is not dialled again")
+{
+    const std::string self = "10.0.0.1:1";
+    Discovery discovery = makeDiscovery({"self", "", self, {"edge-1:1"}, 4});
+    CHECK(gatewaysToDial(discovery, at(0)).size() == 1);
+    markAlias(discovery, "edge-1:1", self);
+    CHECK(gatewaysToDial(discovery, at(10'000)).empty());
+}
