platform/BackendCalls: announcements out of range are refused

An announcement with port 99999, a start time or a sequence of 2^63 - 1, or an absurd capacity was answered 200 and taken in the place of the living backend server, whose true announcements were late from then on.

Now it gets 400 and is counted; registration_refused is logged once for each id and reason, as an odd announcement comes with every heartbeat.

--- a/Source/UnitTests/Programs/ForeignRecordsTest.cpp
+++ b/Source/UnitTests/Programs/ForeignRecordsTest.cpp
@@ -325,3 +325,71 @@
     checkPrograms(site);
     CHECK(linesWith(site.gateway, {"agent_link_replaced"}) == 0);
 }
+
+TEST_CASE("Odd announcements are refused and change nothing")
+{
+    // Guards against an announcement of another writer that takes the place of the living backend
+    // server, or makes its later announcements count as late.
+    struct Row
+    {
+        std::string name;
+        std::string member;
+        std::string value;
+    };
+    const std::string huge = "9223372036854775807";
+    std::vector<Row> rows = {
+            {"deep", "more", times("[", 20'000) + times("]", 20'000)},
+            {"deep, in a member that is read", "labels", times("[", 1000) + times("]", 1000)},
+            {"number too large", "more", "1e300"},
+            {"number beyond 64 bits", "more", "18446744073709551615"},
+            {"service of 1,000 bytes", "service", '"' + std::string(1000, 's') + '"'},
+            {"state", "state", R"("asleep")"},
+            {"capacity", "capacity", R"({"cpu":)" + huge + R"(,"memMb":1000})"},
+            {"memory", "capacity", R"({"cpu":1000,"memMb":)" + huge + "}"},
+            {"accelerators", "capacity", R"({"cpu":1000,"memMb":1,"gpu":-1})"},
+            {"labels", "labels", "[" + times(R"("a",)", 400) + R"("b"])"},
+            {"long label", "labels", "[\"" + std::string(1000, 'l') + "\"]"},
+    };
+    for (const char *address : {"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:0", "127.0.0.1",
+                                "nowhere", ":", "/x:7", ""}) {
+        rows.push_back({"address", "address", '"' + std::string(address) + '"'});
+    }
+    for (const std::string &number :
+         {huge, std::string("-1"), std::string("1e300"), std::string("18446744073709551615")}) {
+        rows.push_back({"born", "born", number});
+        rows.push_back({"sequence", "sequence", number});
+    }
+    TransientProcesses site;
+    REQUIRE(site.serves());
+    const std::string url = "http://" + loopback(site.registration) + "/instances/";
+    for (const char *id : {"i-1", "i-9"}) {
+        for (const Row &row : rows) {
+            CAPTURE(std::string(id));
+            CAPTURE(row.name);
+            CAPTURE(row.value.substr(0, 60));
+            std::string body = "{";
+            const std::vector<Row> usual = {
+                    {"", "service", R"("desk")"},
+                    {"", "address", R"("127.0.0.1:7")"},
+                    {"", "state", R"("ready")"},
+                    {"", "capacity", R"({"cpu":8000,"memMb":1000,"gpu":0})"},
+                    {"", "labels", R"(["a"])"},
+                    {"", "born", "1"},
+                    {"", "sequence", "1"}};
+            for (const Row &member : usual) {
+                if (member.member != row.member) {
+                    body += '"' + member.member + "\":" + member.value + ',';
+                }
+            }
+            body += '"' + row.member + "\":" + row.value + '}';
+            CHECK(call("PUT", url + id, body).status == BadRequest);
+        }
+    }
+    CHECK(site.agent.isAlive());
+    CHECK(site.servesJob());
+    CHECK(linesWith(site.agent, {"event=backend_announced"}) == 1);
+    CHECK(linesWith(site.agent, {"registration_refused", "i-9", "the sequence is out of range"})
+          == 1);
+    CHECK(site.backend->announce(loopback(site.registration), "desk", true));
+    CHECK(waitFor([&site] { return site.submitJob() != Ok; }));
+}
