Runner: a backend server that still answers is not replaced by an announcement

Cause: the announcement of another id, or of a later start time, was believed without asking the present incarnation.

Change: it is a claim. The next observation, sent at once and without a wait, decides: answered by the present incarnation, the claim is refuted, counted and logged once; nobody there, another id, or the present one lost, and the claim is taken; answered by the claimed incarnation, its announcement is known at once, also where it had seemed late, and tasks need not wait for the next heartbeat. A leaving or silent backend server is replaced as before. A claim costs a call on the agent's own machine.

Tests that replaced a living backend server by an announcement alone let it go first now (RunnerFixture, replaceBackend()); what they check is the same. New in AnnouncementTest: five rows of who answers, and a backend server whose time of day was set back.

--- a/Source/Core/Runner/Announcements.cpp
+++ b/Source/Core/Runner/Announcements.cpp
@@ -1,5 +1,7 @@
 #include "Runner/Announcements.h"
 
+#include <utility>
+
 #include "Runner/Incarnations.h"
 #include "Runner/Load.h"
 #include "Runner/Runs.h"
@@ -80,6 +82,24 @@
     returnQueuedTasks(state, effects, Reason::AgentDraining, now);
 }
 
+/// The next observation shows whether the incarnation is the present one.
+void claim(RunnerState &state, const Transient::BackendAnnouncement &announcement, bool isLate,
+           Common::Moment now)
+{
+    const bool isLess = isLate && state.claim && !state.claim->isLate;
+    if (!isLess) {
+        state.claim = {announcement, now.steadyMs, isLate};
+    }
+    state.nextObserveMs = now.steadyMs;
+}
+
+/// Whether the present incarnation is there, as far as is known.
+bool isPresent(const RunnerState &state)
+{
+    return state.backend && !state.backend->leaving && state.isBackendResponsive
+           && state.silentSinceMs == 0;
+}
+
 /// A late announcement may contain news all the same. A leaving is final, whatever has overtaken
 /// it. And another incarnation may be the present one, since start times on the wall clock are no
 /// proof of their order: the next observation shows which one answers.
@@ -89,8 +109,7 @@
 {
     reportLate(state, effects, announcement, lateness);
     if (lateness != Lateness::Overtaken) {
-        state.isIncarnationDoubted = true;
-        state.nextObserveMs = now.steadyMs;
+        claim(state, announcement, true, now);
         return;
     }
     if (announcement.leaving && !state.backend->leaving) {
@@ -140,6 +159,7 @@
 void takeAnnouncement(RunnerState &state, Effects &effects,
                       const Transient::BackendAnnouncement &announcement, Common::Moment now)
 {
+    state.claim.reset();
     const std::optional<PresentBackend> before = state.backend;
     const bool isOther = before && isOfOther(*before, announcement);
     const Transient::BackendAnnouncement *last = isOther ? nullptr : announcedBackend(state);
@@ -181,6 +201,8 @@
     }
     if (const std::optional<Lateness> lateness = latenessOf(state, announcement)) {
         handleLate(state, effects, announcement, *lateness, now);
+    } else if (isPresent(state) && isOfOther(*state.backend, announcement)) {
+        claim(state, announcement, false, now);
     } else {
         takeAnnouncement(state, effects, announcement, now);
     }
@@ -188,6 +210,52 @@
     return effects;
 }
 
+void refuteClaim(RunnerState &state, Effects &effects, std::int64_t sentMs)
+{
+    if (!state.claim || sentMs < state.claim->claimedMs) {
+        return;
+    }
+    const ClaimedIncarnation refuted = *std::exchange(state.claim, std::nullopt);
+    const Transient::BackendAnnouncement &announcement = refuted.announcement;
+    if (refuted.isLate) {
+        return;
+    }
+    effects.emplace_back(
+            Transient::CountReason{"auburntrail_runner_announcements_refuted_total", Reason::None});
+    if (Common::addReported(state.refutedIncarnations,
+                            announcement.id + ' ' + std::to_string(announcement.startedAtMs))) {
+        effects.emplace_back(
+                Transient::LogLine{"announcement_refuted",
+                                   {{"id", announcement.id},
+                                    {"started_at_ms", std::to_string(announcement.startedAtMs)},
+                                    {"service", announcement.service},
+                                    {"address", announcement.address},
+                                    {"present_id", state.backend->id}},
+                                   Common::LogLevel::Warning});
+    }
+}
+
+void acceptClaim(RunnerState &state, Effects &effects, Common::Moment now)
+{
+    if (state.claim && !state.claim->isLate) {
+        const Transient::BackendAnnouncement announcement = state.claim->announcement;
+        takeAnnouncement(state, effects, announcement, now);
+    }
+}
+
+void matchClaim(RunnerState &state, Effects &effects)
+{
+    if (!state.claim) {
+        return;
+    }
+    const ClaimedIncarnation claimed = *std::exchange(state.claim, std::nullopt);
+    if (incarnationOf(claimed.announcement) == incarnationOf(*state.backend)) {
+        state.backend->announced = claimed.announcement;
+        state.backend->address = claimed.announcement.address;
+        logAnnounced(effects, claimed.announcement);
+    }
+}
+
 Effects backendLeft(RunnerState &state, const std::string &id, Common::Moment now)
 {
     Effects effects;
@@ -197,6 +265,7 @@
     effects.emplace_back(Transient::LogLine{"backend_left", {{"id", id}}});
     state.backend->leaving = true;
     returnQueuedTasks(state, effects, Reason::AgentDraining, now);
+    acceptClaim(state, effects, now);
     // Started runs may continue for a moment; they count as over once their lease has expired.
     announceIfChanged(state, effects);
     return effects;
--- a/Source/Core/Runner/Incarnations.cpp
+++ b/Source/Core/Runner/Incarnations.cpp
@@ -22,6 +22,8 @@
     state.backend->announced.reset();
     updateLeaving(state);
     beginIncarnation(state, effects, before, now);
+    matchClaim(state, effects);
+    stopIneligible(state, effects, now);
 }
 
 void beginIncarnation(RunnerState &state, Effects &effects, const PresentBackend &before,
@@ -36,7 +38,6 @@
     state.strays.clear();
     state.observationBackoff = {};
     state.silentSinceMs = 0;
-    state.isIncarnationDoubted = false;
     state.lastEnd = 0;
     state.acknowledgedEnd = 0;
     state.isClean = false;
--- a/Source/Core/Runner/Observation.cpp
+++ b/Source/Core/Runner/Observation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Runner/Announcements.h"
 #include "Runner/Incarnations.h"
 #include "Runner/Leases.h"
 #include "Runner/Load.h"
@@ -36,7 +37,7 @@
 
 bool isObservationNeeded(const RunnerState &state, Common::Moment now)
 {
-    return !state.isClean || state.isIncarnationDoubted || state.acknowledgedEnd < state.lastEnd
+    return !state.isClean || state.claim || state.acknowledgedEnd < state.lastEnd
            || !state.strays.empty() || isClockNeeded(state, now)
            || std::any_of(state.runs.begin(), state.runs.end(),
                           [](const auto &entry) { return entry.second.phase != RunPhase::Queued; });
@@ -192,7 +193,6 @@
     updateClockOffset(state, seen.clockMs, now);
     recordRenewal(state, observation);
     state.silentSinceMs = 0;
-    state.isIncarnationDoubted = false;
     const bool isNewIncarnation = seen.startedAtMs != 0 && state.backend
                                   && state.backend->startedAtMs != 0
                                   && seen.startedAtMs != state.backend->startedAtMs;
@@ -200,6 +200,7 @@
         detectIncarnation(state, effects, seen.startedAtMs, now);
     } else {
         state.acknowledgedEnd = std::max(state.acknowledgedEnd, observation.lastEnd);
+        refuteClaim(state, effects, observation.sentMs);
     }
     std::vector<Transient::EndedRun> ended = seen.ended;
     std::sort(ended.begin(), ended.end(),
@@ -266,6 +267,9 @@
     if (isOver) {
         endLostRuns(state, effects, Reason::BackendLost, now);
     }
+    if (isGone || !state.isBackendResponsive) {
+        acceptClaim(state, effects, now);
+    }
 }
 
 } // namespace
@@ -316,7 +320,7 @@
             std::any_of(state.runs.begin(), state.runs.end(), [](const auto &entry) {
                 return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedMs != 0;
             });
-    if (provesStops || state.runs.empty() || isClockNeeded(state, now)) {
+    if (provesStops || state.runs.empty() || state.claim || isClockNeeded(state, now)) {
         call.waitMs = 0;
     }
     state.pendingObservations[call.observation] = {
--- a/Source/Core/Runner/RunnerState.h
+++ b/Source/Core/Runner/RunnerState.h
@@ -224,6 +224,16 @@
     return {backend.id, backend.startedAtMs};
 }
 
+/// An announcement of another incarnation than the present one, which answers as far as is known.
+struct ClaimedIncarnation
+{
+    Transient::BackendAnnouncement announcement;
+    std::int64_t claimedMs = 0;
+    /// The announcement seems to be of a previous incarnation: only an observation that is answered
+    /// by the incarnation itself proves the contrary.
+    bool isLate = false;
+};
+
 /// What gateways are told of the backend server.
 struct Offer
 {
@@ -271,9 +281,11 @@
     /// Incarnations that have announced that they are leaving, whichever counted as the present one
     /// then. None of them takes tasks again.
     std::set<Incarnation> leavingIncarnations;
-    /// An announcement of another incarnation was taken for a late one. Until the backend server
-    /// has answered an observation, that incarnation may be the present one.
-    bool isIncarnationDoubted = false;
+    /// Until the backend server has answered an observation, this incarnation may be the present
+    /// one.
+    std::optional<ClaimedIncarnation> claim;
+    /// Claimed incarnations that were reported as refuted.
+    Common::ReportedKeys refutedIncarnations;
     /// The backend server's clock minus the steady clock of this process, at the last answer.
     std::optional<std::int64_t> clockOffsetMs;
     std::int64_t clockSeenMs = 0;
--- a/Source/UnitTests/Transient/AnnouncementTest.cpp
+++ b/Source/UnitTests/Transient/AnnouncementTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <vector>
 
+#include "Runner/Load.h"
 #include "RunnerFixture.h"
 
 using namespace RunnerSite;
@@ -158,3 +159,78 @@
         }
     }
 }
+
+TEST_CASE("An announcement does not replace a backend server that still answers")
+{
+    // Guards against the announcement of another writer, for which an agent gave up its living
+    // backend server: the tasks there ran on while others ran them again.
+    struct Row
+    {
+        const char *what;
+        Step claim;
+        ObserveOutcome present;
+        bool isReplaced;
+    };
+    const Row rows[] = {
+            {"another id, and the present one answers",
+             {"backend-9", 5000, 1, Ready, 1, 0},
+             ObserveOutcome::Observed,
+             false},
+            {"the same id with a later start, and the present one answers",
+             {"backend-1", 5000, 1, Ready, 1, 0},
+             ObserveOutcome::Observed,
+             false},
+            {"another id, and nobody answers at the address",
+             {"backend-9", 5000, 1, Ready, 1, 0},
+             ObserveOutcome::NotConnected,
+             true},
+            {"another id, which answers at the same address",
+             {"backend-9", 5000, 1, Ready, 1, 0},
+             ObserveOutcome::OtherIncarnation,
+             true},
+            {"another id that is leaving, and the present one answers",
+             {"backend-9", 5000, 1, Leaving, 1, 0},
+             ObserveOutcome::Observed,
+             false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        Announcements announcements;
+        Fixture &site = announcements.site;
+        const CallStart start = site.order("a.0.0", announcements.nowMs);
+        site.answer(start, announcements.nowMs + 1);
+        site.seen(site.requested, announcements.nowMs + 2);
+        announcements.nowMs += StepMs;
+        announcements.play(row.claim);
+        CHECK(site.announced().id == "backend-1");
+        const auto call = lastOf<CallObserve>(tick(site.state, at(announcements.nowMs)));
+        REQUIRE(call.has_value());
+        CHECK(call->waitMs == 0);
+        if (row.present == ObserveOutcome::Observed) {
+            site.seen(call->observation, announcements.nowMs + 1);
+        } else {
+            Transient::ObserveAnswer gone;
+            gone.outcome = row.present;
+            observeAnswered(site.state, call->observation, gone, at(announcements.nowMs + 1));
+        }
+        CHECK((site.announced().id == row.claim.id
+               && site.announced().startedAtMs == row.claim.startedAtMs)
+              == row.isReplaced);
+        if (!row.isReplaced) {
+            CHECK(site.state.runs.at(start.run).phase == RunPhase::Running);
+            CHECK_FALSE(site.state.claim.has_value());
+            CHECK(isAccepting(site.state));
+        }
+    }
+}
+
+TEST_CASE("The announcement of an incarnation that answers is not waited for again")
+{
+    // Guards against a backend server whose time of day was set back: its announcement seems late,
+    // and it would get nothing until the next one.
+    Announcements announcements;
+    announcements.play({"backend-1", 900, 1, Ready, 900, 100});
+    announcements.play({"backend-1", 500, 1, Ready, 500, 100});
+    CHECK(announcements.site.announced().startedAtMs == 500);
+    CHECK(isAccepting(announcements.site.state));
+}
--- a/Source/UnitTests/Transient/IncarnationTest.cpp
+++ b/Source/UnitTests/Transient/IncarnationTest.cpp
@@ -36,6 +36,9 @@
     {
         this->nowMs += 10;
         this->take(backendAnnounced(this->runner.state, announcement, at(this->nowMs)));
+        if (this->runner.state.claim) {
+            this->tickFor(300, announcement.startedAtMs);
+        }
     }
 
     /// The backend server crashes while a task runs, and the next observation is answered by the
--- a/Source/UnitTests/Transient/RunnerFixture.h
+++ b/Source/UnitTests/Transient/RunnerFixture.h
@@ -62,6 +62,21 @@
     /// What the present incarnation of the backend server has announced last.
     Transient::BackendAnnouncement announced() const { return *this->state.backend->announced; }
 
+    /// Announces \a next. If that is another incarnation, the present one does not answer any more.
+    void replaceBackend(const Transient::BackendAnnouncement &next, std::int64_t nowMs)
+    {
+        backendAnnounced(this->state, next, at(nowMs));
+        if (!this->state.claim) {
+            return;
+        }
+        const auto call = lastOf<CallObserve>(observeIfDue(this->state, at(nowMs)));
+        REQUIRE(call.has_value());
+        Transient::ObserveAnswer gone;
+        gone.outcome = ObserveOutcome::NotConnected;
+        observeAnswered(this->state, call->observation, gone, at(nowMs));
+        REQUIRE(this->announced().id == next.id);
+    }
+
     /// Answers an observation that shows all runs that the agent counts as running.
     Effects seen(std::uint64_t observation, std::int64_t nowMs, std::int64_t startedAtMs = 1)
     {
--- a/Source/UnitTests/Transient/RunnerTest.cpp
+++ b/Source/UnitTests/Transient/RunnerTest.cpp
@@ -148,12 +148,12 @@
         previous.id = row.previousId;
         previous.startedAtMs = row.previousStartedAtMs;
         previous.sequence = 7;
-        backendAnnounced(site.state, previous, at(20));
+        site.replaceBackend(previous, 20);
         Transient::BackendAnnouncement next = site.announced();
         next.id = "backend-2";
         next.startedAtMs = 900;
         next.sequence = 1;
-        backendAnnounced(site.state, next, at(1000));
+        site.replaceBackend(next, 1000);
         const auto observeCall = lastOf<CallObserve>(tick(site.state, at(1100)));
         REQUIRE(observeCall.has_value());
         site.seen(observeCall->observation, 1101, next.startedAtMs);
@@ -179,7 +179,7 @@
     Transient::BackendAnnouncement next = site.announced();
     next.startedAtMs = 900;
     next.sequence = 1;
-    backendAnnounced(site.state, next, at(1000));
+    site.replaceBackend(next, 1000);
     const auto observeCall = lastOf<CallObserve>(tick(site.state, at(1100)));
     REQUIRE(observeCall.has_value());
     stopAnswered(site.state, "a.0.0", previous.start.number, true, at(1100));
@@ -410,10 +410,9 @@
             Transient::BackendAnnouncement next = site.announced();
             next.startedAtMs = NextStartedAtMs;
             next.sequence = 1;
-            backendAnnounced(site.state, next, at(5005));
-        } else {
-            answerObservation(site, site.requested, 5005, NextStartedAtMs, active);
+            backendAnnounced(site.state, next, at(5004));
         }
+        answerObservation(site, site.requested, 5005, NextStartedAtMs, active);
         CHECK(site.isKnown(start.run));
         answerObservation(site, nextObservation(site, 5010), 5050, NextStartedAtMs, active);
         CHECK(site.isKnown(start.run));
@@ -820,7 +819,7 @@
     Transient::BackendAnnouncement next = site.announced();
     next.startedAtMs = NextStartedAtMs;
     next.sequence = 1;
-    backendAnnounced(site.state, next, at(NextStartedAtMs));
+    site.replaceBackend(next, NextStartedAtMs);
     Transient::ObserveAnswer clean;
     clean.outcome = ObserveOutcome::Observed;
     clean.seen.startedAtMs = NextStartedAtMs;
@@ -959,6 +958,6 @@
     next.id = "backend-2";
     next.startedAtMs = 900;
     next.sequence = 1;
-    backendAnnounced(site.state, next, at(1000));
+    site.replaceBackend(next, 1000);
     CHECK(site.state.strays.empty());
 }
--- a/Source/UnitTests/Transient/UnansweredStartTest.cpp
+++ b/Source/UnitTests/Transient/UnansweredStartTest.cpp
@@ -167,13 +167,13 @@
             {"the backend server is replaced by one with another id", false,
              [](Fixture &site, const CallStart &start) {
                  site.answer(start, 202);
-                 backendAnnounced(site.state, nextIncarnation(site, "backend-2"), at(250));
+                 site.replaceBackend(nextIncarnation(site, "backend-2"), 250);
                  observe(site, 260, {}, NextBornMs);
              }},
             {"the next incarnation has the same id", true,
              [](Fixture &site, const CallStart &start) {
                  site.answer(start, 202);
-                 backendAnnounced(site.state, nextIncarnation(site, "backend-1"), at(250));
+                 site.replaceBackend(nextIncarnation(site, "backend-1"), 250);
                  observe(site, 260, {}, NextBornMs);
              }},
     };
@@ -247,7 +247,7 @@
     Fixture site;
     const auto [lost, next] = restartAfterLoss(site);
     site.answer(next, 202);
-    backendAnnounced(site.state, nextIncarnation(site, "backend-1"), at(1000));
+    site.replaceBackend(nextIncarnation(site, "backend-1"), 1000);
     const std::vector<Transient::ActiveRun> late{{Task, lost.start.number, 5}};
     observe(site, 1001, late, NextBornMs);
     CHECK_FALSE(nextStart(site, 1010).has_value());
