--- a/Source/Core/Runner/RunnerDaemon.cpp
+++ b/Source/Core/Runner/RunnerDaemon.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 using Common::LogLevel;
-using Common::Moment;
 
 constexpr std::int64_t StopTimeoutMs = 120;
 /// Added to the wait that an observation requests.
--- a/Source/UnitTests/Platform/StoreCallsTest.cpp
+++ b/Source/UnitTests/Platform/StoreCallsTest.cpp
@@ -202,18 +202,24 @@
     for (const char *offset :
          {"-1", "1e300", "18446744073709551615", "9223372036854775807", "1.5", "\"7\"", "null"}) {
         CAPTURE(offset);
-        const std::string end = std::string(R"({"items":[],"hasMore":false,"endOffset":)") + offset;
-        CHECK_FALSE(Platform::decodeNewest(answered(200, end + "}")).has_value());
-        const auto newest = Platform::decodeNewest(
-                answered(200, std::string(R"({"items":[{"key":"a","value":"","offset":)") + offset
-                                      + R"(}],"hasMore":false,"endOffset":6})"));
+        std::string page = R"({"items":[],"hasMore":false,"endOffset":)";
+        page += offset;
+        page += '}';
+        CHECK_FALSE(Platform::decodeNewest(answered(200, page)).has_value());
+        std::string withItem = R"({"items":[{"key":"a","value":"","offset":)";
+        withItem += offset;
+        withItem += R"(}],"hasMore":false,"endOffset":6})";
+        const auto newest = Platform::decodeNewest(answered(200, withItem));
         CHECK((!newest || newest->records.at(0).offset == 0));
     }
     const std::string good = Platform::writeCall("s:1", StoreTopic::Gateways, {"k", "v"}).body;
-    for (const std::string &rest : {good.substr(0, 2), good.substr(0, good.size() - 1),
-                                    std::string("\xff\xff\xff\xff") + good}) {
+    const std::string cutHead = good.substr(0, 2);
+    const std::string cutValue = good.substr(0, good.size() - 1);
+    const std::string endless = "\xff\xff\xff\xff";
+    for (const std::string &rest : {cutHead, cutValue, endless}) {
+        const std::string whole = head() + good;
         CHECK_FALSE(Platform::decodeRead(answered(200, head() + rest), 3).has_value());
-        const auto first = Platform::decodeRead(answered(200, head() + good + rest), 3);
+        const auto first = Platform::decodeRead(answered(200, whole + rest), 3);
         REQUIRE(first.has_value());
         CHECK(first->nextOffset == 4);
     }
