UnitTests/Programs: one wait and one call for the tests of the programs

ForeignRecordsTest had copies of waitFor() and of a call with the queue's host, which stand in ResourceLimits/Sites, too.

--- a/Source/UnitTests/Programs/ForeignRecordsTest.cpp
+++ b/Source/UnitTests/Programs/ForeignRecordsTest.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <fstream>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,20 +28,6 @@
 constexpr int Ok = 200;
 constexpr int BadRequest = 400;
 
-/// Waits until \a condition is true. False after 300 checks 100 ms apart.
-bool waitFor(const std::function<bool()> &condition)
-{
-    constexpr int Rounds = 300;
-    constexpr std::chrono::milliseconds Pause{100};
-    for (int round = 0; round < Rounds; ++round) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(Pause);
-    }
-    return false;
-}
-
 std::string times(const std::string &text, std::size_t count)
 {
     std::string repeated;
@@ -184,29 +171,15 @@
     std::unique_ptr<Net::HttpServer> server;
 };
 
-Net::HttpResult call(const std::string &method, const std::string &url,
-                     const std::string &body = {})
-{
-    constexpr std::int64_t TimeoutMs = 20'000;
-    Net::HttpClient client(1);
-    Net::HttpCall made;
-    made.method = method;
-    made.url = url;
-    made.body = body;
-    made.headers = {"Host: desk.example"};
-    made.timeoutMs = TimeoutMs;
-    return client.perform(made);
-}
-
 bool serves(const TransientProcesses &site, const std::string &path)
 {
-    return call("GET", "http://" + loopback(site.callers) + path).status == Ok;
+    return call(site.callers, "GET", path).status == Ok;
 }
 
 /// Value of a counter with the label \a topic; 0 if it is not there.
 double skipped(std::uint16_t metricsPort, const std::string &topic)
 {
-    const std::string text = call("GET", "http://" + loopback(metricsPort) + "/metrics").body;
+    const std::string text = call(metricsPort, "GET", "/metrics").body;
     const std::string series = "auburntrail_store_records_skipped_total{topic=\"" + topic + "\"} ";
     const std::size_t found = text.find(series);
     return found == std::string::npos ? 0 : std::stod(text.substr(found + series.size()));
@@ -361,7 +334,7 @@
     }
     TransientProcesses site;
     REQUIRE(site.serves());
-    const std::string url = "http://" + loopback(site.registration) + "/instances/";
+    const std::string path = "/instances/";
     for (const char *id : {"i-1", "i-9"}) {
         for (const Row &row : rows) {
             CAPTURE(std::string(id));
@@ -382,7 +355,7 @@
                 }
             }
             body += '"' + row.member + "\":" + row.value + '}';
-            CHECK(call("PUT", url + id, body).status == BadRequest);
+            CHECK(call(site.registration, "PUT", path + id, body).status == BadRequest);
         }
     }
     CHECK(site.agent.isAlive());
--- a/Source/UnitTests/ResourceLimits/Sites.cpp
+++ b/Source/UnitTests/ResourceLimits/Sites.cpp
@@ -22,7 +22,26 @@
 /// Upper limit of a call; far above what any needs.
 constexpr std::int64_t CallTimeoutMs = 20'000;
 
-/// Waits until \a condition is true. False after 300 checks 100 ms apart.
+std::string line(const std::string &name, const std::string &value)
+{
+    return name + ": \"" + value + '"';
+}
+
+std::string line(const std::string &name, int value)
+{
+    return name + ": " + std::to_string(value);
+}
+
+std::string jobId(std::uint64_t number)
+{
+    constexpr int Digits = 16;
+    std::ostringstream text;
+    text << std::hex << std::setw(Digits) << std::setfill('0') << number;
+    return text.str();
+}
+
+} // namespace
+
 bool waitFor(const std::function<bool()> &condition)
 {
     constexpr int Rounds = 300;
@@ -36,18 +55,8 @@
     return false;
 }
 
-std::string line(const std::string &name, const std::string &value)
-{
-    return name + ": \"" + value + '"';
-}
-
-std::string line(const std::string &name, int value)
-{
-    return name + ": " + std::to_string(value);
-}
-
 Net::HttpResult call(std::uint16_t port, const std::string &method, const std::string &path,
-                     const std::string &body = {})
+                     const std::string &body)
 {
     Net::HttpClient client(1);
     Net::HttpCall made;
@@ -59,16 +68,6 @@
     return client.perform(made);
 }
 
-std::string jobId(std::uint64_t number)
-{
-    constexpr int Digits = 16;
-    std::ostringstream text;
-    text << std::hex << std::setw(Digits) << std::setfill('0') << number;
-    return text.str();
-}
-
-} // namespace
-
 TransientProcesses::TransientProcesses(std::size_t maxDescriptors,
                                        std::vector<std::string> moreHosts)
     : moreHosts(std::move(moreHosts))
--- a/Source/UnitTests/ResourceLimits/Sites.h
+++ b/Source/UnitTests/ResourceLimits/Sites.h
@@ -2,12 +2,14 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "Net/Net.h"
 #include "Program.h"
 #include "StandIn/StandIn.h"
 #include "UnitTests/Platform/FakePlatform.h"
@@ -17,6 +19,13 @@
 /// Largest number of descriptors on the machines of the deployments.
 constexpr std::size_t MachineDescriptors = 4100;
 
+/// Waits until \a condition is true. False after 300 checks 100 ms apart.
+bool waitFor(const std::function<bool()> &condition);
+
+/// Calls a port of this machine as a caller of the queue at host "desk.example".
+Net::HttpResult call(std::uint16_t port, const std::string &method, const std::string &path,
+                     const std::string &body = {});
+
 /// A gateway and an agent for transient jobs as processes, with a store and a backend server in
 /// this process.
 class TransientProcesses
