--- a/review/standins-2/Kit.h
+++ b/review/standins-2/Kit.h
@@ -262,6 +262,7 @@
 
     Worker(WorkerOptions options, Runs &runs, Record &record);
     ~Worker();
+    std::string id() const { return this->options.id; }
     std::string address() const;
     void setTrouble(Trouble trouble);
     /// From now on its pings say that it drains. True if one was acknowledged.
@@ -269,6 +270,8 @@
     /// Sends one ping. True if it is acknowledged.
     bool ping();
     std::size_t running();
+    /// From now on what runs there and what starts takes \a factor times as long.
+    void setSlowdown(int factor);
     /// Ends without a word, as in a crash.
     void crash();
 
@@ -308,6 +311,7 @@
     std::int64_t fence = 0;
     std::int64_t leaseUntil = 0;
     std::int64_t sequence = 0;
+    int slowdown = 1;
     std::atomic<bool> isDraining{false};
     std::atomic<bool> isStopping{false};
     Trouble trouble;
--- a/review/standins-2/Platform.cpp
+++ b/review/standins-2/Platform.cpp
@@ -254,6 +254,17 @@
     return this->active.size();
 }
 
+void Worker::setSlowdown(int factor)
+{
+    const std::lock_guard<std::recursive_mutex> lock(this->mutex);
+    this->advance();
+    const std::int64_t now = nowMs();
+    for (auto &[task, one] : this->active) {
+        one.endsMs = now + (one.endsMs - now) * factor / this->slowdown;
+    }
+    this->slowdown = factor;
+}
+
 std::int64_t Worker::clockMs() const
 {
     return nowMs() - this->bootedMs;
@@ -377,7 +388,8 @@
     Active added;
     added.number = number;
     added.startedMs = nowMs();
-    added.endsMs = added.startedMs + std::max(1L, std::strtol(spec.c_str(), nullptr, 10));
+    added.endsMs =
+            added.startedMs + this->slowdown * std::max(1L, std::strtol(spec.c_str(), nullptr, 10));
     Run run;
     run.worker = this->options.id;
     run.task = task;
