--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exit 1: the rule was broken; 0: it held; 2: the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-2/case-10 ] || exit 2
+exec timeout -k 5 110 target/review-2/case-10 review/10/record.txt
--- a/review/standins-2/Kit.h
+++ b/review/standins-2/Kit.h
@@ -270,6 +270,9 @@
     /// Sends one ping. True if it is acknowledged.
     bool ping();
     std::size_t running();
+    /// Carries out an order to start that was left unanswered \a lateMs ago. The time of the lease
+    /// that it grants counts from now.
+    void startLate(const Request &request, std::int64_t lateMs);
     /// From now on what runs there and what starts takes \a factor times as long.
     void setSlowdown(int factor);
     /// Ends without a word, as in a crash.
--- a/review/standins-2/Platform.cpp
+++ b/review/standins-2/Platform.cpp
@@ -254,6 +254,16 @@
     return this->active.size();
 }
 
+void Worker::startLate(const Request &request, std::int64_t lateMs)
+{
+    Json body = Json::parse(request.body);
+    body["untilMs"] = body.at("untilMs").get<std::int64_t>() + lateMs;
+    const Response response = this->start(body);
+    this->record.line("worker " + this->options.id + " has carried out late the start of "
+                      + body.at("task").get<std::string>() + ": " + std::to_string(response.status)
+                      + ' ' + response.body);
+}
+
 void Worker::setSlowdown(int factor)
 {
     const std::lock_guard<std::recursive_mutex> lock(this->mutex);
