--- a/review/standins-2/Site.cpp
+++ b/review/standins-2/Site.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -42,6 +43,8 @@
     const std::string log = folder + '/' + name + ".log";
     this->pid = ::fork();
     if (this->pid == 0) {
+        // The daemon ends with the case, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
