--- a/review/standins-3/StandIns.cpp
+++ b/review/standins-2/StandIns.cpp
@@ -681,6 +681,7 @@
             char bytes[65536];
             const ssize_t length = ::recv(near, bytes, sizeof bytes, 0);
             hasEnded = length <= 0;
+            this->received += std::max<ssize_t>(length, 0);
             lastDueMs = std::max(lastDueMs, nowMs() + this->delayAt(nowMs()));
             held.push_back({lastDueMs, hasEnded ? std::string()
                                                 : std::string(bytes, static_cast<std::size_t>(
--- a/review/standins-3/StandIns.h
+++ b/review/standins-2/StandIns.h
@@ -190,6 +190,8 @@
     ~Proxy();
     void delayFrom(std::int64_t atMs, double growth, std::int64_t limitMs);
     void endDelay();
+    /// What connecting sides have sent so far.
+    std::int64_t bytes() const { return this->received; }
 
 private:
     void accept();
@@ -204,6 +206,7 @@
     double growth = 0;
     std::int64_t limitMs = 0;
     std::atomic<bool> isStopped{false};
+    std::atomic<std::int64_t> received{0};
     std::thread thread;
 };
 
