--- a/review/standins-2/StandIns.cpp
+++ b/review/standins-2/StandIns.cpp
@@ -51,6 +51,9 @@
 int connectTo(const std::string &host, std::uint16_t port)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // From the address of the other side: programs that run beside a case listen on 127.0.0.1.
+    const sockaddr_in own = addressOf(host, 0);
+    ::bind(socket, reinterpret_cast<const sockaddr *>(&own), sizeof own);
     const sockaddr_in address = addressOf(host, port);
     if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
         ::close(socket);
