--- a/Source/UnitTests/Platform/DaemonsTest.cpp
+++ b/Source/UnitTests/Platform/DaemonsTest.cpp
@@ -3,38 +3,17 @@
 #include <boost/asio/read.hpp>
 #include <chrono>
 #include <doctest/doctest.h>
-#include <functional>
 #include <ostream>
 #include <sstream>
 #include <sys/socket.h>
 #include <thread>
 
-#include "FakePlatform.h"
-#include "Gateway/Gateway.h"
+#include "DaemonSite.h"
 #include "platform/Platform.h"
-#include "Runner/Runner.h"
 
 namespace {
 
-using FakePlatform::loopback;
-
-constexpr const char *Service = "desk";
-constexpr const char *FailureDomain = "beja";
-constexpr const char *Job = "5c0e7a21d94b36f8";
-
-/// Waits until \a condition is true. False after 3,000 checks 10 ms apart.
-bool waitFor(const std::function<bool()> &condition)
-{
-    constexpr int Rounds = 3000;
-    constexpr std::chrono::milliseconds Pause{10};
-    for (int round = 0; round < Rounds; ++round) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(Pause);
-    }
-    return false;
-}
+using namespace DaemonTests;
 
 /// Submits a job and ends the sending side of the connection. The gateway receives both at once, as
 /// it does from a caller that gave up while its request was held up. Waits for the end of the
@@ -62,135 +41,6 @@
     return isSentTogether;
 }
 
-/// A gateway, an agent, a backend server and a store in this process.
-struct Site
-{
-    explicit Site(bool hasQueues = true, const std::string &learned = {})
-    {
-        if (!learned.empty()) {
-            this->store.setLearned("gateway-0", learned);
-        }
-        if (hasQueues) {
-            this->store.setQueues(FakePlatform::oneQueue(7, Service));
-        }
-        this->startGateway();
-        this->startAgent();
-    }
-
-    ~Site()
-    {
-        this->stopGateway();
-        if (this->agentThread.joinable()) {
-            this->agent->requestStop();
-            this->agentThread.join();
-        }
-    }
-
-    void startGateway()
-    {
-        Schema::TransientGatewaySettings settings;
-        settings.name = "gateway-1";
-        settings.host = "127.0.0.1";
-        settings.callerAddress = this->callers;
-        settings.probeAddress = this->probes;
-        settings.peerAddress = this->peers;
-        settings.storeAddress = this->store.address();
-        settings.maxBodyBytes = 262'144;
-        settings.heartbeatMs = 250;
-        settings.gatewayLinks = 4;
-        settings.queuesMaxAgeMs = 2000;
-        settings.evacuationsMaxAgeMs = 5000;
-        settings.failureDomain = FailureDomain;
-        // Long, since the machine that runs the test may be busy.
-        settings.silenceMs = 5000;
-        settings.leaseMs = 700;
-        settings.stopTimeoutMs = 20'000;
-        this->gateway = Gateway::TransientDaemonBuilder().settings(settings).build();
-        this->gatewayThread = std::thread([this] { this->stoppedCleanly = this->gateway->run(); });
-    }
-
-    void startAgent()
-    {
-        Schema::TransientAgentSettings settings;
-        settings.name = "agent-1";
-        settings.host = "127.0.0.1";
-        settings.registrationAddress = this->registration;
-        settings.backendAddress = this->backend.address();
-        settings.service = Service;
-        settings.storeAddress = this->store.address();
-        settings.seeds = {this->peers};
-        settings.heartbeatMs = 250;
-        settings.gatewayLinks = 8;
-        settings.evacuationsMaxAgeMs = 5000;
-        settings.failureDomain = FailureDomain;
-        settings.silenceMs = 5000;
-        settings.leaseMs = 900;
-        settings.stopTimeoutMs = 5000;
-        this->agent = Runner::RunnerDaemonBuilder().settings(settings).build();
-        this->agentThread = std::thread([this] { this->agent->run(); });
-    }
-
-    void stopGateway()
-    {
-        if (this->gatewayThread.joinable()) {
-            this->gateway->requestStop();
-            this->gatewayThread.join();
-        }
-    }
-
-    Net::HttpResult call(const std::string &method, const std::string &path,
-                         const std::string &body = {}, std::int64_t timeoutMs = 20'000)
-    {
-        Net::HttpClient client(1);
-        Net::HttpCall made;
-        made.method = method;
-        made.url = "http://" + this->callers + path;
-        made.body = body;
-        made.headers = {"Host: desk.example"};
-        made.timeoutMs = timeoutMs;
-        return client.perform(made);
-    }
-
-    bool isReady() const
-    {
-        Net::HttpClient client(1);
-        Net::HttpCall probe;
-        probe.url = "http://" + this->probes + "/readyz";
-        return client.perform(probe).status == 200;
-    }
-
-    bool serves()
-    {
-        return this->backend.announce(this->registration, Service, false)
-               && waitFor([this] { return this->isReady(); }) && waitFor([this] {
-                      return this->call("POST", "/checks/00000000000000aa", shortJob()).status
-                             == 200;
-                  });
-    }
-
-    static std::string shortJob()
-    {
-        return R"({"bestEffort":true,"spec":"30 1","steps":[{"count":3,"cpu":1000,"estimateMs":30}]})";
-    }
-
-    static std::string longJob()
-    {
-        return R"({"bestEffort":true,"spec":"1500 1","steps":[{"count":2,"cpu":1000,"estimateMs":1500}]})";
-    }
-
-    FakePlatform::Store store;
-    FakePlatform::BackendServer backend;
-    std::string callers = loopback(FakePlatform::freePort());
-    std::string probes = loopback(FakePlatform::freePort());
-    std::string peers = loopback(FakePlatform::freePort());
-    std::string registration = loopback(FakePlatform::freePort());
-    std::unique_ptr<Gateway::TransientDaemon> gateway;
-    std::unique_ptr<Runner::RunnerDaemon> agent;
-    std::thread gatewayThread;
-    std::thread agentThread;
-    bool stoppedCleanly = false;
-};
-
 } // namespace
 
 TEST_CASE("A job is processed by the real daemons")
