Gateway: a job's id exists once, behind its route

Cause: the id was taken twice. The HTTP thread took what stands behind the last slash, before the route was known; the body was decoded under that id, and lookups, refusals, forwarding and the names of tasks used it. The control thread took what stands behind the queue's prefix and checked it, but threw it away.

Paths without an id were refused with 400 before, too.

Change: Gateway/CallerRoute finds the queue and the id behind its prefix, once, on the control thread. The id is a Platform::JobId, which only parseJobId() makes. A body is decoded without an id. CallerRequest has a file of its own. The log line of a request whose path names no job has an empty field "job".

Why it works: nothing else constructs a JobId, and parseJobId() is called in one place, behind the route that is in force when the request is handled.

The settings of a gateway and the queue of the tests, which would have stood twice, are shared.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -22,33 +22,23 @@
 constexpr int NotFound = 404;
 constexpr int Gone = 410;
 constexpr int Unavailable = 503;
-/// Remaining timeout of a caller whose request does not state one.
-constexpr std::int64_t DefaultRemainingTimeoutMs = 30'000;
 /// Subtracted from the remaining timeout: an answer sent at the last moment still has to reach its
 /// caller.
 constexpr std::int64_t AnswerTransitMs = 20;
 constexpr const char *RefusedRequests = "auburntrail_requests_refused_total";
 constexpr const char *UndeliveredAnswers = "auburntrail_answers_undelivered_total";
 
-Common::Outcome<void> tryDecodeBody(CallerRequest &callerRequest)
+/// Status of a request whose path names no job and no queue.
+int statusOf(Reason reason)
 {
-    BOOST_LEAF_AUTO(job, Platform::decodeJob(callerRequest.id, callerRequest.body));
-    callerRequest.job = std::move(job);
-    return {};
-}
-
-void decodeBody(CallerRequest &callerRequest)
-{
-    Common::handle(
-            [&callerRequest] { return tryDecodeBody(callerRequest); },
-            [&callerRequest](const Common::Failure &failure) { callerRequest.failure = failure; });
-    callerRequest.body.clear();
-}
-
-/// False for a request that the HTTP thread has left undecoded, since it might be refused unread.
-bool isDecoded(const CallerRequest &callerRequest)
-{
-    return callerRequest.job || callerRequest.failure.reason != Reason::None;
+    switch (reason) {
+    case Reason::NoConfiguration:
+        return Unavailable;
+    case Reason::UnknownQueue:
+        return NotFound;
+    default:
+        return BadRequest;
+    }
 }
 
 /// Builds a refusal. With status 503 a later attempt may succeed: Retry-After is set.
@@ -137,7 +127,7 @@
 
 void TransientCallers::refuseUnprocessed(const CallerRequest &event)
 {
-    this->refuse(event, Unavailable, Reason::Stopping, StoppingDetail);
+    this->refuse(event, {Unavailable, Reason::Stopping, StoppingDetail, {}});
 }
 
 /// Called on the HTTP thread.
@@ -150,16 +140,7 @@
         reply.send(std::move(response));
         return;
     }
-    CallerRequest callerRequest(std::move(reply));
-    callerRequest.method = request.method;
-    callerRequest.path = request.path;
-    callerRequest.arrivedMs = request.arrivedMs;
-    callerRequest.connection = request.connection;
-    const auto host = request.headers.find("host");
-    callerRequest.host = host == request.headers.end() ? std::string() : host->second;
-    callerRequest.id = request.path.substr(request.path.rfind('/') + 1);
-    callerRequest.remainingTimeoutMs =
-            Platform::callerRemainingTimeoutMs(request).value_or(DefaultRemainingTimeoutMs);
+    CallerRequest callerRequest = makeCallerRequest(request, std::move(reply));
     if (request.method == "POST") {
         callerRequest.body = std::move(request.body);
         if (!this->isQueueStanding) {
@@ -172,60 +153,65 @@
 
 void TransientCallers::on(CallerRequest &event)
 {
-    if (this->control.queues.version == 0) {
-        this->refuse(event, Unavailable, Reason::NoConfiguration, "no configuration yet");
-        return;
-    }
-    const Schema::JobQueue *queue =
-            Transient::findQueue(this->control.queues, event.host, event.path);
-    if (queue == nullptr) {
-        this->refuse(event, NotFound, Reason::UnknownQueue, "no such queue");
-        return;
-    }
-    const std::string jobId = event.path.substr(queue->path.size());
-    if (event.method == "GET" && jobId.empty()) {
-        this->reply(event.reply, Platform::encodePendingJobs(
-                                         Transient::waitingJobs(this->control.state, queue->name)));
-        return;
-    }
-    if (!Platform::isJobId(jobId)) {
-        this->refuse(event, BadRequest, Reason::Malformed, "the path must end with a job's id");
-        return;
-    }
-    if (event.method == "POST") {
-        this->submit(event, *queue);
-    } else if (event.method == "GET" || event.method == "DELETE") {
-        this->handleStateOrCancel(event, *queue);
+    Common::handle(
+            [this, &event]() -> Common::Outcome<void> {
+                BOOST_LEAF_AUTO(route, findRoute(this->control.queues, event.host, event.path));
+                this->handleRouted(event, route);
+                return {};
+            },
+            [this, &event](const Common::Failure &failure) {
+                this->refuse(event, {statusOf(failure.reason), failure.reason, failure.detail, {}});
+            });
+}
+
+void TransientCallers::handleRouted(CallerRequest &callerRequest, const CallerRoute &route)
+{
+    const bool isRead = callerRequest.method == "GET";
+    if (!route.job && isRead) {
+        this->reply(callerRequest.reply, Platform::encodePendingJobs(Transient::waitingJobs(
+                                                 this->control.state, route.queue->name)));
+    } else if (!route.job) {
+        this->refuse(callerRequest,
+                     {BadRequest, Reason::Malformed, "the path must end with a job's id", {}});
+    } else if (callerRequest.method == "POST") {
+        this->submit(callerRequest, *route.queue, *route.job);
+    } else if (isRead || callerRequest.method == "DELETE") {
+        this->handleStateOrCancel(callerRequest, *route.queue, *route.job);
     } else {
-        this->refuse(event, BadRequest, Reason::Malformed, "no such call");
+        this->refuse(callerRequest,
+                     {BadRequest, Reason::Malformed, "no such call", route.job->text()});
     }
 }
 
-void TransientCallers::submit(CallerRequest &callerRequest, const Schema::JobQueue &queue)
+void TransientCallers::submit(CallerRequest &callerRequest, const Schema::JobQueue &queue,
+                              const Platform::JobId &id)
 {
     if (callerRequest.reply.hasCallerLeft()) {
         // The request was held up, and its caller may have submitted the job again elsewhere by
         // now. Tasks would start before the end of the connection is processed.
-        this->refuse(callerRequest, Unavailable, Reason::CallerGone, CallerGoneDetail);
+        this->refuse(callerRequest, {Unavailable, Reason::CallerGone, CallerGoneDetail, id.text()});
         return;
     }
-    if (this->refuseWaited(callerRequest)) {
+    if (this->refuseWaited(callerRequest, id)) {
         return;
     }
     if (!isDecoded(callerRequest)) {
         decodeBody(callerRequest);
     }
     if (!callerRequest.job) {
-        const bool isUnsupported = callerRequest.failure.reason == Reason::UnsupportedJob;
-        this->refuse(callerRequest, isUnsupported ? Unavailable : BadRequest,
-                     callerRequest.failure.reason, callerRequest.failure.detail);
+        const Common::Failure &failure = callerRequest.failure;
+        const bool isUnsupported = failure.reason == Reason::UnsupportedJob;
+        this->refuse(callerRequest, {isUnsupported ? Unavailable : BadRequest, failure.reason,
+                                     failure.detail, id.text()});
         return;
     }
     observeOwnDelaySince(this->control, callerRequest.arrivedMs);
     Transient::Submission submission;
     submission.token = this->openRequest(callerRequest);
     submission.queue = queue;
-    submission.request = std::move(*callerRequest.job);
+    submission.request.id = id.text();
+    submission.request.payload = std::move(callerRequest.job->payload);
+    submission.request.steps = std::move(callerRequest.job->steps);
     submission.remainingTimeoutMs =
             std::max<std::int64_t>(0, callerRequest.remainingTimeoutMs - AnswerTransitMs);
     submission.arrivedMs = callerRequest.arrivedMs;
@@ -243,13 +229,13 @@
 
 /// Refuses a submission that has waited too long for the control thread. Returns false if it is to
 /// be handled.
-bool TransientCallers::refuseWaited(const CallerRequest &callerRequest)
+bool TransientCallers::refuseWaited(const CallerRequest &callerRequest, const Platform::JobId &id)
 {
     TransientControl &control = this->control;
     control.load.requestDecided(control.now.steadyMs - callerRequest.arrivedMs);
     const std::string token = this->openRequest(callerRequest);
-    auto refused = Transient::refuseWaited(control.state, token, callerRequest.id,
-                                           callerRequest.arrivedMs, control.now, control.random);
+    auto refused = Transient::refuseWaited(control.state, token, id.text(), callerRequest.arrivedMs,
+                                           control.now, control.random);
     this->isQueueStanding = Transient::isStanding(control.state.requestQueue, control.now.steadyMs);
     if (!refused) {
         this->requests.erase(token);
@@ -263,20 +249,19 @@
 /// Handles GET and DELETE of a job. Transient jobs are not kept after they have ended: an ended job
 /// is answered like an unknown one.
 void TransientCallers::handleStateOrCancel(const CallerRequest &callerRequest,
-                                           const Schema::JobQueue &queue)
+                                           const Schema::JobQueue &queue, const Platform::JobId &id)
 {
-    const auto found = this->control.state.jobs.find(callerRequest.id);
+    const auto found = this->control.state.jobs.find(id.text());
     const bool isHere = found != this->control.state.jobs.end()
                         && found->second.queue.name == queue.name && !found->second.result;
     const bool isKnown =
-            isHere || Transient::isForwarded(this->control.state, callerRequest.id, queue.name);
+            isHere || Transient::isForwarded(this->control.state, id.text(), queue.name);
     if (!isKnown) {
-        this->refuse(callerRequest, Gone, Reason::UnknownJob, "no such job");
+        this->refuse(callerRequest, {Gone, Reason::UnknownJob, "no such job", id.text()});
         return;
     }
     if (callerRequest.method == "DELETE") {
-        this->carryOut(
-                Transient::jobCancelled(this->control.state, callerRequest.id, this->control.now));
+        this->carryOut(Transient::jobCancelled(this->control.state, id.text(), this->control.now));
     }
     this->reply(callerRequest.reply, Platform::encodeRunning());
 }
@@ -310,21 +295,21 @@
     }
 }
 
-void TransientCallers::refuse(const CallerRequest &callerRequest, int status, Reason reason,
-                              const std::string &detail)
+void TransientCallers::refuse(const CallerRequest &callerRequest, const Refusal &refused)
 {
-    this->control.metrics.count(RefusedRequests, {{"reason", Schema::enumName(reason)}});
+    const std::string reason = Schema::enumName(refused.reason);
+    this->control.metrics.count(RefusedRequests, {{"reason", reason}});
     Common::logEvent(LogLevel::Info, "request_refused",
-                     {{"job", callerRequest.id},
+                     {{"job", refused.job},
                       {"method", callerRequest.method},
                       {"host", callerRequest.host},
                       {"path", callerRequest.path},
                       {"queues_version", this->control.queues.version},
                       {"queues_confirmed_ms_ago",
                        this->control.now.steadyMs - this->control.queuesConfirmedMs},
-                      {"reason", Schema::enumName(reason)},
-                      {"detail", detail}});
-    this->reply(callerRequest.reply, refusal(status, detail));
+                      {"reason", reason},
+                      {"detail", refused.detail}});
+    this->reply(callerRequest.reply, refusal(refused.status, refused.detail));
 }
 
 bool TransientCallers::reply(const Net::HttpReply &reply, Net::HttpResponse response)
--- a/Source/Core/Gateway/TransientCallers.h
+++ b/Source/Core/Gateway/TransientCallers.h
@@ -8,11 +8,12 @@
 #include <mutex>
 #include <string>
 
+#include "Gateway/CallerRoute.h"
 #include "Gateway/TransientControl.h"
 
 namespace Gateway {
 
-/// HTTP servers of the daemon for transient jobs. Decodes the requests of callers, finds the queue
+/// HTTP servers of the daemon for transient jobs. Decodes the requests of callers, finds the route
 /// of each and answers each once. Also serves the readiness probe and the metrics.
 class TransientCallers
 {
@@ -44,6 +45,16 @@
     bool isIdle() const;
 
 private:
+    /// Why a request is answered without being handled.
+    struct Refusal
+    {
+        int status = 0;
+        Schema::Reason reason = Schema::Reason::None;
+        std::string detail;
+        /// Empty if its path was not found to name one.
+        std::string job;
+    };
+
     struct OpenRequest
     {
         std::uint64_t connection = 0;
@@ -53,12 +64,14 @@
     void startCallerServer();
     void startProbeServer();
     void handleRequest(Net::HttpRequest request, Net::HttpReply reply);
-    void submit(CallerRequest &callerRequest, const Schema::JobQueue &queue);
+    void handleRouted(CallerRequest &callerRequest, const CallerRoute &route);
+    void submit(CallerRequest &callerRequest, const Schema::JobQueue &queue,
+                const Platform::JobId &id);
     std::string openRequest(const CallerRequest &callerRequest);
-    bool refuseWaited(const CallerRequest &callerRequest);
-    void handleStateOrCancel(const CallerRequest &callerRequest, const Schema::JobQueue &queue);
-    void refuse(const CallerRequest &callerRequest, int status, Schema::Reason reason,
-                const std::string &detail);
+    bool refuseWaited(const CallerRequest &callerRequest, const Platform::JobId &id);
+    void handleStateOrCancel(const CallerRequest &callerRequest, const Schema::JobQueue &queue,
+                             const Platform::JobId &id);
+    void refuse(const CallerRequest &callerRequest, const Refusal &refused);
     /// Returns false if the answer cannot be delivered because the caller has disconnected.
     bool reply(const Net::HttpReply &reply, Net::HttpResponse response);
 
--- a/Source/Core/Gateway/TransientControl.h
+++ b/Source/Core/Gateway/TransientControl.h
@@ -2,13 +2,13 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include "Common/Common.h"
+#include "Gateway/CallerRequest.h"
 #include "Gateway/LoadReport.h"
 #include "Net/Net.h"
 #include "Schema/Schema.h"
@@ -18,30 +18,6 @@
 /// the messages that other threads post to it.
 namespace Gateway {
 
-/// Decoded request of a caller.
-struct CallerRequest
-{
-    explicit CallerRequest(Net::HttpReply reply)
-        : reply(std::move(reply))
-    {}
-
-    std::string method;
-    std::string host;
-    std::string path;
-    /// Last segment of the path.
-    std::string id;
-    std::int64_t remainingTimeoutMs = 0;
-    /// On the steady clock.
-    std::int64_t arrivedMs = 0;
-    std::optional<Transient::JobRequest> job;
-    /// Not decoded yet where the control thread may refuse the request unread.
-    std::string body;
-    /// Why the body could not be decoded as a job.
-    Common::Failure failure;
-    std::uint64_t connection = 0;
-    Net::HttpReply reply;
-};
-
 struct CallerDisconnected
 {
     std::uint64_t connection = 0;
--- a/Source/UnitTests/Gateway/TransientLinksTest.cpp
+++ b/Source/UnitTests/Gateway/TransientLinksTest.cpp
@@ -2,6 +2,7 @@
 #include <ostream>
 
 #include "Gateway/TransientLinks.h"
+#include "TestSettings.h"
 #include "UnitTests/Transient/TestAgents.h"
 
 namespace {
@@ -10,24 +11,11 @@
 
 constexpr const char *JobId = "5c0e7a21d94b36f8";
 
-Schema::TransientGatewaySettings settingsOfGateway()
-{
-    Schema::TransientGatewaySettings settings;
-    settings.name = "gateway-1";
-    settings.host = "127.0.0.1";
-    settings.peerAddress = "127.0.0.1:0";
-    settings.heartbeatMs = 250;
-    settings.silenceMs = 800;
-    settings.leaseMs = 700;
-    settings.gatewayLinks = 4;
-    return settings;
-}
-
 /// A gateway's links, with frames of an agent that are handed in one by one.
 struct Fixture
 {
     Fixture()
-        : control(settingsOfGateway())
+        : control(GatewayTests::settingsOfGateway())
         , links(this->control, this->mailbox, [](const Transient::Effects &) {})
     {
         this->links.start();
--- a/Source/UnitTests/Platform/CallerCallsTest.cpp
+++ b/Source/UnitTests/Platform/CallerCallsTest.cpp
@@ -10,14 +10,14 @@
 struct Decoded
 {
     Reason reason = Reason::None;
-    Transient::JobRequest job;
+    Platform::JobBody job;
 };
 
 Decoded decode(const std::string &body)
 {
     return Common::handle(
             [&]() -> Common::Outcome<Decoded> {
-                BOOST_LEAF_AUTO(job, Platform::decodeJob("5c0e7a21d94b36f8", body));
+                BOOST_LEAF_AUTO(job, Platform::decodeJob(body));
                 return Decoded{Reason::None, std::move(job)};
             },
             [](const Common::Failure &failure) {
@@ -34,7 +34,6 @@
             {"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3","requires":"a"},
             {"count":2,"cpu":2000,"gpu":1,"after":[0],"antiAffinity":1}]})");
     REQUIRE(decoded.reason == Reason::None);
-    CHECK(decoded.job.id == "5c0e7a21d94b36f8");
     CHECK(decoded.job.payload == "work");
     REQUIRE(decoded.job.steps.size() == 2);
     CHECK(decoded.job.steps[0].taskCount == 4);
--- a/Source/UnitTests/Transient/DecisionTest.cpp
+++ b/Source/UnitTests/Transient/DecisionTest.cpp
@@ -4,23 +4,16 @@
 #include <ostream>
 
 #include "Runner/Load.h"
+#include "TestQueues.h"
 #include "Transient/Admission.h"
 #include "Transient/Placement.h"
 #include "Transient/Transient.h"
 
 using namespace Transient;
+using TestQueues::queueAt;
 
 namespace {
 
-Schema::JobQueue queueAt(const std::string &host, const std::string &path)
-{
-    Schema::JobQueue queue;
-    queue.name = host + path;
-    queue.host = host;
-    queue.path = path;
-    return queue;
-}
-
 AgentView agentOf(const std::string &name, double processors, double committed, double meanLeftMs)
 {
     AgentView agent;
