Net: of connections that hold as much for as long the first goes

The first of ten clients was not the one that was given up, and got no answer within 5 s.

Cause: connections are given up by the product of bytes and age in whole milliseconds, an age of 0 counting like 1. Clients that come within a millisecond or two have equal products, and which of them goes hung on the order in which a hash table lists them. The test rightly expects the first.

Change: of equal products that goes which came first, by its time and then by the number of its connection, which rises. The test stays as it is.

Why it works: the first client's product is never the smaller one, since it has all its bytes and is at least as old; where it is equal, the order now decides.

--- a/Source/Core/Net/Holdings.cpp
+++ b/Source/Core/Net/Holdings.cpp
@@ -150,8 +150,10 @@
         return static_cast<double>(holding.bytes)
                * static_cast<double>(std::max<std::int64_t>(nowMs - holding.sinceMs, 1));
     };
-    std::sort(candidates.begin(), candidates.end(),
-              [&weight](const Holding &a, const Holding &b) { return weight(a) > weight(b); });
+    std::sort(candidates.begin(), candidates.end(), [&weight](const Holding &a, const Holding &b) {
+        return std::make_tuple(-weight(a), a.sinceMs, a.connection)
+               < std::make_tuple(-weight(b), b.sinceMs, b.connection);
+    });
     std::set<std::uint64_t> chosen;
     for (const Holding &holding : candidates) {
         const bool isAnswer = holding.stage == HoldingStage::Answer;
