Transient: an id belongs to the queue of its job

What callers saw: while a job runs at one queue, another caller submits a job with the same id at another queue. It was told that its job is complete when the first one was; none of its tasks had run.

Cause: jobs, forwarded jobs and results are kept by id alone, and a submission compared nothing else.

Change: such a submission is refused with 503, id_conflict and a Retry-After. Queues are compared by host and prefix, so that a repeated submission, which comes to the same path, finds its job when the operator has renamed the queue. GET and DELETE compare the same.

Why it works: tasks are named after the id, so two jobs of one id cannot run side by side; the refused one has not run, and is told so.

--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -251,12 +251,7 @@
 void TransientCallers::handleStateOrCancel(const CallerRequest &callerRequest,
                                            const Schema::JobQueue &queue, const Platform::JobId &id)
 {
-    const auto found = this->control.state.jobs.find(id.text());
-    const bool isHere = found != this->control.state.jobs.end()
-                        && found->second.queue.name == queue.name && !found->second.result;
-    const bool isKnown =
-            isHere || Transient::isForwarded(this->control.state, id.text(), queue.name);
-    if (!isKnown) {
+    if (!Transient::isOpenJob(this->control.state, id.text(), queue)) {
         this->refuse(callerRequest, {Gone, Reason::UnknownJob, "no such job", id.text()});
         return;
     }
--- a/Source/Core/Transient/Answers.cpp
+++ b/Source/Core/Transient/Answers.cpp
@@ -90,7 +90,8 @@
     const bool isAnswer =
             result.outcome == JobOutcome::Succeeded || result.outcome == JobOutcome::Failed;
     if (isAnswer) {
-        state.finished[id] = {result, now.steadyMs + state.times.retentionMs};
+        state.finished[id] = {result, now.steadyMs + state.times.retentionMs,
+                              std::move(found->second.queue)};
     } else {
         state.formerAttempts[id] = {highestAttempt(found->second),
                                     now.steadyMs + state.times.retentionMs};
--- a/Source/Core/Transient/Forwarding.h
+++ b/Source/Core/Transient/Forwarding.h
@@ -112,8 +112,6 @@
 /// Effects that send the answer to the gateway that has forwarded the job; nothing if the request
 /// came from a caller. For each AnswerCaller, this is called before it is carried out.
 std::optional<Effects> answerForwarded(GatewayState &state, const AnswerCaller &answer);
-/// True if this gateway has forwarded a job of the queue with this id, and it is still open.
-bool isForwarded(const GatewayState &state, const std::string &id, const std::string &queue);
 /// True if jobs forwarded on the link are open.
 bool usesPeer(const Forwarding &forwarding, const std::string &peer);
 
--- a/Source/Core/Transient/ForwardingSender.cpp
+++ b/Source/Core/Transient/ForwardingSender.cpp
@@ -210,7 +210,8 @@
     Effects effects;
     reportEnd(effects, "out", id, peer, result);
     if (result.outcome == JobOutcome::Succeeded || result.outcome == JobOutcome::Failed) {
-        state.finished[id] = {result, now.steadyMs + state.times.retentionMs};
+        state.finished[id] = {result, now.steadyMs + state.times.retentionMs,
+                              record.submission.queue};
     }
     const bool wasNotTaken =
             result.outcome == JobOutcome::Refused
@@ -224,13 +225,6 @@
     return effects;
 }
 
-bool isForwarded(const GatewayState &state, const std::string &id, const std::string &queue)
-{
-    const auto found = state.forwarding.out.find(id);
-    return found != state.forwarding.out.end() && !found->second.isCancelled
-           && found->second.submission.queue.name == queue;
-}
-
 Effects handlePeerLost(GatewayState &state, const std::string &peer, Common::Moment now)
 {
     Forwarding &forwarding = state.forwarding;
--- a/Source/Core/Transient/Jobs.cpp
+++ b/Source/Core/Transient/Jobs.cpp
@@ -7,6 +7,7 @@
 #include "Transient/Displacement.h"
 #include "Transient/JobsInternal.h"
 #include "Transient/Orphans.h"
+#include "Transient/Queues.h"
 #include "Transient/Resubmission.h"
 
 namespace Transient {
@@ -125,6 +126,35 @@
            || isOrphaned(state, id, now);
 }
 
+/// Queue of the job that is known here under the id; null if there is none.
+const Schema::JobQueue *queueOfJob(const GatewayState &state, const std::string &id)
+{
+    const auto job = state.jobs.find(id);
+    if (job != state.jobs.end()) {
+        return &job->second.queue;
+    }
+    const auto forwarded = state.forwarding.out.find(id);
+    if (forwarded != state.forwarding.out.end()) {
+        return &forwarded->second.submission.queue;
+    }
+    const auto finished = state.finished.find(id);
+    return finished == state.finished.end() ? nullptr : &finished->second.queue;
+}
+
+/// Refuses a submission whose id a job of another queue has.
+Effects refuseConflict(const Submission &submission, const Schema::JobQueue &other)
+{
+    const JobResult refused{JobOutcome::Refused, Reason::IdConflict, RetryMs};
+    const std::string &id = submission.request.id;
+    return {LogLine{"job_refused",
+                    {{"job", id},
+                     {"reason", Schema::enumName(refused.reason)},
+                     {"queue", submission.queue.name},
+                     {"queue_of_id", other.name}}},
+            CountReason{RefusalCounter, refused.reason},
+            AnswerCaller{submission.token, id, refused}};
+}
+
 template <typename Record>
 void removeExpired(std::unordered_map<std::string, Record> &records, Common::Moment now)
 {
@@ -193,6 +223,10 @@
     Effects effects;
     submission.arrivedMs = submission.arrivedMs.value_or(now.steadyMs);
     const std::string id = submission.request.id;
+    const Schema::JobQueue *queueOfId = queueOfJob(state, id);
+    if (queueOfId != nullptr && !servesSamePaths(*queueOfId, submission.queue)) {
+        return refuseConflict(submission, *queueOfId);
+    }
     const auto finished = state.finished.find(id);
     if (finished != state.finished.end()) {
         effects.emplace_back(LogLine{"job_answered_again", {{"job", id}}});
@@ -277,6 +311,18 @@
     return effects;
 }
 
+bool isOpenJob(const GatewayState &state, const std::string &id, const Schema::JobQueue &queue)
+{
+    const Schema::JobQueue *queueOfId = queueOfJob(state, id);
+    if (queueOfId == nullptr || !servesSamePaths(*queueOfId, queue)) {
+        return false;
+    }
+    const auto job = state.jobs.find(id);
+    const auto forwarded = state.forwarding.out.find(id);
+    return (job != state.jobs.end() && !job->second.result)
+           || (forwarded != state.forwarding.out.end() && !forwarded->second.isCancelled);
+}
+
 void beginStop(GatewayState &state, std::int64_t timeoutMs, Common::Moment now)
 {
     state.isStopping = true;
--- a/Source/Core/Transient/Jobs.h
+++ b/Source/Core/Transient/Jobs.h
@@ -71,6 +71,7 @@
 {
     JobResult result;
     std::int64_t expiresAtMs = 0;
+    Schema::JobQueue queue;
 };
 
 struct GatewayState
@@ -117,7 +118,8 @@
 
 /// Handles a submission. If the job is known here, the request gets its result, or waits for it; it
 /// is parked while tasks of an earlier job with the same id may still run. Otherwise the job is
-/// forwarded, admitted or refused.
+/// forwarded, admitted or refused. An id that a job of another queue has is refused: tasks are
+/// named after the id, and each caller gets the result of its own job only.
 Effects jobSubmitted(GatewayState &state, Submission submission, Common::Moment now,
                      Common::Random &random);
 /// Takes note of a request for a job that is handled now, and refuses it before its body is read if
@@ -131,6 +133,9 @@
 
 /// Ends a job at the request of its caller and withdraws its tasks.
 Effects jobCancelled(GatewayState &state, const std::string &id, Common::Moment now);
+/// Whether this gateway has a job of the queue with this id that has not ended, also one that it
+/// has forwarded.
+bool isOpenJob(const GatewayState &state, const std::string &id, const Schema::JobQueue &queue);
 
 Effects agentAnnounced(GatewayState &state, const Schema::AgentAnnouncement &announcement,
                        Common::Moment now, Common::Random &random);
--- a/Source/Core/Transient/Queues.cpp
+++ b/Source/Core/Transient/Queues.cpp
@@ -65,4 +65,9 @@
     return longest;
 }
 
+bool servesSamePaths(const Schema::JobQueue &a, const Schema::JobQueue &b)
+{
+    return a.host == b.host && a.path == b.path;
+}
+
 } // namespace Transient
--- a/Source/Core/Transient/Queues.h
+++ b/Source/Core/Transient/Queues.h
@@ -42,4 +42,8 @@
 const Schema::JobQueue *findQueue(const Schema::QueueTable &queues, const std::string &host,
                                   const std::string &path);
 
+/// Whether both serve the same paths. The name and the service of a queue may change while it has
+/// jobs.
+bool servesSamePaths(const Schema::JobQueue &a, const Schema::JobQueue &b);
+
 } // namespace Transient
--- a/Source/UnitTests/Gateway/TransientCallersTest.cpp
+++ b/Source/UnitTests/Gateway/TransientCallersTest.cpp
@@ -18,6 +18,8 @@
 constexpr const char *Body =
         R"({"bestEffort":true,"spec":"30 1","steps":[{"count":1,"cpu":1000,"estimateMs":30}]})";
 constexpr const char *Peer = "gateway-2";
+/// Far above what an answer takes.
+constexpr std::chrono::seconds AnswerWait{5};
 
 /// The servers for callers, and a control thread that is run by hand.
 struct Fixture
@@ -228,9 +230,50 @@
     Fixture fixture;
     fixture.setQueues({"/order-"});
     const Transient::JobResult complete{Transient::JobOutcome::Succeeded, Schema::Reason::None, 0};
-    fixture.control.state.finished[JobId] = {complete, fixture.control.now.steadyMs + 5000};
+    fixture.control.state.finished[JobId] = {complete, fixture.control.now.steadyMs + 5000,
+                                             fixture.control.queues.queues.front()};
     Gateway::CallerRequest event = fixture.send(std::string("/order-") + JobId);
     fixture.letRequestsWait(event);
     fixture.callers.on(event);
     CHECK(fixture.answered.get().status == 200);
 }
+
+TEST_CASE("A job of another queue has the id of a submission")
+{
+    // Guards against a caller that is answered with the result of another caller's job, also where
+    // that job runs at another gateway or has ended.
+    struct Row
+    {
+        std::string what;
+        void (*prepare)(Fixture &);
+        void (*proceed)(Fixture &);
+    };
+    const auto complete = [](Fixture &fixture) {
+        Schema::ForwardedResult result;
+        result.outcome = Schema::TransientOutcome::Succeeded;
+        result.token = "1";
+        fixture.carryOut(Transient::forwardedResultReceived(
+                fixture.control.state, Peer, result, fixture.control.now, fixture.control.random));
+    };
+    const Row rows[] = {
+            {"it runs here", [](Fixture &) {}, [](Fixture &) {}},
+            {"it is forwarded", [](Fixture &fixture) { fixture.forwardJobs(); }, [](Fixture &) {}},
+            {"it has ended", [](Fixture &fixture) { fixture.forwardJobs(); }, complete},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        Fixture fixture;
+        fixture.setQueues({"/checks/", "/orders/"});
+        row.prepare(fixture);
+        Gateway::CallerRequest first = fixture.send(std::string("/checks/") + JobId);
+        fixture.callers.on(first);
+        row.proceed(fixture);
+        const std::future<Net::HttpResult> firstAnswer = std::move(fixture.answered);
+        Gateway::CallerRequest second = fixture.send(std::string("/orders/") + JobId);
+        fixture.callers.on(second);
+        // A submission that has joined the other job is not answered before that ends.
+        fixture.answered.wait_for(AnswerWait);
+        fixture.callers.stop();
+        CHECK(fixture.answered.get().status == 503);
+    }
+}
--- a/Source/UnitTests/Platform/CallerPathsTest.cpp
+++ b/Source/UnitTests/Platform/CallerPathsTest.cpp
@@ -11,6 +11,7 @@
 
 constexpr const char *OtherJob = "0d5f2b7c8e914a63";
 constexpr int TasksOfShortJob = 3;
+constexpr int TasksOfLongJob = 2;
 
 /// A site with the queue /checks/ and one at each of \a prefixes.
 struct SiteWithQueues : Site
@@ -151,3 +152,21 @@
         CHECK(areTasksOf(started, row.id));
     }
 }
+
+TEST_CASE("An id that is in use at one queue is submitted to another")
+{
+    // Guards against a caller that is answered with the result of another caller's job: the second
+    // submission joined the job of the first queue, and was told that it is complete although none
+    // of its tasks had run. Tasks are named after the id, so that both cannot run at the same time.
+    SiteWithQueues site({"/orders/"});
+    const std::string id = Job;
+    Net::HttpResult first;
+    std::thread caller([&] { first = site.call("POST", "/checks/" + id, Site::longJob()); });
+    CHECK(waitFor([&site] { return site.backend.running() == TasksOfLongJob; }));
+    CHECK(site.call("GET", "/orders/" + id).status == 410);
+    CHECK(site.call("DELETE", "/orders/" + id).status == 410);
+    CHECK(site.call("POST", "/orders/" + id, Site::shortJob()).status == 503);
+    caller.join();
+    CHECK(first.status == 200);
+    CHECK(site.takeStartedTasks().size() == TasksOfLongJob);
+}
