platform: a cancelled job's submission is answered 200, cancelled

What callers saw: DELETE of a running job is acknowledged and its tasks are stopped, but the POST that waits for it was answered 504. After a 504 a caller submits the job again at any gateway, where nothing tells of the cancelling, and its tasks start once more.

Cause: a cancelled job was answered like one that was given up for another reason.

Change: 200 with {"state":"cancelled"}, a state that GET of a job knows as well. "failed" would not be true, since no task failed; a refusal would say that nothing has run.

Why it works: the caller learns that the job is over and submits it no more. Not covered: a submission whose connection broke before this answer (docs/PLATFORM.md, Open).

--- a/Source/UnitTests/Platform/CallerCallsTest.cpp
+++ b/Source/UnitTests/Platform/CallerCallsTest.cpp
@@ -100,6 +100,8 @@
             {{JobOutcome::Succeeded, Reason::None, 0}, 200, 0},
             {{JobOutcome::Failed, Reason::AttemptsExhausted, 0}, 200, 0},
             {{JobOutcome::GaveUp, Reason::DeadlinePassed, 0}, 504, 0},
+            {{JobOutcome::GaveUp, Reason::CallerGone, 0}, 504, 0},
+            {{JobOutcome::GaveUp, Reason::Cancelled, 0}, 200, 0},
             {{JobOutcome::Refused, Reason::IdConflict, 1000}, 503, 1},
             {{JobOutcome::Refused, Reason::DeadlineUnreachable, 1500}, 429, 2},
             {{JobOutcome::Refused, Reason::NoBackend, 1000}, 503, 1},
--- a/Source/UnitTests/Platform/CallerPathsTest.cpp
+++ b/Source/UnitTests/Platform/CallerPathsTest.cpp
@@ -153,6 +153,26 @@
     }
 }
 
+TEST_CASE("A submission whose job is cancelled learns that the job is over")
+{
+    // Guards against an answer that asks for another attempt: after a 504 the caller submits the
+    // job again at any gateway, where nothing tells of the cancelling, and the tasks start once
+    // more.
+    constexpr int Tasks = 2;
+    SiteWithQueues site({"/order-"});
+    const std::string path = std::string("/order-") + Job;
+    Net::HttpResult answer;
+    std::thread caller([&] {
+        answer = site.call("POST", path, FakePlatform::jobBody({10'000, Tasks}));
+    });
+    CHECK(waitFor([&site] { return site.backend.running() == Tasks; }));
+    CHECK(site.call("DELETE", path).status == 200);
+    caller.join();
+    CHECK(answer.status == 200);
+    CHECK(answer.body == R"({"state":"cancelled"})");
+    CHECK(waitFor([&site] { return site.backend.running() == 0; }));
+}
+
 TEST_CASE("An id that is in use at one queue is submitted to another")
 {
     // Guards against a caller that is answered with the result of another caller's job: the second
