--- a/Source/UnitTests/ResourceLimits/Program.cpp
+++ b/Source/UnitTests/ResourceLimits/Program.cpp
@@ -114,6 +114,15 @@
     return static_cast<std::size_t>(std::distance(begin(files), end(files)));
 }
 
+std::string Program::describe()
+{
+    constexpr std::size_t ShownBytes = 4000;
+    std::ifstream file(this->log);
+    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    const std::size_t begin = text.size() > ShownBytes ? text.size() - ShownBytes : 0;
+    return this->log + (this->isAlive() ? ", running:\n" : ", ended:\n") + text.substr(begin);
+}
+
 TemporaryFolder::TemporaryFolder()
 {
     std::string pattern =
--- a/Source/UnitTests/ResourceLimits/Program.h
+++ b/Source/UnitTests/ResourceLimits/Program.h
@@ -38,6 +38,8 @@
     std::size_t peakMemoryBytes() const;
     std::size_t openDescriptors() const;
     const std::string &logFile() const { return this->log; }
+    /// Whether the process runs, and the last lines of its log.
+    std::string describe();
 
 private:
     std::string procFile(const std::string &name) const;
--- a/Source/UnitTests/ResourceLimits/Sites.cpp
+++ b/Source/UnitTests/ResourceLimits/Sites.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <iomanip>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
@@ -40,6 +41,16 @@
     return text.str();
 }
 
+/// Prints what a site that does not serve was waiting for. Returns \a isDone.
+bool reportUnless(bool isDone, const char *awaited, Program &gateway, Program &agent)
+{
+    if (!isDone) {
+        std::cerr << "The site does not serve, " << awaited << ".\n"
+                  << gateway.describe() << agent.describe();
+    }
+    return isDone;
+}
+
 } // namespace
 
 bool waitFor(const std::function<bool()> &condition)
@@ -129,15 +140,22 @@
 
 bool TransientProcesses::serves()
 {
-    return waitFor([this] {
-               return this->backend->announce(loopback(this->registration), Service, false);
-           })
+    const bool isAnnounced = waitFor([this] {
+        return this->backend->announce(loopback(this->registration), Service, false);
+    });
+    return reportUnless(isAnnounced, "no announcement is acknowledged", this->gateway, this->agent)
            && this->servesJob();
 }
 
 bool TransientProcesses::servesJob()
 {
-    return waitFor([this] { return this->submitJob() == Ok; });
+    int status = 0;
+    const bool isServed = waitFor([this, &status] {
+        status = this->submitJob();
+        return status == Ok;
+    });
+    return reportUnless(isServed, ("a job is answered " + std::to_string(status)).c_str(),
+                        this->gateway, this->agent);
 }
 
 int TransientProcesses::submitJob()
@@ -246,13 +264,17 @@
 
 bool JournaledProcesses::serves()
 {
-    return waitFor([this] { return call(this->http, "GET", "/ready").status == Ok; })
-           && waitFor([this] { return this->configure(); }) && this->servesJob();
+    const bool isReady = waitFor([this] { return call(this->http, "GET", "/ready").status == Ok; });
+    const bool isConfigured = isReady && waitFor([this] { return this->configure(); });
+    return reportUnless(isReady, "the gateway is not ready", this->gateway, this->agent)
+           && reportUnless(isConfigured, "no configuration is taken", this->gateway, this->agent)
+           && this->servesJob();
 }
 
 bool JournaledProcesses::servesJob()
 {
-    return waitFor([this] { return this->submitJob() == Ok; });
+    const bool isServed = waitFor([this] { return this->submitJob() == Ok; });
+    return reportUnless(isServed, "no job is served", this->gateway, this->agent);
 }
 
 int JournaledProcesses::submitJob()
