--- a/Source/Core/Gateway/CallerRoute.cpp
+++ b/Source/Core/Gateway/CallerRoute.cpp
@@ -23,7 +23,7 @@
     }
     auto job = Platform::parseJobId(path.substr(queue->path.size()));
     if (!job) {
-        return Common::failure(Reason::Malformed, "the path must end with a job's id");
+        return Common::failure(Reason::Malformed, NoJobIdDetail);
     }
     return CallerRoute{queue, std::move(job)};
 }
--- a/Source/Core/Gateway/CallerRoute.h
+++ b/Source/Core/Gateway/CallerRoute.h
@@ -9,6 +9,8 @@
 
 namespace Gateway {
 
+constexpr const char *NoJobIdDetail = "the path must end with a job's id";
+
 /// What the path of a caller's request names.
 struct CallerRoute
 {
--- a/Source/Core/Gateway/TransientCallers.cpp
+++ b/Source/Core/Gateway/TransientCallers.cpp
@@ -171,8 +171,7 @@
         this->reply(callerRequest.reply, Platform::encodePendingJobs(Transient::waitingJobs(
                                                  this->control.state, route.queue->name)));
     } else if (!route.job) {
-        this->refuse(callerRequest,
-                     {BadRequest, Reason::Malformed, "the path must end with a job's id", {}});
+        this->refuse(callerRequest, {BadRequest, Reason::Malformed, NoJobIdDetail, {}});
     } else if (callerRequest.method == "POST") {
         this->submit(callerRequest, *route.queue, *route.job);
     } else if (isRead || callerRequest.method == "DELETE") {
