--- a/Source/UnitTests/Gateway/TransientCallersTest.cpp
+++ b/Source/UnitTests/Gateway/TransientCallersTest.cpp
@@ -8,6 +8,7 @@
 
 #include "Gateway/TransientCallers.h"
 #include "TestSettings.h"
+#include "UnitTests/Platform/FakePlatform.h"
 #include "UnitTests/Transient/TestAgents.h"
 #include "UnitTests/Transient/TestQueues.h"
 
@@ -15,8 +16,6 @@
 
 constexpr const char *JobId = "5c0e7a21d94b36f8";
 constexpr const char *Host = "desk.example";
-constexpr const char *Body =
-        R"({"bestEffort":true,"spec":"30 1","steps":[{"count":1,"cpu":1000,"estimateMs":30}]})";
 constexpr const char *Peer = "gateway-2";
 /// Far above what an answer takes.
 constexpr std::chrono::seconds AnswerWait{5};
@@ -61,7 +60,7 @@
             Net::HttpCall made;
             made.method = "POST";
             made.url = "http://127.0.0.1:" + std::to_string(this->callers.callerPort()) + path;
-            made.body = Body;
+            made.body = FakePlatform::jobBody({30});
             made.headers = {std::string("Host: ") + Host};
             made.timeoutMs = 20'000;
             return client.perform(made);
