--- a/Source/Core/Gateway/TransientCallers.h
+++ b/Source/Core/Gateway/TransientCallers.h
@@ -51,7 +51,7 @@
         int status = 0;
         Schema::Reason reason = Schema::Reason::None;
         std::string detail;
-        /// Empty if its path was not found to name one.
+        /// Id of the job; empty if the path names none.
         std::string job;
     };
 
--- a/Source/Core/Net/Holdings.h
+++ b/Source/Core/Net/Holdings.h
@@ -72,10 +72,10 @@
 ///   first. Connections that are younger than a second come last, so that a new caller can send its
 ///   request while others hold on.
 /// - Beyond the bytes: unfinished requests and answers that are not being read, the largest product
-///   of bytes and time first. Of equal ones that goes which came first, by its time and then by the
-///   number of its connection. The time of a request counts from its first byte: a client that
-///   sends a byte a second does not stay. answersToDrop() bounds the answers by themselves. One
-///   answer alone may be longer.
+///   of bytes and time first, and of equal ones the earliest, by its time and then by the number of
+///   its connection. The time of a request counts from its first byte: a client that sends a byte a
+///   second does not stay. answersToDrop() bounds the answers by themselves. One answer alone may
+///   be longer.
 ///
 /// A connection whose request is whole is never given up.
 std::vector<Release> holdingsToRelease(const std::vector<Holding> &holdings,
