UnitTests/Gateway: a displaced job keeps the id that its caller sent

One more way on which a job does not start at once, beside those of the id behind its route: its tasks are withdrawn, and its caller is refused.

--- a/Source/UnitTests/Gateway/TransientCallersTest.cpp
+++ b/Source/UnitTests/Gateway/TransientCallersTest.cpp
@@ -8,6 +8,7 @@
 
 #include "Gateway/TransientCallers.h"
 #include "TestSettings.h"
+#include "Transient/Displacement.h"
 #include "UnitTests/Platform/FakePlatform.h"
 #include "UnitTests/Transient/TestAgents.h"
 #include "UnitTests/Transient/TestQueues.h"
@@ -222,6 +223,31 @@
     }
 }
 
+TEST_CASE("A displaced job is withdrawn and refused under the id that its caller sent")
+{
+    // Guards against an id taken from behind the last slash: the agent would not know the tasks to
+    // return, or the answer would be that of another job.
+    Fixture fixture;
+    fixture.setQueues({"/order-"});
+    Gateway::CallerRequest event = fixture.send(std::string("/order-") + JobId);
+    fixture.callers.on(event);
+    Transient::GatewayState &state = fixture.control.state;
+    REQUIRE(state.jobs.size() == 1);
+    constexpr double BacklogMs = 100;
+    fixture.carryOut(Transient::beginDisplacement(state, state.jobs.begin()->second, "", BacklogMs,
+                                                  fixture.control.now));
+    Schema::AgentReport report;
+    report.states.emplace_back();
+    report.states.back().task = std::string(JobId) + ".0.0";
+    report.states.back().attempt = 1;
+    report.states.back().phase = Schema::AttemptPhase::NotStarted;
+    report.states.back().reason = Schema::Reason::Withdrawn;
+    fixture.carryOut(Transient::agentReported(state, "agent-1", report, fixture.control.now,
+                                              fixture.control.random));
+    CHECK(fixture.answeredJobs == std::vector<std::string>{JobId});
+    CHECK(fixture.answered.get().status == 503);
+}
+
 TEST_CASE("A job that may have run is not refused unread")
 {
     // Guards against a lookup by another id than the caller's: a job that was complete was answered
