review: a task that requires a kind starts on a worker that came back as another kind

The only worker of kind "a" crashes while idle and starts again under its id as one of kind "b". A job that requires "a" and comes before the first ping of the new boot is started on it.

--- a/review/standins-3/Cases.h
+++ b/review/standins-3/Cases.h
@@ -7,5 +7,6 @@
 namespace Cases {
 
 int gatewayAndAgentKilled();
+int otherKindBeforePing();
 
 } // namespace Cases
--- a/review/standins-3/Lab.cpp
+++ b/review/standins-3/Lab.cpp
@@ -764,7 +764,8 @@
     record().line("starts " + path + " as " + this->name);
     this->pid = ::fork();
     if (this->pid == 0) {
-        // No daemon outlives the driver.
+        // No daemon outlives the driver. Cases start daemons on the main thread only: the signal
+        // comes with the end of the thread that started the process.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out = ::open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, 1);
--- a/review/standins-3/Main.cpp
+++ b/review/standins-3/Main.cpp
@@ -9,6 +9,7 @@
 {
     const std::map<std::string, std::function<int()>> cases{
             {"gateway-and-agent-killed", Cases::gatewayAndAgentKilled},
+            {"other-kind-before-ping", Cases::otherKindBeforePing},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
