--- a/review/standins-3/OtherKindBeforePing.cpp
+++ b/review/standins-3/OtherKindBeforePing.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-/// srv_crash lasts 4.8 s at most in the site file.
+/// Workers of kind "b": one worker of eight crashes, a share of 0.125. srv_crash has 0.14 at most
+/// in the site file, for 4.5 s.
+constexpr int Others = 7;
 constexpr std::int64_t DownMs = 500;
 /// Half of the usual time between two pings.
 constexpr std::int64_t FirstPingMs = 750;
@@ -33,21 +35,30 @@
     kindA.id = "i-7f3a91c2";
     kindA.labels = {"a", "r1-1"};
     kindA.port = freePort();
-    WorkerOptions kindB;
-    kindB.id = "i-0d41b8e7";
-    kindB.labels = {"b", "r1-2"};
     auto changing = std::make_unique<Worker>(kindA);
-    Worker other(kindB);
-    const std::uint16_t registrations[2] = {freePort(), freePort()};
-    const auto agentA =
-            makeAgent("side-1", "a", registrations[0], changing->port(), store.address(), seeds);
-    const auto agentB =
-            makeAgent("side-2", "a", registrations[1], other.port(), store.address(), seeds);
-    agentA->start();
-    agentB->start();
+    const std::uint16_t registration = freePort();
+    const auto agent =
+            makeAgent("side-0", "a", registration, changing->port(), store.address(), seeds);
+    agent->start();
+    std::unique_ptr<Worker> others[Others];
+    std::unique_ptr<Daemon> otherAgents[Others];
+    std::uint16_t otherRegistrations[Others];
+    for (int index = 0; index < Others; ++index) {
+        const std::string number = std::to_string(index + 1);
+        WorkerOptions kindB;
+        kindB.id = "i-0d41b8e" + number;
+        kindB.labels = {"b", "r1-" + number};
+        others[index] = std::make_unique<Worker>(kindB);
+        otherRegistrations[index] = freePort();
+        otherAgents[index] = makeAgent("side-" + number, "a", otherRegistrations[index],
+                                       others[index]->port(), store.address(), seeds);
+        otherAgents[index]->start();
+    }
     sleepMs(500);
-    changing->startPings(registrations[0]);
-    other.startPings(registrations[1]);
+    changing->startPings(registration);
+    for (int index = 0; index < Others; ++index) {
+        others[index]->startPings(otherRegistrations[index]);
+    }
     if (!waitUntilServed(ports.callers, 15000)) {
         return 2;
     }
@@ -80,7 +91,7 @@
             }
         });
         sleepUntil(bootedMs + FirstPingMs);
-        changing->startPings(registrations[0]);
+        changing->startPings(registration);
         client.join();
         sleepMs(2000);
         wrong = changing->runs();
@@ -89,14 +100,16 @@
             submitForA();
         }
     }
-    for (const RunSeen &run : other.runs()) {
-        if (run.task.rfind("00000000", 0) == 0) {
-            wrong.push_back(run);
+    for (int index = 0; index < Others; ++index) {
+        for (const RunSeen &run : others[index]->runs()) {
+            if (run.task.rfind("00000000", 0) == 0) {
+                wrong.push_back(run);
+            }
         }
+        otherAgents[index]->kill();
     }
     gateway->kill();
-    agentA->kill();
-    agentB->kill();
+    agent->kill();
     store.stop();
     for (const RunSeen &run : wrong) {
         record().line("broken: " + run.task + ", which requires a, was started on " + run.worker
